--- /dev/null
+++ b/jasperweir/components/experts/coordinator.py
@@ -0,0 +1,289 @@
+"""The coordinator's side of grants: windows of steps, and map switches."""
+
+import dataclasses
+import enum
+from typing import Any
+
+from jasperweir import core
+from jasperweir.components.experts import const
+from jasperweir.components.experts import messages
+
+Actions = list[Any]
+
+
+class Phase(enum.StrEnum):
+    """Where the coordination of a group stands."""
+
+    SEALING = "sealing"
+    LOADING = "loading"
+    RUNNING = "running"
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Host:
+    """What the coordinator knows of one host."""
+
+    sealed: bool = False
+    current: messages.Map | None = None
+    last: int = 0
+    done: int = 0
+    heard_at: float = float("-inf")
+    prepared: set[int] = dataclasses.field(default_factory=set)
+
+
+class Coordinator:
+    """Sans-I/O coordinator of one group in one term.
+
+    A window of steps is granted only when every host holds the one before,
+    so no host is ever granted more than one window beyond what another
+    holds. A new map begins after the last window of the old one; hosts that
+    have its weights go on without any pause.
+
+    Attributes:
+        phase: Where the coordination stands.
+        version: Map version of the newest grant.
+        pending: Map that is being loaded, or None.
+        switches: Number of maps brought into force.
+        aborts: Number of maps given up while loading.
+    """
+
+    def __init__(
+        self,
+        *,
+        group: str,
+        term: int,
+        hosts: tuple[str, ...],
+        first_map: messages.Map,
+        window: int,
+        now: float,
+    ) -> None:
+        self.group = group
+        self.term = term
+        self.phase = Phase.SEALING
+        self.version = 0
+        self.pending: messages.Map | None = None
+        self.switches = 0
+        self.aborts = 0
+        self._hosts = {name: Host() for name in hosts}
+        self._map = first_map
+        self._window = window
+        self._grant: messages.Grant | None = None
+        self._next_first = (term << const.STEP_BITS) + 1
+        self._sent_at = float("-inf")
+        self._prepare_since = now
+        self._released = 0
+
+    @property
+    def map(self) -> messages.Map:
+        """Map in force, or to be brought into force first."""
+        return self._map
+
+    @property
+    def hosts(self) -> tuple[str, ...]:
+        """Names of the group's hosts."""
+        return tuple(self._hosts)
+
+    @property
+    def done(self) -> int:
+        """Last step that every host has run."""
+        return min((h.done for h in self._hosts.values()), default=0)
+
+    def silent(self, now: float) -> list[str]:
+        """Return hosts that have not answered for long."""
+        return [
+            name
+            for name, host in self._hosts.items()
+            if now - host.heard_at >= const.HOST_LOST_SECONDS
+        ]
+
+    def switch(self, new: messages.Map, now: float) -> Actions:
+        """Begin to load a map; one still being loaded is overtaken."""
+        if self.phase != Phase.RUNNING or new.version <= self.version:
+            return []
+        out = self._abort()
+        self.pending = new
+        self._prepare_since = now
+        return out + self._resend_prepare(new)
+
+    def tick(self, now: float) -> Actions:
+        """Let time pass: repeat what was not answered."""
+        if now - self._sent_at < const.RESEND_SECONDS:
+            return []
+        self._sent_at = now
+        match self.phase:
+            case Phase.SEALING:
+                seal = messages.Seal(group=self.group, term=self.term)
+                waiting = [n for n, h in self._hosts.items() if not h.sealed]
+                return [core.Send(dst=name, msg=seal) for name in waiting]
+            case Phase.LOADING:
+                return self._resend_prepare(self._map)
+        out = self._resend_grant(now)
+        if self.pending is not None:
+            if now - self._prepare_since >= const.PREPARE_SECONDS:
+                return out + self._abort()
+            out += self._resend_prepare(self.pending)
+        return out + self._advance()
+
+    def receive(self, src: str, msg: Any, now: float) -> Actions:
+        """Handle a host's answer."""
+        host = self._hosts.get(src)
+        if host is None or msg.group != self.group or msg.term != self.term:
+            return []
+        host.heard_at = now
+        match msg:
+            case messages.Sealed():
+                return self._on_sealed(host, msg)
+            case messages.Prepared():
+                return self._on_prepared(host, msg)
+            case messages.Granted():
+                return self._on_granted(src, host, msg)
+        return []
+
+    # Sealing: learn what was granted before.
+
+    def _on_sealed(self, host: Host, msg: messages.Sealed) -> Actions:
+        if self.phase != Phase.SEALING:
+            return []
+        host.sealed = True
+        host.current = msg.current
+        host.prepared.update(msg.loaded)
+        if not all(h.sealed for h in self._hosts.values()):
+            return []
+        self._adopt_map()
+        self.phase = Phase.LOADING
+        return self._resend_prepare(self._map) + self._loaded()
+
+    def _adopt_map(self) -> None:
+        """Go on with the newest map that any host ran, if it still fits."""
+        held = [h.current for h in self._hosts.values() if h.current]
+        newest = max(held, key=lambda m: m.version, default=None)
+        if newest is not None and newest.shape == self._map.shape:
+            self._map = newest
+
+    def _resend_prepare(self, new: messages.Map) -> Actions:
+        msg = messages.Prepare(group=self.group, term=self.term, map=new)
+        return [
+            core.Send(dst=name, msg=msg)
+            for name, host in self._hosts.items()
+            if new.version not in host.prepared
+        ]
+
+    def _loaded(self) -> Actions:
+        """Begin to grant once every host holds the first map."""
+        version = self._map.version
+        if not self._all_prepared(version):
+            return []
+        self.phase = Phase.RUNNING
+        self.version = version
+        self.switches += 1
+        return self._next_window()
+
+    # Windows.
+
+    def _on_granted(
+        self, src: str, host: Host, msg: messages.Granted
+    ) -> Actions:
+        host.done = max(host.done, msg.done)
+        if msg.ok:
+            host.last = max(host.last, msg.last)
+            return self._advance()
+        if self._grant is not None and msg.last == self._grant.last:
+            # The host has restarted and knows nothing: load the map again.
+            host.prepared.discard(self.version)
+            host.last = 0
+            return [
+                core.Send(
+                    dst=src,
+                    msg=messages.Prepare(
+                        group=self.group, term=self.term, map=self._map
+                    ),
+                )
+            ]
+        return []
+
+    def _resend_grant(self, now: float) -> Actions:
+        """Repeat the grant to hosts that lack it or have been quiet.
+
+        A host that restarted after its answer would otherwise wait for
+        grants, and everybody for the host.
+        """
+        grant = self._grant
+        if grant is None:
+            return []
+        return [
+            core.Send(dst=name, msg=grant)
+            for name, host in self._hosts.items()
+            if host.last < grant.last
+            or now - host.heard_at >= const.REFRESH_SECONDS
+        ]
+
+    def _advance(self) -> Actions:
+        """Grant the next window before the ranks run out of steps."""
+        if self.phase != Phase.RUNNING or self._grant is None:
+            return []
+        held = min(h.last for h in self._hosts.values())
+        if held < self._grant.last:
+            return []
+        if self.done < self._grant.last - self._window // 2:
+            return self._release()
+        return self._release() + self._next_window()
+
+    def _next_window(self) -> Actions:
+        pending = self.pending
+        if pending is not None and self._all_prepared(pending.version):
+            self.version = pending.version
+            self._map = pending
+            self.pending = None
+            self.switches += 1
+        self._grant = messages.Grant(
+            group=self.group,
+            term=self.term,
+            version=self.version,
+            first=self._next_first,
+            last=self._next_first + self._window - 1,
+        )
+        self._next_first = self._grant.last + 1
+        return self._to_all(self._grant)
+
+    def _release(self) -> Actions:
+        """Let old weights go once every host runs under the new map."""
+        if self._grant is None or self._released == self.version:
+            return []
+        if self.done < self._grant.first:
+            return []
+        self._released = self.version
+        return self._to_all(
+            messages.Release(
+                group=self.group, term=self.term, version=self.version
+            )
+        )
+
+    # Maps.
+
+    def _on_prepared(self, host: Host, msg: messages.Prepared) -> Actions:
+        if msg.ok:
+            host.prepared.add(msg.version)
+            if self.phase == Phase.LOADING:
+                return self._loaded()
+            return []
+        if self.pending is not None and msg.version == self.pending.version:
+            return self._abort()
+        return []
+
+    def _abort(self) -> Actions:
+        if self.pending is None:
+            return []
+        version = self.pending.version
+        self.pending = None
+        self.aborts += 1
+        for host in self._hosts.values():
+            host.prepared.discard(version)
+        return self._to_all(
+            messages.Abort(group=self.group, term=self.term, version=version)
+        )
+
+    def _all_prepared(self, version: int) -> bool:
+        return all(version in h.prepared for h in self._hosts.values())
+
+    def _to_all(self, msg: Any) -> Actions:
+        return [core.Send(dst=name, msg=msg) for name in self._hosts]
--- /dev/null
+++ b/jasperweir/components/experts/guard.py
@@ -0,0 +1,150 @@
+"""A host's side of grants: no step without one, one map per step."""
+
+from typing import Any, NamedTuple
+
+from jasperweir import core
+from jasperweir.components.experts import messages
+
+Actions = list[Any]
+
+
+class Load(NamedTuple):
+    """Action: load the weights of a map on this host's ranks."""
+
+    map: messages.Map
+    coordinator: str
+
+
+class Allow(NamedTuple):
+    """Action: let the ranks run these steps under this map."""
+
+    grant: messages.Grant
+
+
+class Drop(NamedTuple):
+    """Action: weights used by maps below this version only may go."""
+
+    version: int
+
+
+class Guard:
+    """Sans-I/O guard of the ranks on one host.
+
+    A rank runs a step only under a grant. Whoever misses a switch runs out
+    of grants and stalls; it cannot run a later step on an old map.
+
+    Attributes:
+        term: Highest coordinator term seen.
+        done: Last step that the ranks have run.
+    """
+
+    def __init__(self, *, group: str) -> None:
+        self.term = 0
+        self.done = 0
+        self._group = group
+        self._grants: list[messages.Grant] = []
+        self._loaded: set[int] = set()
+        self._maps: dict[int, messages.Map] = {}
+        self._current: messages.Map | None = None
+
+    @property
+    def current(self) -> messages.Map | None:
+        """Map of the newest grant."""
+        return self._current
+
+    def version_for(self, step: int) -> int | None:
+        """Return the map version for a step, or None: do not run it."""
+        for grant in self._grants:
+            if grant.first <= step <= grant.last:
+                return grant.version
+        return None
+
+    def ran(self, step: int) -> None:
+        """Note that the ranks have run a step."""
+        self.done = max(self.done, step)
+        self._grants = [
+            g for g in self._grants if g.last >= self.done or g is self._top()
+        ]
+
+    def loaded(self, version: int, ok: bool, coordinator: str) -> Actions:
+        """Note that the weights of a map are loaded, or cannot be."""
+        if ok:
+            self._loaded.add(version)
+        reply = messages.Prepared(
+            group=self._group, term=self.term, version=version, ok=ok
+        )
+        return [core.Send(dst=coordinator, msg=reply)]
+
+    def receive(self, src: str, msg: Any) -> Actions:
+        """Handle a message from a coordinator."""
+        if msg.group != self._group or msg.term < self.term:
+            # An isolated coordinator that was replaced has no effect.
+            return []
+        if msg.term > self.term:
+            self.term = msg.term
+            self._grants.clear()
+        match msg:
+            case messages.Seal():
+                return self._seal(src)
+            case messages.Prepare():
+                return self._prepare(src, msg)
+            case messages.Grant():
+                return self._grant(src, msg)
+            case messages.Release():
+                self._forget_below(msg.version)
+                return [Drop(version=msg.version)]
+            case messages.Abort():
+                self._loaded.discard(msg.version)
+                self._maps.pop(msg.version, None)
+        return []
+
+    def _forget_below(self, version: int) -> None:
+        self._loaded = {v for v in self._loaded if v >= version}
+        self._maps = {v: m for v, m in self._maps.items() if v >= version}
+
+    def _seal(self, src: str) -> Actions:
+        reply = messages.Sealed(
+            group=self._group,
+            term=self.term,
+            done=self.done,
+            loaded=tuple(sorted(self._loaded)),
+            current=self._current,
+        )
+        return [core.Send(dst=src, msg=reply)]
+
+    def _prepare(self, src: str, msg: messages.Prepare) -> Actions:
+        self._maps[msg.map.version] = msg.map
+        if msg.map.version in self._loaded:
+            return self.loaded(msg.map.version, True, src)
+        return [Load(map=msg.map, coordinator=src)]
+
+    def _grant(self, src: str, msg: messages.Grant) -> Actions:
+        ok = self._acceptable(msg)
+        out: Actions = []
+        if ok and msg not in self._grants:
+            self._grants.append(msg)
+            self._current = self._maps.get(msg.version, self._current)
+            out.append(Allow(grant=msg))
+        reply = messages.Granted(
+            group=self._group,
+            term=self.term,
+            last=msg.last,
+            done=self.done,
+            ok=ok,
+        )
+        out.append(core.Send(dst=src, msg=reply))
+        return out
+
+    def _acceptable(self, msg: messages.Grant) -> bool:
+        if msg.version not in self._loaded:
+            return False
+        # A step granted under one map is never granted under another.
+        return not any(
+            g.version != msg.version
+            and g.first <= msg.last
+            and msg.first <= g.last
+            for g in self._grants
+        )
+
+    def _top(self) -> messages.Grant | None:
+        return max(self._grants, key=lambda g: g.last, default=None)
--- /dev/null
+++ b/jasperweir/components/experts/placement.py
@@ -0,0 +1,170 @@
+"""Which expert stands in which slot, and how its load is split."""
+
+from typing import NamedTuple
+
+import numpy as np
+import numpy.typing as npt
+
+from jasperweir import exceptions
+from jasperweir.components.experts import const
+
+Ints = npt.NDArray[np.int64]
+Floats = npt.NDArray[np.float64]
+
+
+class Layer(NamedTuple):
+    """Placement of one layer's experts.
+
+    Attributes:
+        slots: Expert in each slot, shape (ranks, slots per rank).
+        split: Share of its expert's load that each slot takes, same shape;
+            the shares of one expert's slots sum to 1.
+    """
+
+    slots: Ints
+    split: Floats
+
+
+class Move(NamedTuple):
+    """One expert loaded into one slot, in place of another's copy."""
+
+    rank: int
+    slot: int
+    expert: int
+    replaces: int
+
+
+def copies(slots: Ints, experts: int) -> Ints:
+    """Return the number of copies of each expert."""
+    return np.bincount(slots.ravel(), minlength=experts)
+
+
+def even_split(slots: Ints, experts: int) -> Floats:
+    """Return the split that shares each expert's load evenly."""
+    count = copies(slots, experts)
+    split: Floats = 1.0 / count[slots]
+    return split
+
+
+def rank_loads(layer: Layer, shares: Floats, speeds: Floats) -> Floats:
+    """Return each rank's load, in time units of a rank of speed 1."""
+    loads: Floats = (shares[layer.slots] * layer.split).sum(axis=1) / speeds
+    return loads
+
+
+def skew(loads: Floats) -> float:
+    """Return how far the slowest rank trails the mean, as a share."""
+    mean = float(loads.mean())
+    return float(loads.max()) / mean - 1.0 if mean > 0 else 0.0
+
+
+def balanced_split(
+    slots: Ints,
+    shares: Floats,
+    speeds: Floats,
+    start: Floats | None = None,
+) -> Floats:
+    """Return a split of each expert's load that evens out the ranks.
+
+    Moving load between copies that are loaded already costs no move at all.
+    Each round shifts every expert's load towards the copies on lighter
+    ranks, in proportion to the inverse of the rank's load.
+
+    Args:
+        slots: Shape (ranks, slots per rank).
+        shares: Load of each expert.
+        speeds: Relative speed of each rank.
+        start: Split to begin with; even if absent.
+    """
+    experts = len(shares)
+    flat = slots.ravel()
+    split = even_split(slots, experts) if start is None else start.copy()
+    best, best_peak = split, np.inf
+    for _ in range(const.SPLIT_ROUNDS):
+        loads = (shares[slots] * split).sum(axis=1) / speeds
+        peak = float(loads.max())
+        if peak < best_peak:
+            best, best_peak = split, peak
+        pull = 1.0 / np.maximum(loads, 1e-12)
+        weight = split * pull[:, None]
+        total = np.bincount(flat, weights=weight.ravel(), minlength=experts)
+        split = weight / np.maximum(total, 1e-300)[slots]
+    loads = (shares[slots] * split).sum(axis=1) / speeds
+    return split if float(loads.max()) < best_peak else best
+
+
+def initial(ranks: int, per_rank: int, experts: int) -> Ints:
+    """Return a round-robin placement with every expert at least once.
+
+    Raises:
+        PlanError: There are fewer slots than experts.
+    """
+    total = ranks * per_rank
+    if total < experts:
+        raise exceptions.PlanError(f"{total} slots for {experts} experts")
+    order = np.arange(total) % experts
+    slots: Ints = order.reshape(per_rank, ranks).T.copy()
+    return slots
+
+
+def greedy(shares: Floats, ranks: int, per_rank: int, speeds: Floats) -> Ints:
+    """Return a placement from scratch: replicate, then pack.
+
+    Extra slots go to the expert with the largest load per copy; copies are
+    packed by size onto the least loaded rank that has none yet. This is the
+    usual from-scratch method and the baseline to beat.
+    """
+    experts = len(shares)
+    count = np.ones(experts, dtype=np.int64)
+    for _ in range(ranks * per_rank - experts):
+        open_for_more = count < ranks
+        per_copy = np.where(open_for_more, shares / count, -1.0)
+        count[int(per_copy.argmax())] += 1
+    items = np.repeat(np.arange(experts), count)
+    sizes = (shares / count)[items]
+    slots = np.full((ranks, per_rank), -1, dtype=np.int64)
+    used = np.zeros(ranks, dtype=np.int64)
+    loads = np.zeros(ranks)
+    for item in np.argsort(-sizes, kind="stable"):
+        expert = items[item]
+        _place(slots, used, loads, int(expert), float(sizes[item]), speeds)
+    return slots
+
+
+def _place(
+    slots: Ints,
+    used: Ints,
+    loads: Floats,
+    expert: int,
+    size: float,
+    speeds: Floats,
+) -> None:
+    per_rank = slots.shape[1]
+    free = used < per_rank
+    apart = free & ~(slots == expert).any(axis=1)
+    allowed = apart if apart.any() else free
+    after = np.where(allowed, loads + size / speeds, np.inf)
+    rank = int(after.argmin())
+    slots[rank, used[rank]] = expert
+    used[rank] += 1
+    loads[rank] += size / speeds[rank]
+
+
+def moves_between(old: Ints, new: Ints) -> list[Move]:
+    """Return the loads that turn one placement into another.
+
+    Within a rank the order of slots is free: only experts that the rank did
+    not hold count as moves.
+    """
+    found = []
+    for rank in range(old.shape[0]):
+        have = list(old[rank])
+        want = list(new[rank])
+        for expert in list(want):
+            if expert in have:
+                have.remove(expert)
+                want.remove(expert)
+        for expert, gone in zip(want, have, strict=True):
+            slot = int(np.flatnonzero(old[rank] == gone)[0])
+            found.append(Move(rank, slot, int(expert), int(gone)))
+    return found
--- /dev/null
+++ b/jasperweir/components/experts/planner.py
@@ -0,0 +1,195 @@
+"""Change placements by few moves, when the gain is worth their price."""
+
+from typing import NamedTuple
+
+import numpy as np
+import numpy.typing as npt
+
+from jasperweir.components.experts import const
+from jasperweir.components.experts import placement
+
+Ints = npt.NDArray[np.int64]
+Floats = npt.NDArray[np.float64]
+
+
+class Plan(NamedTuple):
+    """Result of one planning round.
+
+    Attributes:
+        layers: New placement of every layer.
+        moves: Loads by layer, in an order of which every prefix leaves each
+            expert with a copy.
+        before: Expected skew of each layer if nothing is changed.
+        after: Expected skew of each layer under the plan.
+    """
+
+    layers: tuple[placement.Layer, ...]
+    moves: tuple[tuple[int, placement.Move], ...]
+    before: tuple[float, ...]
+    after: tuple[float, ...]
+
+
+def price_of_move(skew_weight: float) -> float:
+    """Return the gain in skew that one move must bring.
+
+    Args:
+        skew_weight: 1 weighs only skew, 0 only the cost of moves.
+    """
+    weight = min(max(skew_weight, 0.001), 0.999)
+    return const.MOVE_PRICE * (1 - weight) / weight
+
+
+def plan(
+    layers: tuple[placement.Layer, ...],
+    shares: Floats,
+    speeds: Floats,
+    *,
+    skew_weight: float,
+    budget: int,
+) -> Plan:
+    """Return placements for the estimated popularity.
+
+    Args:
+        layers: Placements in force.
+        shares: Estimated shares, shape (layers, experts).
+        speeds: Relative speed of each rank; a straggler has less than 1.
+        skew_weight: The bundle's weight of skew against moves.
+        budget: Moves that the weight store allows, over all layers.
+    """
+    price = price_of_move(skew_weight)
+    before = [
+        placement.skew(placement.rank_loads(layer, shares[i], speeds))
+        for i, layer in enumerate(layers)
+    ]
+    new = list(layers)
+    after = list(before)
+    moves: list[tuple[int, placement.Move]] = []
+    # The layers that trail most are mended first, while the budget lasts.
+    for i in np.argsort(-np.array(before), kind="stable"):
+        left = min(budget - len(moves), const.MOVES_PER_LAYER)
+        layer, made, value = _mend(layers[i], shares[i], speeds, price, left)
+        if not made and before[i] - value < const.SPLIT_GAIN:
+            continue
+        new[i] = layer
+        after[i] = value
+        moves += [(int(i), move) for move in made]
+    return Plan(
+        layers=tuple(new),
+        moves=tuple(moves),
+        before=tuple(before),
+        after=tuple(after),
+    )
+
+
+def _mend(
+    layer: placement.Layer,
+    shares: Floats,
+    speeds: Floats,
+    price: float,
+    budget: int,
+) -> tuple[placement.Layer, list[placement.Move], float]:
+    """Split anew, then move while each move brings at least its price.
+
+    Skew falls in stairs: a move that alone gains nothing may open the next
+    one. A few such moves are tried ahead and kept only if together they
+    bring their price.
+    """
+    slots = layer.slots.copy()
+    split = placement.balanced_split(slots, shares, speeds, layer.split)
+    best = placement.Layer(slots.copy(), split)
+    value = _skew(best, shares, speeds)
+    made: list[placement.Move] = []
+    trial = list(made)
+    current = best
+    while len(trial) < budget and len(trial) - len(made) < _LOOK_AHEAD:
+        move = _best_move(current, shares, speeds)
+        if move is None:
+            break
+        trial.append(move)
+        current = _after(current, move, shares, speeds)
+        reached = _skew(current, shares, speeds)
+        gain = value - reached
+        if gain >= price * (len(trial) - len(made)):
+            made, best, value = list(trial), current, reached
+    return best, made, value
+
+
+_LOOK_AHEAD = 4
+
+
+def _skew(layer: placement.Layer, shares: Floats, speeds: Floats) -> float:
+    return placement.skew(placement.rank_loads(layer, shares, speeds))
+
+
+def _after(
+    layer: placement.Layer,
+    move: placement.Move,
+    shares: Floats,
+    speeds: Floats,
+) -> placement.Layer:
+    slots = layer.slots.copy()
+    slots[move.rank, move.slot] = move.expert
+    split = placement.balanced_split(slots, shares, speeds)
+    return placement.Layer(slots, split)
+
+
+def _best_move(
+    layer: placement.Layer, shares: Floats, speeds: Floats
+) -> placement.Move | None:
+    """Return the move that most relieves the slowest rank, by estimate."""
+    loads = placement.rank_loads(layer, shares, speeds)
+    count = placement.copies(layer.slots, len(shares))
+    slowest = int(loads.argmax())
+    lightest = np.argsort(loads, kind="stable")[: const.LIGHTEST_RANKS]
+    found: placement.Move | None = None
+    best = np.inf
+    for expert in np.unique(layer.slots[slowest]):
+        for rank in lightest:
+            if rank == slowest or (layer.slots[rank] == expert).any():
+                continue
+            move = _victim(layer, shares, count, int(rank), int(expert))
+            if move is None:
+                continue
+            peak = _estimate(layer, shares, speeds, loads, count, move)
+            if peak < best:
+                best, found = peak, move
+    return found
+
+
+def _victim(
+    layer: placement.Layer,
+    shares: Floats,
+    count: Ints,
+    rank: int,
+    expert: int,
+) -> placement.Move | None:
+    """Return the move into a rank's least used slot that has other copies."""
+    experts = layer.slots[rank]
+    use = shares[experts] * layer.split[rank]
+    use = np.where(count[experts] > 1, use, np.inf)
+    slot = int(use.argmin())
+    if not np.isfinite(use[slot]):
+        return None
+    return placement.Move(rank, slot, expert, int(experts[slot]))
+
+
+def _estimate(
+    layer: placement.Layer,
+    shares: Floats,
+    speeds: Floats,
+    loads: Floats,
+    count: Ints,
+    move: placement.Move,
+) -> float:
+    """Return the peak after a move, splitting the two experts evenly."""
+    after = loads.copy()
+    for expert, change in ((move.expert, 1), (move.replaces, -1)):
+        here = layer.slots == expert
+        old = (layer.split * here).sum(axis=1)
+        new = here.sum(axis=1) / (count[expert] + change)
+        if change < 0:
+            new[move.rank] -= 1 / (count[expert] + change)
+        else:
+            new[move.rank] += 1 / (count[expert] + change)
+        after += shares[expert] * (new - old) / speeds
+    return float(after.max())
