Grant steps under one expert map and plan placements by few moves

Cause: groups had no map at all. Weighed: a barrier and a two-phase switch both leave the rank that voted and heard nothing; step grants do not.

Change: guard, coordinator (appointed in the log, steps and map versions numbered from its term), popularity, placement with split of load between copies, planner with a price per move, stand-in group that checks each step.

--- /dev/null
+++ b/jasperweir/components/agent/engine.py
@@ -0,0 +1,158 @@
+"""Adapter between a group's decisions and the engine beside the agent."""
+
+from collections.abc import Callable
+import queue
+import threading
+from typing import Any
+
+import numpy as np
+import urllib3
+
+from jasperweir import core
+from jasperweir.components.experts import group as group_lib
+from jasperweir.components.experts import guard as guard_lib
+from jasperweir.components.experts import messages
+from jasperweir.helpers import codec
+
+POLL_SECONDS = 0.25
+SMALL_SECONDS = 2.0
+LOAD_SECONDS = 60.0
+HTTP_OK = 200
+
+
+class GroupEngine:
+    """Carry grants, maps and reports between the group and its engine.
+
+    Grants keep their order on one thread; loading weights, which is slow,
+    has threads of its own so that no grant waits for it.
+    """
+
+    def __init__(
+        self,
+        *,
+        url: str,
+        group: group_lib.Group,
+        call: Callable[[Callable[[], Any]], None],
+        perform: Callable[[list[Any]], None],
+        on_skew: Callable[[float, bool], None],
+    ) -> None:
+        self._url = url
+        self._group = group
+        self._call = call
+        self._perform_all = perform
+        self._on_skew = on_skew
+        self._http = urllib3.PoolManager(maxsize=8, retries=False)
+        self._queue: queue.SimpleQueue[tuple[str, bytes]] = queue.SimpleQueue()
+        self._stopping = threading.Event()
+        self._loading: set[int] = set()
+        self._known = False
+
+    def start(self) -> None:
+        """Start the threads."""
+        for target in (self._poll_loop, self._order_loop):
+            threading.Thread(target=target, daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop the threads."""
+        self._stopping.set()
+        self._queue.put(("", b""))
+
+    def perform(self, acts: list[Any]) -> None:
+        """Carry out what the group asks of its engine."""
+        for act in acts:
+            match act:
+                case guard_lib.Allow():
+                    grant = act.grant
+                    body = (
+                        f'{{"version": {grant.version}, '
+                        f'"first": {grant.first}, "last": {grant.last}}}'
+                    )
+                    self._queue.put(("/grants", body.encode()))
+                case guard_lib.Drop():
+                    body = f'{{"version": {act.version}}}'
+                    self._queue.put(("/drop", body.encode()))
+                case guard_lib.Load():
+                    self._load(act)
+                case core.Send():
+                    continue
+
+    def _load(self, act: guard_lib.Load) -> None:
+        if act.map.version in self._loading:
+            return
+        self._loading.add(act.map.version)
+        threading.Thread(
+            target=self._load_map, args=(act.map, act.coordinator), daemon=True
+        ).start()
+
+    def _load_map(self, new: messages.Map, coordinator: str) -> None:
+        ok = self._post("/map", codec.pack(new), LOAD_SECONDS)
+
+        def loaded() -> None:
+            self._loading.discard(new.version)
+            guard = self._group.guard
+            self._perform_all(guard.loaded(new.version, ok, coordinator))
+
+        self._call(loaded)
+
+    def _order_loop(self) -> None:
+        while not self._stopping.is_set():
+            path, body = self._queue.get()
+            if path and not self._post(path, body, SMALL_SECONDS):
+                # One retry; the coordinator repeats what was not taken.
+                self._post(path, body, SMALL_SECONDS)
+
+    def _post(self, path: str, body: bytes, seconds: float) -> bool:
+        try:
+            resp = self._http.request(
+                "POST", self._url + path, body=body, timeout=seconds
+            )
+        except urllib3.exceptions.HTTPError:
+            return False
+        return resp.status == HTTP_OK
+
+    def _poll_loop(self) -> None:
+        while not self._stopping.wait(POLL_SECONDS):
+            try:
+                self._poll()
+            except (urllib3.exceptions.HTTPError, ValueError, KeyError):
+                self._known = False
+
+    def _poll(self) -> None:
+        if not self._known:
+            shape = self._get("/group")
+            self._call(
+                lambda: self._group.shape(
+                    group_lib.Shape(
+                        layers=shape["layers"],
+                        ranks=shape["ranks"],
+                        per_rank=shape["per_rank"],
+                        experts=shape["experts"],
+                    )
+                )
+            )
+            self._known = True
+        report = self._get("/steps")
+        coordinator = self._group.coordinator
+        switching = coordinator is not None and bool(coordinator.pending)
+        self._on_skew(float(report["skew"]), switching)
+        self._call(lambda: self._observe(report))
+
+    def _observe(self, report: dict[str, Any]) -> None:
+        done = int(report["done"])
+        if done < self._group.guard.done:
+            self._group.guard.engine_restarted()
+        self._group.guard.ran(done)
+        if self._group.coordinator is None:
+            return
+        self._group.observe(
+            np.array(report["counts"], dtype=float),
+            np.array(report["seconds"], dtype=float),
+            np.array(report["loads"], dtype=float),
+        )
+
+    def _get(self, path: str) -> dict[str, Any]:
+        resp = self._http.request(
+            "GET", self._url + path, timeout=SMALL_SECONDS
+        )
+        found: dict[str, Any] = resp.json()
+        return found
--- a/jasperweir/components/agent/node.py
+++ b/jasperweir/components/agent/node.py
@@ -7,6 +7,8 @@
 from jasperweir.components.config import table as table_lib
 from jasperweir.components.control import client as control_client
 from jasperweir.components.control import messages as control_messages
+from jasperweir.components.experts import group as group_lib
+from jasperweir.components.experts import messages as experts_messages
 from jasperweir.components.membership import announcer as announcer_lib
 from jasperweir.components.membership import messages as member_messages
 
@@ -20,6 +22,7 @@
         announcer: Announcement and heartbeats of the target.
         replica: Configuration in force here.
         control: Conversation with the control VMs.
+        group: Part in an expert group, or None.
     """
 
     def __init__(
@@ -29,6 +32,7 @@
         seeds: tuple[member_messages.Peer, ...],
         voters: tuple[str, ...],
         rng: random.Random,
+        group: group_lib.Group | None = None,
     ) -> None:
         self.replica = replica_lib.Replica(place=member.place)
         entries = tuple(s for s in seeds if s.name not in voters)
@@ -36,6 +40,7 @@
             member=member, table=self.replica.table, seeds=entries or seeds
         )
         self.control = control_client.Client(voters=voters, rng=rng)
+        self.group = group
 
     @property
     def ready(self) -> bool:
@@ -47,7 +52,21 @@
         out = self.announcer.tick(now)
         out += self.control.ask_floor(now)
         self.replica.refresh()
-        return out
+        return out + self._tick_group(now)
+
+    def _tick_group(self, now: float) -> Actions:
+        bundle = self.replica.bundle
+        if self.group is None or bundle is None:
+            return []
+        weights = group_lib.Weights(*bundle.experts)
+        out = self.group.follow(
+            self.replica.appointment(self.group.name),
+            self.announcer.member.inc,
+            tuple(peer.name for peer in self.announcer.group),
+            weights,
+            now,
+        )
+        return out + self.group.tick(weights, now)
 
     def receive(self, src: str, msg: Any, now: float) -> Actions:
         """Handle a message from another process."""
@@ -59,4 +78,8 @@
             case table_lib.Delta():
                 self.replica.table.apply(msg)
                 return []
+        if type(msg).__module__ == experts_messages.__name__:
+            if self.group is None:
+                return []
+            return self.group.receive(src, msg, now)
         return self.announcer.receive(src, msg, now)
--- a/jasperweir/components/experts/const.py
+++ b/jasperweir/components/experts/const.py
@@ -1,17 +1,25 @@
 """Constants of the experts component."""
 
 # Popularity.
-SLOW_SMOOTHING = 0.1
-FAST_SMOOTHING = 0.5
-# Total variation between the fast and the slow average that counts as a jump.
-JUMP_DISTANCE = 0.18
+LEAST_GAIN = 0.2
+# Total variation between an interval and the average that counts as a jump,
+# if it is also well above what sampling alone would give.
+JUMP_DISTANCE = 0.08
+JUMP_NOISE_FACTOR = 4.0
+# Expected total variation of sampled shares is this times the root of
+# experts over tokens.
+SAMPLING_NOISE = 0.4
 
 # Placement.
-SPLIT_ROUNDS = 12
+SPLIT_ROUNDS = 16
+SPLIT_RENEWAL = 0.1
 LIGHTEST_RANKS = 4
+LOOK_AHEAD = 10
 MOVES_PER_LAYER = 24
 # Price of one move, in skew summed over the horizon, at equal weights.
-MOVE_PRICE = 0.02
+MOVE_PRICE = 0.0005
+# Below this, moves chase noise whatever the weight.
+LEAST_PRICE = 0.0004
 # A map whose only change is the split of load is worth a switch from here.
 SPLIT_GAIN = 0.02
 
--- a/jasperweir/components/experts/coordinator.py
+++ b/jasperweir/components/experts/coordinator.py
@@ -5,8 +5,7 @@
 from typing import Any
 
 from jasperweir import core
-from jasperweir.components.experts import const
-from jasperweir.components.experts import messages
+from jasperweir.components.experts import const, messages
 
 Actions = list[Any]
 
@@ -105,6 +104,18 @@
         self._prepare_since = now
         return out + self._resend_prepare(new)
 
+    def rehost(self, hosts: tuple[str, ...]) -> Actions:
+        """Form the group anew with other hosts, in the same term.
+
+        Steps go on where the granted ones end, since a host that is left
+        out may still hold grants up to there.
+        """
+        out = self._abort()
+        self._hosts = {name: Host() for name in hosts}
+        self._grant = None
+        self.phase = Phase.SEALING
+        return out
+
     def tick(self, now: float) -> Actions:
         """Let time pass: repeat what was not answered."""
         if now - self._sent_at < const.RESEND_SECONDS:
--- a/jasperweir/components/experts/group.py
+++ b/jasperweir/components/experts/group.py
@@ -4,15 +4,17 @@
 
 import numpy as np
 
-from jasperweir.components.experts import const
+from jasperweir.components.experts import (
+    const,
+    maps,
+    messages,
+    placement,
+    planner,
+    stragglers,
+)
 from jasperweir.components.experts import coordinator as coordinator_lib
 from jasperweir.components.experts import guard as guard_lib
-from jasperweir.components.experts import maps
-from jasperweir.components.experts import messages
-from jasperweir.components.experts import placement
-from jasperweir.components.experts import planner
 from jasperweir.components.experts import popularity as popularity_lib
-from jasperweir.components.experts import stragglers
 from jasperweir.components.registry import ops
 from jasperweir.helpers import metrics as metrics_lib
 
@@ -81,7 +83,7 @@
         hosts: tuple[str, ...],
         weights: Weights,
         now: float,
-    ) -> None:
+    ) -> Actions:
         """Become, stay or cease to be the coordinator."""
         mine = (
             appointment is not None
@@ -90,16 +92,15 @@
         )
         if not mine or self._shape is None or not hosts:
             self.coordinator = None
-            return
+            return []
         assert appointment is not None
         current = self.coordinator
         if current is not None and current.term == appointment.term:
-            if set(current.hosts) == set(hosts):
-                return
-            if not set(hosts) - set(current.hosts):
+            if set(hosts) <= set(current.hosts):
                 # A host that merely fell silent may come back; only hosts
                 # that join make the group form anew.
-                return
+                return []
+            return current.rehost(hosts)
         first = self._first_map(appointment.term)
         self.coordinator = coordinator_lib.Coordinator(
             group=self.name,
@@ -109,6 +110,7 @@
             window=weights.grant_steps,
             now=now,
         )
+        return []
 
     def tick(self, weights: Weights, now: float) -> Actions:
         """Let time pass; plan when it is due."""
--- a/jasperweir/components/experts/guard.py
+++ b/jasperweir/components/experts/guard.py
@@ -66,6 +66,12 @@
             g for g in self._grants if g.last >= self.done or g is self._top()
         ]
 
+    def engine_restarted(self) -> None:
+        """Forget what the engine no longer holds."""
+        self.done = 0
+        self._grants.clear()
+        self._loaded.clear()
+
     def loaded(self, version: int, ok: bool, coordinator: str) -> Actions:
         """Note that the weights of a map are loaded, or cannot be."""
         if ok:
@@ -121,9 +127,12 @@
     def _grant(self, src: str, msg: messages.Grant) -> Actions:
         ok = self._acceptable(msg)
         out: Actions = []
-        if ok and msg not in self._grants:
-            self._grants.append(msg)
+        if ok:
+            if msg not in self._grants:
+                self._grants.append(msg)
             self._current = self._maps.get(msg.version, self._current)
+            # Repeated grants are handed on as well: the engine may have
+            # missed the first.
             out.append(Allow(grant=msg))
         reply = messages.Granted(
             group=self._group,
--- a/jasperweir/components/experts/maps.py
+++ b/jasperweir/components/experts/maps.py
@@ -3,9 +3,7 @@
 import numpy as np
 import numpy.typing as npt
 
-from jasperweir.components.experts import const
-from jasperweir.components.experts import messages
-from jasperweir.components.experts import placement
+from jasperweir.components.experts import const, messages, placement
 
 SPLIT_UNITS = 255
 
--- a/jasperweir/components/experts/placement.py
+++ b/jasperweir/components/experts/placement.py
@@ -78,7 +78,10 @@
     """
     experts = len(shares)
     flat = slots.ravel()
-    split = even_split(slots, experts) if start is None else start.copy()
+    split = even_split(slots, experts)
+    if start is not None:
+        # A share of zero could never grow again, so some evenness is kept.
+        split = start + const.SPLIT_RENEWAL * (split - start)
     best, best_peak = split, np.inf
     for _ in range(const.SPLIT_ROUNDS):
         loads = (shares[slots] * split).sum(axis=1) / speeds
--- a/jasperweir/components/experts/planner.py
+++ b/jasperweir/components/experts/planner.py
@@ -5,8 +5,7 @@
 import numpy as np
 import numpy.typing as npt
 
-from jasperweir.components.experts import const
-from jasperweir.components.experts import placement
+from jasperweir.components.experts import const, placement
 
 Ints = npt.NDArray[np.int64]
 Floats = npt.NDArray[np.float64]
@@ -36,7 +35,8 @@
         skew_weight: 1 weighs only skew, 0 only the cost of moves.
     """
     weight = min(max(skew_weight, 0.001), 0.999)
-    return const.MOVE_PRICE * (1 - weight) / weight
+    price = const.MOVE_PRICE * (1 - weight) / weight
+    return max(price, const.LEAST_PRICE)
 
 
 def plan(
@@ -101,7 +101,7 @@
     made: list[placement.Move] = []
     trial = list(made)
     current = best
-    while len(trial) < budget and len(trial) - len(made) < _LOOK_AHEAD:
+    while len(trial) < budget and len(trial) - len(made) < const.LOOK_AHEAD:
         move = _best_move(current, shares, speeds)
         if move is None:
             break
@@ -114,9 +114,6 @@
     return best, made, value
 
 
-_LOOK_AHEAD = 4
-
-
 def _skew(layer: placement.Layer, shares: Floats, speeds: Floats) -> float:
     return placement.skew(placement.rank_loads(layer, shares, speeds))
 
@@ -129,7 +126,10 @@
 ) -> placement.Layer:
     slots = layer.slots.copy()
     slots[move.rank, move.slot] = move.expert
-    split = placement.balanced_split(slots, shares, speeds)
+    even = placement.even_split(slots, len(shares))
+    changed = (slots == move.expert) | (slots == move.replaces)
+    start = np.where(changed, even, layer.split)
+    split = placement.balanced_split(slots, shares, speeds, start)
     return placement.Layer(slots, split)
 
 
@@ -140,7 +140,10 @@
     loads = placement.rank_loads(layer, shares, speeds)
     count = placement.copies(layer.slots, len(shares))
     slowest = int(loads.argmax())
-    lightest = np.argsort(loads, kind="stable")[: const.LIGHTEST_RANKS]
+    # A rank whose experts are all the last of their kind can take nothing.
+    open_to_more = (count[layer.slots] > 1).any(axis=1)
+    order = np.argsort(np.where(open_to_more, loads, np.inf), kind="stable")
+    lightest = order[: const.LIGHTEST_RANKS]
     found: placement.Move | None = None
     best = np.inf
     for expert in np.unique(layer.slots[slowest]):
@@ -150,7 +153,7 @@
             move = _victim(layer, shares, count, int(rank), int(expert))
             if move is None:
                 continue
-            peak = _estimate(layer, shares, speeds, loads, count, move)
+            peak = _estimate(layer, shares, speeds, loads, slowest, move)
             if peak < best:
                 best, found = peak, move
     return found
@@ -178,18 +181,32 @@
     shares: Floats,
     speeds: Floats,
     loads: Floats,
-    count: Ints,
+    slowest: int,
     move: placement.Move,
 ) -> float:
-    """Return the peak after a move, splitting the two experts evenly."""
-    after = loads.copy()
-    for expert, change in ((move.expert, 1), (move.replaces, -1)):
-        here = layer.slots == expert
-        old = (layer.split * here).sum(axis=1)
-        new = here.sum(axis=1) / (count[expert] + change)
-        if change < 0:
-            new[move.rank] -= 1 / (count[expert] + change)
-        else:
-            new[move.rank] += 1 / (count[expert] + change)
-        after += shares[expert] * (new - old) / speeds
-    return float(after.max())
+    """Return the peak after a move, before the rest is split anew.
+
+    The replaced copy's load goes to its other copies in proportion to what
+    they carry; the new copy then takes from the slowest rank what makes the
+    two ranks even.
+    """
+    work = loads * speeds
+    use = shares[move.replaces] * layer.split[move.rank, move.slot]
+    others = np.where(layer.slots == move.replaces, layer.split, 0.0)
+    others[move.rank, move.slot] = 0.0
+    per_rank = others.sum(axis=1)
+    total = per_rank.sum()
+    if total <= 0:
+        per_rank = (layer.slots == move.replaces).sum(axis=1).astype(float)
+        per_rank[move.rank] -= 1
+        total = per_rank.sum()
+    work = work + use * per_rank / total
+    work[move.rank] -= use
+    held = layer.split[slowest][layer.slots[slowest] == move.expert].sum()
+    available = shares[move.expert] * held
+    pace = speeds[slowest] + speeds[move.rank]
+    level = (work[slowest] + work[move.rank]) / pace
+    taken = np.clip(work[slowest] - level * speeds[slowest], 0.0, available)
+    work[slowest] -= taken
+    work[move.rank] += taken
+    return float((work / speeds).max())
--- a/jasperweir/components/experts/popularity.py
+++ b/jasperweir/components/experts/popularity.py
@@ -11,25 +11,19 @@
 class Popularity:
     """Time-averaged share of tokens per expert, with change detection.
 
-    A slow average rides out noise. When a fast one has moved away from it,
-    as at the start of a booking season or a new repertoire, the fast one is
-    adopted at once instead of being approached over many intervals.
+    The average rides out noise: an interval moves it by the share of their
+    distance that sampling does not explain. So the jump of a booking season
+    or of a new repertoire is adopted at once, and slow drift is followed.
 
     Attributes:
-        jumps: How often the fast average was adopted, over all layers.
+        shares: Estimates, shape (layers, experts); rows sum to 1.
+        jumps: How often an interval lay far off, over all layers.
     """
 
     def __init__(self, *, layers: int, experts: int) -> None:
-        even = 1.0 / experts
-        self._slow: Array = np.full((layers, experts), even)
-        self._fast: Array = np.full((layers, experts), even)
-        self._seen = np.zeros(layers, dtype=bool)
+        self.shares: Array = np.full((layers, experts), 1.0 / experts)
         self.jumps = 0
-
-    @property
-    def shares(self) -> Array:
-        """Estimated shares, shape (layers, experts), rows sum to 1."""
-        return self._slow
+        self._seen = np.zeros(layers, dtype=bool)
 
     def observe(self, counts: Array) -> None:
         """Take in the token counts of one interval.
@@ -42,28 +36,19 @@
         present = np.isfinite(totals) & (totals > 0)
         if not present.any():
             return
-        shares = counts[present] / totals[present, None]
-        fresh = present & ~self._seen
-        self._blend(self._slow, present, shares, const.SLOW_SMOOTHING)
-        self._blend(self._fast, present, shares, const.FAST_SMOOTHING)
-        if fresh.any():
-            first = counts[fresh] / totals[fresh, None]
-            self._slow[fresh] = first
-            self._fast[fresh] = first
-            self._seen |= fresh
-        self._adopt_jumps()
-
-    def _blend(
-        self,
-        average: Array,
-        rows: npt.NDArray[np.bool_],
-        new: Array,
-        gain: float,
-    ) -> None:
-        average[rows] += gain * (new - average[rows])
-
-    def _adopt_jumps(self) -> None:
-        distance = 0.5 * np.abs(self._fast - self._slow).sum(axis=1)
-        jumped = distance > const.JUMP_DISTANCE
-        self._slow[jumped] = self._fast[jumped]
-        self.jumps += int(jumped.sum())
+        new = counts[present] / totals[present, None]
+        old = self.shares[present]
+        distance = 0.5 * np.abs(new - old).sum(axis=1)
+        noise = const.SAMPLING_NOISE * np.sqrt(
+            counts.shape[1] / totals[present]
+        )
+        jumped = distance > np.maximum(
+            const.JUMP_DISTANCE, const.JUMP_NOISE_FACTOR * noise
+        )
+        first = ~self._seen[present]
+        # The share of the distance that sampling does not explain is drift.
+        drift = 1.0 - (noise / np.maximum(distance, 1e-12)) ** 2
+        gain = np.where(first, 1.0, np.clip(drift, const.LEAST_GAIN, 1.0))
+        self.shares[present] = old + gain[:, None] * (new - old)
+        self._seen |= present
+        self.jumps += int((jumped & ~first).sum())
--- a/jasperweir/daemons/agent.py
+++ b/jasperweir/daemons/agent.py
@@ -7,15 +7,17 @@
 import urllib3
 
 from jasperweir import core, result_codes
+from jasperweir.components.agent import engine as engine_lib
 from jasperweir.components.agent import executor as executor_lib
 from jasperweir.components.agent import node as node_lib
+from jasperweir.components.experts import group as group_lib
 from jasperweir.components.membership import const as member_const
 from jasperweir.components.membership import messages as member_messages
 from jasperweir.components.runs import const as run_const
 from jasperweir.components.runs import table as table_lib
 from jasperweir.daemons import base, config
+from jasperweir.helpers import actors, settings, web
 from jasperweir.helpers import link as link_lib
-from jasperweir.helpers import settings, web
 
 Code = result_codes.Code
 SIDE_POLL_SECONDS = 0.5
@@ -54,7 +56,8 @@
                 "GET", self._url + "/load", timeout=urllib3.Timeout(total=1.0)
             )
             load = resp.json()
-            self.skew = float(load.get("skew", 0.0))
+            if "skew" in load:
+                self.skew = float(load["skew"])
             self.up = resp.status == 200
         except (urllib3.exceptions.HTTPError, ValueError, AttributeError):
             self.up = False
@@ -72,7 +75,13 @@
         self.table = table_lib.Table(
             capacity={self._service: target["max_in_flight"]}
         )
+        group = None
+        if target["group"]:
+            group = group_lib.Group(
+                name=target["group"], own=cfg.name, metrics=self.host.metrics
+            )
         self.agent = node_lib.Agent(
+            group=group,
             member=self._member(cfg, target),
             seeds=cfg.seeds,
             voters=tuple(p.name for p in cfg.voters),
@@ -85,6 +94,15 @@
             threads=cfg.threads,
         )
         self.side = TargetSide(url=target["url"])
+        self.engine = None
+        if group is not None:
+            self.engine = engine_lib.GroupEngine(
+                url=target["url"],
+                group=group,
+                call=self._on_actor,
+                perform=self._perform,
+                on_skew=self._on_skew,
+            )
         self._server = web.Server(
             address=cfg.http, threads=cfg.threads, routes=self._routes()
         )
@@ -121,6 +139,8 @@
         self.host.link.start()
         self.host.runner.start(self)
         self.side.start()
+        if self.engine is not None:
+            self.engine.start()
         self._server.start()
 
     def drain(self) -> None:
@@ -155,6 +175,8 @@
         self.host.log.info(f"stopped, runs cut off: {cut}")
         self._server.stop()
         self.side.stop()
+        if self.engine is not None:
+            self.engine.stop()
         self.host.runner.stop()
         self.host.link.stop()
         return 0 if cut == 0 else 1
@@ -189,7 +211,27 @@
         ):
             self.host.link.learn(peer.name, peer.addr)
         self.host.incarnation = self.agent.announcer.member.inc
-        self.host.send_all(acts)
+        if self.engine is not None:
+            self.engine.perform(acts)
+        self._send(acts)
+
+    def _send(self, acts: list[Any]) -> None:
+        """Send; what this agent sends itself needs no socket."""
+        own = self.host.cfg.name
+        for act in acts:
+            if not isinstance(act, core.Send):
+                continue
+            if act.dst != own:
+                self.host.send_all([act])
+                continue
+            self._perform(self.agent.receive(own, act.msg, self.host.now()))
+
+    def _on_actor(self, func: Any) -> None:
+        self.host.runner.tell(actors.Post(func=func))
+
+    def _on_skew(self, skew: float, switching: bool) -> None:
+        self.side.skew = skew
+        self.side.switching = switching
 
     # HTTP.
 
--- a/jasperweir/daemons/entry.py
+++ b/jasperweir/daemons/entry.py
@@ -46,7 +46,7 @@
             entry=self.entry,
             hop=hop,
             call=self.host.runner.call,
-            tell=lambda func: self.host.runner.tell(actors.Call(func=func)),
+            tell=lambda func: self.host.runner.tell(actors.Post(func=func)),
             perform=self._perform,
             now=self.host.now,
             tally=self.host.metrics.inc,
--- a/jasperweir/helpers/actors.py
+++ b/jasperweir/helpers/actors.py
@@ -21,6 +21,12 @@
     func: Callable[[], Any]
 
 
+class Post(NamedTuple):
+    """Run a function on the actor's thread; nobody waits for it."""
+
+    func: Callable[[], Any]
+
+
 class Node(Protocol):
     """What the actor drives."""
 
@@ -50,6 +56,8 @@
                 self._guard(lambda: self._node.on_frame(message))
             case Tick():
                 self._guard(self._node.on_tick)
+            case Post():
+                self._guard(message.func)
             case Call():
                 return message.func()
         return None
--- a/script/bench_experts.py
+++ b/script/bench_experts.py
@@ -8,9 +8,7 @@
 
 import numpy as np
 
-from jasperweir.components.experts import placement
-from jasperweir.components.experts import planner
-from jasperweir.components.experts import popularity
+from jasperweir.components.experts import placement, planner, popularity
 
 EXPERTS = 64
 INTERVALS = 400
--- a/script/demo.py
+++ b/script/demo.py
@@ -83,7 +83,9 @@
     build(local)
     models = [f"127.0.3.{i}:9000" for i in (1, 2, 3)]
     args = [a for m in models for a in ("--model", m)]
-    local.start_standins("standins", *args, "--plain", "127.0.3.4:9000")
+    args += ["--group", ",".join(models[:2]), "--group", models[2]]
+    args += ["--per-rank", "6", "--plain", "127.0.3.4:9000"]
+    local.start_standins("standins", *args)
     names = list(local.specs)
     local.start(*[n for n in names if n.startswith("control")])
     local.bootstrap()
@@ -193,6 +195,23 @@
     ] * bool(missing)
 
 
+def group_problems(local: local_lib.Local) -> list[str]:
+    """Print what the groups did; return steps that broke the one-map rule."""
+    problems = []
+    for name, address in (("assist", "127.0.3.1"), ("night", "127.0.3.3")):
+        _, verdict = local.get(f"{address}:9000", "/verdict")
+        print(
+            f"group {name}: {verdict['steps']} steps under "
+            f"{len(verdict['versions'])} maps, skew at first "
+            f"{verdict['first_skew']:.2f}, at last {verdict['last_skew']:.2f}, "
+            f"experts loaded {verdict['experts_loaded']}"
+        )
+        problems += verdict["violations"]
+        if not verdict["steps"]:
+            problems.append(f"group {name} ran no step")
+    return problems
+
+
 def main() -> int:
     """Run the demo; return 0 only if every answer was right."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -207,6 +226,7 @@
         with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
             list(pool.map(caller.one, range(args.requests)))
         problems = caller.wrong + ledger_problems(local, caller)
+        problems += group_problems(local)
     finally:
         local.stop_all()
     print("answers by kind, result code and outcome:")
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -45,7 +45,6 @@
         self.faults = faults_lib.Faults()
         self.fence = 0
         self.orders: list[dict[str, Any]] = []
-        self.skew = 0.0
         self._token_seconds = token_seconds
         self._checks_fence = checks_fence
         self._rng = random.Random(seed)
@@ -165,7 +164,6 @@
             200,
             {
                 "active": active,
-                "skew": self.skew,
                 "adapters": sorted(self._adapters),
                 "role": self._role,
                 "fence": self.fence,
--- a/standins/plain.py
+++ b/standins/plain.py
@@ -53,7 +53,7 @@
         return web.json_resp(200, {"booked": body["id"]})
 
     def _load(self, req: web.Req) -> web.Resp:
-        return web.json_resp(200, {"active": self._active, "skew": 0.0})
+        return web.json_resp(200, {"active": self._active})
 
     def _ledger(self, req: web.Req) -> web.Resp:
         return web.json_resp(200, self.ledger.counts())
