--- a/features/membership.feature
+++ b/features/membership.feature
@@ -47,8 +47,8 @@
   Scenario: An entry frozen for an hour accuses nobody when it thaws
     Given 8 entries and 12 agents
     When "e2" is frozen for 60 seconds
-    And 0.5 seconds pass among the nodes
-    Then "e2" has accused nobody
+    And 3 seconds pass among the nodes
+    Then nobody but "e2" had to refute anything
 
   Scenario: Two halves that lost each other heal without a storm
     Given 8 entries and 12 agents
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -115,8 +115,8 @@
     assert seen == {Status[status]}, seen
 
 
-@then('"{name}" has accused nobody')
+@then('nobody but "{name}" had to refute anything')
 def no_accusation(context, name):
-    roster = context.nodes.nodes[name].roster
-    bad = [m.name for m in roster.members() if m.status >= Status.SUSPECT]
+    roster = context.nodes.nodes["e1"].roster
+    bad = [m.name for m in roster.members() if m.seq and m.name != name]
     assert not bad, bad
--- a/features/steps/registry_steps.py
+++ b/features/steps/registry_steps.py
@@ -240,8 +240,11 @@
 @then("a lower pointer leaves the version in force")
 def lower(context):
     node = context.node
-    node.table.put(f"place/{PLACES[0]}", codec.pack(1), node.table.revision + 1)
+    pointer = f"place/{PLACES[0]}"
+    node.table.put(pointer, codec.pack(1), node.table.revision + 1)
     assert not node.refresh() and node.version == 2
+    # The registry goes on from here, so its next pointer is newer.
+    context.desk.idx = node.table.revision
 
 
 @then("the node serves only once it knows a floor that it has reached")
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -243,13 +243,11 @@
 
 def budget():
     tokens = retry.Budget()
-    while tokens.spend():
-        continue
+    for _ in range(50):
+        tokens.spend()
     for _ in range(100):
         tokens.first_try()
-    spent = 0
-    while tokens.spend():
-        spent += 1
+    spent = sum(tokens.spend() for _ in range(50))
     assert 9 <= spent <= 10, spent
 
 
--- a/script/guards.py
+++ b/script/guards.py
@@ -11,6 +11,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PARTS = ("jasperweir", "standins", "features", "pyproject.toml", "examples")
+RUN_SECONDS = 90
 C = "jasperweir/components/"
 
 
@@ -196,12 +197,19 @@
             code.replace(guard.text, guard.without, 1), encoding="utf-8"
         )
         feature = f"features/{guard.feature}.feature"
-        done = subprocess.run(
-            [sys.executable, "-m", "behave", "--stop", "--format", "plain",
-             "--no-capture", feature],
-            cwd=copy, capture_output=True, timeout=300, check=False,
-            env={"PATH": "/usr/bin:/bin", "PYTHONPATH": str(copy)},
-        )  # fmt: skip
+        command = [sys.executable, "-m", "behave", "--stop", "--no-capture"]
+        command += ["--format", "plain", feature]
+        try:
+            done = subprocess.run(
+                command,
+                cwd=copy,
+                capture_output=True,
+                timeout=RUN_SECONDS,
+                check=False,
+                env={"PATH": "/usr/bin:/bin", "PYTHONPATH": str(copy)},
+            )
+        except subprocess.TimeoutExpired:
+            return guard, "a scenario never ended"
     if done.returncode == 0:
         return guard, "STAYED GREEN"
     for line in done.stdout.decode().splitlines():
