--- /dev/null
+++ b/features/steps/process_steps.py
@@ -0,0 +1,594 @@
+"""Steps on real processes; every wait is for a state, never for a time."""
+
+import concurrent.futures
+import json
+import os
+import signal
+import socket
+import threading
+import time
+
+from behave import given
+from behave import then
+from behave import when
+import urllib3
+
+from jasperweir import client as client_lib
+from jasperweir.helpers import link as link_lib
+from standins import engine as engine_lib
+from standins import local as local_lib
+
+PLACES = ("north", "south", "east")
+BUNDLE = """[bundle]
+name = test
+[callers]
+address_ttl_s = 1
+deadline_s = {deadline}
+[place north]
+region = r
+[place south]
+region = r
+order = 1
+[place east]
+region = r
+order = 2
+[service m]
+kind = model
+max_in_flight = 64
+[service book]
+kind = plain
+idempotent = no
+"""
+CONTROLS = ("control-1", "control-2", "control-3")
+ENTRIES = ("entry-1", "entry-2", "entry-3")
+
+
+def build(context, keys=""):
+    local = local_lib.Local(folder=context.folder)
+    local.keys_file = keys
+    context.local = local
+    for i, place in enumerate(PLACES, start=1):
+        local.add(
+            local_lib.NodeSpec(
+                "control", f"control-{i}", place,
+                f"127.0.1.{i}:17000", f"127.0.1.{i}:17100", threads=16,
+            ),
+            local_lib.NodeSpec(
+                "entry", f"entry-{i}", place,
+                f"127.0.2.{i}:17000", f"127.0.2.{i}:18080",
+            ),
+        )  # fmt: skip
+        target = {
+            "url": f"http://127.0.3.{i}:19000",
+            "kind": "model" if i < 3 else "plain",
+            "service": "m" if i < 3 else "book",
+            "max_in_flight": "64",
+        }
+        local.add(
+            local_lib.NodeSpec(
+                "agent", f"agent-{i}", place,
+                f"127.0.4.{i}:17000", f"127.0.4.{i}:18090", target,
+            )
+        )  # fmt: skip
+    local.start_standins(
+        "standins", "--model", "127.0.3.1:19000", "--model",
+        "127.0.3.2:19000", "--plain", "127.0.3.3:19000", "--slots", "64",
+    )  # fmt: skip
+    local.start(*CONTROLS)
+    local.bootstrap()
+    others = [n for n in local.specs if n not in CONTROLS]
+    local.start(*others)
+    write_bundle(context, 60)
+    signed = local.cli("bundle", "sign-off", "--file", str(context.bundle))
+    assert signed["version"] == 1, signed
+    local.cli("bundle", "roll", "--version", "1")
+    local.wait_for("ready", lambda: local.ready(*others))
+    local.wait_for("claims", lambda: all(claims_ready(local)))
+    context.client = client_lib.Client(seeds=local.entry_http(), customer="c")
+
+
+def claims_ready(local):
+    states = [local.get(a, "/readyz")[1] for a in local.entry_http()]
+    return [
+        s is not None
+        and s["claims_confirmed"]
+        and s["claims_epoch"] == s["claims_ready_epoch"] > 0
+        for s in states
+    ]
+
+
+def write_bundle(context, deadline):
+    context.bundle = context.folder / "bundle.ini"
+    context.bundle.write_text(BUNDLE.format(deadline=deadline))
+
+
+@given("a running deployment")
+def deployment(context):
+    build(context)
+
+
+@given("a running deployment with keys")
+def deployment_with_keys(context):
+    keys = link_lib.new_keys()
+    path = context.folder / "keys"
+    path.write_bytes(keys.public + b"\n" + keys.secret + b"\n")
+    build(context, str(path))
+
+
+def status(local, name):
+    return local.get(local.specs[name].http, "/status")[1]
+
+
+def leader(local):
+    for name in CONTROLS:
+        found = status(local, name) if name in local.procs else None
+        if found and found["role"] == "leader":
+            return name
+    return ""
+
+
+def sign_off(context, deadline, *args):
+    write_bundle(context, deadline)
+    return context.local.cli(
+        "bundle", "sign-off", "--file", str(context.bundle), *args
+    )
+
+
+@when("the leader process is frozen")
+def freeze(context):
+    local = context.local
+    local.wait_for("leader", lambda: leader(local))
+    context.old = leader(local)
+    local.signal(context.old, signal.SIGSTOP)
+
+
+@then("another control VM leads and accepts a change")
+def other_leads(context):
+    local = context.local
+    rest = [n for n in CONTROLS if n != context.old]
+
+    def found():
+        states = [status(local, n) for n in rest]
+        return any(s and s["role"] == "leader" for s in states)
+
+    local.wait_for("new leader", found)
+    context.accepted = sign_off(context, 61)["version"]
+    assert context.accepted == 2
+
+
+@then("requests are answered meanwhile")
+def answered(context):
+    for i in range(12):
+        messages = [{"role": "user", "content": f"meanwhile {i}"}]
+        answer = context.client.complete("m", messages, stream=i % 2 == 0)
+        prompt = json.dumps(messages, sort_keys=True)
+        assert answer.status == 200, answer
+        assert answer.text() == engine_lib.answer_text(prompt, 20)
+
+
+@when("the frozen process thaws")
+def thaw(context):
+    context.local.signal(context.old, signal.SIGCONT)
+
+
+@then("all control VMs agree and nothing accepted is lost")
+def agree(context):
+    local = context.local
+
+    def same():
+        states = [status(local, n) for n in CONTROLS]
+        heads = {s["head"] for s in states if s}
+        leads = [s for s in states if s and s["role"] == "leader"]
+        return heads == {context.accepted} and len(leads) == 1
+
+    local.wait_for("agreement", same)
+
+
+@when("changes go on while the leader is killed and restarted")
+def changes_under_kill(context):
+    local = context.local
+    context.versions = []
+    stop = threading.Event()
+
+    def change():
+        number = 100
+        while not stop.is_set():
+            number += 1
+            answer = sign_off(context, number, "--op-id", f"op-{number}")
+            context.versions.append(answer.get("version"))
+
+    thread = threading.Thread(target=change)
+    thread.start()
+    for _ in range(2):
+        local.wait_for("leader", lambda: leader(local))
+        count = len(context.versions)
+        local.wait_for("changes", lambda n=count: len(context.versions) > n + 1)
+        name = leader(local)
+        local.kill(name)
+        local.start(name)
+    stop.set()
+    thread.join()
+
+
+@then("every accepted change is in the log once")
+def once(context):
+    versions = [v for v in context.versions if v]
+    assert len(versions) >= 4, versions
+    assert len(set(versions)) == len(versions), versions
+    context.accepted = max(versions)
+    agree(context)
+
+
+@when("a follower loses its data folder")
+def lose_folder(context):
+    local = context.local
+    local.wait_for("leader", lambda: leader(local))
+    context.old = next(n for n in CONTROLS if n != leader(local))
+    local.kill(context.old)
+    folder = context.folder / f"{context.old}.data"
+    for path in folder.iterdir():
+        path.unlink()
+    local.start(context.old)
+    local.wait_for("back", lambda: status(local, context.old))
+
+
+@then("it does not vote under its old seat")
+def no_vote(context):
+    local = context.local
+    rest = next(n for n in CONTROLS if n not in (context.old, leader(local)))
+    local.kill(rest)
+    lead = leader(local)
+    local.wait_for("step-down", lambda: status(local, lead)["role"] != "leader")
+    local.start(rest)
+    local.wait_for("leader", lambda: leader(local))
+
+
+def seats(local, verb, name):
+    def done():
+        address = local.specs[leader(local) or CONTROLS[0]].http
+        resp = local.http.request(
+            "POST",
+            f"http://{address}/seats/{verb}/{name}",
+            headers={"Authorization": f"Bearer {local_lib.TOKEN}"},
+            timeout=5.0,
+        )
+        return resp.status == 200
+
+    local.wait_for(f"{verb} {name}", done)
+
+
+@when("the operator removes and adds its seat")
+def reseat(context):
+    seats(context.local, "remove", context.old)
+    context.local.seat(context.old)
+
+
+@then("it votes again and holds every version")
+def votes_again(context):
+    local = context.local
+    context.accepted = sign_off(context, 62)["version"]
+    agree(context)
+    lead = status(local, leader(local))
+    assert [context.old, True] in [[s[0], s[3]] for s in lead["seats"]]
+
+
+@when("two operators sign off at once")
+def two_operators(context):
+    with concurrent.futures.ThreadPoolExecutor(2) as pool:
+        paths = []
+        for i in (1, 2):
+            path = context.folder / f"b{i}.ini"
+            path.write_text(BUNDLE.format(deadline=70 + i))
+            paths.append(path)
+        futs = [
+            pool.submit(
+                context.local.cli,
+                *("bundle", "sign-off", "--file", str(p), "--parent", "1"),
+            )
+            for p in paths
+        ]
+        context.answers = [f.result() for f in futs]
+
+
+@then("exactly one wins and the other is told so")
+def one_told(context):
+    won = [a for a in context.answers if a.get("version") == 2]
+    lost = [a["error"]["code"] for a in context.answers if "error" in a]
+    assert len([a for a in won if "error" not in a]) == 1, context.answers
+    assert lost == [5001], context.answers
+
+
+@when("an entry is stopped, {count:d} changes pass, and it restarts")
+def many_changes(context, count):
+    local = context.local
+    local.kill("entry-3")
+    lead = local.specs[leader(local)].http
+    http = urllib3.PoolManager()
+    headers = {"Authorization": f"Bearer {local_lib.TOKEN}"}
+    _, found = local.get(lead, "/bundle/1")
+    content = found["content"]
+    for i in range(count):
+        value = str(100 + i)
+        key = "callers\x1fdeadline_s"
+        content = {**content, key: value}
+        body = {
+            "op_id": f"many-{i}",
+            "parent": i + 1,
+            "change": {key: value},
+            "content_hash": digest_of(content),
+            "note": "",
+        }
+        url = f"http://{lead}/ops/sign_off"
+        resp = http.request("POST", url, json=body, headers=headers)
+        assert resp.status == 200, resp.data
+    context.accepted = count + 1
+    local.cli("bundle", "roll", "--version", str(context.accepted))
+    local.start("entry-3")
+
+
+def digest_of(content):
+    from jasperweir.components.bundle import model
+
+    return model.content_hash(content)
+
+
+@then("it serves under the newest version")
+def newest(context):
+    local = context.local
+    address = local.specs["entry-3"].http
+
+    def there():
+        code, found = local.get(address, "/readyz")
+        return code == 200 and found["version"] == context.accepted
+
+    local.wait_for("newest version", there)
+
+
+@when("every control VM is killed")
+def kill_control(context):
+    for name in CONTROLS:
+        context.local.kill(name)
+
+
+def stream(context, number, tokens=60):
+    messages = [{"role": "user", "content": f"long {number}"}]
+    caller = client_lib.Client(
+        seeds=context.local.entry_http(), customer="c", seed=number
+    )
+    answer = caller.complete(
+        "m", messages, stream=True, max_tokens=tokens, key=f"key-{number}",
+        user=f"u{number}",
+    )  # fmt: skip
+    prompt = json.dumps(messages, sort_keys=True)
+    right = answer.status == 200 and answer.text() == (
+        engine_lib.answer_text(prompt, tokens)
+    )
+    return right, answer
+
+
+def model_runs(context):
+    total = {}
+    for address in ("127.0.3.1:19000", "127.0.3.2:19000"):
+        _, ledger = context.local.get(address, "/ledger")
+        for key, count in ledger["started"].items():
+            total[key] = total.get(key, 0) + count
+    return total
+
+
+@when("an entry is killed while callers read streams")
+def kill_entry(context):
+    local = context.local
+    with concurrent.futures.ThreadPoolExecutor(12) as pool:
+        futs = [pool.submit(stream, context, i) for i in range(12)]
+        local.wait_for("streams", lambda: len(model_runs(context)) >= 6)
+        local.kill("entry-1")
+        context.results = [f.result() for f in futs]
+
+
+@then("every caller has its own whole answer and each ran once")
+def whole_once(context):
+    wrong = [a for right, a in context.results if not right]
+    assert not wrong, wrong
+    runs = model_runs(context)
+    assert set(runs.values()) == {1} and len(runs) == 12, runs
+
+
+@when("the booking agent is killed and restarted under load")
+def kill_agent(context):
+    local = context.local
+    context.told = {}
+    stop = threading.Event()
+
+    def book(worker):
+        caller = client_lib.Client(
+            seeds=local.entry_http(), customer="c", seed=worker
+        )
+        number = 0
+        while not stop.is_set():
+            number += 1
+            name = f"b{worker}-{number}"
+            body = json.dumps({"id": name}).encode()
+            answer = caller.call(
+                "POST", "/svc/book/book", body, key=name, deadline_s=6.0
+            )
+            context.told[name] = answer
+
+    threads = [threading.Thread(target=book, args=(i,)) for i in range(6)]
+    for thread in threads:
+        thread.start()
+    for _ in range(2):
+        count = len(context.told)
+        local.wait_for("load", lambda n=count: len(context.told) > n + 30)
+        local.kill("agent-3")
+        local.start("agent-3")
+        local.wait_for("agent", lambda: local.ready("agent-3"))
+    count = len(context.told)
+    local.wait_for("load", lambda n=count: len(context.told) > n + 30)
+    stop.set()
+    for thread in threads:
+        thread.join()
+
+
+@then("no booking ran twice and no caller was told something false")
+def ledger_true(context):
+    _, ledger = context.local.get("127.0.3.3:19000", "/ledger")
+    started = ledger["started"]
+    assert max(started.values()) == 1, started
+    for name, answer in context.told.items():
+        ran = started.get(name, 0)
+        if answer.outcome == "completed":
+            assert ran == 1, (name, answer)
+        if answer.outcome == "not_run":
+            assert ran == 0, (name, answer)
+    completed = [a for a in context.told.values() if a.status == 200]
+    assert len(completed) > 60, len(completed)
+
+
+@when("all entries are restarted one by one while callers go on")
+def rolling(context):
+    local = context.local
+    context.results = []
+    stop = threading.Event()
+
+    def call(worker):
+        caller = client_lib.Client(
+            seeds=local.entry_http(), customer="c", seed=worker
+        )
+        number = 0
+        while not stop.is_set():
+            number += 1
+            messages = [{"role": "user", "content": f"{worker}/{number}"}]
+            answer = caller.complete("m", messages, stream=True)
+            prompt = json.dumps(messages, sort_keys=True)
+            right = answer.status == 200 and answer.text() == (
+                engine_lib.answer_text(prompt, 20)
+            )
+            context.results.append((right and answer.tries == 1, answer))
+
+    threads = [threading.Thread(target=call, args=(i,)) for i in range(6)]
+    for thread in threads:
+        thread.start()
+    for name in ENTRIES:
+        assert local.stop(name, seconds=60) == 0, name
+        local.start(name)
+        local.wait_for("entry back", lambda n=name: local.ready(n))
+    stop.set()
+    for thread in threads:
+        thread.join()
+
+
+@then("no request was cut off")
+def none_cut(context):
+    wrong = [a for right, a in context.results if not right]
+    assert not wrong, wrong[:3]
+    assert len(context.results) > 50
+
+
+@when("an agent is asked to stop in the midst of a long stream")
+def agent_stop(context):
+    local = context.local
+    with concurrent.futures.ThreadPoolExecutor(8) as pool:
+        futs = [pool.submit(stream, context, i, 200) for i in range(8)]
+        local.wait_for("streams", lambda: len(model_runs(context)) == 8)
+        context.exit = local.stop("agent-1", seconds=60)
+        context.results = [f.result() for f in futs]
+
+
+@then("the stream ends whole and the agent exits by itself")
+def ended_whole(context):
+    assert context.exit == 0, context.exit
+    wrong = [a for right, a in context.results if not right]
+    assert not wrong, wrong
+    assert set(model_runs(context).values()) == {1}
+
+
+BAD = (
+    (b"{", {}, 4001),
+    (b'{"model": "nope", "messages": []}', {}, 4002),
+    (b'{"model": "m", "messages": []}', {"Jasperweir-Deadline": "x"}, 4004),
+    (b'{"model": "m", "messages": []}', {"Jasperweir-Deadline": "-1"}, 4004),
+    (b'{"model": "m", "messages": []}', {"Jasperweir-Priority": "99"}, 4010),
+    (b'{"model": "m", "messages": []}', {"Idempotency-Key": "k" * 300}, 4010),
+    (b"[" * 5000, {}, 4001),
+)  # fmt: skip
+
+
+@then("each kind of bad input gets its numbered error")
+def bad_input(context):
+    local = context.local
+    url = f"http://{local.specs['entry-1'].http}"
+    for body, headers, code in BAD:
+        resp = local.http.request(
+            "POST", url + "/v1/chat/completions", body=body, headers=headers
+        )
+        assert resp.json()["error"]["code"] == code, (body[:40], resp.data)
+    resp = local.http.request("POST", url + "/svc/book/book", body=b"{}")
+    assert resp.json()["error"]["code"] == 4007
+    resp = local.http.request("GET", url + "/nothing")
+    assert resp.json()["error"]["code"] == 4009
+    large = b"x" * (5 * 1024 * 1024)
+    try:
+        resp = local.http.request(
+            "POST", url + "/v1/chat/completions", body=large
+        )
+        assert resp.status == 413, resp.status
+    except urllib3.exceptions.HTTPError:
+        pass
+
+
+@then("garbage on the internal ports is dropped")
+def garbage(context):
+    local = context.local
+    for name in ("entry-1", "control-1", "agent-1"):
+        host, _, port = local.specs[name].internal.partition(":")
+        for data in (b"GET / HTTP/1.1\r\n\r\n", os.urandom(4096), b"\x00" * 99):
+            with socket.create_connection((host, int(port)), 2) as sock:
+                sock.sendall(data)
+    bad = link_lib.Link(
+        name="stranger",
+        address="127.0.5.1:17000",
+        incarnation=lambda: 1,
+        deliver=lambda received: None,
+    )
+    bad.start()
+    bad.learn("entry-1", local.specs["entry-1"].internal)
+    for data in (b"", b"junk", os.urandom(64), b"\x98" * 32):
+        bad._outgoing.put(("entry-1", data))
+    bad._wake()
+    time.sleep(0.2)
+    bad.stop()
+
+    def counted():
+        resp = local.http.request(
+            "GET", f"http://{local.specs['entry-1'].http}/metrics"
+        )
+        return b"dropped_malformed" in resp.data
+
+    local.wait_for("counted", counted)
+    assert all(proc.poll() is None for proc in local.procs.values())
+
+
+@then("a process with other keys is not heard")
+def other_keys(context):
+    local = context.local
+    heard = []
+    for keys in (None, link_lib.new_keys()):
+        stranger = link_lib.Link(
+            name="stranger",
+            address=f"127.0.5.{2 + bool(keys)}:17000",
+            incarnation=lambda: 1,
+            deliver=heard.append,
+            keys=keys,
+        )
+        stranger.start()
+        spec = local.specs["entry-1"]
+        stranger.learn("entry-1", spec.internal)
+        from jasperweir.components.control import messages
+
+        stranger.send("entry-1", messages.FloorAsk(nonce=1))
+        time.sleep(0.5)
+        stranger.stop()
+    _, found = local.get(local.specs["control-1"].http, "/targets")
+    assert "stranger" not in [m["name"] for m in found["members"]]
+    resp = local.http.request("GET", f"http://{spec.http}/metrics")
+    assert not heard and b'kind="dropped' not in resp.data
--- a/jasperweir/components/control/client.py
+++ b/jasperweir/components/control/client.py
@@ -105,6 +105,7 @@
         if msg.leader and msg.leader != self.leader:
             # Only the leader's answers confirm anything: ask it at once.
             self._beat_at = now
+        self._every = msg.every_s
         self.leader = msg.leader
         self.leader_addr = msg.leader_addr
         return (msg.epoch, sent_at) if msg.confirmed else None
--- a/jasperweir/components/control/const.py
+++ b/jasperweir/components/control/const.py
@@ -1,7 +1,10 @@
 """Constants of the control component."""
 
 BEAT_SECONDS = 5.0
-BEAT_STALE_SECONDS = 15.0
+# Beats a second that the leader asks for in all; with more nodes each beats
+# less often, so that the leader stays within its bytes.
+BEATS_PER_SECOND = 30.0
+BEATS_UNTIL_STALE = 3
 # A roll waits this long for a place's nodes before it goes on without those
 # that do not answer; they catch up when they can be heard again.
 GATE_SECONDS = 6.0
--- a/jasperweir/components/control/controller.py
+++ b/jasperweir/components/control/controller.py
@@ -187,6 +187,7 @@
         ack = messages.BeatAck(
             beat_id=msg.beat_id,
             confirmed=self.voter.read_index(now) is not None,
+            every_s=self.beat_seconds(),
             epoch=self.machine.view().epoch,
             leader=leader,
             leader_addr=self._leader_address(),
@@ -260,10 +261,14 @@
             state=self.machine.roll(),
             revisions=self._place_revisions(),
             nodes=self.nodes_by_place(),
-            reports=self.reports,
+            reports=self._fresh_reports(now),
             now=now,
         )
 
+    def _fresh_reports(self, now: float) -> dict[str, rollout_lib.Reported]:
+        oldest = now - const.BEATS_UNTIL_STALE * self.beat_seconds()
+        return {n: r for n, r in self.reports.items() if r.at >= oldest}
+
     def _place_revisions(self) -> dict[str, int]:
         table = self.machine.table
         prefix = config_const.PREFIX_PLACE
@@ -272,6 +277,11 @@
             for key in table.keys(prefix)
         }
 
+    def beat_seconds(self) -> float:
+        """Return how often each node should beat."""
+        count = len(self.gossip.roster.present(member_const.KIND_ENTRY))
+        return max(const.BEAT_SECONDS, count / const.BEATS_PER_SECOND)
+
     def nodes_by_place(self) -> dict[str, list[str]]:
         """Return the names of present entries by place."""
         nodes: dict[str, list[str]] = {}
--- a/jasperweir/components/control/messages.py
+++ b/jasperweir/components/control/messages.py
@@ -31,10 +31,12 @@
     Attributes:
         confirmed: Whether the sender leads with a lease, so that ``epoch``
             is the newest claim view of all.
+        every_s: Seconds after which the next beat is wanted.
     """
 
     beat_id: int
     confirmed: bool
+    every_s: float
     epoch: int
     leader: str
     leader_addr: str
--- a/jasperweir/components/control/rollout.py
+++ b/jasperweir/components/control/rollout.py
@@ -43,7 +43,7 @@
             state: The newest roll.
             revisions: Revision at which each place got its version.
             nodes: Names of live entries by place.
-            reports: Newest beat of each node.
+            reports: Newest beat of each node, without stale ones.
             now: Monotonic seconds.
         """
         if state is None or state.halted or not state.pending:
@@ -51,7 +51,7 @@
             return None
         if state.version != self._version:
             self._begin(state, nodes, reports, now)
-        burn = self._burn(state.done, nodes, reports, now)
+        burn = self._burn(state.done, nodes, reports)
         limit = max(const.HALT_BURN, 2 * self._baseline)
         if burn > limit:
             reason = f"burn rate {burn:.1f} above {limit:.1f}"
@@ -73,7 +73,7 @@
         self._stepped_at = now
         self._quiet_since = None
         everywhere = (*state.done, *state.pending)
-        self._baseline = self._burn(everywhere, nodes, reports, now)
+        self._baseline = self._burn(everywhere, nodes, reports)
 
     def _gate(
         self,
@@ -101,7 +101,6 @@
         places: tuple[str, ...],
         nodes: Mapping[str, list[str]],
         reports: Mapping[str, Reported],
-        now: float,
     ) -> float:
         """Return the median burn of the worst place's reporting nodes."""
         worst = 0.0
@@ -110,7 +109,6 @@
                 reports[name].beat.burn
                 for name in nodes.get(place, [])
                 if name in reports
-                and now - reports[name].at < const.BEAT_STALE_SECONDS
             )
             if burns:
                 worst = max(worst, burns[len(burns) // 2])
--- a/jasperweir/components/membership/detector.py
+++ b/jasperweir/components/membership/detector.py
@@ -3,17 +3,10 @@
 from jasperweir.components.membership import const
 from jasperweir.components.membership import messages
 from jasperweir.components.membership import roster as roster_lib
-from jasperweir.helpers import hashing
 
 Status = messages.Status
 
 
-def watchers_of(name: str, entries: list[str]) -> list[str]:
-    """Return the entries that watch a node."""
-    others = [entry for entry in entries if entry != name]
-    return hashing.rendezvous(f"watch/{name}", others, const.WATCHERS)
-
-
 class Detector:
     """Suspect watched nodes that fall silent, then declare them dead."""
 
@@ -68,13 +61,12 @@
             return
         self._seen_version = self._roster.version
         own = self._roster.own
-        entries = [m.name for m in self._roster.present(const.KIND_ENTRY)]
         watched = {
             m.name
             for m in self._roster.present()
             if m.kind != const.KIND_CONTROL
             and m.name != own.name
-            and own.name in watchers_of(m.name, entries)
+            and own in self._roster.watchers_of(m.name)
         }
         # Signs of life start late for nodes that have just been assigned.
         extra = const.WATCH_GRACE_SECONDS - const.DEAD_SECONDS
--- a/jasperweir/components/membership/gossip.py
+++ b/jasperweir/components/membership/gossip.py
@@ -193,7 +193,6 @@
 
     def _heartbeats(self) -> Actions:
         own = self.roster.own
-        entries = [m.name for m in self.roster.present(const.KIND_ENTRY)]
         msg = messages.Heartbeat(
             inc=own.inc,
             seq=own.seq,
@@ -201,8 +200,8 @@
             revision=self.table.revision,
         )
         return [
-            core.Send(dst=name, msg=msg)
-            for name in detector_lib.watchers_of(own.name, entries)
+            core.Send(dst=watcher.name, msg=msg)
+            for watcher in self.roster.watchers_of(own.name)
         ]
 
     def _on_heartbeat(
@@ -240,9 +239,7 @@
         member: messages.Member | None,
         revision: int,
     ) -> core.Send:
-        present = self.roster.present(const.KIND_ENTRY)
-        by_name = {m.name: m.addr for m in present}
-        names = detector_lib.watchers_of(src, list(by_name))
+        watchers = self.roster.watchers_of(src)
         delta = None
         if revision < self.table.revision:
             delta = self.table.delta(revision)
@@ -251,7 +248,7 @@
             seen_inc=member.inc if member else 0,
             seen_seq=member.seq if member else 0,
             status=member.status if member else Status.ALIVE,
-            watchers=tuple(messages.Peer(n, by_name[n]) for n in names),
+            watchers=tuple(messages.Peer(m.name, m.addr) for m in watchers),
             group=self._group(member),
             delta=delta,
         )
--- a/jasperweir/components/membership/roster.py
+++ b/jasperweir/components/membership/roster.py
@@ -28,6 +28,8 @@
         self._hashes = [0] * const.BUCKETS
         self._dead_since: dict[str, float] = {}
         self._own_name = own.name
+        self._ring = hashing.Ring(names=())
+        self._ring_version = -1
         self._store(own)
 
     @property
@@ -43,6 +45,15 @@
         """Return all records, or those of one kind."""
         return [m for m in self._members.values() if not kind or m.kind == kind]
 
+    def watchers_of(self, name: str) -> list[messages.Member]:
+        """Return the entries that watch a node."""
+        if self._ring_version != self.version:
+            self._ring_version = self.version
+            entries = [m.name for m in self.present(const.KIND_ENTRY)]
+            self._ring = hashing.Ring(names=entries)
+        names = self._ring.after(name, const.WATCHERS)
+        return [self._members[watcher] for watcher in names]
+
     def present(self, kind: str = "") -> list[messages.Member]:
         """Return records of nodes that are not believed gone."""
         return [m for m in self.members(kind) if m.status < Status.DEAD]
--- a/jasperweir/helpers/hashing.py
+++ b/jasperweir/helpers/hashing.py
@@ -1,5 +1,6 @@
 """Stable hashes for ownership, subsets and content identity."""
 
+import bisect
 from collections.abc import Iterable
 import hashlib
 
@@ -21,6 +22,32 @@
     return hashlib.sha256(data).hexdigest()
 
 
+class Ring:
+    """Hash ring: the owners of a key are the next names clockwise.
+
+    A look-up costs one binary search, where ``rendezvous`` costs a hash for
+    each name; a ring spreads less evenly.
+    """
+
+    def __init__(self, *, names: Iterable[str]) -> None:
+        self._points = sorted(
+            (stable(f"ring\x00{name}"), name) for name in names
+        )
+
+    def after(self, key: str, count: int) -> list[str]:
+        """Return the names that follow a key, without the key itself."""
+        size = len(self._points)
+        at = bisect.bisect_right(self._points, (stable(f"ring\x00{key}"), key))
+        found: list[str] = []
+        for step in range(size):
+            name = self._points[(at + step) % size][1]
+            if name != key:
+                found.append(name)
+            if len(found) == count:
+                break
+        return found
+
+
 def rendezvous(key: str, names: Iterable[str], count: int) -> list[str]:
     """Return the names that own a key, most preferred first.
 
