Pay for a change by its size, advertise entries only when ready

Found by real processes, each with the scenario that failed first: internal keys were encoded twice so that nobody was admitted; a restarted entry stood in address answers before its configuration was in force; the command line took the parent version from a lagging control VM; a thawed watcher suspected nodes that had taken it for dead.

--- a/features/steps/registry_steps.py
+++ b/features/steps/registry_steps.py
@@ -137,7 +137,7 @@
 def bad_place(context):
     content = dict(context.content)
     content["service weir-assist\x1fplaces"] = "nowhere"
-    context.answer = context.desk.sign_off(content)
+    context.answer = context.desk.sign_off(content, digest="0" * 64)
 
 
 @then('the answer is "{name}"')
--- a/jasperweir/cli/operate.py
+++ b/jasperweir/cli/operate.py
@@ -39,7 +39,8 @@
         self._http = urllib3.PoolManager(retries=False)
 
     def get(self, path: str) -> dict[str, Any]:
-        """Return the answer of the first control VM that gives one."""
+        """Return the newest answer that any control VM gives."""
+        answers: list[dict[str, Any]] = []
         for address in self._addresses:
             try:
                 resp = self._http.request(
@@ -50,8 +51,9 @@
                 )
             except urllib3.exceptions.HTTPError:
                 continue
-            found: dict[str, Any] = resp.json()
-            return found
+            answers.append(resp.json())
+        if answers:
+            return max(answers, key=lambda found: found.get("revision", 0))
         raise UnreachableError("no control VM answers")
 
     def post(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
--- /dev/null
+++ b/jasperweir/components/bundle/contents.py
@@ -0,0 +1,171 @@
+"""One bundle version by sections: checked, hashed and typed piece by piece.
+
+A change touches a few sections of thousands, so a new version shares all
+others with its parent and costs only what it changes.
+"""
+
+from collections.abc import Mapping
+import hashlib
+from typing import Any
+from typing import NamedTuple
+
+from jasperweir import exceptions
+from jasperweir.components.bundle import schema
+from jasperweir.components.bundle import specs
+from jasperweir.helpers import codec
+from jasperweir.helpers import settings
+
+SEPARATOR = "\x1f"
+# What a new version changes against its parent; None removes a key.
+Change = Mapping[str, str | None]
+_SINGLE = ("bundle", "experts", "callers")
+_KINDS: dict[str, Any] = {
+    "service": specs.ServiceSpec,
+    "customer": specs.CustomerSpec,
+    "place": specs.PlaceSpec,
+}
+
+
+class Section(NamedTuple):
+    """One section: its text, its digest and its typed record."""
+
+    values: dict[str, str]
+    digest: bytes
+    record: Any
+
+
+class Contents:
+    """Immutable content of one version.
+
+    Attributes:
+        bundle: Typed view.
+        content_hash: Hash that a signed-off version carries.
+    """
+
+    def __init__(self, *, sections: dict[str, Section], name: str) -> None:
+        self._sections = sections
+        self._name = name
+        self.bundle = self._typed()
+        self.content_hash = self._hash()
+
+    @classmethod
+    def from_flat(
+        cls, content: Mapping[str, str], *, name: str = "bundle"
+    ) -> "Contents":
+        """Check flat content from scratch.
+
+        Raises:
+            SettingsError: A value or a cross reference is wrong.
+        """
+        sections: dict[str, Section] = {}
+        problems: list[str] = []
+        for section, values in _grouped(content).items():
+            try:
+                sections[section] = _section(name, section, values)
+            except exceptions.SettingsError as exc:
+                problems += exc.problems
+        if problems:
+            raise exceptions.SettingsError(problems=problems)
+        return cls(sections=sections, name=name)
+
+    def flat(self) -> dict[str, str]:
+        """Return the flat content."""
+        return {
+            f"{section}{SEPARATOR}{key}": value
+            for section, found in self._sections.items()
+            for key, value in found.values.items()
+        }
+
+    def patch(self, change: Change) -> "Contents":
+        """Return the content with a change applied.
+
+        Raises:
+            SettingsError: The new content would be wrong.
+        """
+        touched: dict[str, dict[str, str]] = {}
+        for flat, value in change.items():
+            section, _, key = flat.partition(SEPARATOR)
+            if section not in touched:
+                known = self._sections.get(section)
+                touched[section] = dict(known.values) if known else {}
+            if value is None:
+                touched[section].pop(key, None)
+            else:
+                touched[section][key] = value
+        sections = dict(self._sections)
+        for section, values in touched.items():
+            if values:
+                sections[section] = _section(self._name, section, values)
+            else:
+                sections.pop(section, None)
+        return Contents(sections=sections, name=self._name)
+
+    def _typed(self) -> specs.Bundle:
+        single = {}
+        for title in _SINGLE:
+            found = self._sections.get(title)
+            if found is not None:
+                single[title] = found.record
+                continue
+            spec = schema.SCHEMA[title]
+            if spec.required:
+                problem = f"{self._name}: [{title}]: section is missing"
+                raise exceptions.SettingsError(problems=[problem])
+            single[title] = settings.check_section(
+                self._name, title, {}, schema.SCHEMA
+            )
+        named: dict[str, dict[str, Any]] = {kind: {} for kind in _KINDS}
+        for section, found in self._sections.items():
+            kind, space, title = section.partition(" ")
+            if space:
+                named[kind][title] = found.record
+        bundle = specs.Bundle(
+            name=single["bundle"]["name"],
+            services=named["service"],
+            customers=named["customer"],
+            places=named["place"],
+            callers=specs.CallerSpec(**single["callers"]),
+            experts=specs.ExpertSpec(**single["experts"]),
+        )
+        _check_places(self._name, bundle)
+        return bundle
+
+    def _hash(self) -> str:
+        whole = hashlib.sha256()
+        for section in sorted(self._sections):
+            whole.update(self._sections[section].digest)
+        return whole.hexdigest()
+
+
+def _grouped(content: Mapping[str, str]) -> dict[str, dict[str, str]]:
+    groups: dict[str, dict[str, str]] = {}
+    for flat, value in content.items():
+        section, _, key = flat.partition(SEPARATOR)
+        groups.setdefault(section, {})[key] = value
+    return groups
+
+
+def _section(name: str, section: str, values: dict[str, str]) -> Section:
+    # The empty key only says that the section is there.
+    found = {key: value for key, value in values.items() if key}
+    checked = settings.check_section(name, section, found, schema.SCHEMA)
+    kind, space, title = section.partition(" ")
+    record = _KINDS[kind](name=title, **checked) if space else checked
+    packed = codec.pack([section, sorted(values.items())])
+    return Section(values, hashlib.sha256(packed).digest(), record)
+
+
+def _check_places(name: str, bundle: specs.Bundle) -> None:
+    problems = []
+    for spec in bundle.services.values():
+        for place in spec.places:
+            if place not in bundle.places:
+                known = ", ".join(sorted(bundle.places))
+                problems.append(
+                    f"{name}: [service {spec.name}] places: found "
+                    f"'{place}'; allowed: {known}"
+                )
+    if not bundle.places:
+        problems.append(f"{name}: [place NAME]: at least one is needed")
+    if problems:
+        raise exceptions.SettingsError(problems=problems)
--- a/jasperweir/components/config/replica.py
+++ b/jasperweir/components/config/replica.py
@@ -1,7 +1,8 @@
 """A node's own copy of the configuration and what it means here."""
 
 from jasperweir import exceptions
-from jasperweir.components.bundle import model
+from jasperweir.components.bundle import contents
+from jasperweir.components.bundle import specs
 from jasperweir.components.config import const
 from jasperweir.components.config import table as table_lib
 from jasperweir.components.registry import machine
@@ -25,11 +26,14 @@
     def __init__(self, *, place: str) -> None:
         self.table = table_lib.Table()
         self.version = 0
-        self.bundle: model.Bundle | None = None
+        self.bundle: specs.Bundle | None = None
         self.floor: int | None = None
         self.rejected = 0
         self._place = place
         self._typed_revision = 0
+        self._contents: contents.Contents | None = None
+        # Keys that hold values of versions above the one in force here.
+        self._ahead: set[str] = set()
 
     @property
     def ready(self) -> bool:
@@ -42,27 +46,45 @@
         """Follow the table; tell whether the version in force changed."""
         if self.table.revision == self._typed_revision:
             return False
+        self._ahead.update(
+            key
+            for key in self.table.changed_since(self._typed_revision)
+            if key.startswith(const.PREFIX_BUNDLE)
+        )
         self._typed_revision = self.table.revision
         version = self._pointer()
         if version <= self.version:
             return False
-        content = machine.content_at(self.table, version)
         record = self.table.get(f"{const.PREFIX_VERSION}{version}")
         if record is None:
             return False
         expected = codec.unpack(record, ops.Version).content_hash
-        if model.content_hash(content) != expected:
-            # Damaged on the way: the old version stays in force.
-            self.rejected += 1
-            return False
         try:
-            self.bundle = model.typed(content)
+            new = self._contents_at(version)
         except exceptions.SettingsError:
             self.rejected += 1
             return False
+        if new.content_hash != expected:
+            # Damaged on the way: the old version stays in force.
+            self.rejected += 1
+            return False
+        self._contents = new
+        self.bundle = new.bundle
         self.version = version
+        self._ahead = {
+            key
+            for key in self._ahead
+            if machine.newest_version(self.table, key) > version
+        }
         return True
 
+    def _contents_at(self, version: int) -> contents.Contents:
+        if self._contents is None:
+            content = machine.content_at(self.table, version)
+            return contents.Contents.from_flat(content)
+        change = machine.change_at(self.table, self._ahead, version)
+        return self._contents.patch(change)
+
     def view(self) -> ops.View:
         """Return the entries that own claims."""
         data = self.table.get(const.KEY_VIEW)
--- a/jasperweir/components/config/table.py
+++ b/jasperweir/components/config/table.py
@@ -109,16 +109,25 @@
             return False
         if delta.since > self.revision or delta.upto <= self.revision:
             return False
-        for item in delta.items:
+        for item in sorted(delta.items, key=lambda i: (i.revision, i.key)):
             if item.revision > self.revision_of(item.key):
                 self._items[item.key] = item
                 self._order.append((item.revision, item.key))
-        self._order.sort()
-        self._tidy()
+        if len(self._order) > 2 * len(self._items) + 64:
+            self._tidy()
         self.revision = delta.upto
         self.log_id = delta.log_id
         return True
 
+    def changed_since(self, revision: int) -> list[str]:
+        """Return the keys whose newest value came after a revision."""
+        start = bisect.bisect_right(self._order, (revision, "\U0010ffff"))
+        return [
+            key
+            for at, key in self._order[start:]
+            if self._items[key].revision == at
+        ]
+
     def dump(self) -> tuple[int, tuple[Item, ...]]:
         """Return the whole table, in order of revision."""
         items = sorted(self._items.values(), key=lambda i: (i.revision, i.key))
--- a/jasperweir/components/control/groups.py
+++ b/jasperweir/components/control/groups.py
@@ -19,7 +19,7 @@
     """
     groups: dict[str, list[member_messages.Member]] = {}
     for member in roster.members(member_const.KIND_AGENT):
-        if member.group and member.status == Status.ALIVE:
+        if member.group and member.status <= Status.ALIVE:
             groups.setdefault(member.group, []).append(member)
     for group, members in sorted(groups.items()):
         current = machine.appointment(group)
@@ -39,4 +39,4 @@
     member = roster.get(current.coordinator)
     if member is None or member.inc != current.incarnation:
         return False
-    return member.status in (Status.ALIVE, Status.SUSPECT)
+    return member.status in (Status.JOINING, Status.ALIVE, Status.SUSPECT)
--- a/jasperweir/components/entry/job.py
+++ b/jasperweir/components/entry/job.py
@@ -7,7 +7,7 @@
 
 from jasperweir import result_codes
 from jasperweir.components.bundle import const as bundle_const
-from jasperweir.components.bundle import model
+from jasperweir.components.bundle import specs
 from jasperweir.components.routing import router as router_lib
 from jasperweir.helpers import hashing
 from jasperweir.helpers import web
@@ -39,9 +39,9 @@
     """
 
     rid: str
-    spec: model.ServiceSpec
+    spec: specs.ServiceSpec
     query: router_lib.Query
-    customer: model.CustomerSpec
+    customer: specs.CustomerSpec
     priority: int
     key: str
     keyed: bool
@@ -62,7 +62,7 @@
     detail: str
 
 
-def parse(req: web.Req, bundle: model.Bundle) -> Job | Rejected:
+def parse(req: web.Req, bundle: specs.Bundle) -> Job | Rejected:
     """Check a request against the bundle in force."""
     headers = _headers(req, bundle)
     if isinstance(headers, Rejected):
@@ -73,14 +73,14 @@
 
 
 class _Headers(NamedTuple):
-    customer: model.CustomerSpec
+    customer: specs.CustomerSpec
     deadline_s: float
     priority: int
     key: str
     first: bool
 
 
-def _headers(req: web.Req, bundle: model.Bundle) -> _Headers | Rejected:
+def _headers(req: web.Req, bundle: specs.Bundle) -> _Headers | Rejected:
     for name in (H_CUSTOMER, H_KEY, H_REQUEST_ID):
         value = req.header(name)
         if len(value) > MAX_HEADER_VALUE or not value.isprintable():
@@ -107,7 +107,7 @@
 
 
 def _inference(
-    req: web.Req, bundle: model.Bundle, headers: _Headers
+    req: web.Req, bundle: specs.Bundle, headers: _Headers
 ) -> Job | Rejected:
     try:
         body: Any = json.loads(req.body)
@@ -139,7 +139,7 @@
 
 
 def _plain(
-    req: web.Req, bundle: model.Bundle, headers: _Headers
+    req: web.Req, bundle: specs.Bundle, headers: _Headers
 ) -> Job | Rejected:
     rest = req.path.removeprefix(PLAIN_PREFIX)
     name, _, path = rest.partition("/")
@@ -160,7 +160,7 @@
 
 def _job(
     req: web.Req,
-    spec: model.ServiceSpec,
+    spec: specs.ServiceSpec,
     query: router_lib.Query,
     headers: _Headers,
     *,
--- a/jasperweir/components/entry/node.py
+++ b/jasperweir/components/entry/node.py
@@ -69,7 +69,8 @@
             place=identity.place,
             inc=identity.inc,
             seq=0,
-            status=Status.ALIVE,
+            # Callers are sent here only once the configuration is in force.
+            status=Status.JOINING,
             addr=identity.addr,
             http=identity.http,
         )
@@ -107,6 +108,8 @@
         out += self.keeper.on_view(self.replica.view(), now)
         out += self.keeper.tick(now)
         out += self.claims.tick(now)
+        if self.serving and self.gossip.roster.own.status == Status.JOINING:
+            self.gossip.touch(status=Status.ALIVE)
         out += self._beat(now)
         self._follow_targets()
         for admission in self._admissions.values():
--- a/jasperweir/components/membership/announcer.py
+++ b/jasperweir/components/membership/announcer.py
@@ -34,6 +34,7 @@
         self.watchers: tuple[messages.Peer, ...] = ()
         self._seeds = seeds
         self._heartbeat_at = 0.0
+        self._lists = 0
         self._acked: dict[str, float] = {}
         self._turn = 0
 
@@ -47,6 +48,13 @@
         self.member = self.member._replace(seq=self.member.seq + 1, **changes)
         return self._announce_all()
 
+    def ready(self, ready: bool) -> Actions:
+        """Announce that the target takes new work, or for now does not."""
+        wanted = Status.ALIVE if ready else Status.JOINING
+        if self.member.status in (wanted, Status.LEAVING, Status.LEFT):
+            return []
+        return self.change(status=wanted)
+
     def leave(self) -> Actions:
         """Announce that the target takes no new work."""
         if self.member.status >= Status.LEAVING:
@@ -79,13 +87,14 @@
         self._acked[src] = now
         if msg.delta is not None:
             self.table.apply(msg.delta)
-        if msg.watchers:
+        if msg.lists != self._lists:
+            self._lists = msg.lists
             self.watchers = msg.watchers
+            self.group = msg.group
             names = {peer.name for peer in msg.watchers}
             self._acked = {
                 name: at for name, at in self._acked.items() if name in names
             } or {src: now}
-        self.group = msg.group
         if not msg.known:
             return self._announce_to(src)
         return self._refute(msg)
@@ -111,6 +120,7 @@
             seq=own.seq,
             status=own.status,
             revision=self.table.revision,
+            lists=self._lists,
         )
         return [core.Send(dst=peer.name, msg=msg) for peer in peers]
 
--- a/jasperweir/components/membership/detector.py
+++ b/jasperweir/components/membership/detector.py
@@ -7,6 +7,10 @@
 Status = messages.Status
 
 
+# How much later than others a node that is newly watched is suspected.
+_EXTRA = const.WATCH_GRACE_SECONDS - const.SUSPECT_SECONDS
+
+
 class Detector:
     """Suspect watched nodes that fall silent, then declare them dead."""
 
@@ -53,8 +57,9 @@
         return self._roster.get(name)
 
     def _forgive(self, now: float) -> None:
+        # Those who took this process for dead send it nothing yet.
         for name in self._heard:
-            self._heard[name] = now
+            self._heard[name] = now + _EXTRA
 
     def _reassign(self, now: float) -> None:
         if self._roster.version == self._seen_version:
@@ -69,9 +74,8 @@
             and own in self._roster.watchers_of(m.name)
         }
         # Signs of life start late for nodes that have just been assigned.
-        extra = const.WATCH_GRACE_SECONDS - const.DEAD_SECONDS
         for name in watched - self._watched:
-            self._heard[name] = max(self._heard.get(name, 0.0), now + extra)
+            self._heard[name] = max(self._heard.get(name, 0.0), now + _EXTRA)
         for name in self._watched - watched:
             self._heard.pop(name, None)
         self._watched = watched
--- a/jasperweir/components/membership/gossip.py
+++ b/jasperweir/components/membership/gossip.py
@@ -9,6 +9,8 @@
 from jasperweir.components.membership import detector as detector_lib
 from jasperweir.components.membership import messages
 from jasperweir.components.membership import roster as roster_lib
+from jasperweir.helpers import codec
+from jasperweir.helpers import hashing
 
 Status = messages.Status
 Actions = list[Any]
@@ -198,6 +200,7 @@
             seq=own.seq,
             status=own.status,
             revision=self.table.revision,
+            lists=0,
         )
         return [
             core.Send(dst=watcher.name, msg=msg)
@@ -212,9 +215,10 @@
         if member is not None and member.inc == msg.inc:
             self.detector.heard(src, now)
         if member is not None and member.kind == const.KIND_AGENT:
-            return [self._watch_ack(src, known, member, msg.revision)]
+            ack = self._watch_ack(src, known, member, msg.revision, msg.lists)
+            return [ack]
         if member is None:
-            return [self._watch_ack(src, known, None, msg.revision)]
+            return [self._watch_ack(src, known, None, msg.revision, 0)]
         if member.inc != msg.inc or member.status in (
             Status.SUSPECT,
             Status.DEAD,
@@ -230,7 +234,8 @@
         member = self.roster.get(src)
         if member is not None and member.inc == msg.member.inc:
             self.detector.heard(src, now)
-        return [self._watch_ack(src, member is not None, member, msg.revision)]
+        known = member is not None
+        return [self._watch_ack(src, known, member, msg.revision, 0)]
 
     def _watch_ack(
         self,
@@ -238,8 +243,15 @@
         known: bool,
         member: messages.Member | None,
         revision: int,
+        held_lists: int,
     ) -> core.Send:
-        watchers = self.roster.watchers_of(src)
+        watchers = tuple(
+            messages.Peer(m.name, m.addr) for m in self.roster.watchers_of(src)
+        )
+        group = self._group(member)
+        # The lists change rarely and are most of the answer's bytes.
+        lists = hashing.checksum(codec.pack((watchers, group)))
+        same = lists == held_lists
         delta = None
         if revision < self.table.revision:
             delta = self.table.delta(revision)
@@ -248,8 +260,9 @@
             seen_inc=member.inc if member else 0,
             seen_seq=member.seq if member else 0,
             status=member.status if member else Status.ALIVE,
-            watchers=tuple(messages.Peer(m.name, m.addr) for m in watchers),
-            group=self._group(member),
+            lists=lists,
+            watchers=() if same else watchers,
+            group=() if same else group,
             delta=delta,
         )
         return core.Send(dst=src, msg=ack)
--- a/jasperweir/components/membership/messages.py
+++ b/jasperweir/components/membership/messages.py
@@ -10,11 +10,12 @@
 class Status(enum.IntEnum):
     """Health of a node; a higher one wins at the same sequence number."""
 
-    ALIVE = 0
-    LEAVING = 1
-    SUSPECT = 2
-    DEAD = 3
-    LEFT = 4
+    JOINING = 0
+    ALIVE = 1
+    LEAVING = 2
+    SUSPECT = 3
+    DEAD = 4
+    LEFT = 5
 
 
 class Offer(NamedTuple):
@@ -107,12 +108,17 @@
 
 @codec.message("member.heartbeat")
 class Heartbeat(NamedTuple):
-    """A watched node tells a watcher that it lives."""
+    """A watched node tells a watcher that it lives.
+
+    Attributes:
+        lists: Digest of the lists of the last answer; 0 asks for them.
+    """
 
     inc: int
     seq: int
     status: Status
     revision: int
+    lists: int
 
 
 @codec.message("member.announce")
@@ -139,6 +145,8 @@
         seen_inc: Incarnation under which the agent is known.
         seen_seq: Sequence number under which it is known.
         status: Health under which it is known.
+        lists: Digest of the two lists; they are empty if the agent's
+            heartbeat named the same digest.
         watchers: Entries to which the agent should send heartbeats.
         group: Agents of the same group, for its coordinator.
         delta: Configuration that the agent lacks, or None.
@@ -148,6 +156,7 @@
     seen_inc: int
     seen_seq: int
     status: Status
+    lists: int
     watchers: tuple[Peer, ...]
     group: tuple[Peer, ...]
     delta: table.Delta | None
--- a/jasperweir/components/registry/machine.py
+++ b/jasperweir/components/registry/machine.py
@@ -1,11 +1,13 @@
 """Deterministic application of committed operations."""
 
 import collections
+from collections.abc import Iterable
 from typing import Any
 from typing import NamedTuple
 
 from jasperweir import exceptions
 from jasperweir import result_codes
+from jasperweir.components.bundle import contents
 from jasperweir.components.bundle import model
 from jasperweir.components.config import const as config_const
 from jasperweir.components.config import table as table_lib
@@ -51,6 +53,8 @@
         self._answers: collections.OrderedDict[str, Recorded] = (
             collections.OrderedDict()
         )
+        # Content of the newest version, so that a change costs its size.
+        self._head: contents.Contents | None = None
 
     # Queries.
 
@@ -134,6 +138,7 @@
         """Replace the whole state."""
         dump = codec.unpack(data, Dump)
         self.table.load(dump.revision, dump.items)
+        self._head = None
         self._answers.clear()
         self._answers.update({r.op_id: r for r in dump.answers})
         self.audit.clear()
@@ -186,18 +191,27 @@
         head = self.head
         if op.parent != head:
             return ops.Answer(Code.STALE_PARENT, head, f"head is {head}")
-        content = model.patch(self.content(head), dict(op.change))
-        if model.content_hash(content) != op.content_hash:
-            return ops.Answer(Code.HASH_MISMATCH, head, "content differs")
         try:
-            model.typed(content)
+            new = self._patched(dict(op.change))
         except exceptions.SettingsError as exc:
             return ops.Answer(Code.BAD_BUNDLE, head, exc.problems[0])
+        if new.content_hash != op.content_hash:
+            return ops.Answer(Code.HASH_MISMATCH, head, "content differs")
+        self._head = new
         number = self._add_version(
             index, req, dict(op.change), op.content_hash, op.note
         )
         return ops.Answer(Code.ACCEPTED, number, op.content_hash)
 
+    def _patched(self, change: model.Change) -> contents.Contents:
+        """Return the newest content with a change applied."""
+        if self._head is None and self.head:
+            self._head = contents.Contents.from_flat(self.content(self.head))
+        if self._head is not None:
+            return self._head.patch(change)
+        first = {k: v for k, v in change.items() if v is not None}
+        return contents.Contents.from_flat(first)
+
     def _add_version(
         self,
         index: int,
@@ -293,12 +307,13 @@
             return ops.Answer(Code.UNKNOWN_VERSION, head, "no earlier version")
         before = self.content(record.parent)
         change = model.diff(self.content(head), before)
+        self._head = self._patched(change)
         self._put_version(index, record._replace(withdrawn=op.reason or "yes"))
         number = self._add_version(
             index,
             req,
             change,
-            model.content_hash(before),
+            self._head.content_hash,
             f"withdraws {op.version}: {op.reason}",
         )
         # A withdrawal does not wait for gates: every place moves at once.
@@ -349,9 +364,12 @@
         return max((self._in_force(key[prefix:]) for key in places), default=0)
 
     def _places_in_order(self, version: int) -> tuple[str, ...]:
-        bundle = model.typed(self.content(version))
-        specs = sorted(bundle.places.values(), key=lambda p: (p.order, p.name))
-        return tuple(spec.name for spec in specs)
+        if version == self.head:
+            bundle = self._patched({}).bundle
+        else:
+            bundle = model.typed(self.content(version))
+        places = sorted(bundle.places.values(), key=lambda p: (p.order, p.name))
+        return tuple(place.name for place in places)
 
 
 def content_at(table: table_lib.Table, version: int) -> model.Content:
@@ -365,6 +383,23 @@
     return content
 
 
+def change_at(
+    table: table_lib.Table, keys: Iterable[str], version: int
+) -> model.Change:
+    """Return the values that some keys have in a version."""
+    prefix = len(config_const.PREFIX_BUNDLE)
+    return {
+        key[prefix:]: _value_at(_history(table.get(key)), version)
+        for key in keys
+    }
+
+
+def newest_version(table: table_lib.Table, key: str) -> int:
+    """Return the version of a key's newest value."""
+    history = _history(table.get(key))
+    return history[-1][0] if history else 0
+
+
 def _history(data: bytes | None) -> History:
     return codec.unpack(data, History) if data else ()
 
--- a/jasperweir/daemons/agent.py
+++ b/jasperweir/daemons/agent.py
@@ -128,7 +128,7 @@
             place=cfg.place,
             inc=self.host.incarnation,
             seq=0,
-            status=member_messages.Status.ALIVE,
+            status=member_messages.Status.JOINING,
             addr=cfg.internal,
             http=cfg.http,
             offers=(offer,),
@@ -199,6 +199,7 @@
         now = self.host.now()
         self._perform(self.agent.tick(now))
         self.table.ready = self.agent.ready and self.side.up
+        self._perform(self.agent.announcer.ready(self.table.ready))
         self.executor.tick()
         self.host.export_link(now)
         self.host.metrics.gauge("runs_active", self.table.active())
--- a/jasperweir/daemons/control.py
+++ b/jasperweir/daemons/control.py
@@ -289,6 +289,7 @@
             {
                 "version": version,
                 "head": machine.head,
+                "revision": machine.table.revision,
                 "record": record._asdict() if record else None,
                 "content": content,
             },
@@ -299,10 +300,11 @@
         return web.json_resp(
             200,
             {
+                "revision": self.controller.machine.table.revision,
                 "members": [
                     {**m._asdict(), "status": m.status.name.lower()}
                     for m in sorted(members)
-                ]
+                ],
             },
         )
 
--- a/jasperweir/helpers/hashing.py
+++ b/jasperweir/helpers/hashing.py
@@ -26,12 +26,16 @@
     """Hash ring: the owners of a key are the next names clockwise.
 
     A look-up costs one binary search, where ``rendezvous`` costs a hash for
-    each name; a ring spreads less evenly.
+    each name. Each name stands at several points, to spread more evenly.
     """
 
+    POINTS = 16
+
     def __init__(self, *, names: Iterable[str]) -> None:
         self._points = sorted(
-            (stable(f"ring\x00{name}"), name) for name in names
+            (stable(f"ring\x00{name}\x00{point}"), name)
+            for name in names
+            for point in range(self.POINTS)
         )
 
     def after(self, key: str, count: int) -> list[str]:
@@ -41,7 +45,7 @@
         found: list[str] = []
         for step in range(size):
             name = self._points[(at + step) % size][1]
-            if name != key:
+            if name != key and name not in found:
                 found.append(name)
             if len(found) == count:
                 break
--- a/jasperweir/helpers/link.py
+++ b/jasperweir/helpers/link.py
@@ -43,7 +43,7 @@
 
     def callback(self, domain: str, key: bytes) -> bool:
         """Tell whether a client's key is admitted."""
-        return zmq.utils.z85.encode(key) == self._public
+        return key == self._public
 
 
 class Link:
--- a/jasperweir/helpers/settings.py
+++ b/jasperweir/helpers/settings.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import configparser
+import functools
 import pathlib
 from typing import Any
 from typing import NamedTuple
@@ -170,6 +171,33 @@
     return values
 
 
+def check_section(
+    name: str, section: str, found: Mapping[str, str], schema: Schema
+) -> dict[str, Any]:
+    """Check one section alone.
+
+    Raises:
+        SettingsError: The section or one of its values is wrong.
+    """
+    spec = _section_schema(section, schema)
+    if spec is None:
+        problem = f"{name}: [{section}]: unknown section"
+        raise exceptions.SettingsError(problems=[problem])
+    problems: list[str] = []
+    where = f"{name}: [{section}]"
+    values = _check_section(where, dict(found), spec, problems)
+    if problems:
+        raise exceptions.SettingsError(problems=problems)
+    return values
+
+
+@functools.cache
+def _compiled(check: Any) -> Callable[[str], Any]:
+    """Compile a validator once; the schemas are constants."""
+    compiled: Callable[[str], Any] = vol.Schema(check)
+    return compiled
+
+
 def _section_schema(section: str, schema: Schema) -> Section | None:
     if section in schema and not section.endswith(" "):
         return schema[section]
@@ -213,8 +241,7 @@
     key: str,
     problems: list[str],
 ) -> None:
-    check: Callable[[str], Any] = vol.Schema(field.check)
     try:
-        values[key] = check(value.strip())
+        values[key] = _compiled(field.check)(value.strip())
     except vol.Invalid:
         problems.append(f"{where}: found '{value}'; allowed: {field.allowed}")
--- a/script/slopes.py
+++ b/script/slopes.py
@@ -32,6 +32,7 @@
 from standins import local as local_lib
 
 TICK = 0.1
+DEAD = member_messages.Status.DEAD
 SERVICES = 28
 PLACES = 4
 
@@ -215,7 +216,7 @@
     while fleet.now - start < 20 and not known:
         fleet.run(TICK)
         status = [g.roster.get(name) for g in fleet.entries.values()]
-        if all(m is not None and m.status >= 3 for m in status):
+        if all(m is not None and m.status >= DEAD for m in status):
             known = fleet.now - start
     return {"failure_known_s": known}
 
