Take no empty list of watchers from a late answer

Cause: a heartbeat's answer leaves out lists that the heartbeat named as known; an answer that came a minute late, from an entry that had been frozen, named other lists than those now known and brought none, so the agent had no watchers for 2.6 s and was suspected.

Change: lists are taken only when they come with the answer.

--- a/jasperweir/components/membership/announcer.py
+++ b/jasperweir/components/membership/announcer.py
@@ -87,7 +87,8 @@
         self._acked[src] = now
         if msg.delta is not None:
             self.table.apply(msg.delta)
-        if msg.lists != self._lists:
+        # A late answer to an earlier heartbeat may name its lists as known.
+        if msg.watchers and msg.lists != self._lists:
             self._lists = msg.lists
             self.watchers = msg.watchers
             self.group = msg.group
