Trust old load reports less, and let entries feel full targets

Change: a report's weight decays with 1.5 s towards the mean of all targets; an agent that refuses for lack of slots lowers the entry's limit, which recovers slowly; a customer below its share is not told of waits that only those above theirs have.

Also: orders with a fencing gate, report burn, report experts, solo.

--- a/jasperweir/cli/main.py
+++ b/jasperweir/cli/main.py
@@ -7,6 +7,8 @@
 from jasperweir import exceptions
 from jasperweir.cli import daemons
 from jasperweir.cli import operate
+from jasperweir.cli import report
+from jasperweir.cli import solo
 
 EXIT_USAGE = 2
 
@@ -17,6 +19,8 @@
   jasperweir bundle sign-off --file souss.ini --control 127.0.0.1:7101
   jasperweir bundle roll --version 3 --control 127.0.0.1:7101
   jasperweir bundle status --control 127.0.0.1:7101 --json
+  jasperweir report burn --entries 127.0.0.1:8080 --page burn.html
+  jasperweir solo
 
 exit codes: 0 done, 1 refused or failed, 2 wrong usage or settings,
 3 disk failed, 4 nothing reachable
@@ -35,6 +39,8 @@
     commands = parser.add_subparsers(dest="command", required=True)
     daemons.add_commands(commands)
     operate.add_commands(commands)
+    report.add_commands(commands)
+    solo.add_commands(commands)
     return parser
 
 
--- /dev/null
+++ b/jasperweir/cli/report.py
@@ -0,0 +1,80 @@
+"""Commands that report service levels and experts."""
+
+import argparse
+import json
+import pathlib
+import sys
+from typing import Any
+
+import urllib3
+
+from jasperweir.components.burn import report as burn_report
+
+EXIT_UNREACHABLE = 4
+
+
+def add_commands(commands: Any) -> None:
+    """Add the commands of this module to the parser."""
+    report = commands.add_parser("report", help="service levels, experts")
+    kinds = report.add_subparsers(dest="kind", required=True)
+    burn = kinds.add_parser("burn", help="how fast error budgets burn")
+    burn.add_argument(
+        "--entries", required=True, help="IP:PORT of entries, comma-separated"
+    )
+    burn.add_argument("--json", action="store_true")
+    burn.add_argument("--page", type=pathlib.Path, help="write a page here")
+    burn.set_defaults(func=_burn)
+    experts = kinds.add_parser("experts", help="skew, switches and moves")
+    experts.add_argument(
+        "--agents", required=True, help="IP:PORT of agents, comma-separated"
+    )
+    experts.add_argument("--json", action="store_true")
+    experts.set_defaults(func=_experts)
+
+
+def _fetch(addresses: str, path: str) -> list[dict[str, Any]]:
+    http = urllib3.PoolManager(retries=False)
+    found = []
+    for address in addresses.split(","):
+        try:
+            resp = http.request(
+                "GET", f"http://{address.strip()}{path}", timeout=5.0
+            )
+            found.append(resp.json())
+        except (urllib3.exceptions.HTTPError, ValueError):
+            print(f"{address}: no answer", file=sys.stderr)
+    return found
+
+
+def _burn(args: argparse.Namespace) -> int:
+    answers = _fetch(args.entries, "/v1/burn")
+    if not answers:
+        return EXIT_UNREACHABLE
+    lines = burn_report.merge(answers)
+    if args.page:
+        args.page.write_text(burn_report.as_page(lines), encoding="utf-8")
+    if args.json:
+        print(json.dumps([line._asdict() for line in lines]))
+    else:
+        print(burn_report.as_text(lines), end="")
+    return 0
+
+
+def _experts(args: argparse.Namespace) -> int:
+    answers = [a for a in _fetch(args.agents, "/experts") if a.get("group")]
+    if not answers:
+        return EXIT_UNREACHABLE
+    if args.json:
+        print(json.dumps(answers, sort_keys=True))
+        return 0
+    print(
+        f"{'group':12} {'agent':12} {'role':12} {'steps':>10} {'skew':>7} "
+        f"{'planned':>8} {'moves':>6} {'switches':>9} {'aborts':>7}"
+    )
+    for a in sorted(answers, key=lambda a: (a["group"], a["agent"])):
+        print(
+            f"{a['group']:12} {a['agent']:12} {a['role']:12} "
+            f"{a['steps']:10} {a['skew']:7.3f} {a['planned_skew']:8.3f} "
+            f"{a['moves']:6} {a['switches']:9} {a['aborts']:7}"
+        )
+    return 0
--- a/jasperweir/components/entry/driver.py
+++ b/jasperweir/components/entry/driver.py
@@ -21,6 +21,7 @@
 from jasperweir.components.request import const
 from jasperweir.components.request import events
 from jasperweir.components.request import life as life_lib
+from jasperweir.components.runs import const as run_const
 from jasperweir.helpers import web
 
 Code = result_codes.Code
@@ -241,6 +242,12 @@
         if isinstance(result, hop_lib.Stream):
             self._stream = result
             return events.Head()
+        if (
+            isinstance(result, events.Refused)
+            and result.reason == run_const.REFUSED_FULL
+        ):
+            service, at = self._job.spec.name, self._port.now()
+            self._port.tell(lambda: self._port.entry.congested(service, at))
         failed = isinstance(
             result, events.Unsent | events.Broke | events.OtherIncarnation
         )
--- a/jasperweir/components/entry/node.py
+++ b/jasperweir/components/entry/node.py
@@ -173,6 +173,10 @@
             return
         done(verdict)
 
+    def congested(self, service: str, now: float) -> None:
+        """Note that a target had no slot left."""
+        self._admission(service).congested(now)
+
     def release(self, service: str, rid: str, now: float) -> None:
         """End an admitted or queued request."""
         admission = self._admission(service)
@@ -255,7 +259,7 @@
             return
         self._limits_version = version
         for service, admission in self._admissions.items():
-            admission.limit = self._limit(service)
+            admission.set_ceiling(self._limit(service))
         self.router.forget_gone()
 
     def _admission(self, service: str) -> admission_lib.Admission:
--- a/jasperweir/components/limits/admission.py
+++ b/jasperweir/components/limits/admission.py
@@ -73,7 +73,10 @@
     """
 
     def __init__(self, *, limit: int, rng: random.Random) -> None:
-        self.limit = limit
+        self._ceiling = limit
+        self._factor = 1.0
+        self._congested_at = float("-inf")
+        self._recovered_at = float("-inf")
         self._rng = rng
         self._active: dict[str, float] = {}
         self._by_customer: collections.Counter[str] = collections.Counter()
@@ -84,6 +87,25 @@
         self._virtual = 0.0
         self._mean_seconds = const.DEFAULT_SERVICE_SECONDS
 
+    @property
+    def limit(self) -> int:
+        """Number of requests that may be active now."""
+        return max(1, round(self._ceiling * self._factor))
+
+    def set_ceiling(self, limit: int) -> None:
+        """Set how many requests may be active when nothing is congested."""
+        self._ceiling = limit
+
+    def congested(self, now: float) -> None:
+        """Note that a target had no slot left for an admitted request."""
+        if now - self._congested_at < const.CONGESTION_EVERY_SECONDS:
+            return
+        self._congested_at = now
+        self._recovered_at = now
+        self._factor = max(
+            self._factor * const.CONGESTION_FACTOR, const.CONGESTION_FLOOR
+        )
+
     @property
     def active(self) -> int:
         """Number of admitted requests that have not ended."""
@@ -105,7 +127,7 @@
                 return self._refuse(ticket, Code.OVERLOADED)
         if self._customer_full(ticket):
             return self._refuse(ticket, Code.CUSTOMER_LIMIT)
-        if now + self.expected_wait() + ticket.needs > ticket.deadline:
+        if now + self._wait_of(ticket) + ticket.needs > ticket.deadline:
             return self._refuse(ticket, Code.DEADLINE_TOO_NEAR)
         self._enqueue(ticket, now)
         return Queued(rid=ticket.rid)
@@ -134,11 +156,33 @@
 
     def poll(self, now: float) -> list[Verdict]:
         """Admit what fits and refuse what can no longer be in time."""
+        self._recover(now)
         out: list[Verdict] = self._drop_hopeless(now)
         while self._queues and self.active < self.limit:
             out.append(self._admit(self._next().ticket, now))
         return out
 
+    def _recover(self, now: float) -> None:
+        if self._factor >= 1.0:
+            return
+        gained = (now - self._recovered_at) * const.RECOVERY_PER_SECOND
+        self._factor = min(1.0, self._factor + gained)
+        self._recovered_at = now
+
+    def _wait_of(self, ticket: Ticket) -> float:
+        """Return the seconds that one customer's request would wait.
+
+        A customer below its share is served before those above theirs, so
+        only its own queue stands before it.
+        """
+        busy = self._queues.keys() | self._by_customer.keys()
+        total = sum(self._weights.get(name, 1.0) for name in busy)
+        share = ticket.weight / max(total, ticket.weight) * self.limit
+        if self._by_customer[ticket.customer] >= share:
+            return self.expected_wait()
+        own = len(self._queues.get(ticket.customer, ()))
+        return (own + 1) * self._mean_seconds / self.limit
+
     def expected_wait(self) -> float:
         """Return the seconds that a newly queued request would wait."""
         if self.limit <= 0:
--- a/jasperweir/components/limits/const.py
+++ b/jasperweir/components/limits/const.py
@@ -9,6 +9,12 @@
 # since callers never spread themselves quite evenly.
 SHARE_SLACK = 1.25
 MIN_SHARE = 2
+# A target that refuses for lack of slots shows that the entries together
+# let in too much: each then lets in less, and slowly more again.
+CONGESTION_FACTOR = 0.97
+CONGESTION_FLOOR = 0.72
+CONGESTION_EVERY_SECONDS = 0.2
+RECOVERY_PER_SECOND = 0.04
 NEUTRAL_PRIORITY = 5
 
 RETRY_RATIO = 0.1
--- /dev/null
+++ b/jasperweir/components/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines, fenced by the revision that they carry out."""
--- a/jasperweir/components/routing/const.py
+++ b/jasperweir/components/routing/const.py
@@ -3,7 +3,7 @@
 # A node keeps state for this many targets of a service, not for all.
 SUBSET = 24
 CHOICES = 3
-REPORT_TRUSTED_SECONDS = 10.0
+REPORT_TRUST_SECONDS = 1.5
 
 OTHER_PLACE_COST = 0.10
 OTHER_REGION_COST = 0.50
--- a/jasperweir/components/routing/router.py
+++ b/jasperweir/components/routing/router.py
@@ -103,7 +103,10 @@
         pool = self._not_ejected(pool, now)
         if not pool:
             return None
-        home = self._home(query, pool, now)
+        typical = statistics.fmean(
+            self.state(c.member.name, now).others() for c in pool
+        )
+        home = self._home(query, pool, typical, now)
         sample = self._rng.sample(pool, min(const.CHOICES, len(pool)))
         if home is not None and home not in sample:
             sample.append(home)
@@ -111,7 +114,7 @@
         best = min(
             sample,
             key=lambda c: (
-                self._score(c, median, now)
+                self._score(c, median, typical, now)
                 - (const.AFFINITY_GAIN if c is home else 0.0),
                 self._rng.random(),
             ),
@@ -225,11 +228,17 @@
 
     # Scores.
 
-    def _score(self, candidate: Candidate, median: float, now: float) -> float:
+    def _score(
+        self,
+        candidate: Candidate,
+        median: float,
+        typical: float,
+        now: float,
+    ) -> float:
         member = candidate.member
         state = self.state(member.name, now)
         slots = max(candidate.slots * state.ramp(now), 1.0)
-        score = (state.load(now) + 1) / slots
+        score = (state.load(now, typical) + 1) / slots
         score += self._distance(member.place)
         if member.status == Status.SUSPECT:
             score += const.SUSPECT_COST
@@ -260,7 +269,11 @@
     # Prefix caches.
 
     def _home(
-        self, query: Query, pool: list[Candidate], now: float
+        self,
+        query: Query,
+        pool: list[Candidate],
+        typical: float,
+        now: float,
     ) -> Candidate | None:
         if not query.prefix:
             return None
@@ -272,16 +285,17 @@
         names += hashing.rendezvous(
             str(query.prefix), by_name, const.AFFINITY_HOMES
         )
-        mean = statistics.fmean(self._usage(c, now) for c in pool)
+        mean = statistics.fmean(self._usage(c, typical, now) for c in pool)
         for name in names:
-            usage = self._usage(by_name[name], now)
+            usage = self._usage(by_name[name], typical, now)
             if usage <= const.AFFINITY_LOAD_BOUND * mean + 0.05:
                 return by_name[name]
         return None
 
-    def _usage(self, candidate: Candidate, now: float) -> float:
+    def _usage(self, candidate: Candidate, typical: float, now: float) -> float:
         state = self.state(candidate.member.name, now)
-        return state.load(now) / max(candidate.slots * state.ramp(now), 1.0)
+        slots = max(candidate.slots * state.ramp(now), 1.0)
+        return state.load(now, typical) / slots
 
     def _hint(self, prefix: int, name: str) -> None:
         self._hints[prefix] = name
--- a/jasperweir/components/routing/state.py
+++ b/jasperweir/components/routing/state.py
@@ -1,6 +1,7 @@
 """What an entry knows of one target."""
 
 import dataclasses
+import math
 
 from jasperweir.components.routing import const
 
@@ -35,16 +36,27 @@
     ejections: int = 0
     ejected_until: float = float("-inf")
 
-    def load(self, now: float) -> float:
+    def others(self) -> int:
+        """Return the requests of other entries at the time of the report."""
+        return max(self.reported - self.own_then, 0)
+
+    def load(self, now: float, typical_others: float) -> float:
         """Return the estimated number of active requests.
 
         The report counts everybody's requests at its time; this entry's own
-        are replaced by what it knows to be in flight now.
+        are replaced by what it knows to be in flight now. The rest of the
+        report loses its weight with age, in favour of what is typical of
+        all targets: an old report says little, and many entries that act
+        on the same one would all send to the same target.
+
+        Args:
+            now: Monotonic seconds.
+            typical_others: Mean of ``others`` over the candidates.
         """
-        if now - self.reported_at > const.REPORT_TRUSTED_SECONDS:
-            return float(self.in_flight)
-        others = max(self.reported - self.own_then, 0)
-        return float(self.in_flight + others)
+        age = max(now - self.reported_at, 0.0)
+        weight = math.exp(-age / const.REPORT_TRUST_SECONDS)
+        rest = weight * self.others() + (1 - weight) * typical_others
+        return self.in_flight + rest
 
     def ramp(self, now: float) -> float:
         """Return the share of its capacity that a new target gets."""
--- a/jasperweir/daemons/agent.py
+++ b/jasperweir/daemons/agent.py
@@ -1,5 +1,6 @@
 """The agent daemon: the slot on a target VM."""
 
+from collections.abc import Callable
 import threading
 import time
 from typing import Any
@@ -11,9 +12,11 @@
 from jasperweir.components.agent import engine as engine_lib
 from jasperweir.components.agent import executor as executor_lib
 from jasperweir.components.agent import node as node_lib
+from jasperweir.components.experts import const as expert_const
 from jasperweir.components.experts import group as group_lib
 from jasperweir.components.membership import const as member_const
 from jasperweir.components.membership import messages as member_messages
+from jasperweir.components.orders import planner as orders_lib
 from jasperweir.components.runs import const as run_const
 from jasperweir.components.runs import table as table_lib
 from jasperweir.daemons import base
@@ -25,6 +28,7 @@
 
 Code = result_codes.Code
 SIDE_POLL_SECONDS = 0.5
+ORDER_SECONDS = 30.0
 LEAVE_SETTLE_SECONDS = 1.0
 H_ENGINE_STATUS = "Jasperweir-Engine-Status"
 H_PATH = "jasperweir-path"
@@ -33,11 +37,18 @@
 
 
 class TargetSide(threading.Thread):
-    """Poll the target for load; one slow target delays nothing else."""
-
-    def __init__(self, *, url: str) -> None:
+    """Poll the target and order it; one slow target delays nothing else."""
+
+    def __init__(
+        self,
+        *,
+        url: str,
+        orders: Callable[[orders_lib.Reported], list[orders_lib.Order]],
+    ) -> None:
         super().__init__(name="target", daemon=True)
         self.up = False
+        self.gate = orders_lib.Gate()
+        self._orders = orders
         self.skew = 0.0
         self.switching = False
         self._url = url
@@ -63,9 +74,28 @@
             if "skew" in load:
                 self.skew = float(load["skew"])
             self.up = resp.status == 200
+            if "adapters" in load:
+                self._order(load)
         except (urllib3.exceptions.HTTPError, ValueError, AttributeError):
             self.up = False
 
+    def _order(self, load: dict[str, Any]) -> None:
+        """Send the engine what it still needs, past the fencing gate."""
+        reported = orders_lib.Reported(
+            adapters=frozenset(load["adapters"]),
+            role=str(load["role"]),
+            fence=int(load["fence"]),
+        )
+        for order in self._orders(reported):
+            if not self.gate.passes(order):
+                continue
+            self._http.request(
+                "POST",
+                self._url + "/orders",
+                json=order._asdict(),
+                timeout=urllib3.Timeout(total=ORDER_SECONDS),
+            )
+
 
 class AgentDaemon:
     """Drive one agent with a link, HTTP and its target."""
@@ -97,7 +127,10 @@
             now=self.host.now,
             threads=cfg.threads,
         )
-        self.side = TargetSide(url=target["url"])
+        self._planner = orders_lib.Planner(
+            service=target["service"], role=target["role"]
+        )
+        self.side = TargetSide(url=target["url"], orders=self._due_orders)
         self.engine = None
         if group is not None:
             self.engine = engine_lib.GroupEngine(
@@ -209,6 +242,19 @@
         self.host.metrics.inc("errors", kind=type(exc).__name__)
         self.host.log.error(f"unexpected {type(exc).__name__}: {exc}")
 
+    def _due_orders(
+        self, reported: orders_lib.Reported
+    ) -> list[orders_lib.Order]:
+        """Return the orders that the configuration in force asks for."""
+        replica = self.agent.replica
+        bundle = replica.bundle
+        if not replica.ready or bundle is None or replica.floor is None:
+            return []
+        self.side.gate.learn(replica.floor)
+        return self._planner.orders(
+            bundle, replica.table.revision, reported, self.host.now()
+        )
+
     def _perform(self, acts: list[Any]) -> None:
         for peer in (
             *self.agent.announcer.watchers,
@@ -245,6 +291,7 @@
             self.host.metrics_route(),
             web.Route("GET", "/healthz", self._healthz),
             web.Route("GET", "/readyz", self._readyz),
+            web.Route("GET", "/experts", self._experts),
             web.Route("POST", "/runs/", self._post_run),
             web.Route("GET", "/runs/", self._get_run),
         ]
@@ -264,6 +311,28 @@
             },
         )
 
+    def _experts(self, req: web.Req) -> web.Resp:
+        group = self.agent.group
+        if group is None:
+            return web.json_resp(200, {"group": "", "agent": ""})
+        lead = group.coordinator
+        step_mask = (1 << expert_const.STEP_BITS) - 1
+        return web.json_resp(
+            200,
+            {
+                "group": group.name,
+                "agent": self.host.cfg.name,
+                "role": "coordinator" if lead else "host",
+                "term": group.guard.term,
+                "steps": group.guard.done & step_mask,
+                "skew": self.side.skew,
+                "planned_skew": group.planned_skew,
+                "moves": group.moves,
+                "switches": lead.switches if lead else 0,
+                "aborts": lead.aborts if lead else 0,
+            },
+        )
+
     def _post_run(self, req: web.Req) -> web.Resp:
         rid, _, verb = req.path.removeprefix("/runs/").partition("/")
         if req.header("jasperweir-incarnation") != str(self.host.incarnation):
