--- a/features/harness/claims.py
+++ b/features/harness/claims.py
@@ -32,6 +32,7 @@
         self.verdicts: dict[str, str] = {}
         self.late: list = []
         self.loss = 0.0
+        self.tap = None
         for name in names:
             self.start(name)
         self.change_view()
@@ -47,6 +48,9 @@
         self.keepers.pop(name, None)
         self.clients.pop(name, None)
 
+    def cut_pair(self, one: str, two: str) -> None:
+        self.cut.add(frozenset((one, two)))
+
     def change_view(self) -> None:
         members = tuple(
             sorted(
@@ -70,6 +74,8 @@
     def perform(self, name: str, acts: list) -> None:
         for act in acts:
             assert isinstance(act, core.Send)
+            if self.tap is not None and self.tap(self, name, act.dst, act.msg):
+                continue
             if self.rng.random() >= self.loss:
                 self.queue.append((name, self.inc[name], act.dst, act.msg))
 
--- /dev/null
+++ b/features/harness/matrix.py
@@ -0,0 +1,242 @@
+"""Every fault at every message of every protocol, on a virtual clock."""
+
+from features.harness import claims
+from features.harness import nodes
+from features.harness import quorum
+from features.harness import ranks
+from jasperweir.components.claims import const as claim_const
+from jasperweir.components.membership import messages as member_messages
+from jasperweir.helpers import codec
+
+FAULTS = (
+    "lost",
+    "doubled",
+    "late",
+    "sender killed",
+    "receiver killed",
+    "sender frozen",
+    "receiver frozen",
+    "link cut",
+)
+LATE_SECONDS = 3.0
+
+
+class Tap:
+    """Apply one fault to the first message of one kind."""
+
+    def __init__(self, kind: str, fault: str) -> None:
+        self.kind = kind
+        self.fault = fault
+        self.met = False
+        self.late: list = []
+        self.killed: set[str] = set()
+
+    def __call__(self, scene, src, dst, msg) -> bool:
+        """Return whether the message goes no further by itself."""
+        if self.met or codec.kind_of(msg) != self.kind:
+            return False
+        self.met = True
+        match self.fault:
+            case "lost":
+                return True
+            case "doubled":
+                self.late.append((scene.now, src, dst, msg))
+            case "late":
+                self.late.append((scene.now + LATE_SECONDS, src, dst, msg))
+                return True
+            case "sender killed":
+                self.killed.add(src)
+            case "receiver killed":
+                self.killed.add(dst)
+                return True
+            case "sender frozen":
+                scene.frozen.add(src)
+            case "receiver frozen":
+                scene.frozen.add(dst)
+            case "link cut":
+                scene.cut_pair(src, dst)
+                return True
+        return False
+
+    def apply(self, scene) -> None:
+        """Carry out what must not happen inside a send."""
+        for name in self.killed:
+            scene.kill(name)
+        self.killed = set()
+        due = [item for item in self.late if item[0] <= scene.now]
+        self.late = [item for item in self.late if item[0] > scene.now]
+        for _, src, dst, msg in due:
+            if isinstance(scene, claims.Owners):
+                scene.queue.append((src, scene.inc[src], dst, msg))
+            else:
+                scene.queue.append((src, dst, msg))
+
+
+def run(scene, seconds: float) -> None:
+    """Let time pass in small steps, with the fault's consequences."""
+    for _ in range(round(seconds / 0.2)):
+        scene.run(0.2)
+        if scene.tap is not None:
+            scene.tap.apply(scene)
+
+
+def heal(scene) -> None:
+    """End the fault, whatever it was."""
+    scene.frozen.clear()
+    scene.cut.clear() if hasattr(scene, "cut") else scene.cuts.clear()
+
+
+def quorum_cell(tap: Tap) -> None:
+    """Election, changes, snapshot, seat and hand-over under one fault."""
+    net = quorum.Net(["a", "b", "c", "d"])
+    net.disks.pop("d")
+    net.kill("d")
+    net.found("a")
+    net.tap = tap
+    for i in range(4):
+        net.propose(b"x%d" % i)
+        run(net, 0.4)
+    lead = net.leader()
+    if lead:
+        net.perform(lead, net.voters[lead].hand_over(net.now))
+    run(net, 3)
+    lead = net.leader()
+    if lead:
+        net.kill(lead)
+    run(net, 5)
+    restart(net)
+    for name in list(net.voters):
+        voter = net.voters[name]
+        net.perform(name, voter.compact(voter.commit, b"state"))
+    net.disks["d"] = quorum.FakeDisk("d")
+    net.start("d")
+    heal(net)
+    restart(net)
+    net.seat("d")
+    run(net, 5)
+    heal(net)
+    restart(net)
+    net.settle(20)
+    assert net.propose(b"last")
+    run(net, 3)
+    for name in net.voters:
+        assert net.voters[name].commit >= max(net.committed), name
+
+
+def restart(net) -> None:
+    for name in net.disks:
+        if name not in net.voters:
+            net.start(name)
+
+
+def claims_cell(tap: Tap) -> None:
+    """Claims, a lost owner, repair and resends under one fault."""
+    own = claims.Owners([f"e{i}" for i in range(1, 6)])
+    own.tap = tap
+    for i in range(6):
+        claim(own, f"k{i}", f"r{i}")
+    run(own, 2)
+    victim = own.owners("k0")[0]
+    own.kill(victim)
+    own.change_view()
+    run(own, 3)
+    for i in range(6):
+        claim(own, f"k{i}", f"s{i}")
+    run(own, 3)
+    heal(own)
+    for name in [f"e{i}" for i in range(1, 6)]:
+        if name not in own.keepers:
+            own.start(name)
+    own.change_view()
+    run(own, 8)
+    claim(own, "fresh", "fresh")
+    run(own, 3)
+    told = own.verdicts["fresh"]
+    assert told in (claim_const.GRANTED, claim_const.BLIND), told
+
+
+def claim(own, key: str, rid: str) -> None:
+    alive = sorted(set(own.keepers) - own.frozen)
+    own.claim(alive[len(rid) % len(alive)], key, rid)
+
+
+def experts_cell(tap: Tap) -> None:
+    """Switches, an abort and a new coordinator under one fault."""
+    scene = ranks.Ranks()
+    scene.tap = tap
+    run(scene, 2)
+    lead = max(scene.coordinators)
+    scene.switch(lead)
+    run(scene, 2)
+    scene.store_fails = True
+    scene.switch(max(scene.coordinators))
+    run(scene, 1)
+    scene.store_fails = False
+    scene.switch(max(scene.coordinators))
+    run(scene, 3)
+    heal(scene)
+    number = len(scene.coordinators) + 4
+    scene.appoint(f"c{number}", number)
+    run(scene, 6)
+    before = len(scene.ran)
+    run(scene, 3)
+    assert len(scene.ran) > before, "the group stands still"
+
+
+def membership_cell(tap: Tap) -> None:
+    """Joins, a death, a leave and a restart under one fault."""
+    scene = nodes.Nodes(4, 4)
+    table = scene.nodes["e1"].table
+    table.log_id = "log"
+    table.put("x", b"1", 1)
+    scene.tap = tap
+    scene.start("e5")
+    scene.entries.append("e5")
+    scene.start("a5")
+    run(scene, 5)
+    scene.apart = {"e4"}
+    run(scene, 7)
+    scene.apart = set()
+    run(scene, 3)
+    if "a1" not in scene.down:
+        scene.post("a1", scene.nodes["a1"].leave())
+    scene.down.add("a2")
+    run(scene, 8)
+    # The fault may strike as late as in the recovery itself.
+    for _ in range(2):
+        heal(scene)
+        for name in sorted(scene.down):
+            scene.start(name)
+        run(scene, 25)
+    source = next(n for n in scene.entries if scene.nodes[n].table.revision)
+    assert scene.nodes[source].table.get("x") == b"1"
+    alive = member_messages.Status.ALIVE
+    for name in scene.nodes:
+        if name != "a1":
+            assert scene.seen(name) == {alive}, (name, scene.seen(name))
+    for name in scene.entries:
+        assert scene.nodes[name].table.revision == 1, name
+
+
+CELLS = {
+    "quorum": quorum_cell,
+    "claim": claims_cell,
+    "experts": experts_cell,
+    "member": membership_cell,
+}
+
+
+def kinds(protocol: str) -> list[str]:
+    """Return the protocol's messages, as the code registers them."""
+    return [k for k in codec.kinds() if k.split(".")[0] == protocol]
+
+
+def table(protocol: str) -> list[tuple[str, str, str]]:
+    """Run all cells of a protocol; tell which were met and held."""
+    rows = []
+    for kind in kinds(protocol):
+        for fault in FAULTS:
+            tap = Tap(kind, fault)
+            CELLS[protocol](tap)
+            rows.append((kind, fault, "held" if tap.met else "not met"))
+    return rows
--- a/features/harness/nodes.py
+++ b/features/harness/nodes.py
@@ -38,6 +38,8 @@
         self.inc: dict[str, int] = {}
         self.nodes: dict = {}
         self.sent = 0
+        self.tap = None
+        self.cuts: set[frozenset] = set()
         self.entries = [f"e{i}" for i in range(1, entries + 1)]
         self.seeds = tuple(messages.Peer(n, f"{n}:1") for n in self.entries[:2])
         for name in self.entries:
@@ -70,11 +72,21 @@
         for act in acts:
             assert isinstance(act, core.Send)
             self.sent += 1
+            if self.tap is not None and self.tap(self, src, act.dst, act.msg):
+                continue
             self.queue.append((src, act.dst, act.msg))
 
+    def kill(self, name: str) -> None:
+        self.down.add(name)
+
+    def cut_pair(self, one: str, two: str) -> None:
+        self.cuts.add(frozenset((one, two)))
+
     def reachable(self, src: str, dst: str) -> bool:
         if dst in self.down or dst not in self.nodes:
             return False
+        if frozenset((src, dst)) in self.cuts:
+            return False
         return (src in self.apart) == (dst in self.apart)
 
     def run(self, seconds: float) -> None:
--- a/features/harness/quorum.py
+++ b/features/harness/quorum.py
@@ -71,6 +71,7 @@
         self.double = 0.0
         self.shuffle = False
         self.steps = 0
+        self.tap = None
         for name in names:
             self.start(name)
 
@@ -110,6 +111,8 @@
     def post(self, name: str, act: core.Send) -> None:
         if (name, act.dst) in self.cut or self.rng.random() < self.drop:
             return
+        if self.tap is not None and self.tap(self, name, act.dst, act.msg):
+            return
         self.queue.append((name, act.dst, act.msg))
         if self.rng.random() < self.double:
             self.queue.append((name, act.dst, act.msg))
@@ -210,6 +213,9 @@
         self.perform(name, out)
         return idx
 
+    def cut_pair(self, one: str, two: str) -> None:
+        self.cut |= {(one, two), (two, one)}
+
     def cut_off(self, name: str) -> None:
         for other in self.disks:
             if other != name:
--- a/features/harness/ranks.py
+++ b/features/harness/ranks.py
@@ -33,6 +33,8 @@
         self.cut: set[str] = set()
         self.loss = self.double = 0.0
         self.store_fails = False
+        self.tap = None
+        self.frozen: set[str] = set()
         self.ran: dict[int, int] = {}
         self.granted: dict[int, int] = {}
         self.appoint("c1", 1)
@@ -48,6 +50,20 @@
             now=self.now,
         )
 
+    def cut_pair(self, one: str, two: str) -> None:
+        self.cut.add(two if two in self.guards else one)
+
+    def kill(self, name: str) -> None:
+        """Take a process's memory; a coordinator is replaced."""
+        if name in self.guards:
+            done = self.guards[name].done
+            self.guards[name] = guard_lib.Guard(group="g")
+            self.guards[name].done = done
+            return
+        del self.coordinators[name]
+        number = int(name[1:]) + 1
+        self.appoint(f"c{number}", number)
+
     def switch(self, name: str) -> None:
         lead = self.coordinators[name]
         newest = lead.pending.version if lead.pending else lead.version
@@ -62,6 +78,10 @@
                         continue
                     if self.rng.random() < self.loss:
                         continue
+                    if self.tap is not None and self.tap(
+                        self, src, act.dst, act.msg
+                    ):
+                        continue
                     self.queue.append((src, act.dst, act.msg))
                     if self.rng.random() < self.double:
                         self.held_back.append((src, act.dst, act.msg))
@@ -85,6 +105,8 @@
         for _ in range(round(seconds / STEP)):
             self.now += STEP
             for name, lead in self.coordinators.items():
+                if name in self.frozen:
+                    continue
                 self.post(name, lead.tick(self.now))
             for _ in range(4):
                 self.deliver()
@@ -99,6 +121,9 @@
         for src, dst, msg in pending:
             if dst in self.cut:
                 continue
+            if dst in self.frozen:
+                self.queue.append((src, dst, msg))
+                continue
             if dst in self.guards:
                 self.post(dst, self.guards[dst].receive(src, msg))
             elif dst in self.coordinators:
--- a/jasperweir/helpers/codec.py
+++ b/jasperweir/helpers/codec.py
@@ -62,6 +62,11 @@
     return sorted(_DECODERS)
 
 
+def kind_of(msg: Any) -> str:
+    """Return the registered kind of a message."""
+    return _KINDS[type(msg)]
+
+
 def pack(value: Any) -> bytes:
     """Encode a plain value."""
     return _ENCODER.encode(value)
