--- a/script/bench_experts.py
+++ b/script/bench_experts.py
@@ -1,6 +1,7 @@
 """Measure skew and moves on seeded drift traces against baselines."""
 
 import argparse
+import concurrent.futures
 import json
 import pathlib
 import time
@@ -13,6 +14,7 @@
 from jasperweir.components.experts import popularity
 
 EXPERTS = 64
+PROCESSES = 4
 INTERVALS = 400
 LAYERS = 4
 SCRATCH_EVERY = 10
@@ -172,11 +174,15 @@
         if args.weights
         else WEIGHTS
     )
+    cases = [
+        (size, kind, weights)
+        for size in args.sizes.split(",")
+        for kind in ("season", "repertoire")
+    ]
     rows = []
-    for size in args.sizes.split(","):
-        ranks, per_rank = (int(n) for n in size.split("x"))
-        for kind in ("season", "repertoire"):
-            rows += measure(size, kind, ranks, per_rank, weights)
+    with concurrent.futures.ProcessPoolExecutor(PROCESSES) as pool:
+        for found in pool.map(measure, cases):
+            rows += found
     if args.out:
         args.out.write_text(json.dumps(rows, indent=1) + "\n", encoding="utf-8")
     if args.plot:
@@ -184,9 +190,11 @@
 
 
 def measure(
-    size: str, kind: str, ranks: int, per_rank: int, weights: tuple[float, ...]
+    case: tuple[str, str, tuple[float, ...]],
 ) -> list[dict[str, object]]:
     """Run every method on one trace."""
+    size, kind, weights = case
+    ranks, per_rank = (int(n) for n in size.split("x"))
     shares = trace(kind, seed=7)
     results = {
         "static": run_static(shares, ranks, per_rank),
--- a/script/slopes.py
+++ b/script/slopes.py
@@ -421,7 +421,7 @@
             started = count
             accepts, follows = [], []
             for number in range(4):
-                value = 100 * count + number
+                value = 10 * count + number
                 path.write_text(BUNDLE.format(value=value), encoding="utf-8")
                 start = time.monotonic()
                 signed = local.cli("bundle", "sign-off", "--file", str(path))
