Split the voter, poll cache events, back off before a retry

Change: state and following apart from elections; agents name the prefixes their engine published, entries take them as hints; full jitter before another target.

--- a/jasperweir/components/entry/driver.py
+++ b/jasperweir/components/entry/driver.py
@@ -17,6 +17,7 @@
 from jasperweir.components.entry import job as job_lib
 from jasperweir.components.entry import node as node_lib
 from jasperweir.components.limits import admission as admission_lib
+from jasperweir.components.limits import retry
 from jasperweir.components.request import actions
 from jasperweir.components.request import const
 from jasperweir.components.request import events
@@ -179,6 +180,8 @@
             return member
 
         self._leave_target()
+        if action.exclude:
+            time.sleep(retry.backoff(len(action.exclude), self._port.entry.rng))
         member = self._port.call(choose)
         if member is None:
             return events.NoTarget()
--- a/jasperweir/components/entry/hop.py
+++ b/jasperweir/components/entry/hop.py
@@ -40,6 +40,7 @@
     active: int
     skew: float
     switching: bool
+    cached: tuple[int, ...] = ()
 
 
 class Stream(NamedTuple):
@@ -173,7 +174,13 @@
         parts = resp.headers.get(run_const.H_LOAD, "").split(";")
         try:
             active, skew, switching = parts
-            load = Load(int(active), float(skew), switching == "1")
+            named = resp.headers.get(run_const.H_CACHED, "").split(",")
+            load = Load(
+                active=int(active),
+                skew=float(skew),
+                switching=switching == "1",
+                cached=tuple(int(p) for p in named if p),
+            )
         except ValueError:
             return
         self._on_load(name, load)
--- a/jasperweir/components/entry/node.py
+++ b/jasperweir/components/entry/node.py
@@ -48,6 +48,7 @@
         control: Conversation with the control VMs.
         budget: Retry budget of all requests.
         burn: Counts for the service-level report.
+        rng: Seeded random source.
     """
 
     def __init__(
@@ -60,7 +61,7 @@
         rng: random.Random,
     ) -> None:
         self.name = identity.name
-        self._rng = rng
+        self.rng = rng
         self._max_streams = max_streams
         self.replica = replica_lib.Replica(place=identity.place)
         own = member_messages.Member(
@@ -266,7 +267,7 @@
         admission = self._admissions.get(service)
         if admission is None:
             admission = admission_lib.Admission(
-                limit=self._limit(service), rng=self._rng
+                limit=self._limit(service), rng=self.rng
             )
             self._admissions[service] = admission
         return admission
--- a/jasperweir/components/quorum/voter.py
+++ b/jasperweir/components/quorum/voter.py
@@ -6,10 +6,11 @@
 from jasperweir import core
 from jasperweir.components.quorum import actions
 from jasperweir.components.quorum import const
-from jasperweir.components.quorum import log as log_lib
+from jasperweir.components.quorum import following
 from jasperweir.components.quorum import messages
 from jasperweir.components.quorum import progress as progress_lib
 from jasperweir.components.quorum import replication
+from jasperweir.components.quorum import state as state_lib
 from jasperweir.helpers import codec
 
 FOLLOWER = "follower"
@@ -19,7 +20,7 @@
 Actions = list[Any]
 
 
-class Voter:
+class Voter(state_lib.State):
     """Sans-I/O consensus member after Ongaro and Ousterhout (Raft, 2014).
 
     The driver performs the returned actions in order and never sends a
@@ -27,11 +28,12 @@
 
     Attributes:
         role: One of the role constants of this module.
-        term: Highest term seen.
         leader: Name of the known leader, or an empty string.
-        commit: Index up to which entries are committed.
+        waiting: Processes that ask for a seat, with their disks.
     """
 
+    _replicator: replication.Replicator | None = None
+
     def __init__(
         self,
         *,
@@ -40,48 +42,27 @@
         rng: random.Random,
         now: float,
     ) -> None:
-        self.name = name
-        self.disk = recovered.disk
-        self.term = recovered.meta.term
-        self.voted_for = recovered.meta.voted_for
-        self.log = _load_log(recovered)
-        self.snapshot = recovered.snapshot
-        self.commit = recovered.snapshot.idx
-        self.seats_index = 0
-        self.seats = recovered.snapshot.seats
+        super().__init__(name=name, recovered=recovered)
         self.role = FOLLOWER
         self.leader = ""
-        # A disk that may have lost an acknowledged entry gets no say until
-        # a leader has caught it up.
-        self.may_vote = not recovered.tail_uncertain
         self.waiting: dict[str, messages.Hello] = {}
         self._rng = rng
-        self._replicator: replication.Replicator | None = None
         self._votes: set[str] = set()
         self._prevoting = False
         self._heard_at = float("-inf")
         self._started_at = now
-        self._incoming = bytearray()
-        self._incoming_index = 0
+        self._follower = following.Follower(state=self)
         self._handing_over = False
         self._deadline = 0.0
-        self._reload_seats()
         self._rearm(now)
 
     # Queries.
 
-    def seat(self, name: str) -> messages.Seat | None:
-        """Return the seat held under a name."""
-        for seat in self.seats.seats:
-            if seat.name == name:
-                return seat
-        return None
-
-    @property
-    def is_voting(self) -> bool:
-        """Whether this disk holds a voting seat."""
-        seat = self.seat(self.name)
-        return bool(seat and seat.voting and seat.disk == self.disk)
+    def reload_seats(self) -> None:
+        """Find the newest seats; a leader feeds them from now on."""
+        super().reload_seats()
+        if self._replicator is not None:
+            self._replicator.reseat(self.seats)
 
     def has_lease(self, now: float) -> bool:
         """Tell whether no other leader can exist at this moment."""
@@ -97,7 +78,7 @@
 
         Only a leader with a lease that has committed in its own term knows.
         """
-        if not self.has_lease(now) or not self._term_committed():
+        if not self.has_lease(now) or not self.term_committed():
             return None
         return self.commit
 
@@ -132,7 +113,7 @@
         )
         self.term = 1
         self.log.append((entry,))
-        self._reload_seats()
+        self.reload_seats()
         meta = messages.Meta(term=1, voted_for=self.name)
         self.voted_for = self.name
         return [
@@ -191,7 +172,7 @@
         )
         self.log.append((entry,))
         if kind == const.KIND_SEATS:
-            self._reload_seats()
+            self.reload_seats()
         out: Actions = [actions.SaveEntries(first=entry.idx, entries=(entry,))]
         out += self._advance_and_send(now)
         return entry.idx, out
@@ -200,7 +181,7 @@
         self, seats: messages.Seats, now: float
     ) -> tuple[int, Actions]:
         """Propose new seats, refused while another change is uncommitted."""
-        if self.seats_index > self.commit or not self._term_committed():
+        if self.seats_index > self.commit or not self.term_committed():
             return 0, []
         return self.propose(codec.pack(seats), now, kind=const.KIND_SEATS)
 
@@ -212,7 +193,7 @@
         if index <= self.snapshot.idx:
             return []
         self.snapshot = messages.Snapshot(
-            idx=index, term=term, seats=self._seats_at(index), data=data
+            idx=index, term=term, seats=self.seats_at(index), data=data
         )
         self.log.compact(index, term)
         kept = self.log.between(index + 1, self.log.last_index)
@@ -238,7 +219,7 @@
         self.leader = ""
         self._prevoting = True
         self._votes = {self.name}
-        if self._has_votes():
+        if self.is_majority(self._votes):
             return self._start_election(now, transfer=False)
         ask = messages.PreVote(
             term=self.term + 1,
@@ -246,7 +227,7 @@
             last_term=self.log.last_term,
             disk=self.disk,
         )
-        return [core.Send(dst=name, msg=ask) for name in self._other_voters()]
+        return [core.Send(dst=name, msg=ask) for name in self.other_voters()]
 
     def _start_election(self, now: float, *, transfer: bool) -> Actions:
         self._rearm(now)
@@ -254,9 +235,9 @@
         self.term += 1
         self.voted_for = self.name
         self._votes = {self.name}
-        out: Actions = [self._save_meta()]
+        out: Actions = [self.save_meta()]
         out += self._become(CANDIDATE, "")
-        if self._has_votes():
+        if self.is_majority(self._votes):
             return out + self._lead(now)
         ask = messages.Vote(
             term=self.term,
@@ -265,18 +246,18 @@
             disk=self.disk,
             transfer=transfer,
         )
-        out += [core.Send(dst=name, msg=ask) for name in self._other_voters()]
+        out += [core.Send(dst=name, msg=ask) for name in self.other_voters()]
         return out
 
     def _on_prevote(
         self, src: str, msg: messages.PreVote, now: float
     ) -> Actions:
         granted = (
-            self._known(src, msg.disk)
+            self.knows(src, msg.disk)
             and self.may_vote
             and msg.term > self.term
             and not self._leader_alive(now)
-            and self._up_to_date(msg.last_index, msg.last_term)
+            and self.up_to_date(msg.last_index, msg.last_term)
         )
         reply = messages.PreVoteReply(
             term=msg.term if granted else self.term,
@@ -294,15 +275,15 @@
             return []
         if not self._prevoting or msg.term != self.term + 1:
             return []
-        if not self._known(src, msg.disk):
+        if not self.knows(src, msg.disk):
             return []
         self._votes.add(src)
-        if not self._has_votes():
+        if not self.is_majority(self._votes):
             return []
         return self._start_election(now, transfer=False)
 
     def _on_vote(self, src: str, msg: messages.Vote, now: float) -> Actions:
-        if not self._known(src, msg.disk):
+        if not self.knows(src, msg.disk):
             return []
         if self._leader_alive(now) and not msg.transfer:
             # A live leader is not to be deposed by a member that lost it.
@@ -314,12 +295,12 @@
             msg.term == self.term
             and self.may_vote
             and self.voted_for in ("", src)
-            and self._up_to_date(msg.last_index, msg.last_term)
+            and self.up_to_date(msg.last_index, msg.last_term)
         )
         if granted:
             self.voted_for = src
             self._rearm(now)
-            out.append(self._save_meta())
+            out.append(self.save_meta())
         reply = messages.VoteReply(
             term=self.term, granted=granted, disk=self.disk
         )
@@ -333,10 +314,10 @@
             return self._follow(msg.term, "", now)
         if self.role != CANDIDATE or msg.term != self.term:
             return []
-        if not msg.granted or not self._known(src, msg.disk):
+        if not msg.granted or not self.knows(src, msg.disk):
             return []
         self._votes.add(src)
-        if not self._has_votes():
+        if not self.is_majority(self._votes):
             return []
         return self._lead(now)
 
@@ -398,7 +379,7 @@
             return self._follow(msg.term, "", now)
         if self.role != LEADER or msg.term != self.term:
             return []
-        if self._replicator is None or not self._known(src, msg.disk):
+        if self._replicator is None or not self.knows(src, msg.disk):
             return []
         self._replicator.answered(src, msg)
         return self._advance_and_send(now)
@@ -409,11 +390,11 @@
         out: Actions = []
         # Only an entry of the own term may be counted; older ones follow.
         if index > self.commit and self.log.term_at(index) == self.term:
-            out += self._commit_to(index)
+            out += self.commit_to(index)
         out += self._replicator.send_due(
             now, self.term, self.commit, self.snapshot
         )
-        if not self.seat(self.name) and self._term_committed():
+        if not self.seat(self.name) and self.term_committed():
             out += self._follow(self.term, "", now)
         return out
 
@@ -436,88 +417,8 @@
         self._heard_at = now
         self._rearm(now)
         if isinstance(msg, messages.Install):
-            return out + self._on_install(src, msg)
-        return out + self._on_append(src, msg)
-
-    def _on_append(self, src: str, msg: messages.Append) -> Actions:
-        if not self._matches(msg.prev_index, msg.prev_term):
-            hint = min(msg.prev_index - 1, self.log.last_index)
-            return [self._append_reply(src, ok=False, match=hint, msg=msg)]
-        out = self._merge(msg.entries)
-        match = msg.prev_index + len(msg.entries)
-        if match >= msg.last:
-            self.may_vote = True
-        commit = min(msg.commit, match)
-        out.append(self._append_reply(src, ok=True, match=match, msg=msg))
-        if commit > self.commit:
-            out += self._commit_to(commit)
-        return out
-
-    def _append_reply(
-        self, src: str, *, ok: bool, match: int, msg: messages.Append
-    ) -> core.Send:
-        reply = messages.AppendReply(
-            term=self.term,
-            ok=ok,
-            match=max(match, 0),
-            round=msg.round,
-            disk=self.disk,
-        )
-        return core.Send(dst=src, msg=reply)
-
-    def _matches(self, index: int, term: int) -> bool:
-        if index < self.log.base_index:
-            return True
-        return self.log.term_at(index) == term
-
-    def _merge(self, entries: tuple[messages.Entry, ...]) -> Actions:
-        fresh = tuple(e for e in entries if self.log.term_at(e.idx) != e.term)
-        fresh = tuple(e for e in fresh if e.idx > self.log.base_index)
-        if not fresh:
-            return []
-        # Everything from the first conflicting entry on is replaced.
-        first = fresh[0].idx
-        tail = tuple(e for e in entries if e.idx >= first)
-        replaced = first <= self.log.last_index
-        if replaced:
-            self.log.truncate(first)
-        self.log.append(tail)
-        if replaced or any(e.kind == const.KIND_SEATS for e in tail):
-            self._reload_seats()
-        return [actions.SaveEntries(first=first, entries=tail)]
-
-    def _on_install(self, src: str, msg: messages.Install) -> Actions:
-        if msg.offset == 0 or msg.idx != self._incoming_index:
-            self._incoming.clear()
-            self._incoming_index = msg.idx
-        if msg.offset == len(self._incoming):
-            self._incoming += msg.data
-        reply = messages.InstallReply(
-            term=self.term,
-            idx=msg.idx,
-            held=len(self._incoming),
-            round=msg.round,
-            disk=self.disk,
-        )
-        send = core.Send(dst=src, msg=reply)
-        if len(self._incoming) < msg.total or msg.idx <= self.commit:
-            return [send]
-        self.snapshot = messages.Snapshot(
-            idx=msg.idx,
-            term=msg.entry_term,
-            seats=msg.seats,
-            data=bytes(self._incoming),
-        )
-        self._incoming.clear()
-        self.log.compact(msg.idx, msg.entry_term)
-        self.commit = msg.idx
-        self._reload_seats()
-        kept = self.log.between(msg.idx + 1, self.log.last_index)
-        return [
-            actions.SaveSnapshot(snapshot=self.snapshot, kept=kept),
-            actions.Restore(snapshot=self.snapshot),
-            send,
-        ]
+            return out + self._follower.on_install(src, msg)
+        return out + self._follower.on_append(src, msg)
 
     # Shared steps.
 
@@ -526,7 +427,7 @@
         if term > self.term:
             self.term = term
             self.voted_for = ""
-            out.append(self._save_meta())
+            out.append(self.save_meta())
         self._prevoting = False
         self._handing_over = False
         self._replicator = None
@@ -545,38 +446,6 @@
             role=self.role, term=self.term, leader=self.leader
         )
 
-    def _save_meta(self) -> actions.SaveMeta:
-        meta = messages.Meta(term=self.term, voted_for=self.voted_for)
-        return actions.SaveMeta(meta=meta)
-
-    def _commit_to(self, index: int) -> Actions:
-        entries = self.log.between(self.commit + 1, index)
-        self.commit = index
-        return [actions.Commit(entries=entries)]
-
-    def _term_committed(self) -> bool:
-        return self.log.term_at(self.commit) == self.term
-
-    def _up_to_date(self, last_index: int, last_term: int) -> bool:
-        mine = (self.log.last_term, self.log.last_index)
-        return (last_term, last_index) >= mine
-
-    def _known(self, name: str, disk: str) -> bool:
-        seat = self.seat(name)
-        return seat is not None and seat.disk == disk
-
-    def _other_voters(self) -> list[str]:
-        return [
-            seat.name
-            for seat in progress_lib.voters(self.seats)
-            if seat.name != self.name
-        ]
-
-    def _has_votes(self) -> bool:
-        names = {seat.name for seat in progress_lib.voters(self.seats)}
-        needed = progress_lib.majority(len(names))
-        return len(self._votes & names) >= needed
-
     def _leader_alive(self, now: float) -> bool:
         if self.role == LEADER:
             return self.has_lease(now)
@@ -588,37 +457,3 @@
         self._deadline = now + self._rng.uniform(
             const.ELECTION_MIN_SECONDS, const.ELECTION_MAX_SECONDS
         )
-
-    def _reload_seats(self) -> None:
-        self.seats = self.snapshot.seats
-        self.seats_index = self.snapshot.idx
-        for entry in self.log.between(
-            self.log.base_index + 1, self.log.last_index
-        ):
-            if entry.kind == const.KIND_SEATS:
-                self.seats = codec.unpack(entry.data, messages.Seats)
-                self.seats_index = entry.idx
-        if self._replicator is not None:
-            self._replicator.reseat(self.seats)
-
-    def _seats_at(self, index: int) -> messages.Seats:
-        seats = self.snapshot.seats
-        for entry in self.log.between(self.log.base_index + 1, index):
-            if entry.kind == const.KIND_SEATS:
-                seats = codec.unpack(entry.data, messages.Seats)
-        return seats
-
-
-def _load_log(recovered: messages.Recovered) -> log_lib.MemoryLog:
-    """Build the log, minding a crash between snapshot and log files."""
-    snapshot = recovered.snapshot
-    entries = recovered.entries
-    for entry in entries:
-        if entry.idx == snapshot.idx and entry.term != snapshot.term:
-            entries = ()
-            break
-    if entries and entries[0].idx > snapshot.idx + 1:
-        entries = ()
-    return log_lib.MemoryLog(
-        base_index=snapshot.idx, base_term=snapshot.term, entries=entries
-    )
--- a/jasperweir/components/runs/const.py
+++ b/jasperweir/components/runs/const.py
@@ -13,6 +13,9 @@
 H_INCARNATION = "Jasperweir-Incarnation"
 H_OFFSET = "Jasperweir-Offset"
 H_LOAD = "Jasperweir-Load"
+H_CACHED = "Jasperweir-Cached"
+# Newest prefixes named with each answer; a hint, so a few will do.
+CACHED_NAMED = 4
 H_RUN_STATE = "Jasperweir-Run"
 H_REASON = "Jasperweir-Reason"
 
--- a/jasperweir/daemons/agent.py
+++ b/jasperweir/daemons/agent.py
@@ -1,5 +1,6 @@
 """The agent daemon: the slot on a target VM."""
 
+import collections
 from collections.abc import Callable
 import threading
 import time
@@ -48,6 +49,10 @@
         super().__init__(name="target", daemon=True)
         self.up = False
         self.gate = orders_lib.Gate()
+        self.prefixes: collections.deque[int] = collections.deque(
+            maxlen=run_const.CACHED_NAMED
+        )
+        self._has_events = True
         self._orders = orders
         self.skew = 0.0
         self.switching = False
@@ -76,9 +81,22 @@
             self.up = resp.status == 200
             if "adapters" in load:
                 self._order(load)
+            if self._has_events:
+                self._take_events()
         except (urllib3.exceptions.HTTPError, ValueError, AttributeError):
             self.up = False
 
+    def _take_events(self) -> None:
+        """Take in the engine's late and gappy cache events."""
+        resp = self._http.request(
+            "GET", self._url + "/cache-events", timeout=1.0
+        )
+        if resp.status != 200:
+            # A plain service has none.
+            self._has_events = False
+            return
+        self.prefixes.extend(int(p) for p in resp.json()["prefixes"])
+
     def _order(self, load: dict[str, Any]) -> None:
         """Send the engine what it still needs, past the fencing gate."""
         reported = orders_lib.Reported(
@@ -408,6 +426,7 @@
             ("Content-Type", buf.content_type or "application/octet-stream"),
             (H_ENGINE_STATUS, str(buf.status)),
             (run_const.H_LOAD, self._load()),
+            (run_const.H_CACHED, ",".join(map(str, self.side.prefixes))),
         ]
         return web.Resp(200, headers, body)
 
--- a/jasperweir/daemons/entry.py
+++ b/jasperweir/daemons/entry.py
@@ -144,6 +144,7 @@
                 switching=load.switching,
                 now=now,
             )
+            self.entry.router.cached(name, load.cached)
 
         self._port.tell(report)
 
--- a/script/guards.py
+++ b/script/guards.py
@@ -26,13 +26,13 @@
 
 
 GUARDS = (
-    Guard("a wiped disk holds no seat", C + "quorum/voter.py",
+    Guard("a wiped disk holds no seat", C + "quorum/state.py",
           "return seat is not None and seat.disk == disk",
           "return seat is not None", "quorum"),
     Guard("a live leader is not deposed", C + "quorum/voter.py",
           "if self._leader_alive(now) and not msg.transfer:",
           "if False:", "quorum"),
-    Guard("log up to date before a vote", C + "quorum/voter.py",
+    Guard("log up to date before a vote", C + "quorum/state.py",
           "return (last_term, last_index) >= mine", "return True", "quorum"),
     Guard("one vote a term", C + "quorum/voter.py",
           'and self.voted_for in ("", src)', "and True", "quorum"),
@@ -42,7 +42,7 @@
     Guard("own term before commit", C + "quorum/voter.py",
           "if index > self.commit and self.log.term_at(index) == self.term:",
           "if index > self.commit:", "quorum"),
-    Guard("no vote with an uncertain tail", C + "quorum/voter.py",
+    Guard("no vote with an uncertain tail", C + "quorum/state.py",
           "self.may_vote = not recovered.tail_uncertain",
           "self.may_vote = True", "quorum"),
     Guard("handing over ends the lease", C + "quorum/voter.py",
--- a/script/matrix.py
+++ b/script/matrix.py
@@ -31,8 +31,6 @@
   measured on the virtual clock (docs/MEASUREMENTS.md).
 - Prefill and decode as separate roles with KV export and import: the offer
   carries a role and the stand-in exports and imports, no request uses both.
-- Cache events published by engines are not polled yet; affinity works from
-  what an entry itself sent.
 """
 
 
