--- a/jasperweir/components/claims/keeper.py
+++ b/jasperweir/components/claims/keeper.py
@@ -1,40 +1,19 @@
 """The owner's side of claims: grant, replicate, repair, fail closed."""
 
 import dataclasses
-import heapq
 from typing import Any
 
 from jasperweir import core
 from jasperweir.components.claims import const
 from jasperweir.components.claims import messages
 from jasperweir.components.claims import ranges
+from jasperweir.components.claims import store as store_lib
 from jasperweir.components.registry import ops
 
 Actions = list[Any]
 Member = ranges.Member
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Range:
-    """State of one range of keys at one owner.
-
-    Attributes:
-        ready_epoch: Newest view in which this owner was repaired.
-        blind_until: Until then unknown keys cannot be told from lost ones.
-        answered: Old owners whose records count and have come in.
-        refused: Old owners whose records do not count.
-    """
-
-    records: dict[str, messages.Record] = dataclasses.field(
-        default_factory=dict
-    )
-    expires: dict[str, float] = dataclasses.field(default_factory=dict)
-    ready_epoch: int = 0
-    blind_until: float = float("-inf")
-    answered: set[Member] = dataclasses.field(default_factory=set)
-    refused: set[Member] = dataclasses.field(default_factory=set)
-
-
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Pending:
     """A change that waits for another owner to hold it."""
@@ -64,19 +43,17 @@
         self.window = window
         self._own: Member = (name, inc)
         self._view = ops.View(epoch=0, members=())
-        self._ranges: dict[int, Range] = {}
+        self._store = store_lib.Store()
         self._owned: set[int] = set()
         self._unrepaired: set[int] = set()
         self._pending: dict[str, Pending] = {}
-        self._expiries: list[tuple[float, str]] = []
         self._confirmed_at = float("-inf")
         self._view_at = 0.0
         self._sync_at = 0.0
-        self._count = 0
 
     def __len__(self) -> int:
         """Return the number of records held."""
-        return self._count
+        return len(self._store)
 
     @property
     def ready_epoch(self) -> int:
@@ -133,7 +110,7 @@
             if now - pending.sent_at >= const.RESEND_SECONDS:
                 pending.sent_at = now
                 out += self._replicate(pending.record)
-        self._expire(now)
+        self._store.expire(now)
         return out
 
     def receive(self, src: str, src_inc: int, msg: Any, now: float) -> Actions:
@@ -155,7 +132,7 @@
 
     def _on_ask(self, src: str, msg: messages.Ask, now: float) -> Actions:
         partition = ranges.partition_of(msg.record.key)
-        own_range = self._ranges.get(partition)
+        own_range = self._store.ranges.get(partition)
         if (
             msg.epoch != self.epoch
             or own_range is None
@@ -173,7 +150,7 @@
         if msg.expect:
             # The record to be changed is not here: never recreate it.
             return self._reply(src, msg, const.BLIND, None)
-        if self._count >= const.RECORDS_MAX:
+        if len(self._store) >= const.RECORDS_MAX:
             return self._reply(src, msg, const.FULL, None)
         record = msg.record._replace(version=1)
         return self._store_and_replicate(src, msg, record, now)
@@ -218,7 +195,7 @@
         record: messages.Record,
         now: float,
     ) -> Actions:
-        self._store(record._replace(remaining=self.window), now)
+        self._store.put(record._replace(remaining=self.window), now)
         owners = self._owners(record.key)
         needed = ranges.majority(len(owners)) - 1
         if needed == 0:
@@ -251,9 +228,9 @@
         if partition in self._unrepaired:
             # An owner that is not repaired must not count.
             return []
-        known = self._ranges[partition].records.get(msg.record.key)
+        known = self._store.ranges[partition].records.get(msg.record.key)
         if known is None or known.version <= msg.record.version:
-            self._store(msg.record, now)
+            self._store.put(msg.record, now)
         ack = messages.Replicated(
             epoch=self.epoch, key=msg.record.key, version=msg.record.version
         )
@@ -295,7 +272,7 @@
     # Repair after a change of view.
 
     def _enter(self, partition: int, skipped: bool, now: float) -> None:
-        own_range = self._ranges.setdefault(partition, Range())
+        own_range = self._store.ranges.setdefault(partition, store_lib.Range())
         own_range.answered = set()
         own_range.refused = set()
         if not self._view.previous and self.epoch == 1:
@@ -320,7 +297,7 @@
         wanted: dict[Member, list[int]] = {}
         for partition in sorted(self._unrepaired):
             self._judge(partition, now)
-            own_range = self._ranges[partition]
+            own_range = self._store.ranges[partition]
             heard = own_range.answered | own_range.refused
             for member in self._old_owners(partition):
                 if member not in heard and partition in self._unrepaired:
@@ -344,7 +321,7 @@
             return []
         ready, unready, records = [], [], []
         for partition in msg.partitions:
-            own_range = self._ranges.get(partition)
+            own_range = self._store.ranges.get(partition)
             if own_range is None or not self._was_ready(partition):
                 unready.append(partition)
                 continue
@@ -359,7 +336,7 @@
 
     def _was_ready(self, partition: int) -> bool:
         """Tell whether this owner was repaired in the view before."""
-        own_range = self._ranges[partition]
+        own_range = self._store.ranges[partition]
         return (
             own_range.ready_epoch >= self.epoch - 1
             and self._own in self._old_owners(partition)
@@ -374,25 +351,25 @@
             partition = ranges.partition_of(record.key)
             if partition not in self._unrepaired:
                 continue
-            known = self._ranges[partition].records.get(record.key)
+            known = self._store.ranges[partition].records.get(record.key)
             if known is None or known.version < record.version:
-                self._store(record, now)
+                self._store.put(record, now)
         if not msg.last:
             return
         for partition in msg.ready:
             if partition in self._unrepaired:
-                self._ranges[partition].answered.add(member)
+                self._store.ranges[partition].answered.add(member)
                 self._judge(partition, now)
         for partition in msg.unready:
             if partition in self._unrepaired:
-                self._ranges[partition].refused.add(member)
+                self._store.ranges[partition].refused.add(member)
                 self._judge(partition, now)
 
     def _judge(self, partition: int, now: float) -> None:
         """Decide whether a range is repaired, or its claims may be lost."""
         if partition not in self._unrepaired:
             return
-        own_range = self._ranges[partition]
+        own_range = self._store.ranges[partition]
         old = set(self._old_owners(partition))
         needed = ranges.majority(len(old))
         if len(own_range.answered & old) >= needed:
@@ -412,7 +389,7 @@
 
     def _repaired(self, partition: int) -> None:
         self._unrepaired.discard(partition)
-        own_range = self._ranges[partition]
+        own_range = self._store.ranges[partition]
         own_range.ready_epoch = self.epoch
         own_range.blind_until = float("-inf")
 
@@ -426,25 +403,6 @@
     def _owners(self, key: str) -> tuple[Member, ...]:
         return ranges.layout(self._view.members)[ranges.partition_of(key)]
 
-    def _store(self, record: messages.Record, now: float) -> None:
-        own_range = self._ranges[ranges.partition_of(record.key)]
-        if record.key not in own_range.records:
-            self._count += 1
-        own_range.records[record.key] = record
-        expires = now + record.remaining
-        own_range.expires[record.key] = expires
-        heapq.heappush(self._expiries, (expires, record.key))
-
-    def _expire(self, now: float) -> None:
-        while self._expiries and self._expiries[0][0] <= now:
-            _, key = heapq.heappop(self._expiries)
-            own_range = self._ranges[ranges.partition_of(key)]
-            # A record that changed since has a later expiry of its own.
-            if own_range.expires.get(key, now + 1) <= now:
-                del own_range.expires[key]
-                del own_range.records[key]
-                self._count -= 1
-
 
 def _sync_replies(
     dst: str,
--- a/jasperweir/components/config/replica.py
+++ b/jasperweir/components/config/replica.py
@@ -5,7 +5,7 @@
 from jasperweir.components.bundle import specs
 from jasperweir.components.config import const
 from jasperweir.components.config import table as table_lib
-from jasperweir.components.registry import machine
+from jasperweir.components.registry import history
 from jasperweir.components.registry import ops
 from jasperweir.helpers import codec
 
@@ -74,15 +74,15 @@
         self._ahead = {
             key
             for key in self._ahead
-            if machine.newest_version(self.table, key) > version
+            if history.newest_version(self.table, key) > version
         }
         return True
 
     def _contents_at(self, version: int) -> contents.Contents:
         if self._contents is None:
-            content = machine.content_at(self.table, version)
+            content = history.content_at(self.table, version)
             return contents.Contents.from_flat(content)
-        change = machine.change_at(self.table, self._ahead, version)
+        change = history.change_at(self.table, self._ahead, version)
         return self._contents.patch(change)
 
     def view(self) -> ops.View:
--- a/jasperweir/components/entry/driver.py
+++ b/jasperweir/components/entry/driver.py
@@ -10,12 +10,12 @@
 import urllib3
 
 from jasperweir import result_codes
-from jasperweir.components.burn import const as burn_const
 from jasperweir.components.claims import const as claim_const
 from jasperweir.components.claims import messages as claim_messages
 from jasperweir.components.entry import hop as hop_lib
 from jasperweir.components.entry import job as job_lib
 from jasperweir.components.entry import node as node_lib
+from jasperweir.components.entry import timing
 from jasperweir.components.limits import admission as admission_lib
 from jasperweir.components.limits import retry
 from jasperweir.components.request import actions
@@ -72,10 +72,7 @@
         self._target: hop_lib.Target | None = None
         self._sent_at = 0.0
         self._relayed = 0
-        self._first_at: float | None = None
-        self._last_at = 0.0
-        self._late_gaps = 0
-        self._gaps = 0
+        self._timing = timing.Timing(started=self._started, spec=job.spec)
         self._tail = b""
         self._kept: list[bytes] = []
         self._closed = False
@@ -272,7 +269,7 @@
         self._kept = []
         try:
             for chunk in self._stream.chunks:
-                self._note_chunk()
+                self._timing.note(self._port.now())
                 self._kept.append(chunk)
         except (urllib3.exceptions.HTTPError, OSError):
             self._stream.close()
@@ -319,13 +316,13 @@
         stream = self._stream
         try:
             for chunk in stream.chunks:
-                self._note_chunk()
+                self._timing.note(self._port.now())
                 self._relayed += len(chunk)
                 self._tail = (self._tail + chunk)[-32:]
                 if self._job.keyed:
                     self._keep(chunk)
                 yield chunk
-                if self._last_at >= self._deadline:
+                if self._timing.last_at >= self._deadline:
                     stream.close()
                     self._relay_end = events.Expired()
                     return
@@ -350,16 +347,6 @@
         else:
             self._kept = []
 
-    def _note_chunk(self) -> None:
-        now = self._port.now()
-        if self._first_at is None:
-            self._first_at = now
-        else:
-            self._gaps += 1
-            if now - self._last_at > self._job.spec.token_gap_s:
-                self._late_gaps += 1
-        self._last_at = now
-
     def _finished(self) -> web.Resp:
         assert self._stream is not None
         body = b"".join(self._kept)
@@ -408,7 +395,7 @@
         entry = self._port.entry
         job = self._job
         now = self._port.now()
-        verdict = self._verdict(code)
+        verdict = self._timing.verdict(code, streamed=job.streamed)
         finish = self._finish_record() if code == Code.OK else None
 
         def end() -> None:
@@ -427,8 +414,8 @@
 
         self._port.tell(end)
         self._port.tally("requests", service=job.spec.name, code=str(int(code)))
-        if self._gaps:
-            self._port.tally("token_chunks", self._gaps + 1)
+        if self._timing.pieces:
+            self._port.tally("token_chunks", self._timing.pieces)
 
     def _finish_record(self) -> claim_messages.Record | None:
         record = self._life.record
@@ -453,7 +440,7 @@
         self._target = None
         router = self._port.entry.router
         now = self._port.now()
-        first = self._first_at
+        first = self._timing.first_at
 
         def leave() -> None:
             router.ended(target.name, now)
@@ -462,23 +449,6 @@
 
         self._port.tell(leave)
 
-    def _verdict(self, code: Code) -> str:
-        if code == Code.REPLAYED:
-            return burn_const.GOOD
-        if code != Code.OK:
-            outcome = result_codes.TABLE[code].outcome
-            if outcome == result_codes.Outcome.NOT_RUN:
-                return burn_const.REFUSED
-            return burn_const.FAILED
-        spec = self._job.spec
-        if self._first_at is not None and self._job.streamed:
-            if self._first_at - self._started > spec.first_token_s:
-                return burn_const.LATE_FIRST
-            allowed = (1 - spec.objective) * max(self._gaps, 1)
-            if self._late_gaps > allowed:
-                return burn_const.LATE_GAP
-        return burn_const.GOOD
-
 
 def _error_event(action: actions.Answer) -> bytes:
     """Return the event that tells a stream's reader why it ends."""
--- a/jasperweir/components/registry/machine.py
+++ b/jasperweir/components/registry/machine.py
@@ -1,7 +1,6 @@
 """Deterministic application of committed operations."""
 
 import collections
-from collections.abc import Iterable
 from typing import Any
 from typing import NamedTuple
 
@@ -12,12 +11,12 @@
 from jasperweir.components.config import const as config_const
 from jasperweir.components.config import table as table_lib
 from jasperweir.components.registry import const
+from jasperweir.components.registry import history
 from jasperweir.components.registry import ops
 from jasperweir.helpers import codec
 from jasperweir.helpers import hashing
 
 Code = result_codes.Code
-History = tuple[tuple[int, str | None], ...]
 
 
 class Recorded(NamedTuple):
@@ -86,7 +85,7 @@
 
     def content(self, version: int) -> model.Content:
         """Return the flat content of a version that is still kept."""
-        return content_at(self.table, version)
+        return history.content_at(self.table, version)
 
     def recorded(self, req: ops.Request) -> ops.Answer | None:
         """Return the answer of an operation that was applied before."""
@@ -224,9 +223,11 @@
         floor = self._oldest_needed()
         for key, value in change.items():
             name = f"{config_const.PREFIX_BUNDLE}{key}"
-            history = _prune(_history(self.table.get(name)), floor)
-            history = (*history, (number, value))
-            self.table.put(name, codec.pack(history), index)
+            kept = history.prune(
+                history.history_of(self.table.get(name)), floor
+            )
+            kept = (*kept, (number, value))
+            self.table.put(name, codec.pack(kept), index)
         record = ops.Version(
             version=number,
             parent=number - 1,
@@ -370,50 +371,3 @@
             bundle = model.typed(self.content(version))
         places = sorted(bundle.places.values(), key=lambda p: (p.order, p.name))
         return tuple(place.name for place in places)
-
-
-def content_at(table: table_lib.Table, version: int) -> model.Content:
-    """Return the flat bundle content of a version held in a table."""
-    content: model.Content = {}
-    prefix = len(config_const.PREFIX_BUNDLE)
-    for key in table.keys(config_const.PREFIX_BUNDLE):
-        value = _value_at(_history(table.get(key)), version)
-        if value is not None:
-            content[key[prefix:]] = value
-    return content
-
-
-def change_at(
-    table: table_lib.Table, keys: Iterable[str], version: int
-) -> model.Change:
-    """Return the values that some keys have in a version."""
-    prefix = len(config_const.PREFIX_BUNDLE)
-    return {
-        key[prefix:]: _value_at(_history(table.get(key)), version)
-        for key in keys
-    }
-
-
-def newest_version(table: table_lib.Table, key: str) -> int:
-    """Return the version of a key's newest value."""
-    history = _history(table.get(key))
-    return history[-1][0] if history else 0
-
-
-def _history(data: bytes | None) -> History:
-    return codec.unpack(data, History) if data else ()
-
-
-def _value_at(history: History, version: int) -> str | None:
-    value = None
-    for number, text in history:
-        if number <= version:
-            value = text
-    return value
-
-
-def _prune(history: History, floor: int) -> History:
-    """Keep the newest value at or below the floor and all above it."""
-    old = [item for item in history if item[0] <= floor][-1:]
-    new = [item for item in history if item[0] > floor]
-    return (*old, *new)
--- a/jasperweir/daemons/agent.py
+++ b/jasperweir/daemons/agent.py
@@ -1,18 +1,15 @@
 """The agent daemon: the slot on a target VM."""
 
-import collections
-from collections.abc import Callable
 import threading
 import time
 from typing import Any
 
-import urllib3
-
 from jasperweir import core
 from jasperweir import result_codes
 from jasperweir.components.agent import engine as engine_lib
 from jasperweir.components.agent import executor as executor_lib
 from jasperweir.components.agent import node as node_lib
+from jasperweir.components.agent import side as side_lib
 from jasperweir.components.experts import const as expert_const
 from jasperweir.components.experts import group as group_lib
 from jasperweir.components.membership import const as member_const
@@ -28,8 +25,6 @@
 from jasperweir.helpers import web
 
 Code = result_codes.Code
-SIDE_POLL_SECONDS = 0.5
-ORDER_SECONDS = 30.0
 LEAVE_SETTLE_SECONDS = 1.0
 H_ENGINE_STATUS = "Jasperweir-Engine-Status"
 H_PATH = "jasperweir-path"
@@ -37,84 +32,6 @@
 PASSED_HEADERS = ("jasperweir-priority", "jasperweir-customer")
 
 
-class TargetSide(threading.Thread):
-    """Poll the target and order it; one slow target delays nothing else."""
-
-    def __init__(
-        self,
-        *,
-        url: str,
-        orders: Callable[[orders_lib.Reported], list[orders_lib.Order]],
-    ) -> None:
-        super().__init__(name="target", daemon=True)
-        self.up = False
-        self.gate = orders_lib.Gate()
-        self.prefixes: collections.deque[int] = collections.deque(
-            maxlen=run_const.CACHED_NAMED
-        )
-        self._has_events = True
-        self._orders = orders
-        self.skew = 0.0
-        self.switching = False
-        self._url = url
-        self._http = urllib3.PoolManager(num_pools=1, maxsize=2, retries=False)
-        self._stopping = threading.Event()
-
-    def run(self) -> None:
-        """Poll until stopped."""
-        while not self._stopping.wait(SIDE_POLL_SECONDS):
-            self.poll()
-
-    def stop(self) -> None:
-        """Stop polling."""
-        self._stopping.set()
-
-    def poll(self) -> None:
-        """Read the target's load once."""
-        try:
-            resp = self._http.request(
-                "GET", self._url + "/load", timeout=urllib3.Timeout(total=1.0)
-            )
-            load = resp.json()
-            if "skew" in load:
-                self.skew = float(load["skew"])
-            self.up = resp.status == 200
-            if "adapters" in load:
-                self._order(load)
-            if self._has_events:
-                self._take_events()
-        except (urllib3.exceptions.HTTPError, ValueError, AttributeError):
-            self.up = False
-
-    def _take_events(self) -> None:
-        """Take in the engine's late and gappy cache events."""
-        resp = self._http.request(
-            "GET", self._url + "/cache-events", timeout=1.0
-        )
-        if resp.status != 200:
-            # A plain service has none.
-            self._has_events = False
-            return
-        self.prefixes.extend(int(p) for p in resp.json()["prefixes"])
-
-    def _order(self, load: dict[str, Any]) -> None:
-        """Send the engine what it still needs, past the fencing gate."""
-        reported = orders_lib.Reported(
-            adapters=frozenset(load["adapters"]),
-            role=str(load["role"]),
-            fence=int(load["fence"]),
-        )
-        for order in self._orders(reported):
-            if not self.gate.passes(order):
-                continue
-            self._http.request(
-                "POST",
-                self._url + "/orders",
-                json=order._asdict(),
-                timeout=urllib3.Timeout(total=ORDER_SECONDS),
-            )
-
-
 class AgentDaemon:
     """Drive one agent with a link, HTTP and its target."""
 
@@ -148,7 +65,9 @@
         self._planner = orders_lib.Planner(
             service=target["service"], role=target["role"]
         )
-        self.side = TargetSide(url=target["url"], orders=self._due_orders)
+        self.side = side_lib.TargetSide(
+            url=target["url"], orders=self._due_orders
+        )
         self.engine = None
         if group is not None:
             self.engine = engine_lib.GroupEngine(
