--- a/features/steps/parts_steps.py
+++ b/features/steps/parts_steps.py
@@ -224,7 +224,9 @@
 def parse(path="/v1/chat/completions", method="POST", body=None, **headers):
     text = body or b'{"model": "weir-assist", "messages": []}'
     names = {k.replace("_", "-"): v for k, v in headers.items()}
-    return job_lib.parse(web.Req(method, path, {}, names, text), bundle())
+    req = web.Req(method, path, {}, names, text)
+    found = job_lib.parse(req, bundle())
+    return found.value_or(None) or found.failure()
 
 
 def bad_headers():
--- a/jasperweir/components/entry/driver.py
+++ b/jasperweir/components/entry/driver.py
@@ -229,6 +229,16 @@
             self._port.hop.revoke(action.rid, self._job.spec.name, self._target)
         return events.Claimed(verdict=reply.verdict, record=reply.record)
 
+    def _give_back(self, rid: str, target: hop_lib.Target) -> None:
+        """Free a reserved slot that never starts, without keeping anyone."""
+        service = self._job.spec.name
+        threading.Thread(
+            target=self._port.hop.revoke,
+            args=(rid, service, target),
+            name="give-back",
+            daemon=True,
+        ).start()
+
     def _attach(self, action: actions.Attach, remaining: float) -> events.Event:
         target = hop_lib.Target(action.target, action.target_inc, action.http)
         self._port.tally("resumes")
--- a/jasperweir/components/entry/job.py
+++ b/jasperweir/components/entry/job.py
@@ -5,6 +5,8 @@
 from typing import Any
 from typing import NamedTuple
 
+from returns import result
+
 from jasperweir import result_codes
 from jasperweir.components.bundle import const as bundle_const
 from jasperweir.components.bundle import specs
@@ -62,14 +64,18 @@
     detail: str
 
 
-def parse(req: web.Req, bundle: specs.Bundle) -> Job | Rejected:
+def parse(req: web.Req, bundle: specs.Bundle) -> result.Result[Job, Rejected]:
     """Check a request against the bundle in force."""
     headers = _headers(req, bundle)
     if isinstance(headers, Rejected):
-        return headers
+        return result.Failure(headers)
     if req.path.startswith(PLAIN_PREFIX):
-        return _plain(req, bundle, headers)
-    return _inference(req, bundle, headers)
+        found = _plain(req, bundle, headers)
+    else:
+        found = _inference(req, bundle, headers)
+    if isinstance(found, Rejected):
+        return result.Failure(found)
+    return result.Success(found)
 
 
 class _Headers(NamedTuple):
--- a/jasperweir/daemons/door.py
+++ b/jasperweir/daemons/door.py
@@ -7,6 +7,8 @@
 import threading
 from typing import Any
 
+from returns import result
+
 from jasperweir import exceptions
 from jasperweir import result_codes
 from jasperweir.components.config import const as config_const
@@ -165,23 +167,18 @@
         kind: Any = _OPS.get(req.path.removeprefix("/ops/"))
         if kind is None:
             return web.code_resp(Code.NOT_FOUND, req.path)
-        try:
-            body = json.loads(req.body)
-            op_id = str(body.pop("op_id"))
-            if kind is ops.SignOff:
-                body["change"] = tuple(sorted(body["change"].items()))
-            op = codec.unpack(codec.pack(list(_ordered(kind, body))), kind)
-        except (KeyError, TypeError, ValueError, AttributeError) as exc:
-            return web.code_resp(Code.BAD_REQUEST, str(exc))
-        except exceptions.FrameError as exc:
-            return web.code_resp(Code.BAD_REQUEST, str(exc))
-        request = ops.Request(
-            op_id=f"{who}/{op_id}",
-            who=who,
-            at=self._host.clock.wall(),
-            body=codec.pack_tagged(op),
-        )
-        return self._propose(request)
+        match _parse_order(kind, req.body):
+            case result.Failure(detail):
+                return web.code_resp(Code.BAD_REQUEST, detail)
+            case result.Success((op_id, op)):
+                request = ops.Request(
+                    op_id=f"{who}/{op_id}",
+                    who=who,
+                    at=self._host.clock.wall(),
+                    body=codec.pack_tagged(op),
+                )
+                return self._propose(request)
+        raise AssertionError("a result is a success or a failure")
 
     def _propose(self, request: ops.Request) -> web.Resp:
         waiter = Waiter()
@@ -278,6 +275,21 @@
         return web.json_resp(200, {"code": int(Code.ACCEPTED)})
 
 
+def _parse_order(kind: Any, raw: bytes) -> result.Result[tuple[str, Any], str]:
+    """Return an order's operation id and typed operation, or what is wrong."""
+    try:
+        body = json.loads(raw)
+        op_id = str(body.pop("op_id"))
+        if kind is ops.SignOff:
+            body["change"] = tuple(sorted(body["change"].items()))
+        op = codec.unpack(codec.pack(list(_ordered(kind, body))), kind)
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        return result.Failure(str(exc))
+    except exceptions.FrameError as exc:
+        return result.Failure(str(exc))
+    return result.Success((op_id, op))
+
+
 def _ordered(kind: Any, body: dict[str, Any]) -> list[Any]:
     """Return a JSON body's fields in the order of the operation's type."""
     unknown = body.keys() - set(kind._fields)
--- a/jasperweir/daemons/entry.py
+++ b/jasperweir/daemons/entry.py
@@ -4,6 +4,8 @@
 import time
 from typing import Any
 
+from returns import result
+
 from jasperweir import core
 from jasperweir import result_codes
 from jasperweir.components.burn import const as burn_const
@@ -243,13 +245,14 @@
             return web.code_resp(
                 Code.NOT_READY, retry_after=1.0, vouched=vouched
             )
-        job = job_lib.parse(req, bundle)
-        if isinstance(job, job_lib.Rejected):
-            self.host.metrics.inc(
-                "requests", service="", code=str(int(job.code))
-            )
-            return web.code_resp(job.code, job.detail)
-        return driver_lib.Driver(port=self._port, job=job).serve()
+        match job_lib.parse(req, bundle):
+            case result.Success(job):
+                return driver_lib.Driver(port=self._port, job=job).serve()
+            case result.Failure(rejected):
+                code = str(int(rejected.code))
+                self.host.metrics.inc("requests", service="", code=code)
+                return web.code_resp(rejected.code, rejected.detail)
+        raise AssertionError("a result is a success or a failure")
 
     def _resume(self, req: web.Req) -> web.Resp:
         """Hand on a run's answer from an offset, whoever started it."""
