--- a/jasperweir/components/entry/driver.py
+++ b/jasperweir/components/entry/driver.py
@@ -225,8 +225,7 @@
         reply = replies[0] if replies else blind
         self._port.tally("claims", verdict=reply.verdict)
         if reply.verdict != claim_const.GRANTED:
-            # Give the reserved slot back; without a grant it never starts.
-            self._port.hop.revoke(action.rid, self._job.spec.name, self._target)
+            self._give_back(action.rid, self._target)
         return events.Claimed(verdict=reply.verdict, record=reply.record)
 
     def _give_back(self, rid: str, target: hop_lib.Target) -> None:
