--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -530,6 +530,9 @@
     assert resp.json()["error"]["code"] == 4007
     resp = local.http.request("GET", url + "/nothing")
     assert resp.json()["error"]["code"] == 4009
+    flood = {f"X-{i}": "y" * 500 for i in range(100)}
+    resp = local.http.request("GET", url + "/readyz", headers=flood)
+    assert resp.status == 431, resp.status
     large = b"x" * (5 * 1024 * 1024)
     try:
         resp = local.http.request(
