Prove a group's coordinator killed and frozen with real processes

Cause: switches of coordinators were proved on the virtual clock only. Change: two scenarios with a lock-step group of two hosts; the stand-in checks the map of each step.

--- a/features/processes.feature
+++ b/features/processes.feature
@@ -55,6 +55,16 @@
     When an agent is asked to stop in the midst of a long stream
     Then the stream ends whole and the agent exits by itself
 
+  Scenario: A group's coordinator is killed and comes back
+    Given a running deployment with a group of two hosts
+    When the coordinator of the group is killed and restarted
+    Then the group steps on, every step under one map
+
+  Scenario: A group's coordinator freezes, is replaced and thaws
+    Given a running deployment with a group of two hosts
+    When the coordinator of the group freezes until it is replaced and thaws
+    Then the group steps on, every step under one map
+
   Scenario: Bad input is refused by number and nothing crashes
     Given a running deployment
     Then each kind of bad input gets its numbered error
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -43,7 +43,7 @@
 ENTRIES = ("entry-1", "entry-2", "entry-3")
 
 
-def build(context, keys=""):
+def build(context, keys="", group=False):
     local = local_lib.Local(folder=context.folder)
     local.keys_file = keys
     context.local = local
@@ -64,16 +64,19 @@
             "service": "m" if i < 3 else "book",
             "max_in_flight": "64",
         }
+        if group and i < 3:
+            target |= {"group": "g", "ranks": "4"}
         local.add(
             local_lib.NodeSpec(
                 "agent", f"agent-{i}", place,
                 f"127.0.4.{i}:17000", f"127.0.4.{i}:18090", target,
             )
         )  # fmt: skip
-    local.start_standins(
-        "standins", "--model", "127.0.3.1:19000", "--model",
-        "127.0.3.2:19000", "--plain", "127.0.3.3:19000", "--slots", "64",
-    )  # fmt: skip
+    models = ["127.0.3.1:19000", "127.0.3.2:19000"]
+    args = ["--model", models[0], "--model", models[1], "--slots", "64"]
+    if group:
+        args += ["--group", ",".join(models), "--per-rank", "6"]
+    local.start_standins("standins", *args, "--plain", "127.0.3.3:19000")
     local.start(*CONTROLS)
     local.bootstrap()
     others = [n for n in local.specs if n not in CONTROLS]
@@ -107,6 +110,64 @@
     build(context)
 
 
+@given("a running deployment with a group of two hosts")
+def deployment_with_group(context):
+    build(context, group=True)
+    context.local.wait_for("steps", lambda: verdict(context)["steps"] > 40)
+
+
+def verdict(context):
+    return context.local.get("127.0.3.1:19000", "/verdict")[1]
+
+
+def coordinator(context):
+    for name in ("agent-1", "agent-2"):
+        if name not in context.local.procs:
+            continue
+        address = context.local.specs[name].http
+        _, found = context.local.get(address, "/experts")
+        if found and found["role"] == "coordinator":
+            return name, found["term"]
+    return "", 0
+
+
+@when("the coordinator of the group is killed and restarted")
+def kill_coordinator(context):
+    local = context.local
+    name, context.term = coordinator(context)
+    local.kill(name)
+    local.start(name)
+
+
+@when("the coordinator of the group freezes until it is replaced and thaws")
+def freeze_coordinator(context):
+    local = context.local
+    name, context.term = coordinator(context)
+    local.signal(name, signal.SIGSTOP)
+    other = ({"agent-1", "agent-2"} - {name}).pop()
+    address = local.specs[other].http
+
+    def replaced():
+        _, found = local.get(address, "/experts")
+        return found and found["role"] == "coordinator"
+
+    local.wait_for("another coordinator", replaced)
+    local.signal(name, signal.SIGCONT)
+
+
+@then("the group steps on, every step under one map")
+def steps_on(context):
+    local = context.local
+
+    def newer():
+        return coordinator(context)[1] > context.term
+
+    local.wait_for("a newer term", newer)
+    count = verdict(context)["steps"]
+    local.wait_for("steps", lambda: verdict(context)["steps"] > count + 100)
+    assert verdict(context)["violations"] == [], verdict(context)
+
+
 @given("a running deployment with keys")
 def deployment_with_keys(context):
     keys = link_lib.new_keys()
--- a/script/bench_experts.py
+++ b/script/bench_experts.py
@@ -241,6 +241,7 @@
             if row not in curve:
                 axis.plot(row["moves"], row["p99"], "x", label=row["method"])
         axis.set_title(f"{case[0]} {case[1]}")
+        axis.set_xscale("symlog", linthresh=10)
         axis.set_xlabel("experts moved")
         axis.set_ylabel("skew p99")
         axis.legend(fontsize=7)
