Send a silent stream's request to a second target

Cause: a frozen target held its streams up to their deadline (30 s in the scenario; answers of 3002), since a frozen process still accepts connections and membership needs seconds. Ruled out: shorter read timeouts, which cannot tell a frozen target from a queue.

--- a/features/processes.feature
+++ b/features/processes.feature
@@ -45,6 +45,12 @@
     When the booking agent is killed and restarted under load
     Then no booking ran twice and no caller was told something false
 
+  Scenario: A target that freezes holds up no stream
+    Given a running deployment
+    When an agent is frozen and callers ask for streams at once
+    Then every caller has its own whole answer
+    And requests were sent to a second target beside the first
+
   Scenario: All entries are restarted one by one under load
     Given a running deployment
     When all entries are restarted one by one while callers go on
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -458,6 +458,44 @@
     assert set(runs.values()) == {1} and len(runs) == 12, runs
 
 
+def plain_stream(context, number):
+    messages = [{"role": "user", "content": f"plain {number}"}]
+    caller = client_lib.Client(
+        seeds=context.local.entry_http(), customer="c", seed=number
+    )
+    answer = caller.complete("m", messages, stream=True, deadline_s=30.0)
+    prompt = json.dumps(messages, sort_keys=True)
+    text = engine_lib.answer_text(prompt, 20)
+    return answer.status == 200 and answer.text() == text, answer
+
+
+@when("an agent is frozen and callers ask for streams at once")
+def freeze_agent(context):
+    answered(context)
+    context.local.signal("agent-1", signal.SIGSTOP)
+    with concurrent.futures.ThreadPoolExecutor(12) as pool:
+        numbers = range(12)
+        context.results = list(
+            pool.map(lambda n: plain_stream(context, n), numbers)
+        )
+    context.local.signal("agent-1", signal.SIGCONT)
+
+
+@then("every caller has its own whole answer")
+def own_answers(context):
+    wrong = [a for right, a in context.results if not right]
+    assert not wrong, wrong
+
+
+@then("requests were sent to a second target beside the first")
+def hedges(context):
+    found = [
+        context.local.http.request("GET", f"http://{a}/metrics").data
+        for a in context.local.entry_http()
+    ]
+    assert any(b"jasperweir_hedges" in data for data in found)
+
+
 @when("the booking agent is killed and restarted under load")
 def kill_agent(context):
     local = context.local
--- a/jasperweir/components/entry/driver.py
+++ b/jasperweir/components/entry/driver.py
@@ -12,6 +12,7 @@
 from jasperweir import result_codes
 from jasperweir.components.claims import const as claim_const
 from jasperweir.components.claims import messages as claim_messages
+from jasperweir.components.entry import hedge
 from jasperweir.components.entry import hop as hop_lib
 from jasperweir.components.entry import job as job_lib
 from jasperweir.components.entry import node as node_lib
@@ -145,13 +146,7 @@
             case actions.Claim():
                 return self._claim(action, remaining)
             case actions.Run():
-                assert self._target is not None
-                self._sent_at = self._port.now()
-                return self._event(
-                    self._port.hop.run(
-                        action.rid, self._job, self._target, remaining
-                    )
-                )
+                return self._run(action, remaining)
             case actions.Attach():
                 return self._attach(action, remaining)
             case actions.Revoke():
@@ -166,26 +161,84 @@
         raise AssertionError(f"unhandled action {action}")
 
     def _pick(self, action: actions.Pick) -> events.Event:
-        entry = self._port.entry
+        self._leave_target()
+        if action.exclude:
+            time.sleep(retry.backoff(len(action.exclude), self._port.entry.rng))
+            self._port.tally("retries")
+        self._target = self._choose(action.exclude)
+        if self._target is None:
+            return events.NoTarget()
+        return _picked(self._target)
+
+    def _choose(self, exclude: tuple[str, ...]) -> hop_lib.Target | None:
+        """Choose a target on the actor and count the request there."""
+        router = self._port.entry.router
         query = self._job.query
         now = self._port.now()
 
         def choose() -> Any:
-            member = entry.router.choose(query, action.exclude, now)
+            member = router.choose(query, exclude, now)
             if member is not None:
-                entry.router.started(member.name, query, now)
+                router.started(member.name, query, now)
             return member
 
-        self._leave_target()
-        if action.exclude:
-            time.sleep(retry.backoff(len(action.exclude), self._port.entry.rng))
         member = self._port.call(choose)
         if member is None:
-            return events.NoTarget()
-        self._target = hop_lib.Target(member.name, member.inc, member.http)
-        if action.exclude:
-            self._port.tally("retries")
-        return events.Picked(name=member.name, inc=member.inc, http=member.http)
+            return None
+        return hop_lib.Target(member.name, member.inc, member.http)
+
+    def _run(self, action: actions.Run, remaining: float) -> events.Event:
+        """Send the request; a silent stream gets a second try beside it."""
+        first = self._target
+        assert first is not None
+        self._sent_at = self._port.now()
+        if self._job.keyed or not self._job.streamed:
+            return self._event(self._send(action.rid, first, remaining))
+        others: list[hop_lib.Target] = []
+
+        def second() -> hedge.Attempt | None:
+            if not self._port.call(self._port.entry.budget.spend):
+                return None
+            other = self._choose((first.name,))
+            if other is None:
+                return None
+            others.append(other)
+            self._port.tally("hedges")
+            left = self._deadline - self._port.now()
+            return lambda: self._send(action.rid, other, left)
+
+        outcome = hedge.race(
+            lambda: self._send(action.rid, first, remaining),
+            second,
+            delay=self._job.spec.first_token_s * hedge.DELAY_SHARE,
+        )
+        if others:
+            self._after_hedge(first, others[0], won=outcome.second)
+        return self._event(outcome.result)
+
+    def _send(
+        self, rid: str, target: hop_lib.Target, remaining: float
+    ) -> hop_lib.Result:
+        return self._port.hop.run(rid, self._job, target, remaining)
+
+    def _after_hedge(
+        self, first: hop_lib.Target, second: hop_lib.Target, *, won: bool
+    ) -> None:
+        """Leave the loser, and go on with the winner."""
+        loser = first if won else second
+        router = self._port.entry.router
+        now = self._port.now()
+
+        def leave() -> None:
+            router.ended(loser.name, now)
+            if won:
+                router.failed(first.name, now)
+
+        self._port.tell(leave)
+        if won:
+            self._target = second
+            self._sent_at += self._job.spec.first_token_s * hedge.DELAY_SHARE
+            self._life.hedged(_picked(second))
 
     def _claim(self, action: actions.Claim, remaining: float) -> events.Event:
         assert self._target is not None
@@ -459,6 +512,10 @@
         self._port.tell(leave)
 
 
+def _picked(target: hop_lib.Target) -> events.Picked:
+    return events.Picked(name=target.name, inc=target.inc, http=target.http)
+
+
 def _error_event(action: actions.Answer) -> bytes:
     """Return the event that tells a stream's reader why it ends."""
     resp = web.code_resp(action.code, retry_after=action.retry_after)
--- a/jasperweir/components/request/life.py
+++ b/jasperweir/components/request/life.py
@@ -117,6 +117,16 @@
             case _:
                 return self._on_failure(event)
 
+    def hedged(self, winner: events.Picked) -> None:
+        """Go on with the second target of a hedged request.
+
+        The first one may run the request too, so it counts as tried.
+        """
+        if self.target is not None:
+            self._tried.append(self.target.name)
+        self._exposed = True
+        self.target = winner
+
     # The way forward.
 
     def _pick(self) -> actions.Action:
