Look whether a silent target is gone before its answer is due

Cause: whole answers, which may take long, still waited for a frozen target up to their deadline. Change: once a second the entry looks at what membership believes of the target; suspected, dead or restarted means a second try. A stream that stalls for 15 s is resumed or broken off instead of held.

--- a/features/processes.feature
+++ b/features/processes.feature
@@ -47,7 +47,7 @@
 
   Scenario: A target that freezes holds up no stream
     Given a running deployment
-    When an agent is frozen and callers ask for streams at once
+    When an agent is frozen and callers ask for streams and whole answers
     Then every caller has its own whole answer
     And requests were sent to a second target beside the first
 
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -463,13 +463,15 @@
     caller = client_lib.Client(
         seeds=context.local.entry_http(), customer="c", seed=number
     )
-    answer = caller.complete("m", messages, stream=True, deadline_s=30.0)
+    answer = caller.complete(
+        "m", messages, stream=number % 2 == 0, deadline_s=30.0
+    )
     prompt = json.dumps(messages, sort_keys=True)
     text = engine_lib.answer_text(prompt, 20)
     return answer.status == 200 and answer.text() == text, answer
 
 
-@when("an agent is frozen and callers ask for streams at once")
+@when("an agent is frozen and callers ask for streams and whole answers")
 def freeze_agent(context):
     answered(context)
     context.local.signal("agent-1", signal.SIGSTOP)
--- a/jasperweir/components/entry/driver.py
+++ b/jasperweir/components/entry/driver.py
@@ -19,6 +19,7 @@
 from jasperweir.components.entry import timing
 from jasperweir.components.limits import admission as admission_lib
 from jasperweir.components.limits import retry
+from jasperweir.components.membership import messages as member_messages
 from jasperweir.components.request import actions
 from jasperweir.components.request import const
 from jasperweir.components.request import events
@@ -188,15 +189,21 @@
         return hop_lib.Target(member.name, member.inc, member.http)
 
     def _run(self, action: actions.Run, remaining: float) -> events.Event:
-        """Send the request; a silent stream gets a second try beside it."""
+        """Send the request, and to a second target where that may help.
+
+        A stream is tried again when it is silent; another answer, which may
+        take long, only when its target is believed gone.
+        """
         first = self._target
         assert first is not None
         self._sent_at = self._port.now()
-        if self._job.keyed or not self._job.streamed:
+        if self._job.keyed:
             return self._event(self._send(action.rid, first, remaining))
         others: list[hop_lib.Target] = []
 
         def second() -> hedge.Attempt | None:
+            if not self._job.streamed and not self._gone(first):
+                return None
             if not self._port.call(self._port.entry.budget.spend):
                 return None
             other = self._choose((first.name,))
@@ -210,15 +217,32 @@
         outcome = hedge.race(
             lambda: self._send(action.rid, first, remaining),
             second,
-            delay=self._job.spec.first_token_s * hedge.DELAY_SHARE,
+            delay=self._hedge_delay(),
         )
         if others:
             self._after_hedge(first, others[0], won=outcome.second)
         return self._event(outcome.result)
 
+    def _hedge_delay(self) -> float:
+        if not self._job.streamed:
+            return hedge.LOOK_SECONDS
+        return self._job.spec.first_token_s * hedge.DELAY_SHARE
+
+    def _gone(self, target: hop_lib.Target) -> bool:
+        """Tell whether a target is suspected, dead or restarted."""
+        member = self._port.call(
+            lambda: self._port.entry.gossip.roster.get(target.name)
+        )
+        if member is None or member.inc != target.inc:
+            return True
+        return bool(member.status >= member_messages.Status.SUSPECT)
+
     def _send(
         self, rid: str, target: hop_lib.Target, remaining: float
     ) -> hop_lib.Result:
+        if self._job.streamed:
+            # A stream that stalls for longer is resumed or broken off.
+            remaining = min(remaining, hop_lib.STALL_SECONDS)
         return self._port.hop.run(rid, self._job, target, remaining)
 
     def _after_hedge(
@@ -237,7 +261,7 @@
         self._port.tell(leave)
         if won:
             self._target = second
-            self._sent_at += self._job.spec.first_token_s * hedge.DELAY_SHARE
+            self._sent_at += self._hedge_delay()
             self._life.hedged(_picked(second))
 
     def _claim(self, action: actions.Claim, remaining: float) -> events.Event:
--- a/jasperweir/components/entry/hedge.py
+++ b/jasperweir/components/entry/hedge.py
@@ -11,6 +11,9 @@
 # that it may still come in time.
 DELAY_SHARE = 0.6
 
+# How often a request that is not streamed looks whether its target is gone.
+LOOK_SECONDS = 1.0
+
 Attempt = Callable[[], hop_lib.Result]
 
 
@@ -27,25 +30,25 @@
     *,
     delay: float,
 ) -> Outcome:
-    """Run an attempt, and another beside it if it is silent for long.
+    """Run an attempt, and another beside it if that is called for.
 
     Only for requests that may run more than once. The loser's connection is
     closed whenever it answers; its agent then cancels the run.
 
     Args:
         first: Blocks until the answer begins or fails.
-        second: Called after the delay; returns the other attempt, or None
-            if there is no target or no budget for one.
+        second: Called after each delay without an answer; returns the
+            other attempt, or None for now.
         delay: Seconds to wait before the second attempt.
     """
     results: queue.SimpleQueue[Outcome] = queue.SimpleQueue()
     _start(first, results, second=False)
-    try:
-        return results.get(timeout=delay)
-    except queue.Empty:
-        other = second()
-    if other is None:
-        return results.get()
+    other: Attempt | None = None
+    while other is None:
+        try:
+            return results.get(timeout=delay)
+        except queue.Empty:
+            other = second()
     _start(other, results, second=True)
     one = results.get()
     if isinstance(one.result, hop_lib.Stream):
--- a/jasperweir/components/entry/hop.py
+++ b/jasperweir/components/entry/hop.py
@@ -12,6 +12,8 @@
 
 CONNECT_SECONDS = 0.5
 SMALL_SECONDS = 2.0
+# Longer than a group stalls while a lost host comes back.
+STALL_SECONDS = 15.0
 READ_CHUNK_BYTES = 64 * 1024
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
