Draw random schedules in one place

Cause: three copies of the same hypothesis block, two of the error counter. Change: harness/draws.py, Host.count_error.

--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -5,11 +5,9 @@
 from behave import given
 from behave import then
 from behave import when
-from hypothesis import given as draw
-from hypothesis import settings
-from hypothesis import strategies as st
 
 from features.harness import claims
+from features.harness import draws
 from jasperweir.components.claims import const
 from jasperweir.components.claims import keeper as keeper_lib
 from jasperweir.components.claims import messages
@@ -226,17 +224,7 @@
 
 @then("{count:d} random schedules of {length:d} events grant no key twice")
 def random_claims(context, count, length):
-    @settings(
-        max_examples=count, deadline=None, derandomize=True, database=None
-    )
-    @draw(
-        st.integers(0, 10**6),
-        st.lists(st.sampled_from(EVENTS), min_size=length, max_size=length),
-    )
-    def check(seed, events):
-        schedule(seed, events)
-
-    check()
+    draws.schedules(count, length, EVENTS, schedule)
 
 
 def unrepaired():
--- a/features/steps/experts_steps.py
+++ b/features/steps/experts_steps.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 import numpy as np
 
+from features.harness import draws
 from features.harness import ranks
 from jasperweir.components.experts import const
 from jasperweir.components.experts import guard as guard_lib
@@ -141,17 +142,7 @@
 
 @then("{count:d} random schedules of {length:d} events keep one map per step")
 def random_groups(context, count, length):
-    @settings(
-        max_examples=count, deadline=None, derandomize=True, database=None
-    )
-    @draw(
-        st.integers(0, 10**6),
-        st.lists(st.sampled_from(EVENTS), min_size=length, max_size=length),
-    )
-    def check(seed, events):
-        schedule(seed, events)
-
-    check()
+    draws.schedules(count, length, EVENTS, schedule)
 
 
 @then("{count:d} random plans keep a copy of each expert after every move")
--- a/features/steps/quorum_steps.py
+++ b/features/steps/quorum_steps.py
@@ -5,10 +5,8 @@
 from behave import given
 from behave import then
 from behave import when
-from hypothesis import given as draw
-from hypothesis import settings
-from hypothesis import strategies as st
 
+from features.harness import draws
 from features.harness import quorum
 from jasperweir.components.quorum import messages
 from jasperweir.components.quorum import voter as voter_lib
@@ -301,17 +299,7 @@
 
 @then("{count:d} random schedules of {length:d} events keep every invariant")
 def random_schedules(context, count, length):
-    @settings(
-        max_examples=count, deadline=None, derandomize=True, database=None
-    )
-    @draw(
-        st.integers(0, 10**6),
-        st.lists(st.sampled_from(EVENTS), min_size=length, max_size=length),
-    )
-    def check(seed, events):
-        schedule(seed, events)
-
-    check()
+    draws.schedules(count, length, EVENTS, schedule)
 
 
 def lone_voter(entries=(), meta=None, disk="a-disk"):
--- a/jasperweir/daemons/agent.py
+++ b/jasperweir/daemons/agent.py
@@ -176,8 +176,7 @@
 
     def on_error(self, exc: Exception) -> None:
         """Count an unexpected error and go on."""
-        self.host.metrics.inc("errors", kind=type(exc).__name__)
-        self.host.log.error(f"unexpected {type(exc).__name__}: {exc}")
+        self.host.count_error(exc)
 
     def _due_orders(
         self, reported: orders_lib.Reported
--- a/jasperweir/daemons/base.py
+++ b/jasperweir/daemons/base.py
@@ -84,6 +84,11 @@
                     self.link.learn(member.name, member.addr)
             self.link.send(act.dst, act.msg)
 
+    def count_error(self, exc: Exception) -> None:
+        """Count and log an error that nothing else handles."""
+        self.metrics.inc("errors", kind=type(exc).__name__)
+        self.log.error(f"unexpected {type(exc).__name__}: {exc}")
+
     def export_link(self, now: float) -> None:
         """Copy the link's counters into the metrics, once a second."""
         if now < self._metrics_at:
--- a/jasperweir/daemons/control.py
+++ b/jasperweir/daemons/control.py
@@ -149,8 +149,7 @@
             self._exit = EXIT_DISK
             self._done.set()
             return
-        self.host.metrics.inc("errors", kind=type(exc).__name__)
-        self.host.log.error(f"unexpected {type(exc).__name__}: {exc}")
+        self.host.count_error(exc)
 
     def _perform(self, acts: list[Any]) -> None:
         if self.failed:
--- a/jasperweir/daemons/entry.py
+++ b/jasperweir/daemons/entry.py
@@ -126,8 +126,7 @@
 
     def on_error(self, exc: Exception) -> None:
         """Count an unexpected error and go on."""
-        self.host.metrics.inc("errors", kind=type(exc).__name__)
-        self.host.log.error(f"unexpected {type(exc).__name__}: {exc}")
+        self.host.count_error(exc)
 
     def _perform(self, acts: list[Any]) -> None:
         # A rumour of an older process of this name raises the incarnation.
--- a/script/capacity.py
+++ b/script/capacity.py
@@ -117,6 +117,8 @@
         "two more voters (5 in all)": voters_more,
         "reports of changes": 128.0 * NODES * CHANGES_DAY / DAY,
     }
+    accept = load("control.json")["accept"]
+    three = accept[0]
     leader_cpu = lead_cpu.at(heard_as) + apply.at(CUSTOMERS) / 10 * (
         CHANGES_DAY / DAY
     )
@@ -228,6 +230,11 @@
         "agent_us": f"{f['four']['agent_us_per_token']:.0f}",
         "vm_cores": f"{entry_us * TOKENS / VMS / 1e6:.1f}",
         "agent_cores": f"{agent_us * TOKENS / TARGETS / 1e6:.2f}",
+        "kill_s": f"{f['three']['no_leader_kill_s']:.1f}",
+        "freeze_s": f"{f['three']['no_leader_freeze_s']:.1f}",
+        "stop_s": f"{f['three']['no_leader_stop_s']:.2f}",
+        "accept3": f"{f['three']['accept_p50_ms']:.1f}",
+        "accept5": f"{f['accept'][1]['accept_p50_ms']:.1f}",
         "per_s": f"{f['requests']['entry']['per_s']}",
         "map_bytes": f"{f['slopes']['plans'][-1]['map_bytes']}",
         "plan_ms": f"{f['slopes']['plans'][-1]['plan_ms']:.0f}",
--- a/script/measurements.py
+++ b/script/measurements.py
@@ -156,13 +156,44 @@
     return out
 
 
+def control_part() -> list[str]:
+    """Return the part on control."""
+    found = load("control.json")
+    out = [
+        "\n## Control (`script/bench_control.py`)\n",
+        "200 changes signed off one after the other over HTTP; then, five",
+        "times each, the leader killed, frozen and stopped by plan: time until",
+        "the next change is accepted. Slopes against nodes, targets, customers",
+        "and voters stand in [CAPACITY](CAPACITY.md).",
+        "",
+        "| voters | accept p50, ms | p95 | changes/s | no leader after kill, s "
+        "| after freeze | at a planned stop |",
+        "|" + " ---: |" * 7,
+    ]
+    for r in found["accept"]:
+        out.append(
+            f"| {r['voters']} | {r['accept_p50_ms']:.1f} "
+            f"| {r['accept_p95_ms']:.1f} | {r['changes_per_s']:.0f} "
+            f"| {r['no_leader_kill_s']:.2f} | {r['no_leader_freeze_s']:.2f} "
+            f"| {r['no_leader_stop_s']:.2f} |"
+        )
+    out += [
+        "\nReading a data folder at the start:\n",
+        "| entries | log only, ms | snapshot and 500 entries, ms |",
+        "|" + " ---: |" * 3,
+    ]
+    for r in found["recovery"]:
+        out.append(
+            f"| {r['entries']} | {r['log_only_ms']:.1f} "
+            f"| {r['snapshot_and_500_ms']:.1f} |"
+        )
+    return [*out, ""]
+
+
 def main() -> None:
     """Write the page."""
     parts = [HEAD, *entry_part(), *routing_part(), *experts_part()]
-    parts.append(
-        "\n## Control\n\nSlopes against nodes, targets, customers and voters "
-        "stand in [CAPACITY](CAPACITY.md).\n"
-    )
+    parts += control_part()
     text = "\n".join(parts)
     (ROOT / "docs" / "MEASUREMENTS.md").write_text(text, encoding="utf-8")
 
