--- a/features/harness/matrix.py
+++ b/features/harness/matrix.py
@@ -72,6 +72,29 @@
                 scene.queue.append((src, dst, msg))
 
 
+class Taps:
+    """Several faults, each at the first message of its kind."""
+
+    def __init__(self, taps: list[Tap]) -> None:
+        self.taps = taps
+
+    @property
+    def met(self) -> bool:
+        """Whether all of them struck."""
+        return all(tap.met for tap in self.taps)
+
+    def __call__(self, scene, src, dst, msg) -> bool:
+        """Return whether any of them stops the message."""
+        # Each one gets to see the message.
+        stopped = [tap(scene, src, dst, msg) for tap in self.taps]
+        return any(stopped)
+
+    def apply(self, scene) -> None:
+        """Carry out what must not happen inside a send."""
+        for tap in self.taps:
+            tap.apply(scene)
+
+
 def run(scene, seconds: float) -> None:
     """Let time pass in small steps, with the fault's consequences."""
     for _ in range(round(seconds / 0.2)):
--- a/jasperweir/daemons/control.py
+++ b/jasperweir/daemons/control.py
@@ -167,10 +167,18 @@
                 case controller_lib.Answered():
                     code = str(int(act.answer.code))
                     self.host.metrics.inc("operations", code=code)
+                    self._log_answer(act)
                     self._door.answered(act)
                 case core.Send():
                     self._send(act)
 
+    def _log_answer(self, act: controller_lib.Answered) -> None:
+        answer = act.answer
+        name = result_codes.Code(answer.code).name.lower()
+        self.host.log.info(
+            f"operation {act.op_id}: {name}, version {answer.version}"
+        )
+
     def _send(self, act: core.Send) -> None:
         seat = self.controller.voter.seat(act.dst)
         if seat is not None:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -13,6 +13,7 @@
 from standins import const
 from standins import faults as faults_lib
 from standins import ledger as ledger_lib
+from standins import slots as slots_lib
 
 
 class BrokenOffError(Exception):
@@ -49,7 +50,7 @@
         self._token_seconds = token_seconds
         self._checks_fence = checks_fence
         self._rng = random.Random(seed)
-        self._slots = threading.BoundedSemaphore(slots)
+        self._slots = slots_lib.PrioritySlots(count=slots)
         self._active = 0
         self._reported = (0.0, 0)
         self._lock = threading.Lock()
@@ -85,16 +86,22 @@
         fault = self.faults.take()
         key = str(body.get("user", ""))
         self.ledger.started(key)
+        priority = int(req.header("jasperweir-priority", "5"))
         if body.get("stream"):
             headers = [("Content-Type", "text/event-stream")]
-            stream = self._stream(prompt, tokens, fault, key)
+            stream = self._stream(prompt, tokens, fault, key, priority)
             return web.Resp(200, headers, stream)
-        return self._whole(prompt, tokens, fault, key)
+        return self._whole(prompt, tokens, fault, key, priority)
 
     def _whole(
-        self, prompt: str, tokens: int, fault: dict[str, float], key: str
+        self,
+        prompt: str,
+        tokens: int,
+        fault: dict[str, float],
+        key: str,
+        priority: int,
     ) -> web.Resp:
-        with self._slot():
+        with _Slot(engine=self, priority=priority):
             self._prefill(prompt, fault)
             time.sleep(tokens * self._token_seconds * fault.get("slow", 1))
             if "break_after" in fault:
@@ -105,11 +112,16 @@
         return web.json_resp(200, {"choices": [choice]})
 
     def _stream(
-        self, prompt: str, tokens: int, fault: dict[str, float], key: str
+        self,
+        prompt: str,
+        tokens: int,
+        fault: dict[str, float],
+        key: str,
+        priority: int,
     ) -> Iterator[bytes]:
         digest = f"{hashing.stable(prompt) & 0xFFFFFFFF:08x}"
         pause = self._token_seconds * fault.get("slow", 1)
-        with self._slot():
+        with _Slot(engine=self, priority=priority):
             self._prefill(prompt, fault)
             due = time.monotonic()
             for i in range(tokens):
@@ -122,12 +134,9 @@
         if "unmarked" not in fault:
             yield b"data: [DONE]\n\n"
 
-    def _slot(self) -> "_Slot":
-        return _Slot(engine=self)
-
-    def enter(self) -> None:
-        """Wait for a place in the batch."""
-        self._slots.acquire()
+    def enter(self, priority: int) -> None:
+        """Wait for a place in the batch, the most urgent first."""
+        self._slots.acquire(priority)
         with self._lock:
             self._active += 1
 
@@ -218,11 +227,12 @@
 class _Slot:
     """A place in the batch, held as a context."""
 
-    def __init__(self, *, engine: Engine) -> None:
+    def __init__(self, *, engine: Engine, priority: int) -> None:
         self._engine = engine
+        self._priority = priority
 
     def __enter__(self) -> None:
-        self._engine.enter()
+        self._engine.enter(self._priority)
 
     def __exit__(self, *exc: object) -> None:
         self._engine.leave()
