--- a/script/matrix.py
+++ b/script/matrix.py
@@ -104,7 +104,7 @@
         "its protocol runs on a virtual clock (`features/harness/matrix.py`).",
         "Invariants are checked after every event (one leader a term,",
         "committed entries never lost or changed, one lease, one grant a key,",
-        "one map a step, versions never down); at the end the fault is healed",
+        "one map a step); at the end the fault is healed",
         "and the workload must work again.",
         *matrix_tables(),
         "",
