--- a/script/capacity.py
+++ b/script/capacity.py
@@ -112,10 +112,17 @@
         five["control_worst_out_bytes_s"]
         - procs[0]["control_worst_out_bytes_s"]
     )
+    # A report restarts a node's beat timer, so regular beats fill only the
+    # pauses between changes that are longer than it.
+    pause = DAY / CHANGES_DAY
+    every = NODES / BEATS_PER_SECOND
+    fill = sum(np.exp(-k * every / pause) for k in range(1, 20))
+    answer = lead.slope * 5.0
     leader_bytes = {
-        "beats answered (20 a second at most)": lead.at(heard_as),
+        "log and gossip, 3 voters": lead.base,
         "two more voters (5 in all)": voters_more,
-        "reports of changes": 128.0 * NODES * CHANGES_DAY / DAY,
+        "answers to reports of changes": answer * NODES / pause,
+        "answers to beats in between": answer * NODES / pause * float(fill),
     }
     accept = load("control.json")["accept"]
     three = accept[0]
