Give the choice of targets and the test deployment files of their own

Change: moved, no behaviour changed; the deployment of the process scenarios lives with the stand-ins.

--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -15,89 +15,24 @@
 
 from jasperweir import client as client_lib
 from jasperweir.helpers import link as link_lib
+from standins import deployment
 from standins import engine as engine_lib
 from standins import local as local_lib
 
-PLACES = ("north", "south", "east")
-BUNDLE = """[bundle]
-name = test
-[callers]
-address_ttl_s = 1
-deadline_s = {deadline}
-[place north]
-region = r
-[place south]
-region = r
-order = 1
-[place east]
-region = r
-order = 2
-[service m]
-kind = model
-max_in_flight = 64
-[service book]
-kind = plain
-idempotent = no
-"""
-CONTROLS = ("control-1", "control-2", "control-3")
-ENTRIES = ("entry-1", "entry-2", "entry-3")
+PLACES = deployment.PLACES
+CONTROLS = deployment.CONTROLS
+ENTRIES = deployment.ENTRIES
+BUNDLE = deployment.BUNDLE
 
 
 def build(context, keys="", group=False):
-    local = local_lib.Local(folder=context.folder)
-    local.keys_file = keys
-    context.local = local
-    for i, place in enumerate(PLACES, start=1):
-        local.add(
-            local_lib.NodeSpec(
-                "control", f"control-{i}", place,
-                f"127.0.1.{i}:17000", f"127.0.1.{i}:17100", threads=16,
-            ),
-            local_lib.NodeSpec(
-                "entry", f"entry-{i}", place,
-                f"127.0.2.{i}:17000", f"127.0.2.{i}:18080",
-            ),
-        )  # fmt: skip
-        target = {
-            "url": f"http://127.0.3.{i}:19000",
-            "kind": "model" if i < 3 else "plain",
-            "service": "m" if i < 3 else "book",
-            "max_in_flight": "64",
-        }
-        if group and i < 3:
-            target |= {"group": "g", "ranks": "4"}
-        local.add(
-            local_lib.NodeSpec(
-                "agent", f"agent-{i}", place,
-                f"127.0.4.{i}:17000", f"127.0.4.{i}:18090", target,
-            )
-        )  # fmt: skip
-    models = ["127.0.3.1:19000", "127.0.3.2:19000"]
-    args = ["--model", models[0], "--model", models[1], "--slots", "64"]
-    if group:
-        args += ["--group", ",".join(models), "--per-rank", "6"]
-    local.start_standins("standins", *args, "--plain", "127.0.3.3:19000")
-    local.start(*CONTROLS)
-    local.bootstrap()
-    others = [n for n in local.specs if n not in CONTROLS]
-    local.start(*others)
+    context.local = local_lib.Local(folder=context.folder)
+    context.local.keys_file = keys
     write_bundle(context, 60)
-    signed = local.cli("bundle", "sign-off", "--file", str(context.bundle))
-    assert signed["version"] == 1, signed
-    local.cli("bundle", "roll", "--version", "1")
-    local.wait_for("ready", lambda: local.ready(*others))
-    local.wait_for("claims", lambda: all(claims_ready(local)))
-    context.client = client_lib.Client(seeds=local.entry_http(), customer="c")
-
-
-def claims_ready(local):
-    states = [local.get(a, "/readyz")[1] for a in local.entry_http()]
-    return [
-        s is not None
-        and s["claims_confirmed"]
-        and s["claims_epoch"] == s["claims_ready_epoch"] > 0
-        for s in states
-    ]
+    deployment.bring_up(context.local, context.bundle, group=group)
+    context.client = client_lib.Client(
+        seeds=context.local.entry_http(), customer="c"
+    )
 
 
 def write_bundle(context, deadline):
@@ -176,18 +111,6 @@
     build(context, str(path))
 
 
-def status(local, name):
-    return local.get(local.specs[name].http, "/status")[1]
-
-
-def leader(local):
-    for name in CONTROLS:
-        found = status(local, name) if name in local.procs else None
-        if found and found["role"] == "leader":
-            return name
-    return ""
-
-
 def sign_off(context, deadline, *args):
     write_bundle(context, deadline)
     return context.local.cli(
@@ -198,8 +121,8 @@
 @when("the leader process is frozen")
 def freeze(context):
     local = context.local
-    local.wait_for("leader", lambda: leader(local))
-    context.old = leader(local)
+    local.wait_for("leader", lambda: deployment.leader(local))
+    context.old = deployment.leader(local)
     local.signal(context.old, signal.SIGSTOP)
 
 
@@ -209,7 +132,7 @@
     rest = [n for n in CONTROLS if n != context.old]
 
     def found():
-        states = [status(local, n) for n in rest]
+        states = [deployment.status(local, n) for n in rest]
         return any(s and s["role"] == "leader" for s in states)
 
     local.wait_for("new leader", found)
@@ -237,7 +160,7 @@
     local = context.local
 
     def same():
-        states = [status(local, n) for n in CONTROLS]
+        states = [deployment.status(local, n) for n in CONTROLS]
         heads = {s["head"] for s in states if s}
         leads = [s for s in states if s and s["role"] == "leader"]
         return heads == {context.accepted} and len(leads) == 1
@@ -261,10 +184,10 @@
     thread = threading.Thread(target=change)
     thread.start()
     for _ in range(2):
-        local.wait_for("leader", lambda: leader(local))
+        local.wait_for("leader", lambda: deployment.leader(local))
         count = len(accepted(context))
         local.wait_for("changes", lambda n=count: len(accepted(context)) > n)
-        name = leader(local)
+        name = deployment.leader(local)
         local.kill(name)
         local.start(name)
     stop.set()
@@ -287,44 +210,34 @@
 @when("a follower loses its data folder")
 def lose_folder(context):
     local = context.local
-    local.wait_for("leader", lambda: leader(local))
-    context.old = next(n for n in CONTROLS if n != leader(local))
+    local.wait_for("leader", lambda: deployment.leader(local))
+    context.old = next(n for n in CONTROLS if n != deployment.leader(local))
     local.kill(context.old)
     folder = context.folder / f"{context.old}.data"
     for path in folder.iterdir():
         path.unlink()
     local.start(context.old)
-    local.wait_for("back", lambda: status(local, context.old))
+    local.wait_for("back", lambda: deployment.status(local, context.old))
 
 
 @then("it does not vote under its old seat")
 def no_vote(context):
     local = context.local
-    rest = next(n for n in CONTROLS if n not in (context.old, leader(local)))
+    rest = next(
+        n for n in CONTROLS if n not in (context.old, deployment.leader(local))
+    )
     local.kill(rest)
-    lead = leader(local)
-    local.wait_for("step-down", lambda: status(local, lead)["role"] != "leader")
+    lead = deployment.leader(local)
+    local.wait_for(
+        "step-down", lambda: deployment.status(local, lead)["role"] != "leader"
+    )
     local.start(rest)
-    local.wait_for("leader", lambda: leader(local))
-
-
-def seats(local, verb, name):
-    def done():
-        address = local.specs[leader(local) or CONTROLS[0]].http
-        resp = local.http.request(
-            "POST",
-            f"http://{address}/seats/{verb}/{name}",
-            headers={"Authorization": f"Bearer {local_lib.TOKEN}"},
-            timeout=5.0,
-        )
-        return resp.status == 200
-
-    local.wait_for(f"{verb} {name}", done)
+    local.wait_for("leader", lambda: deployment.leader(local))
 
 
 @when("the operator removes and adds its seat")
 def reseat(context):
-    seats(context.local, "remove", context.old)
+    deployment.change_seat(context.local, "remove", context.old)
     context.local.seat(context.old)
 
 
@@ -333,7 +246,7 @@
     local = context.local
     context.accepted = sign_off(context, 62)["version"]
     agree(context)
-    lead = status(local, leader(local))
+    lead = deployment.status(local, deployment.leader(local))
     assert [context.old, True] in [[s[0], s[3]] for s in lead["seats"]]
 
 
@@ -367,7 +280,7 @@
 def many_changes(context, count):
     local = context.local
     local.kill("entry-3")
-    lead = local.specs[leader(local)].http
+    lead = local.specs[deployment.leader(local)].http
     http = urllib3.PoolManager()
     headers = {"Authorization": f"Bearer {local_lib.TOKEN}"}
     _, found = local.get(lead, "/bundle/1")
--- a/jasperweir/components/entry/driver.py
+++ b/jasperweir/components/entry/driver.py
@@ -1,25 +1,20 @@
 """Carry out the life of one request with HTTP and the entry's actor."""
 
-from collections.abc import Callable
 from collections.abc import Iterator
 import threading
 import time
-from typing import Any
-from typing import NamedTuple
 
 import urllib3
 
 from jasperweir import result_codes
 from jasperweir.components.claims import const as claim_const
 from jasperweir.components.claims import messages as claim_messages
-from jasperweir.components.entry import hedge
+from jasperweir.components.entry import dispatch
 from jasperweir.components.entry import hop as hop_lib
 from jasperweir.components.entry import job as job_lib
-from jasperweir.components.entry import node as node_lib
+from jasperweir.components.entry import port as port_lib
 from jasperweir.components.entry import timing
 from jasperweir.components.limits import admission as admission_lib
-from jasperweir.components.limits import retry
-from jasperweir.components.membership import messages as member_messages
 from jasperweir.components.request import actions
 from jasperweir.components.request import const
 from jasperweir.components.request import events
@@ -36,30 +31,10 @@
     """Closes the caller's connection so that no half answer looks whole."""
 
 
-class Port(NamedTuple):
-    """What a driver needs of its daemon.
-
-    Attributes:
-        call: Run a function on the entry's actor and wait.
-        tell: Run a function on the entry's actor, without waiting.
-        perform: Carry out sends; called on the actor.
-        now: Monotonic seconds.
-        tally: Add to a counter.
-    """
-
-    entry: node_lib.Entry
-    hop: hop_lib.Hop
-    call: Callable[[Callable[[], Any]], Any]
-    tell: Callable[[Callable[[], Any]], None]
-    perform: Callable[[list[Any]], None]
-    now: Callable[[], float]
-    tally: Callable[..., None]
-
-
 class Driver:
     """One request, driven by the thread that serves its caller."""
 
-    def __init__(self, *, port: Port, job: job_lib.Job) -> None:
+    def __init__(self, *, port: port_lib.Port, job: job_lib.Job) -> None:
         self._port = port
         self._job = job
         self._started = port.now()
@@ -71,10 +46,15 @@
             budget=port.entry.budget,
         )
         self._stream: hop_lib.Stream | None = None
-        self._target: hop_lib.Target | None = None
-        self._sent_at = 0.0
         self._relayed = 0
         self._timing = timing.Timing(started=self._started, spec=job.spec)
+        self._dispatch = dispatch.Dispatcher(
+            port=port,
+            job=job,
+            deadline=self._deadline,
+            timing=self._timing,
+            on_hedged=self._life.hedged,
+        )
         self._tail = b""
         self._kept: list[bytes] = []
         self._closed = False
@@ -136,18 +116,18 @@
             return events.Expired()
         match action:
             case actions.Pick():
-                return self._pick(action)
+                return self._dispatch.pick(action.exclude)
             case actions.Reserve():
-                assert self._target is not None
+                assert self._dispatch.target is not None
                 return self._event(
                     self._port.hop.reserve(
-                        action.rid, self._job.spec.name, self._target
+                        action.rid, self._job.spec.name, self._dispatch.target
                     )
                 )
             case actions.Claim():
                 return self._claim(action, remaining)
             case actions.Run():
-                return self._run(action, remaining)
+                return self._event(self._dispatch.run(action.rid, remaining))
             case actions.Attach():
                 return self._attach(action, remaining)
             case actions.Revoke():
@@ -161,118 +141,15 @@
                 )
         raise AssertionError(f"unhandled action {action}")
 
-    def _pick(self, action: actions.Pick) -> events.Event:
-        self._leave_target()
-        if action.exclude:
-            time.sleep(retry.backoff(len(action.exclude), self._port.entry.rng))
-            self._port.tally("retries")
-        self._target = self._choose(action.exclude)
-        if self._target is None:
-            return events.NoTarget()
-        return _picked(self._target)
-
-    def _choose(self, exclude: tuple[str, ...]) -> hop_lib.Target | None:
-        """Choose a target on the actor and count the request there."""
-        router = self._port.entry.router
-        query = self._job.query
-        now = self._port.now()
-
-        def choose() -> Any:
-            member = router.choose(query, exclude, now)
-            if member is not None:
-                router.started(member.name, query, now)
-            return member
-
-        member = self._port.call(choose)
-        if member is None:
-            return None
-        return hop_lib.Target(member.name, member.inc, member.http)
-
-    def _run(self, action: actions.Run, remaining: float) -> events.Event:
-        """Send the request, and to a second target where that may help.
-
-        A stream is tried again when it is silent; another answer, which may
-        take long, only when its target is believed gone.
-        """
-        first = self._target
-        assert first is not None
-        self._sent_at = self._port.now()
-        if self._job.keyed:
-            return self._event(self._send(action.rid, first, remaining))
-        others: list[hop_lib.Target] = []
-
-        def second() -> hedge.Attempt | None:
-            if not self._job.streamed and not self._gone(first):
-                return None
-            if not self._port.call(self._port.entry.budget.spend):
-                return None
-            other = self._choose((first.name,))
-            if other is None:
-                return None
-            others.append(other)
-            self._port.tally("hedges")
-            left = self._deadline - self._port.now()
-            return lambda: self._send(action.rid, other, left)
-
-        outcome = hedge.race(
-            lambda: self._send(action.rid, first, remaining),
-            second,
-            delay=self._hedge_delay(),
-        )
-        if others:
-            self._after_hedge(first, others[0], won=outcome.second)
-        return self._event(outcome.result)
-
-    def _hedge_delay(self) -> float:
-        if not self._job.streamed:
-            return hedge.LOOK_SECONDS
-        return self._job.spec.first_token_s * hedge.DELAY_SHARE
-
-    def _gone(self, target: hop_lib.Target) -> bool:
-        """Tell whether a target is suspected, dead or restarted."""
-        member = self._port.call(
-            lambda: self._port.entry.gossip.roster.get(target.name)
-        )
-        if member is None or member.inc != target.inc:
-            return True
-        return bool(member.status >= member_messages.Status.SUSPECT)
-
-    def _send(
-        self, rid: str, target: hop_lib.Target, remaining: float
-    ) -> hop_lib.Result:
-        if self._job.streamed:
-            # A stream that stalls for longer is resumed or broken off.
-            remaining = min(remaining, hop_lib.STALL_SECONDS)
-        return self._port.hop.run(rid, self._job, target, remaining)
-
-    def _after_hedge(
-        self, first: hop_lib.Target, second: hop_lib.Target, *, won: bool
-    ) -> None:
-        """Leave the loser, and go on with the winner."""
-        loser = first if won else second
-        router = self._port.entry.router
-        now = self._port.now()
-
-        def leave() -> None:
-            router.ended(loser.name, now)
-            if won:
-                router.failed(first.name, now)
-
-        self._port.tell(leave)
-        if won:
-            self._target = second
-            self._sent_at += self._hedge_delay()
-            self._life.hedged(_picked(second))
-
     def _claim(self, action: actions.Claim, remaining: float) -> events.Event:
-        assert self._target is not None
+        assert self._dispatch.target is not None
         record = claim_messages.Record(
             key=self._job.key,
             digest=self._job.digest,
             rid=action.rid,
-            target=self._target.name,
-            target_inc=self._target.inc,
-            http=self._target.http,
+            target=self._dispatch.target.name,
+            target_inc=self._dispatch.target.inc,
+            http=self._dispatch.target.http,
         )
         done = threading.Event()
         replies: list[claim_messages.Reply] = []
@@ -302,7 +179,7 @@
         reply = replies[0] if replies else blind
         self._port.tally("claims", verdict=reply.verdict)
         if reply.verdict != claim_const.GRANTED:
-            self._give_back(action.rid, self._target)
+            self._give_back(action.rid, self._dispatch.target)
         return events.Claimed(verdict=reply.verdict, record=reply.record)
 
     def _give_back(self, rid: str, target: hop_lib.Target) -> None:
@@ -337,8 +214,8 @@
         failed = isinstance(
             result, events.Unsent | events.Broke | events.OtherIncarnation
         )
-        if failed and self._target is not None:
-            name = self._target.name
+        if failed and self._dispatch.target is not None:
+            name = self._dispatch.target.name
             now = self._port.now()
             self._port.tell(lambda: self._port.entry.router.failed(name, now))
             if isinstance(result, events.Broke) and self._port.now() >= (
@@ -464,8 +341,8 @@
             (web.OUTCOME_HEADER, result_codes.Outcome.COMPLETED.value),
             (H_REQUEST_ID, self._job.rid),
         ]
-        if self._target is not None:
-            target = self._target
+        if self._dispatch.target is not None:
+            target = self._dispatch.target
             run = f"{target.name}/{target.inc}/{self._life.run_rid}"
             headers.append((H_OFFSET_HINT, run))
         return headers
@@ -477,7 +354,7 @@
         self._closed = True
         if self._stream is not None and code not in (Code.OK, Code.REPLAYED):
             self._stream.close()
-        self._leave_target()
+        self._dispatch.leave()
         entry = self._port.entry
         job = self._job
         now = self._port.now()
@@ -519,26 +396,6 @@
             content_type=self._stream.content_type,
         )
 
-    def _leave_target(self) -> None:
-        target = self._target
-        if target is None:
-            return
-        self._target = None
-        router = self._port.entry.router
-        now = self._port.now()
-        first = self._timing.first_at
-
-        def leave() -> None:
-            router.ended(target.name, now)
-            if first is not None:
-                router.succeeded(target.name, first - self._sent_at, now)
-
-        self._port.tell(leave)
-
-
-def _picked(target: hop_lib.Target) -> events.Picked:
-    return events.Picked(name=target.name, inc=target.inc, http=target.http)
-
 
 def _error_event(action: actions.Answer) -> bytes:
     """Return the event that tells a stream's reader why it ends."""
--- a/jasperweir/daemons/entry.py
+++ b/jasperweir/daemons/entry.py
@@ -14,6 +14,7 @@
 from jasperweir.components.entry import hop as hop_lib
 from jasperweir.components.entry import job as job_lib
 from jasperweir.components.entry import node as node_lib
+from jasperweir.components.entry import port as port_lib
 from jasperweir.daemons import base
 from jasperweir.daemons import config
 from jasperweir.helpers import actors
@@ -48,7 +49,7 @@
             rng=self.host.rng,
         )
         hop = hop_lib.Hop(connections=cfg.threads, on_load=self._on_load)
-        self._port = driver_lib.Port(
+        self._port = port_lib.Port(
             entry=self.entry,
             hop=hop,
             call=self.host.runner.call,
