Tell of two failed tries the one that may have run

Cause, found in reading: when both tries of a hedged request failed, the answer that came first was told, so a refusal could hide a second try that had left, and the caller could be told not run. Change: a try that may have run goes before a refusal.

--- a/features/parts.feature
+++ b/features/parts.feature
@@ -17,4 +17,6 @@
       | a popularity gap changes nothing and a jump is adopted  |
       | the beat follows the number of nodes                    |
       | bad header values are refused by number                 |
+      | of two failed tries the one that may have run is told   |
+      | the second of two tries wins if it answers first        |
       | a request without a key may not reach unsafe services   |
--- a/features/steps/parts_steps.py
+++ b/features/steps/parts_steps.py
@@ -16,9 +16,12 @@
 from jasperweir.components.burn import windows
 from jasperweir.components.control import client as control_client
 from jasperweir.components.control import messages as control_messages
+from jasperweir.components.entry import hedge
+from jasperweir.components.entry import hop
 from jasperweir.components.entry import job as job_lib
 from jasperweir.components.experts import popularity
 from jasperweir.components.orders import planner as orders
+from jasperweir.components.request import events
 from jasperweir.helpers import codec
 from jasperweir.helpers import web
 
@@ -252,7 +255,40 @@
     assert keyed.keyed and keyed.first and keyed.key.endswith("\x1fk")
 
 
+def raced(first, second):
+    """Race two results; the first waits until the second has answered."""
+    answered = threading.Event()
+
+    def slow():
+        answered.wait(10)
+        return first
+
+    def quick():
+        answered.set()
+        return second
+
+    return hedge.race(slow, lambda: quick, delay=0.01)
+
+
+def both_failed():
+    ran = events.Broke(relayed=0)
+    refused = events.Refused(reason="full")
+    assert raced(refused, ran).result == ran
+    assert raced(ran, refused).result == ran
+    assert raced(refused, events.Unsent()).result in (refused, events.Unsent())
+
+
+def second_wins():
+    stream = hop.Stream(200, "", iter(()), lambda: None)
+    found = raced(events.Broke(relayed=0), stream)
+    assert found.second and found.result is stream
+    found = hedge.race(lambda: stream, lambda: None, delay=10)
+    assert not found.second and found.result is stream
+
+
 RULES = {
+    "of two failed tries the one that may have run is told": both_failed,
+    "the second of two tries wins if it answers first": second_wins,
     "an agent without a floor passes no order": no_floor,
     "an order with an old fencing number is stopped": old_fence,
     "orders follow the newest bundle, superseded ones vanish": newest_orders,
--- a/jasperweir/components/entry/hedge.py
+++ b/jasperweir/components/entry/hedge.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from jasperweir.components.entry import hop as hop_lib
+from jasperweir.components.request import events
 
 # A second try leaves this share of the time to the first token unused, so
 # that it may still come in time.
@@ -14,6 +15,8 @@
 # How often a request that is not streamed looks whether its target is gone.
 LOOK_SECONDS = 1.0
 
+_NEVER_RAN = (events.Refused, events.Unsent, events.OtherIncarnation)
+
 Attempt = Callable[[], hop_lib.Result]
 
 
@@ -57,7 +60,10 @@
         ).start()
         return one
     two = results.get()
-    return two if isinstance(two.result, hop_lib.Stream) else one
+    if isinstance(two.result, hop_lib.Stream):
+        return two
+    # If either try may have run, that is what must be told.
+    return two if isinstance(one.result, _NEVER_RAN) else one
 
 
 def _start(
