Never tell a rejected resend that nothing ran

Cause, found in reading: a resend refused for its service or customer, which a change of the bundle may have taken away since, was told not run although its first try may have run. Change: unless the caller vouches for its first try, the outcome told is unknown.

--- a/features/parts.feature
+++ b/features/parts.feature
@@ -19,4 +19,5 @@
       | bad header values are refused by number                 |
       | of two failed tries the one that may have run is told   |
       | the second of two tries wins if it answers first        |
+      | a rejected resend is not told that nothing ran          |
       | a request without a key may not reach unsafe services   |
--- a/features/steps/parts_steps.py
+++ b/features/steps/parts_steps.py
@@ -286,7 +286,21 @@
     assert not found.second and found.result is stream
 
 
+def rejected_resend():
+    def told(**headers):
+        names = {k.replace("_", "-"): v for k, v in headers.items()}
+        return job_lib.vouched(web.Req("POST", "/", {}, names, b""))
+
+    assert told()
+    assert not told(idempotency_key="k")
+    assert not told(idempotency_key="k", jasperweir_attempt="2")
+    assert told(idempotency_key="k", jasperweir_attempt="1")
+    resp = web.code_resp(Code.UNKNOWN_SERVICE, vouched=False)
+    assert dict(resp.headers)["Jasperweir-Outcome"] == "unknown"
+
+
 RULES = {
+    "a rejected resend is not told that nothing ran": rejected_resend,
     "of two failed tries the one that may have run is told": both_failed,
     "the second of two tries wins if it answers first": second_wins,
     "an agent without a floor passes no order": no_floor,
--- a/jasperweir/components/entry/job.py
+++ b/jasperweir/components/entry/job.py
@@ -64,6 +64,14 @@
     detail: str
 
 
+def vouched(req: web.Req) -> bool:
+    """Tell whether "not run" would hold for all tries of a request.
+
+    A resend may be refused for a reason that its first try did not meet.
+    """
+    return not req.header(H_KEY) or req.header(H_ATTEMPT) == "1"
+
+
 def parse(req: web.Req, bundle: specs.Bundle) -> result.Result[Job, Rejected]:
     """Check a request against the bundle in force."""
     headers = _headers(req, bundle)
--- a/jasperweir/daemons/entry.py
+++ b/jasperweir/daemons/entry.py
@@ -240,10 +240,8 @@
     def _request(self, req: web.Req) -> web.Resp:
         bundle = self.entry.replica.bundle
         if not self.entry.serving or bundle is None:
-            # A resend of a keyed request may have run through another entry.
-            vouched = not req.header(job_lib.H_KEY)
             return web.code_resp(
-                Code.NOT_READY, retry_after=1.0, vouched=vouched
+                Code.NOT_READY, retry_after=1.0, vouched=job_lib.vouched(req)
             )
         match job_lib.parse(req, bundle):
             case result.Success(job):
@@ -251,7 +249,11 @@
             case result.Failure(rejected):
                 code = str(int(rejected.code))
                 self.host.metrics.inc("requests", service="", code=code)
-                return web.code_resp(rejected.code, rejected.detail)
+                return web.code_resp(
+                    rejected.code,
+                    rejected.detail,
+                    vouched=job_lib.vouched(req),
+                )
         raise AssertionError("a result is a success or a failure")
 
     def _resume(self, req: web.Req) -> web.Resp:
