--- a/features/steps/runs_steps.py
+++ b/features/steps/runs_steps.py
@@ -87,6 +87,12 @@
     assert table.orphans(1.0 + const.ORPHAN_SECONDS) == ["a"]
     table.joined("a")
     assert table.orphans(100.0) == []
+    # The answer of a keyed run is wanted by its caller's resend.
+    table.reserve("k", "s", 0.0)
+    table.start("k", "s", 0.0, reserved=True)
+    table.joined("k")
+    table.parted("k", 1.0)
+    assert table.orphans(100.0) == []
 
 
 def forgotten():
--- a/jasperweir/components/runs/table.py
+++ b/jasperweir/components/runs/table.py
@@ -47,6 +47,7 @@
     readers: int = 0
     bytes: int = 0
     keep_seconds: float = const.RESUME_SECONDS
+    keyed: bool = False
     orphaned_at: float | None = None
     expires_at: float = float("inf")
 
@@ -171,11 +172,15 @@
             run.orphaned_at = now
 
     def orphans(self, now: float) -> list[str]:
-        """Return running requests that nobody has read for a while."""
+        """Return running requests that nobody reads and nobody will.
+
+        A keyed run goes on: its caller's resend asks for the answer.
+        """
         return [
             run.rid
             for run in self._runs.values()
             if run.orphaned_at is not None
+            and not run.keyed
             and run.state == State.RUNNING
             and now - run.orphaned_at >= const.ORPHAN_SECONDS
         ]
@@ -221,6 +226,7 @@
         run = Run(rid=rid, service=service, state=state, expires_at=expires)
         if state == State.RESERVED:
             run.keep_seconds = const.KEPT_SECONDS
+            run.keyed = True
         self._runs[rid] = run
         self._active[service] += 1
 
