--- a/features/processes.feature
+++ b/features/processes.feature
@@ -27,7 +27,7 @@
 
   Scenario: An entry restarts after hundreds of changes
     Given a running deployment
-    When an entry is stopped, 200 changes pass, and it restarts
+    When an entry is stopped, 500 changes pass, and it restarts
     Then it serves under the newest version
 
   Scenario: Requests go on with no control VM at all
@@ -65,6 +65,7 @@
     Given a running deployment with a group of two hosts
     When the coordinator of the group is killed and restarted
     Then the group steps on, every step under one map
+    And the coordinator shows both users' weights side by side
 
   Scenario: A group's coordinator freezes, is replaced and thaws
     Given a running deployment with a group of two hosts
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -103,6 +103,15 @@
     assert verdict(context)["violations"] == [], verdict(context)
 
 
+@then("the coordinator shows both users' weights side by side")
+def side_by_side(context):
+    name, _ = coordinator(context)
+    address = context.local.specs[name].http
+    _, found = context.local.get(address, "/experts")
+    weights = [choice["skew_weight"] for choice in found["choices"]]
+    assert weights == [0.1, 0.9], found
+
+
 @given("a running deployment with keys")
 def deployment_with_keys(context):
     keys = link_lib.new_keys()
--- a/jasperweir/cli/report.py
+++ b/jasperweir/cli/report.py
@@ -77,4 +77,10 @@
             f"{a['steps']:10} {a['skew']:7.3f} {a['planned_skew']:8.3f} "
             f"{a['moves']:6} {a['switches']:9} {a['aborts']:7}"
         )
+        for choice in a["choices"]:
+            print(
+                f"  with skew_weight {choice['skew_weight']}: "
+                f"{choice['moves']} moves now, skew "
+                f"{choice['skew_before']:.3f} to {choice['skew_after']:.3f}"
+            )
     return 0
--- a/jasperweir/components/experts/group.py
+++ b/jasperweir/components/experts/group.py
@@ -18,6 +18,7 @@
 from jasperweir.helpers import metrics as metrics_lib
 
 Actions = list[Any]
+COMPARE_BUDGET = 64
 
 _TO_COORDINATOR = (messages.Sealed, messages.Prepared, messages.Granted)
 
@@ -31,6 +32,15 @@
     experts: int
 
 
+class Choice(NamedTuple):
+    """What one weight of skew against moves would do now."""
+
+    skew_weight: float
+    skew_before: float
+    skew_after: float
+    moves: int
+
+
 class Weights(NamedTuple):
     """What the bundle says of experts."""
 
@@ -140,6 +150,35 @@
         if seconds.shape == loads.shape:
             self._speeds.observe(seconds, loads)
 
+    def compare(self, skew_weights: tuple[float, ...]) -> list[Choice]:
+        """Return what each weight would do now, side by side.
+
+        Only the coordinator knows; elsewhere the list is empty.
+        """
+        lead = self.coordinator
+        if lead is None or self._popularity is None or self._shape is None:
+            return []
+        assert self._speeds is not None
+        layers = maps.unpack(lead.map, self._shape.experts)
+        found = []
+        for weight in skew_weights:
+            made = planner.plan(
+                layers,
+                self._popularity.shares,
+                self._speeds.speeds,
+                skew_weight=weight,
+                budget=COMPARE_BUDGET,
+            )
+            found.append(
+                Choice(
+                    skew_weight=weight,
+                    skew_before=float(np.mean(made.before)),
+                    skew_after=float(np.mean(made.after)),
+                    moves=len(made.moves),
+                )
+            )
+        return found
+
     def receive(self, src: str, msg: Any, now: float) -> Actions:
         """Handle a message from another agent of the group."""
         if isinstance(msg, _TO_COORDINATOR):
--- a/jasperweir/daemons/agent.py
+++ b/jasperweir/daemons/agent.py
@@ -26,6 +26,8 @@
 
 Code = result_codes.Code
 LEAVE_SETTLE_SECONDS = 1.0
+# Notograf's and the Association's weight of skew against moves.
+USERS_WEIGHTS = (0.1, 0.9)
 H_ENGINE_STATUS = "Jasperweir-Engine-Status"
 H_PATH = "jasperweir-path"
 H_METHOD = "jasperweir-method"
@@ -266,6 +268,12 @@
                 "moves": group.moves,
                 "switches": lead.switches if lead else 0,
                 "aborts": lead.aborts if lead else 0,
+                "choices": [
+                    choice._asdict()
+                    for choice in self.host.runner.call(
+                        lambda: group.compare(USERS_WEIGHTS)
+                    )
+                ],
             },
         )
 
