--- a/script/measurements.py
+++ b/script/measurements.py
@@ -139,7 +139,7 @@
     out = [
         "\n## A lock-step group (`script/bench_group.py`)\n",
         "Real processes: two hosts of 8 ranks, 64 experts, 4 layers, 8 slots a",
-        "rank, 20 ms a step, 15 s; then one host's agent is killed and started.",
+        "rank, 20 ms a step, 15 s; then one host's agent is killed, started.",
         "Before hosts reported the first step of a window at once, the same",
         "runs made 249 to 251 steps and stood still for 9.6 to 9.7 s.",
         "",
