--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -41,12 +41,12 @@
 
 
 @given("a running deployment")
-def deployment(context):
+def running(context):
     build(context)
 
 
 @given("a running deployment with a group of two hosts")
-def deployment_with_group(context):
+def running_with_group(context):
     build(context, group=True)
     context.local.wait_for("steps", lambda: verdict(context)["steps"] > 40)
 
@@ -113,7 +113,7 @@
 
 
 @given("a running deployment with keys")
-def deployment_with_keys(context):
+def running_with_keys(context):
     keys = link_lib.new_keys()
     path = context.folder / "keys"
     path.write_bytes(keys.public + b"\n" + keys.secret + b"\n")
