Give the leader's processor from its beats, after the drivers rest

Measured (script/slopes, part processes): the leader's slope fell from 0.021 to 0.013 % of a core an entry; entries 0.51 to 0.58 % idle. What is left of the slope is taken as the cost of beats, marked as argued.

--- a/script/capacity.py
+++ b/script/capacity.py
@@ -125,8 +125,12 @@
     }
     accept = load("control.json")["accept"]
     three = accept[0]
-    leader_cpu = lead_cpu.at(NODES) + apply.at(CUSTOMERS) / 10 * (
-        CHANGES_DAY / DAY
+    # An entry beats every 5 s where the slope was measured.
+    beats = NODES / pause * (1 + float(fill))
+    leader_cpu = (
+        lead_cpu.base
+        + lead_cpu.slope * 5.0 * beats
+        + apply.at(CUSTOMERS) / 10 * (CHANGES_DAY / DAY)
     )
     return locals()
 
@@ -236,6 +240,8 @@
         "agent_us": f"{f['four']['agent_us_per_token']:.0f}",
         "vm_cores": f"{entry_us * TOKENS / VMS / 1e6:.1f}",
         "agent_cores": f"{agent_us * TOKENS / TARGETS / 1e6:.2f}",
+        "lead_slope": f"{f['lead_cpu'].slope:.4f}",
+        "beats": f"{f['beats']:.0f}",
         "kill_s": f"{f['three']['no_leader_kill_s']:.1f}",
         "freeze_s": f"{f['three']['no_leader_freeze_s']:.1f}",
         "stop_s": f"{f['three']['no_leader_stop_s']:.2f}",
