Take back a group's grants when it forms anew

Change: a seal clears the grants at the guard and at the engine, so that all hold the same windows from then on.

--- a/jasperweir/components/agent/engine.py
+++ b/jasperweir/components/agent/engine.py
@@ -68,6 +68,8 @@
                         f'"first": {grant.first}, "last": {grant.last}}}'
                     )
                     self._queue.put(("/grants", body.encode()))
+                case guard_lib.Clear():
+                    self._queue.put(("/clear", b"{}"))
                 case guard_lib.Drop():
                     body = f'{{"version": {act.version}}}'
                     self._queue.put(("/drop", body.encode()))
--- a/jasperweir/components/experts/guard.py
+++ b/jasperweir/components/experts/guard.py
@@ -22,6 +22,10 @@
     grant: messages.Grant
 
 
+class Clear(NamedTuple):
+    """Action: take back all grants, the group forms anew."""
+
+
 class Drop(NamedTuple):
     """Action: weights used by maps below this version only may go."""
 
@@ -134,6 +138,8 @@
         self._maps = {v: m for v, m in self._maps.items() if v >= version}
 
     def _seal(self, src: str) -> Actions:
+        # A window that only some hosts hold would keep the ranks apart.
+        self._grants.clear()
         reply = messages.Sealed(
             group=self._group,
             term=self.term,
@@ -141,7 +147,7 @@
             loaded=tuple(sorted(self._loaded)),
             current=self._current,
         )
-        return [core.Send(dst=src, msg=reply)]
+        return [Clear(), core.Send(dst=src, msg=reply)]
 
     def _prepare(self, src: str, msg: messages.Prepare) -> Actions:
         self._maps[msg.map.version] = msg.map
--- a/standins/group.py
+++ b/standins/group.py
@@ -100,6 +100,7 @@
             web.Route("GET", "/verdict", lambda req: self._verdict()),
             web.Route("POST", "/map", lambda req: self._load(host, req)),
             web.Route("POST", "/grants", lambda req: self._grant(host, req)),
+            web.Route("POST", "/clear", lambda req: self._clear(host)),
             web.Route("POST", "/drop", lambda req: self._drop(host, req)),
         ]
 
@@ -166,6 +167,11 @@
                 host.grants.append(entry)
         return web.json_resp(200, {"done": self.done})
 
+    def _clear(self, host: Host) -> web.Resp:
+        with self._lock:
+            host.grants = []
+        return web.json_resp(200, {})
+
     def _drop(self, host: Host, req: web.Req) -> web.Resp:
         version = json.loads(req.body)["version"]
         for old in [v for v in host.maps if v < version]:
