--- /dev/null
+++ b/jasperweir/components/balance/balancer.py
@@ -0,0 +1,204 @@
+"""Choice of a target by the open requests of all entries; sans-I/O."""
+
+import dataclasses
+import random
+import statistics
+from typing import NamedTuple
+
+from jasperweir.components.balance import const
+from jasperweir.components.balance import messages
+from jasperweir.components.directory import records
+
+
+class Report(NamedTuple):
+    """Load that a target states with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Health:
+    """What an entry has seen of one target."""
+
+    failures: int = 0
+    ejected_until: float = 0.0
+    eject_s: float = const.EJECT_SECONDS
+    seconds: float = 0.0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Peer:
+    """What another entry has told of its open requests."""
+
+    sequence: int
+    heard_at: float
+    loads: dict[str, float]
+
+
+class Balancer:
+    """Own and other entries' open requests, health, and the choice."""
+
+    def __init__(self, *, place: str, rng: random.Random) -> None:
+        self._place = place
+        self._rng = rng
+        self._requests: dict[str, int] = {}
+        self._tokens: dict[str, int] = {}
+        self._peers: dict[str, Peer] = {}
+        self._health: dict[str, Health] = {}
+        self._sequence = 0
+        self._changed = False
+
+    # Own requests.
+
+    def begin(self, target_id: str, tokens: int) -> None:
+        """Count a request that is sent to a target."""
+        self._requests[target_id] = self._requests.get(target_id, 0) + 1
+        self._tokens[target_id] = self._tokens.get(target_id, 0) + tokens
+        self._changed = True
+
+    def finish(self, target_id: str, tokens: int) -> None:
+        """Count a request that has ended at a target."""
+        left = self._requests.get(target_id, 0) - 1
+        if left > 0:
+            self._requests[target_id] = left
+            self._tokens[target_id] -= tokens
+        else:
+            self._requests.pop(target_id, None)
+            self._tokens.pop(target_id, None)
+        self._changed = True
+
+    def open_requests(self) -> int:
+        """Return the number of own requests at targets."""
+        return sum(self._requests.values())
+
+    # Other entries.
+
+    def share(self) -> messages.Share | None:
+        """Return what to tell the other entries, if anything changed."""
+        if not self._changed:
+            return None
+        self._changed = False
+        self._sequence += 1
+        loads = tuple(
+            messages.OpenLoad(name, count, self._tokens[name])
+            for name, count in self._requests.items()
+        )
+        return messages.Share(sequence=self._sequence, loads=loads)
+
+    def on_share(self, src: str, msg: messages.Share, now: float) -> None:
+        """Take in another entry's open requests."""
+        peer = self._peers.get(src)
+        stale = peer is None or now - peer.heard_at > const.SHARE_STALE_SECONDS
+        if not stale and peer is not None and msg.sequence <= peer.sequence:
+            return
+        loads = {
+            load.target_id: _load(load.requests, load.tokens)
+            for load in msg.loads
+        }
+        self._peers[src] = Peer(
+            sequence=msg.sequence, heard_at=now, loads=loads
+        )
+
+    def forget(self, src: str) -> None:
+        """Drop what an entry told that has gone."""
+        self._peers.pop(src, None)
+
+    def requests_at(self, target_id: str, now: float) -> float:
+        """Return the load of all entries at a target, in requests."""
+        own = _load(
+            self._requests.get(target_id, 0), self._tokens.get(target_id, 0)
+        )
+        return own + sum(
+            peer.loads.get(target_id, 0.0)
+            for peer in self._peers.values()
+            if now - peer.heard_at < const.SHARE_STALE_SECONDS
+        )
+
+    # Health.
+
+    def succeeded(self, target_id: str, seconds: float | None) -> None:
+        """Note a good answer and the time to its first byte."""
+        health = self._health.setdefault(target_id, Health())
+        health.failures = 0
+        health.ejected_until = 0.0
+        health.eject_s = const.EJECT_SECONDS
+        if seconds is None:
+            return
+        if health.seconds == 0.0:
+            health.seconds = seconds
+        step = const.TIME_SMOOTHING * (seconds - health.seconds)
+        health.seconds += step
+
+    def failed(self, target_id: str, now: float, *, hard: bool) -> None:
+        """Note a failure; a hard one ejects at once."""
+        health = self._health.setdefault(target_id, Health())
+        health.failures += 1
+        if not hard and health.failures < const.EJECT_FAILURES:
+            return
+        health.ejected_until = now + health.eject_s
+        health.eject_s = min(health.eject_s * 2, const.EJECT_MAX_SECONDS)
+
+    def ejected(self, target_id: str, now: float) -> bool:
+        """Tell whether a target is left out for now."""
+        health = self._health.get(target_id)
+        return health is not None and now < health.ejected_until
+
+    # Choice.
+
+    def choose(
+        self,
+        targets: list[records.Target],
+        exclude: set[str],
+        now: float,
+    ) -> records.Target | None:
+        """Return the least loaded fit target, or None if there is none."""
+        fit = [t for t in targets if t.target_id not in exclude]
+        good = [t for t in fit if not self.ejected(t.target_id, now)]
+        least = len(fit) * (1 - const.EJECT_SHARE)
+        if len(good) < least or not good:
+            # A fault that hits most targets is not theirs alone.
+            good = fit
+        if not good:
+            return None
+        typical = self._typical_seconds(good)
+        return min(
+            good,
+            key=lambda t: (self._cost(t, typical, now), self._rng.random()),
+        )
+
+    def free_places(
+        self, targets: list[records.Target], now: float
+    ) -> float:
+        """Return how many requests the targets could begin now."""
+        return sum(
+            max(0.0, t.slots - self.requests_at(t.target_id, now))
+            for t in targets
+        )
+
+    def _cost(
+        self, target: records.Target, typical: float, now: float
+    ) -> float:
+        load = self.requests_at(target.target_id, now)
+        cost = round(load / max(target.slots, 1), 3)
+        if target.place != self._place:
+            cost += const.FAR_COST / max(target.slots, 1)
+        health = self._health.get(target.target_id)
+        if health is not None and typical > 0:
+            if health.seconds > const.SLOW_FACTOR * typical:
+                cost += const.SLOW_COST
+        return cost
+
+    def _typical_seconds(self, targets: list[records.Target]) -> float:
+        times = [
+            self._health[t.target_id].seconds
+            for t in targets
+            if t.target_id in self._health
+            and self._health[t.target_id].seconds > 0
+        ]
+        return statistics.median(times) if times else 0.0
+
+
+def _load(requests: int, tokens: int) -> float:
+    return requests + tokens / const.TOKENS_PER_PLACE
--- /dev/null
+++ b/jasperweir/components/balance/const.py
@@ -0,0 +1,34 @@
+"""Constants of balancing at one entry."""
+
+# Entries tell each other their open requests this often; a tenth of a second
+# is a few passes of an engine and a few arrivals of a small deployment.
+SHARE_SECONDS = 0.1
+# Figures of an entry that has been silent for longer count no more.
+SHARE_STALE_SECONDS = 1.5
+# Load of a request, in requests: one place plus its tokens over this many.
+TOKENS_PER_PLACE = 4000.0
+# A load header is trusted for this long.
+REPORT_SECONDS = 0.5
+
+# Failures in a row after which a target is left out, and for how long.
+EJECT_FAILURES = 2
+EJECT_SECONDS = 1.0
+EJECT_MAX_SECONDS = 8.0
+# No more than this share of a service's targets is left out at once.
+EJECT_SHARE = 0.5
+# A target whose smoothed time is this many times the median is avoided.
+SLOW_FACTOR = 2.5
+SLOW_COST = 1.0
+TIME_SMOOTHING = 0.25
+# Extra load counted for a target in another data centre: it breaks ties.
+FAR_COST = 0.05
+
+# Share of the retry budget that the entries use in all, so that figures
+# that have not arrived yet cannot exceed it.
+BUDGET_SHARE = 0.6
+
+# A request may wait for a place for this share of its target time: later
+# refusals cost their whole credit.
+WAIT_SHARE = 0.2
+# Returning earlier than this would find the same requests still running.
+RETRY_AFTER_SECONDS = 0.25
--- /dev/null
+++ b/jasperweir/components/balance/gate.py
@@ -0,0 +1,60 @@
+"""Who waits for a place at a service's targets; sans-I/O."""
+
+import bisect
+from typing import NamedTuple
+
+from jasperweir.components.balance import const
+
+
+class Waiting(NamedTuple):
+    """A request that waits, in the order in which places are given.
+
+    Attributes:
+        priority: 0 is served first.
+        since: When it arrived, monotonic seconds.
+        number: Own number of the request.
+        until: When it is refused, monotonic seconds.
+    """
+
+    priority: int
+    since: float
+    number: int
+    until: float
+
+
+class Gate:
+    """Requests of one service that wait for a place at this entry."""
+
+    def __init__(self) -> None:
+        self._waiting: list[Waiting] = []
+
+    def __len__(self) -> int:
+        """Return how many requests wait."""
+        return len(self._waiting)
+
+    def wait(
+        self, number: int, priority: int, target_s: float, now: float
+    ) -> None:
+        """Queue a request for a short share of its target time."""
+        until = now + const.WAIT_SHARE * target_s
+        bisect.insort(self._waiting, Waiting(priority, now, number, until))
+
+    def withdraw(self, number: int) -> None:
+        """Take out a request whose caller has gone."""
+        self._waiting = [w for w in self._waiting if w.number != number]
+
+    def admit(self, places: float) -> list[int]:
+        """Return the requests that get the free places, most urgent first."""
+        count = min(int(places), len(self._waiting))
+        if count <= 0:
+            return []
+        chosen = self._waiting[:count]
+        del self._waiting[:count]
+        return [w.number for w in chosen]
+
+    def expire(self, now: float) -> list[int]:
+        """Return the requests that have waited long enough to be refused."""
+        late = [w.number for w in self._waiting if w.until <= now]
+        if late:
+            self._waiting = [w for w in self._waiting if w.until > now]
+        return late
--- a/jasperweir/components/config/const.py
+++ b/jasperweir/components/config/const.py
@@ -3,6 +3,7 @@
 KEY_HEAD = "head"
 KEY_ROLL = "roll"
 KEY_VIEW = "view"
+KEY_DECLARED = "declared"
 PREFIX_PLACE = "place/"
 PREFIX_BUNDLE = "bundle/"
 PREFIX_VERSION = "version/"
--- /dev/null
+++ b/jasperweir/components/configctl/__init__.py
@@ -0,0 +1,1 @@
+"""Control VM for whole configurations: log, reads, seats, directory."""
--- /dev/null
+++ b/jasperweir/components/configctl/const.py
@@ -0,0 +1,27 @@
+"""Constants of control over whole configurations."""
+
+# Fine enough for heartbeats and elections of the log.
+TICK_SECONDS = 0.05
+# Control VMs tell each other and the nodes what they hold this often.
+BEAT_SECONDS = 0.4
+# Another control VM is not listed any more after this silence.
+CONTROL_SILENT_SECONDS = 3.0
+# All target records are sent this often even if nothing has changed, so that
+# their ages stay right.
+REFRESH_SECONDS = 5.0
+# An operator waits a second for an answer; this is when it is told to ask
+# again, and when a question is dropped.
+ANSWER_SECONDS = 0.85
+# A question is sent again to the leader after this long.
+RESEND_SECONDS = 0.3
+# Large bodies are compressed at this zlib level: 1 is the fastest.
+COMPRESS_LEVEL = 1
+# Entries of the log that a snapshot replaces; each holds a configuration.
+COMPACT_ENTRIES = 64
+# A member that has been silent this long may lose its seat to a new one.
+SEAT_SILENT_SECONDS = 2.0
+# A process that asked for a seat longer ago than this is not considered.
+HELLO_FRESH_SECONDS = 2.5
+# Time that the acknowledgement of a leaving target waits for a second
+# control VM to know of it.
+NEWS_SECONDS = 0.5
--- /dev/null
+++ b/jasperweir/components/configctl/messages.py
@@ -0,0 +1,61 @@
+"""Messages about whole configurations."""
+
+from typing import NamedTuple
+
+from jasperweir.helpers import codec
+
+
+@codec.message("configctl.replace_ask")
+class ReplaceAsk(NamedTuple):
+    """A control VM hands an operator's configuration to the leader."""
+
+    number: int
+    version: int
+    data: bytes
+
+
+@codec.message("configctl.replace_answer")
+class ReplaceAnswer(NamedTuple):
+    """The leader has committed a configuration or holds a higher one."""
+
+    number: int
+    version: int
+
+
+@codec.message("configctl.read_ask")
+class ReadAsk(NamedTuple):
+    """A control VM asks the leader which version is the newest."""
+
+    number: int
+    held: int
+
+
+@codec.message("configctl.read_answer")
+class ReadAnswer(NamedTuple):
+    """The newest version; its content if the asker does not hold it."""
+
+    number: int
+    version: int
+    data: bytes
+
+
+@codec.message("configctl.version")
+class VersionNews(NamedTuple):
+    """A version has been committed."""
+
+    version: int
+
+
+@codec.message("configctl.pull")
+class Pull(NamedTuple):
+    """A node asks for the newest committed configuration."""
+
+    held: int
+
+
+@codec.message("configctl.content")
+class Content(NamedTuple):
+    """A committed configuration, compressed."""
+
+    version: int
+    data: bytes
--- /dev/null
+++ b/jasperweir/components/deployment/__init__.py
@@ -0,0 +1,1 @@
+"""What operators declare: routes, services, limits and customers."""
--- /dev/null
+++ b/jasperweir/components/directory/__init__.py
@@ -0,0 +1,1 @@
+"""Which targets and nodes exist, as they announce themselves."""
--- /dev/null
+++ b/jasperweir/components/directory/const.py
@@ -0,0 +1,16 @@
+"""Constants of the directory."""
+
+KIND_ENTRY = "entry"
+KIND_AGENT = "agent"
+
+# A silent target is forgotten after this long: many heartbeats of 1.2 s, so
+# that the loss of all control VMs for some seconds forgets nobody.
+FORGET_SECONDS = 30.0
+# A target that left is remembered, so that a late heartbeat does not bring it
+# back; late ones come seconds later, a day's length is far above that.
+TOMBSTONE_SECONDS = 120.0
+# Nodes beat this often; three missed beats and a node is left out of the
+# addresses that callers get.
+NODE_BEAT_SECONDS = 0.4
+NODE_SILENT_SECONDS = 1.5
+NODE_FORGET_SECONDS = 10.0
--- /dev/null
+++ b/jasperweir/components/follow/__init__.py
@@ -0,0 +1,1 @@
+"""What entries and agents learn from the control VMs."""
--- /dev/null
+++ b/jasperweir/components/forward/__init__.py
@@ -0,0 +1,1 @@
+"""The way of one request: admitted, sent, retried, answered."""
--- /dev/null
+++ b/jasperweir/components/forward/const.py
@@ -0,0 +1,15 @@
+"""Constants of forwarding."""
+
+# Time to a deadline that is left for the answer's own way back, seconds.
+ANSWER_MARGIN_SECONDS = 0.03
+# A second send must leave this much time to be of use, seconds.
+RETRY_LEAST_SECONDS = 0.05
+# Connections that may be tried for one send before the request is given up.
+CONNECTS_MAX = 3
+# Answers of routes without streams are held until whole, up to this size, so
+# that one that breaks off can be replaced.
+HOLD_BYTES = 256 * 1024
+# An event that is larger than this is passed on in parts.
+EVENT_MAX_BYTES = 256 * 1024
+# A deadline that a caller does not state, seconds.
+DEFAULT_DEADLINE_SECONDS = 30.0
--- /dev/null
+++ b/jasperweir/components/forward/forwarder.py
@@ -0,0 +1,287 @@
+"""Requests of one entry: admitted, sent, sent again, answered."""
+
+import itertools
+import random
+
+from jasperweir import core
+from jasperweir import result_codes
+from jasperweir.components.balance import balancer as balancer_lib
+from jasperweir.components.balance import budget as budget_lib
+from jasperweir.components.balance import const as balance_const
+from jasperweir.components.balance import gate as gate_lib
+from jasperweir.components.deployment import index as index_lib
+from jasperweir.components.deployment import model
+from jasperweir.components.directory import directory as directory_lib
+from jasperweir.components.directory import records
+from jasperweir.components.forward import dialect as dialect_lib
+from jasperweir.components.forward import exchange as exchange_lib
+from jasperweir.components.forward import life as life_lib
+from jasperweir.helpers import http_client
+from jasperweir.helpers import http_server
+from jasperweir.helpers import logs
+from jasperweir.helpers import metrics as metrics_lib
+
+Code = result_codes.Code
+_log = logs.logger("forward")
+
+
+class Forwarder:
+    """Everything that the requests of one entry share.
+
+    Attributes:
+        balancer: Open requests and health of targets.
+        pool: Connections to targets.
+        dialect: Protocol of callers and targets.
+        index: Configuration in force, None before the first.
+        entries: How many entries share the retry budget.
+        stopping: Whether new requests are refused.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: core.Clock,
+        rng: random.Random,
+        place: str,
+        dialect: dialect_lib.Dialect,
+        directory: directory_lib.Directory,
+        bounds: budget_lib.BudgetBounds,
+        times: http_client.ClientTimes,
+        metrics: metrics_lib.Metrics,
+    ) -> None:
+        self.dialect = dialect
+        self.balancer = balancer_lib.Balancer(place=place, rng=rng)
+        self.pool = http_client.Pool(times=times)
+        self.index: index_lib.Index | None = None
+        self.entries = 1
+        self.stopping = False
+        self._clock = clock
+        self._rng = rng
+        self._directory = directory
+        self._budget = budget_lib.RetryBudget(bounds=bounds)
+        self._metrics = metrics
+        self._numbers = itertools.count(1)
+        self._open: dict[int, exchange_lib.Exchange] = {}
+        self._gates: dict[str, gate_lib.Gate] = {}
+
+    def now(self) -> float:
+        """Return monotonic seconds."""
+        return self._clock.monotonic()
+
+    @property
+    def open_count(self) -> int:
+        """Number of requests without a final answer."""
+        return len(self._open)
+
+    # Arrival.
+
+    def handle(self, answering: http_server.Answering) -> None:
+        """Take in a caller's request."""
+        req = answering.request
+        index = self.index
+        try:
+            ask = self.dialect.ask(req)
+        except ValueError as exc:
+            self._turn_away(answering, None, Code.BAD_HEADER, str(exc))
+            return
+        if index is None:
+            self._turn_away(answering, ask, Code.NOT_READY, "no configuration")
+            return
+        match = self._match(answering, ask, index)
+        if match is None:
+            return
+        if self.stopping:
+            self._turn_away(answering, ask, Code.DRAINING, "stopping")
+            return
+        now = self.now()
+        service = self._service(match.route)
+        life = life_lib.Life(match=match, ask=ask, now=now)
+        exchange = exchange_lib.Exchange(
+            number=next(self._numbers),
+            owner=self,
+            answering=answering,
+            life=life,
+            service=service,
+        )
+        self._open[exchange.number] = exchange
+        self._budget.count_first(service, now)
+        self._admit(exchange, now)
+
+    def _match(
+        self,
+        answering: http_server.Answering,
+        ask: dialect_lib.Ask,
+        index: index_lib.Index,
+    ) -> index_lib.Match | None:
+        req = answering.request
+        host = (req.header(b"host") or b"").decode("latin-1")
+        route = index.route(host, req.path)
+        if route is None:
+            self._turn_away(answering, ask, Code.NO_ROUTE, host + req.path)
+            return None
+        customer = index.customer(ask.key) if ask.key else None
+        if customer is None and index.keyed and not route.public:
+            self._turn_away(answering, ask, Code.KEY_UNKNOWN, route.name)
+            return None
+        return index_lib.Match(route=route, customer=customer)
+
+    def _service(self, route: model.Route) -> str:
+        weights = [backend.weight for backend in route.backends]
+        chosen = self._rng.choices(route.backends, weights)[0]
+        return chosen.service
+
+    # Places.
+
+    def _admit(self, exchange: exchange_lib.Exchange, now: float) -> None:
+        targets = self._directory.serving(exchange.service, now)
+        if not targets:
+            exchange.give_up(Code.NO_TARGET)
+            return
+        gate = self._gates.setdefault(exchange.service, gate_lib.Gate())
+        places = self.balancer.free_places(targets, now)
+        if places >= 1 and not len(gate):
+            self._send(exchange, targets, now)
+            return
+        route = exchange.life.match.route
+        priority = exchange.life.match.priority
+        gate.wait(exchange.number, priority, route.target_s, now)
+
+    def _send(
+        self,
+        exchange: exchange_lib.Exchange,
+        targets: list[records.Target],
+        now: float,
+    ) -> None:
+        target = self.balancer.choose(targets, exchange.life.tried, now)
+        if target is None:
+            exchange.give_up(Code.TARGETS_REFUSED)
+            return
+        exchange.send_to(target)
+
+    def send_again(self, exchange: exchange_lib.Exchange) -> None:
+        """Send a request to another target if the budget allows."""
+        now = self.now()
+        if exchange.life.sends and not self._budget.take(
+            exchange.service, self.entries, now
+        ):
+            self._metrics.inc("retries_denied")
+            exchange.give_up(Code.TARGETS_REFUSED)
+            return
+        if exchange.life.sends:
+            self._metrics.inc("retries")
+        targets = self._directory.serving(exchange.service, now)
+        self._send(exchange, targets, now)
+
+    def tick(self) -> None:
+        """Let time pass: give places to those who wait, refuse the late."""
+        now = self.now()
+        for service, gate in self._gates.items():
+            if not len(gate):
+                continue
+            targets = self._directory.serving(service, now)
+            places = self.balancer.free_places(targets, now)
+            for number in gate.admit(places):
+                exchange = self._open.get(number)
+                if exchange is not None:
+                    self._send(exchange, targets, now)
+            for number in gate.expire(now):
+                exchange = self._open.get(number)
+                if exchange is not None:
+                    exchange.give_up(Code.OVERLOADED)
+
+    # Ends.
+
+    def closed(self, exchange: exchange_lib.Exchange, outcome: str) -> None:
+        """Forget a request that has ended, and record what became of it."""
+        self._open.pop(exchange.number, None)
+        gate = self._gates.get(exchange.service)
+        if gate is not None and len(gate):
+            gate.withdraw(exchange.number)
+        now = self.now()
+        life = exchange.life
+        first = exchange.first_byte_at
+        self._metrics.inc(
+            "requests", route=life.match.route.name, outcome=outcome
+        )
+        self._metrics.observe("request_seconds", now - life.arrived)
+        if first:
+            self._metrics.observe(
+                "first_byte_seconds", first - life.arrived
+            )
+        customer = life.match.customer
+        _log.info(
+            "request ended",
+            id=life.ask.request_id,
+            route=life.match.route.name,
+            customer=customer.name if customer else "",
+            service=exchange.service,
+            target=exchange.target_id,
+            sends=life.sends,
+            outcome=outcome,
+            version=self.index.deployment.version if self.index else 0,
+            first_ms=round((first - life.arrived) * 1000) if first else -1,
+            total_ms=round((now - life.arrived) * 1000),
+        )
+
+    def note_fault(
+        self,
+        exchange: exchange_lib.Exchange,
+        target: records.Target,
+        fault: life_lib.Fault,
+        reason: str,
+    ) -> None:
+        """Record a send that brought no usable answer."""
+        self._metrics.inc("faults", fault=fault.value)
+        _log.info(
+            "send failed",
+            id=exchange.life.ask.request_id,
+            target=target.target_id,
+            address=target.address,
+            fault=fault.value,
+            reason=reason,
+            load=round(
+                self.balancer.requests_at(target.target_id, self.now()), 2
+            ),
+        )
+
+    def note_time_up(self, exchange: exchange_lib.Exchange) -> None:
+        """Record a request whose time is up."""
+        _log.info(
+            "time is up",
+            id=exchange.life.ask.request_id,
+            target=exchange.target_id,
+            sends=exchange.life.sends,
+        )
+
+    def reply_code(
+        self,
+        answering: http_server.Answering,
+        ask: dialect_lib.Ask | None,
+        code: Code,
+    ) -> None:
+        """Give a caller the answer that a result code stands for."""
+        row = result_codes.TABLE[code]
+        headers = self.dialect.own_headers(ask)
+        headers.append((b"jasperweir-code", b"%d" % int(code)))
+        if row.http == 503:
+            wait = balance_const.RETRY_AFTER_SECONDS
+            wait *= self._rng.uniform(0.8, 1.4)
+            headers.append((b"retry-after", b"%.3f" % wait))
+        answering.reply(row.http, headers, b"")
+
+    def _turn_away(
+        self,
+        answering: http_server.Answering,
+        ask: dialect_lib.Ask | None,
+        code: Code,
+        detail: str,
+    ) -> None:
+        self._metrics.inc("turned_away", code=code.name.lower())
+        _log.info(
+            "request turned away",
+            id=ask.request_id if ask else "",
+            code=code.name.lower(),
+            detail=detail,
+            version=self.index.deployment.version if self.index else 0,
+        )
+        self.reply_code(answering, ask, code)
--- /dev/null
+++ b/jasperweir/components/forward/life.py
@@ -0,0 +1,159 @@
+"""Verdicts on one request: what may be sent again, what is answered."""
+
+import enum
+from typing import NamedTuple
+
+from jasperweir import result_codes
+from jasperweir.components.deployment import index
+from jasperweir.components.deployment import model
+from jasperweir.components.forward import const
+from jasperweir.components.forward import dialect as dialect_lib
+
+Code = result_codes.Code
+
+
+class Fault(enum.Enum):
+    """What became of a send that brought no usable answer."""
+
+    # No byte reached a target.
+    UNSENT = "unsent"
+    # The target states that it did not run the request.
+    NOT_RUN = "not_run"
+    # The target may have run it, or failed while running it.
+    UNKNOWN = "unknown"
+
+
+class SendAgain(NamedTuple):
+    """Verdict: choose another target, if the retry budget allows."""
+
+    resume_after: str
+
+
+class GiveUp(NamedTuple):
+    """Verdict: the caller gets this result code as its answer."""
+
+    code: Code
+
+
+class BreakOff(NamedTuple):
+    """Verdict: the answer that has begun cannot be completed."""
+
+    reason: str
+
+
+Verdict = SendAgain | GiveUp | BreakOff
+
+
+class Life:
+    """Facts of one request and the rules that follow from them.
+
+    Attributes:
+        match: Route and customer.
+        ask: What the caller stated.
+        arrived: When it arrived, monotonic seconds.
+        ends: When its answer must be final, monotonic seconds.
+        sends: How many targets have received it.
+        unsent: How many sends failed before any byte left.
+        tried: Targets that are not to be tried again.
+        may_have_run: Whether a target may have run it.
+        started: Whether the caller has received a part of the answer.
+        last_event: Id of the last event that the caller holds, or empty.
+    """
+
+    def __init__(
+        self, *, match: index.Match, ask: dialect_lib.Ask, now: float
+    ) -> None:
+        self.match = match
+        self.ask = ask
+        self.arrived = now
+        patience = ask.patience_s
+        if patience is None:
+            patience = const.DEFAULT_DEADLINE_SECONDS
+        self.caller_ends = now + patience
+        self.ends = now + min(patience, match.route.timeout_s)
+        self.sends = 0
+        self.unsent = 0
+        self.tried: set[str] = set()
+        self.may_have_run = False
+        self.started = False
+        self.last_event = ask.resume_after
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer is passed on event by event."""
+        return self.match.route.kind is model.Kind.STREAM
+
+    def remaining(self, now: float) -> float:
+        """Return the seconds that are left for an answer."""
+        return self.ends - now
+
+    def sent(self, target_id: str) -> None:
+        """Note that bytes of the request go to a target."""
+        self.sends += 1
+        self.tried.add(target_id)
+
+    def on_fault(self, target_id: str, fault: Fault, now: float) -> Verdict:
+        """Judge a send that brought no whole answer."""
+        self.tried.add(target_id)
+        match fault:
+            case Fault.UNSENT:
+                self.unsent += 1
+                if self.unsent >= const.CONNECTS_MAX:
+                    return self.give_up(Code.NO_TARGET)
+            case Fault.UNKNOWN:
+                self.may_have_run = True
+                if not self.match.route.idempotent:
+                    return self.give_up(Code.BROKEN_OFF)
+        if self.sends >= self.match.route.max_attempts:
+            return self.give_up(Code.TARGETS_REFUSED)
+        if self.remaining(now) < const.RETRY_LEAST_SECONDS:
+            return self.give_up(Code.DEADLINE_PASSED)
+        if self.started and not self.match.route.resumable:
+            return self.give_up(Code.BROKEN_OFF)
+        return SendAgain(resume_after=self.last_event)
+
+    def give_up(self, code: Code) -> Verdict:
+        """Return the final answer of a request that is given up.
+
+        A code that says "not run" turns into one that leaves it open as soon
+        as a target may have run the request.
+        """
+        if self.started:
+            return BreakOff(reason=code.name.lower())
+        outcome = result_codes.TABLE[code].outcome
+        if self.may_have_run and outcome is result_codes.Outcome.NOT_RUN:
+            return GiveUp(code=Code.BROKEN_OFF)
+        return GiveUp(code=code)
+
+    def on_time_up(self, at_target: bool) -> Verdict:
+        """Judge a request whose time is up."""
+        if at_target:
+            self.may_have_run = True
+        if self.may_have_run:
+            return self.give_up(Code.DEADLINE_PASSED)
+        return self.give_up(Code.OVERLOADED)
+
+    def judge_head(
+        self, status: int, head: dialect_lib.TargetHead
+    ) -> Fault | None:
+        """Return the fault that an answer's head shows, or None.
+
+        None means that the answer is the caller's, a failure included.
+        """
+        if head.not_run or head.other_target:
+            return Fault.NOT_RUN
+        if 200 <= status < 300:
+            if not head.signed or head.encoded:
+                return Fault.UNKNOWN
+            return None
+        if status >= 500 and self.match.route.idempotent:
+            if self.sends < self.match.route.max_attempts:
+                return Fault.UNKNOWN
+        if status in _PROMISES:
+            # Only the target's own statement makes "not run" true.
+            return Fault.UNKNOWN
+        return None
+
+
+# Statuses by which a caller is told that its request has not run.
+_PROMISES = (408, 421, 429, 503)
--- a/jasperweir/components/quorum/replication.py
+++ b/jasperweir/components/quorum/replication.py
@@ -14,6 +14,7 @@
 
     Attributes:
         peers: Replication state by member name, without the leader itself.
+        led_since: When the leadership began.
     """
 
     def __init__(
@@ -24,7 +25,7 @@
         self._log = log
         self._seats = messages.Seats()
         self._round = 0
-        self._led_since = now
+        self.led_since = now
 
     def reseat(self, seats: messages.Seats) -> None:
         """Follow a change of seats, in force from its append on."""
@@ -49,7 +50,7 @@
 
     def quorum_lost(self, now: float) -> bool:
         """Tell whether a majority has been silent for a whole election."""
-        heard = max(self.majority_heard_at(now), self._led_since)
+        heard = max(self.majority_heard_at(now), self.led_since)
         return now >= heard + const.ELECTION_MIN_SECONDS
 
     def committable(self, self_votes: bool) -> int:
--- a/jasperweir/components/quorum/storage.py
+++ b/jasperweir/components/quorum/storage.py
@@ -37,9 +37,13 @@
     return _HEADER.pack(len(data), hashing.checksum(data)) + data
 
 
-def scan(raw: bytes) -> Scan:
+def scan(raw: bytes, *, synced_is_intact: bool = False) -> Scan:
     """Read records until the end or the torn tail.
 
+    With ``synced_is_intact`` the first bad record, or one that does not
+    follow on the record before it, is the end: it belongs to a write that
+    was never synced, of which any part may have reached the disk.
+
     A record that ends before its stated length was never synced, so it was
     never acknowledged and is dropped. A complete last record with a wrong
     checksum may have been acknowledged: it is dropped and reported.
@@ -54,9 +58,14 @@
         data = _record_at(raw, pos)
         if data is None:
             break
+        entry = codec.unpack(data, messages.Entry)
+        if synced_is_intact and entries and not _follows(entries[-1], entry):
+            break
         offsets.append(pos)
-        entries.append(codec.unpack(data, messages.Entry))
+        entries.append(entry)
         pos += _HEADER.size + len(data)
+    if synced_is_intact:
+        return Scan(tuple(entries), tuple(offsets), pos, False)
     if pos < len(raw) and _good_record_after(raw, pos):
         raise exceptions.LogCorruptError(
             f"log record at byte {pos} is damaged but later ones are intact"
@@ -70,6 +79,10 @@
     )
 
 
+def _follows(before: messages.Entry, entry: messages.Entry) -> bool:
+    return entry.idx == before.idx + 1 and entry.term >= before.term
+
+
 def _record_at(raw: bytes, pos: int) -> bytes | None:
     """Return the record's data, or None if it is short or damaged."""
     if pos + _HEADER.size > len(raw):
@@ -107,8 +120,20 @@
 class DiskStorage:
     """Files of one voter; every save is synced before it returns."""
 
-    def __init__(self, *, folder: pathlib.Path) -> None:
+    def __init__(
+        self, *, folder: pathlib.Path, synced_is_intact: bool = False
+    ) -> None:
+        """Use a folder.
+
+        Args:
+            folder: Data folder.
+            synced_is_intact: Whether the disk never damages what was synced.
+                Then whatever is damaged was never acknowledged, and the log
+                ends before it; otherwise a damaged record may have been
+                acknowledged, and counts as such.
+        """
         self._folder = folder
+        self._synced_is_intact = synced_is_intact
         self._offsets: dict[int, int] = {}
         self._size = 0
         self._fd = -1
@@ -177,7 +202,7 @@
         )
         self._open_log()
         raw = (self._folder / LOG_FILE).read_bytes()
-        result = scan(raw)
+        result = scan(raw, synced_is_intact=self._synced_is_intact)
         if result.valid_bytes < len(raw):
             os.ftruncate(self._fd, result.valid_bytes)
             os.fsync(self._fd)
@@ -232,6 +257,9 @@
         if offset is None:
             return
         os.ftruncate(self._fd, offset)
+        # The cut and the write after it must not be kept one without the
+        # other.
+        os.fsync(self._fd)
         self._size = offset
         self._offsets = {
             index: at for index, at in self._offsets.items() if index < first
--- a/jasperweir/components/quorum/voter.py
+++ b/jasperweir/components/quorum/voter.py
@@ -82,6 +82,13 @@
             return None
         return self.commit
 
+    @property
+    def led_since(self) -> float:
+        """When this voter took the lead, minus infinity if it does not."""
+        if self._replicator is None:
+            return float("-inf")
+        return self._replicator.led_since
+
     def progress_of(self, name: str) -> progress_lib.Progress | None:
         """Return a member's replication state, on the leader only."""
         if self._replicator is None:
--- a/jasperweir/components/registry/machine.py
+++ b/jasperweir/components/registry/machine.py
@@ -84,6 +84,14 @@
         data = self.table.get(f"{config_const.PREFIX_GROUP}{group}")
         return codec.unpack(data, ops.Appointment) if data else None
 
+    def declared(self) -> ops.Declared:
+        """Return the whole configuration in force, version 0 if none."""
+        data = self.table.get(config_const.KEY_DECLARED)
+        if data is None:
+            return ops.Declared(version=0, data=b"")
+        found: ops.Declared = codec.unpack(data, ops.Declared)
+        return found
+
     def content(self, version: int) -> model.Content:
         """Return the flat content of a version that is still kept."""
         return history.content_at(self.table, version)
@@ -183,6 +191,8 @@
                 return self._set_view(index, op)
             case ops.Appoint():
                 return self._appoint(index, op)
+            case ops.Replace():
+                return self._replace(index, op)
         return ops.Answer(Code.BAD_REQUEST, 0, type(op).__name__)
 
     def _sign_off(
@@ -346,6 +356,15 @@
         self.table.put(key, codec.pack(record), index)
         return ops.Answer(Code.ACCEPTED, op.term, op.coordinator)
 
+    def _replace(self, index: int, op: ops.Replace) -> ops.Answer:
+        held = self.declared().version
+        if op.version <= held:
+            # Overtaken or sent again: what is in force stays as it is.
+            return ops.Answer(Code.ACCEPTED, held, "not above the one held")
+        record = ops.Declared(version=op.version, data=op.data)
+        self.table.put(config_const.KEY_DECLARED, codec.pack(record), index)
+        return ops.Answer(Code.ACCEPTED, op.version, "")
+
     def _put_version(self, index: int, record: ops.Version) -> None:
         key = f"{config_const.PREFIX_VERSION}{record.version}"
         self.table.put(key, codec.pack(record), index)
--- a/jasperweir/components/registry/ops.py
+++ b/jasperweir/components/registry/ops.py
@@ -88,6 +88,26 @@
     term: int
 
 
+@codec.message("op.replace")
+class Replace(NamedTuple):
+    """Put a whole configuration into force unless a higher one is.
+
+    Attributes:
+        version: The operator's number; the highest one is in force.
+        data: Compressed content as the operator sent it.
+    """
+
+    version: int
+    data: bytes
+
+
+class Declared(NamedTuple):
+    """The whole configuration that is in force."""
+
+    version: int
+    data: bytes
+
+
 class Version(NamedTuple):
     """Record of one signed-off version."""
 
--- /dev/null
+++ b/jasperweir/daemons/site_control.py
@@ -0,0 +1,241 @@
+"""Deployed control VM: one voter with a disk, operators and targets."""
+
+import asyncio
+import pathlib
+from typing import Any
+import zlib
+
+from jasperweir import core
+from jasperweir import exceptions
+from jasperweir import result_codes
+from jasperweir.components.configctl import const
+from jasperweir.components.configctl import door as door_lib
+from jasperweir.components.configctl import node as node_lib
+from jasperweir.components.quorum import actions
+from jasperweir.components.quorum import storage as storage_lib
+from jasperweir.components.quorum import voter as voter_lib
+from jasperweir.daemons import deployed
+from jasperweir.daemons import loop_host
+from jasperweir.helpers import http_server
+from jasperweir.helpers import logs
+
+Code = result_codes.Code
+_log = logs.logger("control")
+
+# A disk that refused a write is tried again after this long, seconds.
+DISK_RETRY_SECONDS = 0.5
+# A stopping control VM stays this long after it has handed over the lead, so
+# that calls under way get their answers, seconds.
+LINGER_SECONDS = 1.5
+
+
+class SiteControl:
+    """Drive a ConfigNode with a disk, a link and HTTP."""
+
+    def __init__(
+        self,
+        *,
+        cfg: deployed.NodeSettings,
+        dialect: door_lib.ControlDialect,
+    ) -> None:
+        self._cfg = cfg
+        self._dialect = dialect
+        self._host = loop_host.LoopHost(cfg=cfg, on_frame=self._on_frame)
+        self._storage = storage_lib.DiskStorage(
+            folder=pathlib.Path(cfg.data_folder), synced_is_intact=True
+        )
+        self._calls: dict[int, http_server.Answering] = {}
+        self._stopping = asyncio.Event()
+        self._broken_until = 0.0
+        self._node: node_lib.ConfigNode | None = None
+
+    async def run(self) -> None:
+        """Serve until told to stop."""
+        await self._host.start(
+            on_stop=self._on_stop, on_reload=self._on_reload
+        )
+        self._open()
+        await self._host.serve(self._cfg.control, self._handle)
+        self._host.every(const.TICK_SECONDS, self._tick)
+        await self._stopping.wait()
+        await asyncio.sleep(LINGER_SECONDS)
+        self._host.stop()
+        self._storage.close()
+
+    # Lifecycle.
+
+    def _open(self) -> None:
+        """Read the disk and begin anew from what it holds."""
+        try:
+            recovered = self._storage.open()
+        except exceptions.StorageError as exc:
+            self._disk_failed(exc)
+            return
+        now = self._host.now()
+        voter = voter_lib.Voter(
+            name=self._cfg.internal,
+            recovered=recovered,
+            rng=self._host.rng,
+            now=now,
+        )
+        self._node = node_lib.ConfigNode(
+            name=self._cfg.internal,
+            place=self._cfg.place,
+            voter=voter,
+            seeds=self._cfg.seeds,
+            wanted_seats=self._cfg.wanted_seats,
+        )
+        fresh = not voter.log.last_index and not voter.term
+        _log.info(
+            "data folder read",
+            disk=voter.disk,
+            term=voter.term,
+            last_index=voter.log.last_index,
+            snapshot=voter.snapshot.idx,
+            bootstrap=self._cfg.bootstrap,
+        )
+        founder = min(self._cfg.seeds, default=self._cfg.internal)
+        if self._cfg.bootstrap and fresh and founder == self._cfg.internal:
+            self._perform(self._node.bootstrap())
+
+    def _disk_failed(self, exc: exceptions.StorageError) -> None:
+        """Forget what is not on disk, and try again a little later."""
+        _log.error("disk refuses", reason=str(exc))
+        self._host.metrics.inc("disk_failures")
+        self._node = None
+        self._storage.close()
+        self._broken_until = self._host.now() + DISK_RETRY_SECONDS
+        self._drop_calls()
+
+    def _on_stop(self) -> None:
+        _log.info("stop asked for")
+        if self._node is not None:
+            self._perform(self._node.hand_over(self._host.now()))
+        self._stopping.set()
+
+    def _on_reload(self) -> None:
+        _log.info("reload asked for: seeds are read at the start only")
+
+    def _tick(self) -> None:
+        now = self._host.now()
+        if self._node is None:
+            if now >= self._broken_until:
+                self._open()
+            return
+        self._perform(self._node.tick(now))
+
+    def _on_frame(self, src: str, msg: Any) -> None:
+        if self._node is None:
+            return
+        self._perform(self._node.receive(src, msg, self._host.now()))
+
+    # Actions.
+
+    def _perform(self, acts: node_lib.Actions) -> None:
+        """Carry out actions in order; what is saved is synced first."""
+        try:
+            for act in acts:
+                self._perform_one(act)
+        except exceptions.StorageError as exc:
+            self._disk_failed(exc)
+
+    def _perform_one(self, act: Any) -> None:
+        match act:
+            case core.Send():
+                self._host.send(act)
+            case actions.SaveMeta():
+                self._storage.save_meta(act.meta)
+            case actions.SaveEntries():
+                self._storage.save_entries(act.first, act.entries)
+            case actions.SaveSnapshot():
+                self._storage.save_snapshot(act.snapshot, act.kept)
+            case actions.RoleChanged():
+                _log.info(
+                    "role changed",
+                    is_now=act.role,
+                    term=act.term,
+                    leader=act.leader,
+                )
+            case node_lib.NewVersion():
+                _log.info("version in force", version=act.version)
+            case node_lib.Replaced():
+                self._reply(act.number, self._dialect.done(), act.version)
+            case node_lib.Acknowledged():
+                self._reply(act.number, self._dialect.done(), 0)
+            case node_lib.Described():
+                raw = zlib.decompress(act.declared.data)
+                reply = self._dialect.described(act.declared, raw)
+                self._reply(act.number, reply, act.declared.version)
+            case node_lib.Unconfirmed():
+                reply = self._dialect.refused(Code.NOT_CONFIRMED, ())
+                self._reply(act.number, reply, 0)
+
+    def _reply(self, number: int, reply: door_lib.Reply, version: int) -> None:
+        answering = self._calls.pop(number, None)
+        if answering is None:
+            return
+        _log.info(
+            "call answered",
+            number=number,
+            path=answering.request.path,
+            status=reply.status,
+            version=version,
+        )
+        answering.reply(reply.status, reply.headers, reply.body)
+
+    def _drop_calls(self) -> None:
+        for number in list(self._calls):
+            refused = self._dialect.refused(Code.NOT_CONFIRMED, ())
+            self._reply(number, refused, 0)
+
+    # Calls.
+
+    def _handle(self, answering: http_server.Answering) -> None:
+        call = door_lib.checked(self._dialect.call(answering.request))
+        if isinstance(call, door_lib.Invalid):
+            _log.info(
+                "call refused",
+                path=answering.request.path,
+                code=call.code.name.lower(),
+                problems=list(call.problems[:5]),
+            )
+            reply = self._dialect.refused(call.code, call.problems)
+            answering.reply(reply.status, reply.headers, reply.body)
+            return
+        if self._node is None:
+            reply = self._dialect.refused(Code.NOT_CONFIRMED, ())
+            answering.reply(reply.status, reply.headers, reply.body)
+            return
+        asked = self._ask(self._node, call)
+        self._calls[asked.number] = answering
+        self._perform(asked.acts)
+
+    def _ask(
+        self, node: node_lib.ConfigNode, call: door_lib.Call
+    ) -> node_lib.Asked:
+        now = self._host.now()
+        match call:
+            case door_lib.Replace():
+                _log.info("replace asked", version=call.deployment.version)
+                data = zlib.compress(call.raw, const.COMPRESS_LEVEL)
+                return node.replace(call.deployment.version, data, now)
+            case door_lib.Announce():
+                if call.target.presence:
+                    _log.info("target leaves", target=call.target.target_id)
+                return node.announce(call.target, now)
+            case door_lib.Deregister():
+                _log.info("target gone", target=call.target_id)
+                return node.deregister(call.target_id, now)
+            case _:
+                return node.describe(now)
+
+
+def run(
+    *, cfg: deployed.NodeSettings, dialect: door_lib.ControlDialect
+) -> None:
+    """Run a control VM until it is stopped."""
+
+    async def main() -> None:
+        await SiteControl(cfg=cfg, dialect=dialect).run()
+
+    asyncio.run(main())
--- /dev/null
+++ b/jasperweir/daemons/site_entry.py
@@ -0,0 +1,229 @@
+"""Deployed entry: callers' requests, address answers, readiness."""
+
+import asyncio
+from typing import Any
+from typing import NamedTuple
+from typing import Protocol
+import zlib
+
+from jasperweir import core
+from jasperweir.components.balance import budget as budget_lib
+from jasperweir.components.balance import const as balance_const
+from jasperweir.components.balance import messages as balance_messages
+from jasperweir.components.deployment import index as index_lib
+from jasperweir.components.deployment import model
+from jasperweir.components.directory import const as directory_const
+from jasperweir.components.directory import records
+from jasperweir.components.follow import follower as follower_lib
+from jasperweir.components.forward import dialect as dialect_lib
+from jasperweir.components.forward import forwarder as forwarder_lib
+from jasperweir.daemons import deployed
+from jasperweir.daemons import loop_host
+from jasperweir.helpers import http_client
+from jasperweir.helpers import http_message
+from jasperweir.helpers import http_server
+from jasperweir.helpers import logs
+
+_log = logs.logger("entry")
+
+TICK_SECONDS = 0.02
+FOLLOW_SECONDS = 0.1
+POOL_TIDY_SECONDS = 0.5
+# Callers keep an address answer for this long, and some three times as long.
+ANSWER_KEPT_SECONDS = 1.0
+# An entry that stops serves those who still come for longer than any caller
+# keeps an answer that names it, seconds.
+STOP_SERVING_SECONDS = 4.5
+# It ends this long before it would be ended, seconds.
+STOP_MARGIN_SECONDS = 0.6
+MAX_ADDRESSES = 64
+
+
+class Lookup(NamedTuple):
+    """A caller asks which addresses to use."""
+
+    host: str
+    place: str
+
+
+class EntryDialect(dialect_lib.Dialect, Protocol):
+    """Translate what callers and the platform say to an entry."""
+
+    def lookup(self, req: http_message.Request) -> Lookup | None:
+        """Read a question for addresses; None if it is something else."""
+
+    def addresses(self, found: list[str], kept_s: float) -> bytes:
+        """Return the body of an address answer."""
+
+    def is_ready_check(self, req: http_message.Request) -> bool:
+        """Tell whether the platform asks if this entry is ready."""
+
+    def deployment(self, raw: bytes) -> model.Deployment:
+        """Read a configuration that a control VM has accepted."""
+
+
+class SiteEntry:
+    """Drive a Forwarder and a Follower with sockets."""
+
+    def __init__(
+        self, *, cfg: deployed.NodeSettings, dialect: EntryDialect
+    ) -> None:
+        self._cfg = cfg
+        self._dialect = dialect
+        self._host = loop_host.LoopHost(cfg=cfg, on_frame=self._on_frame)
+        node = records.Node(
+            name=cfg.internal,
+            kind=directory_const.KIND_ENTRY,
+            place=cfg.place,
+            caller_address=cfg.callers,
+            open=False,
+            incarnation=self._host.incarnation,
+            sequence=0,
+        )
+        self._follower = follower_lib.Follower(
+            node=node, seeds=cfg.seeds, now=self._host.now()
+        )
+        bounds = budget_lib.BudgetBounds(
+            ratio=cfg.bounds.retry_ratio,
+            burst=cfg.bounds.retry_burst,
+            window_s=cfg.bounds.retry_window_s,
+        )
+        self._forwarder = forwarder_lib.Forwarder(
+            clock=self._host.clock,
+            rng=self._host.rng,
+            place=cfg.place,
+            dialect=dialect,
+            directory=self._follower.directory,
+            bounds=bounds,
+            times=http_client.ClientTimes(),
+            metrics=self._host.metrics,
+        )
+        self._server: http_server.Server | None = None
+        self._stopping_at = 0.0
+        self._ended = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until told to stop."""
+        await self._host.start(
+            on_stop=self._on_stop, on_reload=self._on_reload
+        )
+        self._server = await self._host.serve(
+            self._cfg.callers, self._forwarder.handle
+        )
+        await self._host.serve(self._cfg.ready, self._on_ready_check)
+        await self._host.serve(self._cfg.lookup, self._on_lookup)
+        self._host.every(TICK_SECONDS, self._forwarder.tick)
+        self._host.every(FOLLOW_SECONDS, self._follow)
+        self._host.every(balance_const.SHARE_SECONDS, self._share)
+        self._host.every(POOL_TIDY_SECONDS, self._forwarder.pool.tidy)
+        await self._ended.wait()
+        await asyncio.sleep(0.05)
+        self._host.stop()
+
+    # Following control.
+
+    def _follow(self) -> None:
+        now = self._host.now()
+        self._perform(self._follower.tick(now))
+        if self._stopping_at:
+            self._drive_stop(now)
+            return
+        is_open = self._forwarder.index is not None
+        is_open = is_open and self._follower.ready(now)
+        if is_open and not self._follower.node.open:
+            _log.info("ready", version=self._follower.version)
+        self._perform(self._follower.update(is_open=is_open))
+
+    def _on_frame(self, src: str, msg: Any) -> None:
+        now = self._host.now()
+        if isinstance(msg, balance_messages.Share):
+            self._forwarder.balancer.on_share(src, msg, now)
+            return
+        self._perform(self._follower.receive(src, msg, now))
+
+    def _perform(self, acts: follower_lib.Actions) -> None:
+        for act in acts:
+            match act:
+                case core.Send():
+                    self._host.send(act)
+                case follower_lib.NewContent():
+                    self._put_in_force(act)
+
+    def _put_in_force(self, act: follower_lib.NewContent) -> None:
+        deployment = self._dialect.deployment(zlib.decompress(act.data))
+        self._forwarder.index = index_lib.Index(deployment=deployment)
+        limits = deployment.limits
+        if self._server is not None:
+            self._server.limits = http_server.ServerLimits(*limits)
+        _log.info("version in force", version=act.version)
+
+    def _share(self) -> None:
+        now = self._host.now()
+        entries = self._follower.open_entries(now)
+        self._forwarder.entries = max(len(entries), 1)
+        share = self._forwarder.balancer.share()
+        if share is None:
+            return
+        for node in entries:
+            if node.name != self._cfg.internal:
+                self._host.send(core.Send(dst=node.name, msg=share))
+
+    # Planned stop.
+
+    def _on_stop(self) -> None:
+        if self._stopping_at:
+            return
+        self._stopping_at = self._host.now()
+        _log.info("stop asked for", open=self._forwarder.open_count)
+        if self._server is not None:
+            self._server.stopping = True
+        self._perform(self._follower.update(is_open=False))
+
+    def _on_reload(self) -> None:
+        _log.info("reload asked for: seeds are read at the start only")
+
+    def _drive_stop(self, now: float) -> None:
+        since = now - self._stopping_at
+        if since < STOP_SERVING_SECONDS:
+            return
+        self._forwarder.stopping = True
+        last = self._cfg.bounds.grace_s - STOP_MARGIN_SECONDS
+        if self._forwarder.open_count and since < last:
+            return
+        if self._server is not None:
+            self._server.close_listener()
+            self._server.close_idle()
+        self._ended.set()
+
+    # Questions of the platform and of callers.
+
+    def _on_ready_check(self, answering: http_server.Answering) -> None:
+        ready = self._follower.node.open and not self._stopping_at
+        answering.reply(200 if ready else 503, [], b"")
+
+    def _on_lookup(self, answering: http_server.Answering) -> None:
+        asked = self._dialect.lookup(answering.request)
+        if asked is None:
+            answering.reply(404, [], b"")
+            return
+        entries = self._follower.open_entries(self._host.now())
+        found = [node.caller_address for node in entries]
+        if not found:
+            self._host.metrics.inc("lookups", outcome="none")
+            answering.reply(503, [(b"retry-after", b"1")], b"")
+            return
+        self._host.metrics.inc("lookups", outcome="answered")
+        body = self._dialect.addresses(
+            found[:MAX_ADDRESSES], ANSWER_KEPT_SECONDS
+        )
+        headers = [(b"content-type", b"application/json")]
+        answering.reply(200, headers, body)
+
+
+def run(*, cfg: deployed.NodeSettings, dialect: EntryDialect) -> None:
+    """Run an entry until it is stopped."""
+
+    async def main() -> None:
+        await SiteEntry(cfg=cfg, dialect=dialect).run()
+
+    asyncio.run(main())
--- /dev/null
+++ b/jasperweir/helpers/http_client.py
@@ -0,0 +1,297 @@
+"""HTTP/1.1 client connections on an event loop, parsed by httptools."""
+
+import asyncio
+import socket
+import time
+from typing import NamedTuple
+from typing import Protocol
+
+import httptools
+
+from jasperweir.helpers import http_message
+from jasperweir.helpers import logs
+
+_log = logs.logger("http.client")
+
+# Statuses whose answers never have a body (RFC 9110).
+BODILESS = (204, 304)
+
+
+class Listener(Protocol):
+    """Who is told what arrives for a request."""
+
+    def on_head(self, head: http_message.Head, length: int | None) -> bool:
+        """Take an answer's head; False skips an answer to something else."""
+
+    def on_data(self, data: bytes) -> None:
+        """Take a piece of the body."""
+
+    def on_end(self) -> None:
+        """The answer is whole."""
+
+    def on_broken(self, reason: str) -> None:
+        """The connection ended before the answer was whole."""
+
+
+class ClientTimes(NamedTuple):
+    """Time limits of connections, seconds.
+
+    Attributes:
+        connect: Longest wait for a connection: a round trip to any place of
+            a deployment takes a few milliseconds, a lost packet one second.
+        dead_peer: Bytes unacknowledged for this long mean a lost peer.
+        idle: How long an idle connection may be used if its server states
+            nothing.
+    """
+
+    connect: float = 0.6
+    dead_peer: float = 2.0
+    idle: float = 3.0
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection to a server; one request at a time.
+
+    Attributes:
+        usable_until: When an idle connection must not be used any more.
+        received: Whether any byte of the current answer has arrived.
+    """
+
+    def __init__(self, *, times: ClientTimes) -> None:
+        self._times = times
+        self._transport: asyncio.Transport | None = None
+        self._listener: Listener | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: http_message.Headers = []
+        self._skipping = False
+        self._until_close = False
+        self._complete = False
+        self._clean_eof = False
+        self._keep_s = times.idle
+        self._keep = True
+        self.usable_until = 0.0
+        self.received = False
+        self.closed = False
+
+    # Use.
+
+    @property
+    def idle(self) -> bool:
+        """Whether a request may be sent now."""
+        if self.closed or self._listener is not None:
+            return False
+        return time.monotonic() < self.usable_until
+
+    def send(self, data: bytes, listener: Listener) -> None:
+        """Send one request and tell a listener what comes of it."""
+        assert self._transport is not None
+        self._listener = listener
+        self._complete = False
+        self.received = False
+        self._transport.write(data)
+
+    def close(self) -> None:
+        """End the connection at once; the listener hears nothing more."""
+        self._listener = None
+        self.closed = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    # Transport callbacks.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take over a new connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        timeout_ms = int(self._times.dead_peer * 1000)
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
+        )
+        self.usable_until = time.monotonic() + self._times.idle
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what the server sent."""
+        if self.closed:
+            return
+        if self._listener is None:
+            # Bytes that nobody asked for belong to no request.
+            self.close()
+            return
+        self.received = True
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError:
+            _log.exception("error while an answer was handled")
+            self._break("error while the answer was handled")
+            return
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
+            if not self._complete:
+                self._break(f"unreadable answer: {type(exc).__name__}")
+                return
+            # Whatever follows a whole answer belongs to no request.
+            self._keep = False
+        if self._complete:
+            self._after_answer()
+
+    def eof_received(self) -> bool:
+        """Note that the server ended the connection in order."""
+        self._clean_eof = True
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End an answer that runs to the close, or report it broken."""
+        self.closed = True
+        if self._listener is None:
+            return
+        if self._until_close and self._clean_eof and exc is None:
+            listener = self._listener
+            self._listener = None
+            listener.on_end()
+            return
+        self._break(f"closed: {exc}" if exc else "closed")
+
+    # Parser callbacks.
+
+    def on_message_begin(self) -> None:
+        """Begin an answer."""
+        self._headers = []
+        self._until_close = False
+        if self._complete:
+            # A second answer in the same bytes: the connection is not used
+            # again, see _after_answer.
+            self._skipping = True
+            self._keep = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Hand on the head of an answer."""
+        status = self._parser.get_status_code()
+        if self._complete or self._listener is None:
+            return
+        if 100 <= status < 200:
+            self._skipping = True
+            return
+        length_text = http_message.find(self._headers, b"content-length")
+        coding = http_message.find(self._headers, b"transfer-encoding")
+        length = int(length_text) if length_text is not None else None
+        bodiless = status in BODILESS
+        self._until_close = length is None and coding is None and not bodiless
+        self._keep = self._parser.should_keep_alive()
+        self._keep_s = self._stated_idle()
+        head = http_message.Head(status=status, headers=self._headers)
+        wanted = self._listener.on_head(head, 0 if bodiless else length)
+        self._skipping = not wanted
+        if self._skipping and self._until_close:
+            self._break("an answer to another request, of unknown length")
+
+    def on_body(self, body: bytes) -> None:
+        """Hand on a piece of the body."""
+        if not self._skipping and self._listener is not None:
+            self._listener.on_data(body)
+
+    def on_message_complete(self) -> None:
+        """Note that the answer is whole."""
+        if self._skipping:
+            self._skipping = self._complete
+            return
+        self._complete = True
+
+    def _stated_idle(self) -> float:
+        stated = http_message.find(self._headers, b"keep-alive") or b""
+        for part in stated.split(b","):
+            name, _, value = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and value.strip().isdigit():
+                # The server counts from its last byte, and closes a little
+                # early when it is busy.
+                return min(float(value) * 0.6, self._times.idle * 4)
+        return self._times.idle
+
+    def _after_answer(self) -> None:
+        listener = self._listener
+        self._listener = None
+        assert self._transport is not None
+        unsent = self._transport.get_write_buffer_size()
+        if not self._keep or unsent:
+            self.close()
+        else:
+            self.usable_until = time.monotonic() + self._keep_s
+        if listener is not None:
+            listener.on_end()
+
+    def _break(self, reason: str) -> None:
+        listener = self._listener
+        self.close()
+        if listener is not None:
+            listener.on_broken(reason)
+
+
+class Pool:
+    """Idle connections by server, and new ones when none is idle.
+
+    Attributes:
+        opened: How many connections were opened.
+    """
+
+    def __init__(self, *, times: ClientTimes) -> None:
+        self._times = times
+        self._idle: dict[str, list[ClientConnection]] = {}
+        self.opened = 0
+
+    def take(self, key: str) -> ClientConnection | None:
+        """Return an idle connection, the one used last."""
+        conns = self._idle.get(key, [])
+        while conns:
+            conn = conns.pop()
+            if conn.idle:
+                return conn
+            conn.close()
+        return None
+
+    def give(self, key: str, conn: ClientConnection) -> None:
+        """Keep a connection for later, if it may be used again."""
+        if conn.idle:
+            self._idle.setdefault(key, []).append(conn)
+
+    def drop(self, key: str) -> None:
+        """Close the idle connections to a server."""
+        for conn in self._idle.pop(key, []):
+            conn.close()
+
+    def tidy(self) -> None:
+        """Close connections that have been idle for too long."""
+        for key, conns in list(self._idle.items()):
+            kept = []
+            for conn in conns:
+                if conn.idle:
+                    kept.append(conn)
+                else:
+                    conn.close()
+            if kept:
+                self._idle[key] = kept
+            else:
+                del self._idle[key]
+
+    async def open(self, address: str) -> ClientConnection:
+        """Open a connection.
+
+        Raises:
+            OSError: It was refused or not established in time.
+        """
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self.opened += 1
+        try:
+            async with asyncio.timeout(self._times.connect):
+                _, conn = await loop.create_connection(
+                    lambda: ClientConnection(times=self._times),
+                    host=host,
+                    port=int(port),
+                )
+        except TimeoutError as exc:
+            raise OSError("connect timeout") from exc
+        return conn
--- /dev/null
+++ b/jasperweir/helpers/http_message.py
@@ -0,0 +1,106 @@
+"""Parts of HTTP messages shared by the asynchronous server and client."""
+
+import http
+from typing import NamedTuple
+
+Headers = list[tuple[bytes, bytes]]
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1).
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    )
+)
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+class Request(NamedTuple):
+    """One request, its body read whole.
+
+    Attributes:
+        method: Method in capitals.
+        target: Request target as it was sent, path and query.
+        headers: Names in lower case with their values, in order.
+        body: Whole body, without any transfer coding.
+        keep_alive: Whether the caller keeps the connection.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    keep_alive: bool
+
+    @property
+    def path(self) -> str:
+        """Path without the query."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
+    @property
+    def query(self) -> str:
+        """Query without the question mark."""
+        return self.target.partition(b"?")[2].decode("latin-1")
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header by its lower-case name."""
+        return find(self.headers, name)
+
+
+class Head(NamedTuple):
+    """Status and headers of an answer."""
+
+    status: int
+    headers: Headers
+
+
+def find(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header by its lower-case name."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Return the headers that are passed on by an intermediary."""
+    named: set[bytes] = set()
+    for key, value in headers:
+        if key == b"connection":
+            named.update(v.strip().lower() for v in value.split(b","))
+    return [
+        (key, value)
+        for key, value in headers
+        if key not in HOP_BY_HOP
+        and key not in named
+        and key != b"content-length"
+    ]
+
+
+def write_head(first_line: bytes, headers: Headers) -> bytes:
+    """Return a message head as it goes on the wire."""
+    lines = [first_line]
+    lines += [key + b": " + value for key, value in headers]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def status_line(status: int) -> bytes:
+    """Return the first line of an answer."""
+    try:
+        phrase = http.HTTPStatus(status).phrase
+    except ValueError:
+        phrase = "Unknown"
+    return f"HTTP/1.1 {status} {phrase}".encode("ascii")
+
+
+def chunk(data: bytes) -> bytes:
+    """Return one chunk of the chunked transfer coding."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
--- /dev/null
+++ b/jasperweir/helpers/http_server.py
@@ -0,0 +1,389 @@
+"""HTTP/1.1 server on an event loop, parsed by httptools.
+
+Waitress hands a request to a thread and shows neither a caller's close nor
+the moment at which bytes leave; this server shows both, see
+docs/design/platform.md.
+"""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import socket
+import time
+from typing import NamedTuple
+
+import httptools
+
+from jasperweir.helpers import http_message
+
+# Unread requests of one caller that wait for the answer before them.
+MAX_PIPELINED = 16
+# Bytes that may wait for a slow reader before an answer counts as stuck.
+WRITE_BUFFER_BYTES = 1 << 20
+BACKLOG = 512
+
+
+class ServerLimits(NamedTuple):
+    """Bounds of what a caller may send; see the deployment's limits."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4 * 1024 * 1024
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+class Answering:
+    """One request that is being answered on a connection.
+
+    Attributes:
+        request: The request.
+        on_gone: Called when the caller closes before the answer is whole.
+        started: Whether a head has been written.
+        done: Whether the answer is whole or was broken off.
+    """
+
+    def __init__(
+        self, *, conn: "Connection", req: http_message.Request
+    ) -> None:
+        self.request = req
+        self.on_gone: Callable[[], None] | None = None
+        self.started = False
+        self.done = False
+        self._conn = conn
+        self._chunked = False
+
+    def reply(
+        self, status: int, headers: http_message.Headers, body: bytes
+    ) -> None:
+        """Send a whole answer."""
+        if self.done:
+            return
+        fields = [*headers, (b"content-length", b"%d" % len(body))]
+        head = self._head(status, fields)
+        if self.request.method == b"HEAD":
+            body = b""
+        self._conn.write(head + body)
+        self._finish()
+
+    def start(
+        self,
+        status: int,
+        headers: http_message.Headers,
+        length: int | None,
+    ) -> None:
+        """Send the head of an answer whose body follows in pieces."""
+        if self.done:
+            return
+        fields = list(headers)
+        if length is None:
+            fields.append((b"transfer-encoding", b"chunked"))
+            self._chunked = True
+        else:
+            fields.append((b"content-length", b"%d" % length))
+        self.started = True
+        self._conn.write(self._head(status, fields))
+
+    def send(self, data: bytes) -> None:
+        """Send a piece of the body."""
+        if self.done or not data:
+            return
+        self._conn.write(http_message.chunk(data) if self._chunked else data)
+
+    def end(self) -> None:
+        """Complete an answer that was sent in pieces."""
+        if self.done:
+            return
+        if self._chunked:
+            self._conn.write(http_message.LAST_CHUNK)
+        self._finish()
+
+    def abort(self) -> None:
+        """Break the answer off, so that it cannot look complete."""
+        if self.done:
+            return
+        self.done = True
+        self._conn.abort()
+
+    def _head(self, status: int, headers: http_message.Headers) -> bytes:
+        self.started = True
+        if not self._conn.will_keep(self.request):
+            headers = [*headers, (b"connection", b"close")]
+        return http_message.write_head(
+            http_message.status_line(status), headers
+        )
+
+    def _finish(self) -> None:
+        self.done = True
+        self._conn.answered(self)
+
+
+Handler = Callable[[Answering], None]
+
+
+class Connection(asyncio.Protocol):
+    """One caller's connection; its requests are answered in order."""
+
+    def __init__(self, *, server: "Server") -> None:
+        self._server = server
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._queue: collections.deque[http_message.Request] = (
+            collections.deque()
+        )
+        self._current: Answering | None = None
+        self._closing = False
+        self._idle_since = time.monotonic()
+        self._reading_since = 0.0
+        self._head_bytes = 0
+        self._body_bytes = 0
+        self._in_head = False
+        self._target = b""
+        self._headers: http_message.Headers = []
+        self._body: list[bytes] = []
+
+    # Transport callbacks.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take over a new connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        user_timeout_ms = int(self._server.dead_peer_s * 1000)
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms
+        )
+        self._server.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell whoever works on an answer that the caller has gone."""
+        self._server.connections.discard(self)
+        self._closing = True
+        current = self._current
+        self._current = None
+        self._queue.clear()
+        if current is not None and not current.done:
+            current.done = True
+            if current.on_gone is not None:
+                current.on_gone()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what a caller sent."""
+        if self._closing:
+            return
+        if not self._reading_since:
+            self._reading_since = time.monotonic()
+        if self._in_head or not self._body_bytes:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400)
+        except httptools.HttpParserError:
+            self._refuse(400)
+        if self._in_head and self._head_bytes > self._limits.header_bytes:
+            self._refuse(431)
+
+    def eof_received(self) -> bool:
+        """Treat a caller's half close as a close."""
+        return False
+
+    # Parser callbacks.
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._in_head = True
+        self._head_bytes = 0
+        self._body_bytes = 0
+        self._target = b""
+        self._headers = []
+        self._body = []
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the request target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Check the head, and invite a body that waits for it."""
+        self._in_head = False
+        size = sum(len(k) + len(v) + 4 for k, v in self._headers)
+        if size + len(self._target) > self._limits.header_bytes:
+            self._refuse(431)
+            return
+        length = http_message.find(self._headers, b"content-length")
+        if length is not None and int(length) > self._limits.body_bytes:
+            self._refuse(413)
+            return
+        if http_message.find(self._headers, b"expect") is not None:
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a piece of the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > self._limits.body_bytes:
+            self._refuse(413)
+            return
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Hand a whole request on, or keep it until its turn."""
+        self._reading_since = 0.0
+        self._head_bytes = 0
+        if self._closing:
+            return
+        req = http_message.Request(
+            method=self._parser.get_method(),
+            target=self._target,
+            headers=self._headers,
+            body=b"".join(self._body),
+            keep_alive=self._parser.should_keep_alive(),
+        )
+        if len(self._queue) >= MAX_PIPELINED:
+            self.abort()
+            return
+        self._queue.append(req)
+        # Not from within the parser, which would hide a handler's errors.
+        asyncio.get_running_loop().call_soon(self._next)
+
+    # Used by answers and by the server.
+
+    def write(self, data: bytes) -> None:
+        """Write bytes to the caller."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._transport.write(data)
+        if self._transport.get_write_buffer_size() > WRITE_BUFFER_BYTES:
+            self.abort()
+
+    def will_keep(self, req: http_message.Request) -> bool:
+        """Tell whether the connection stays open after an answer."""
+        return req.keep_alive and not self._server.stopping
+
+    def answered(self, answering: Answering) -> None:
+        """Go on to the next request, or close."""
+        if self._current is not answering:
+            return
+        self._current = None
+        self._idle_since = time.monotonic()
+        if not self.will_keep(answering.request):
+            self.close()
+            return
+        if self._queue:
+            asyncio.get_running_loop().call_soon(self._next)
+
+    def close(self) -> None:
+        """Close once what was written has left."""
+        self._closing = True
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._closing = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is read, waits or is being answered."""
+        return bool(
+            self._current is not None or self._queue or self._reading_since
+        )
+
+    def check_age(self, now: float) -> None:
+        """Close a connection that is idle or slow beyond the limits."""
+        if self._current is not None or self._queue:
+            return
+        if self._reading_since:
+            if now - self._reading_since > self._limits.header_timeout_s:
+                self._refuse(408)
+            return
+        if now - self._idle_since > self._limits.idle_timeout_s:
+            self.close()
+
+    @property
+    def _limits(self) -> ServerLimits:
+        return self._server.limits
+
+    def _next(self) -> None:
+        if self._current is not None or not self._queue or self._closing:
+            return
+        req = self._queue.popleft()
+        self._current = Answering(conn=self, req=req)
+        self._server.handler(self._current)
+
+    def _refuse(self, status: int) -> None:
+        """Answer what cannot be read, and close.
+
+        A request before it on the connection is still being answered; then
+        the connection just ends.
+        """
+        if self._closing:
+            return
+        if self._current is None:
+            head = http_message.write_head(
+                http_message.status_line(status),
+                [(b"content-length", b"0"), (b"connection", b"close")],
+            )
+            self.write(head)
+        self.close()
+
+
+class Server:
+    """Listen on an address and hand each request to a handler.
+
+    Attributes:
+        limits: Bounds for callers; may be replaced at any time.
+        stopping: Whether connections end with their next answer.
+        connections: Open connections.
+        dead_peer_s: Seconds after which unacknowledged bytes mean that the
+            peer is gone.
+    """
+
+    def __init__(
+        self, *, address: str, handler: Handler, dead_peer_s: float = 8.0
+    ) -> None:
+        self.address = address
+        self.handler = handler
+        self.limits = ServerLimits()
+        self.stopping = False
+        self.connections: set[Connection] = set()
+        self.dead_peer_s = dead_peer_s
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Begin to listen.
+
+        Raises:
+            OSError: The address cannot be bound.
+        """
+        host, _, port = self.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: Connection(server=self),
+            host=host,
+            port=int(port),
+            backlog=BACKLOG,
+            reuse_address=True,
+        )
+
+    def check_ages(self) -> None:
+        """Close connections that are idle or slow beyond the limits."""
+        now = time.monotonic()
+        for conn in list(self.connections):
+            conn.check_age(now)
+
+    def close_listener(self) -> None:
+        """Stop accepting connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is going on."""
+        for conn in list(self.connections):
+            if not conn.busy:
+                conn.close()
--- a/jasperweir/helpers/link.py
+++ b/jasperweir/helpers/link.py
@@ -28,6 +28,24 @@
     secret: bytes
 
 
+class Liveness(NamedTuple):
+    """How a link finds out that a peer cannot be reached.
+
+    Attributes:
+        ping_ms: Interval of pings on an open connection.
+        silent_ms: An open connection without any byte for so long is closed.
+        connect_ms: Longest wait for a connection.
+        retry_ms: Wait before the next try; doubled up to retry_max_ms.
+        retry_max_ms: Longest wait before the next try.
+    """
+
+    ping_ms: int = 500
+    silent_ms: int = 1500
+    connect_ms: int = 700
+    retry_ms: int = 50
+    retry_max_ms: int = 400
+
+
 class Received(NamedTuple):
     """One frame that passed all checks."""
 
@@ -64,6 +82,7 @@
         incarnation: Callable[[], int],
         deliver: Callable[[Received], None],
         keys: Keys | None = None,
+        liveness: Liveness | None = None,
     ) -> None:
         self.name = name
         self.address = address
@@ -72,6 +91,7 @@
         self._incarnation = incarnation
         self._deliver = deliver
         self._keys = keys
+        self._liveness = liveness
         self._context = zmq.Context()
         self._addresses: dict[str, str] = {}
         self._peers: collections.OrderedDict[str, zmq.Socket] = (
@@ -103,6 +123,7 @@
         self._router = self._context.socket(zmq.ROUTER)
         self._router.setsockopt(zmq.MAXMSGSIZE, codec.MAX_FRAME_BYTES)
         self._router.setsockopt(zmq.LINGER, 0)
+        self._set_liveness(self._router)
         if self._keys is not None:
             self._router.curve_server = True
             self._router.curve_secretkey = self._keys.secret
@@ -208,6 +229,7 @@
         sock.setsockopt(zmq.LINGER, LINGER_MILLISECONDS)
         sock.setsockopt(zmq.SNDHWM, SEND_QUEUE_FRAMES)
         sock.setsockopt(zmq.RECONNECT_IVL_MAX, 2000)
+        self._set_liveness(sock)
         if self._keys is not None:
             sock.curve_serverkey = self._keys.public
             sock.curve_publickey = self._keys.public
@@ -219,6 +241,18 @@
             oldest.close(linger=LINGER_MILLISECONDS)
         return sock
 
+    def _set_liveness(self, sock: zmq.Socket) -> None:
+        if self._liveness is None:
+            return
+        sock.setsockopt(zmq.HEARTBEAT_IVL, self._liveness.ping_ms)
+        sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, self._liveness.silent_ms)
+        sock.setsockopt(zmq.CONNECT_TIMEOUT, self._liveness.connect_ms)
+        sock.setsockopt(zmq.RECONNECT_IVL, self._liveness.retry_ms)
+        sock.setsockopt(zmq.RECONNECT_IVL_MAX, self._liveness.retry_max_ms)
+        # Frames for a peer that is not connected would arrive long after
+        # they have ceased to be true.
+        sock.setsockopt(zmq.IMMEDIATE, 1)
+
     def _read(self) -> None:
         for _ in range(_MAX_READS_PER_POLL):
             try:
--- a/jasperweir/helpers/logs.py
+++ b/jasperweir/helpers/logs.py
@@ -1,9 +1,14 @@
 """Logbook set-up: lines only for changes of state."""
 
+import collections
 import json
+import os
 import sys
+import time
+from typing import Any
 
 import logbook
+import msgspec
 
 
 class JsonFormatter:
@@ -21,6 +26,78 @@
         return json.dumps(body, sort_keys=True)
 
 
+# Lines that one process may write in a second; requests of one entry are
+# some ten a second today, and a line costs about 40 us.
+LINES_PER_SECOND = 200
+# Lines that wait for a reader before new ones are dropped.
+LINES_QUEUED = 2000
+
+
+class BoundedHandler(logbook.Handler):
+    """Write structured lines to standard output, bounded, never blocking.
+
+    Fields of a line are the keyword arguments of the log call. Lines above
+    the rate are counted, and the count stands in a line of its own.
+    """
+
+    def __init__(self, *, level: str, node: str) -> None:
+        super().__init__(level=level)
+        self._node = node
+        self._queue: collections.deque[bytes] = collections.deque()
+        self._second = 0
+        self._written = 0
+        self._left_out = 0
+        self._part = b""
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Queue a line, or count it as left out."""
+        now = time.monotonic()
+        if int(now) != self._second:
+            self._second = int(now)
+            self._written = 0
+        full = len(self._queue) >= LINES_QUEUED
+        if full or self._written >= LINES_PER_SECOND:
+            self._left_out += 1
+            return
+        self._written += 1
+        body: dict[str, Any] = {
+            "at": round(now, 3),
+            "node": self._node,
+            "level": record.level_name,
+            "channel": record.channel,
+            "event": str(record.msg),
+        }
+        body.update(record.kwargs or {})
+        if self._left_out:
+            body["lines_left_out"] = self._left_out
+            self._left_out = 0
+        if record.exc_info:
+            body["traceback"] = record.formatted_exception
+        line = msgspec.json.encode(body, enc_hook=str)
+        self._queue.append(line + b"\n")
+
+    def flush(self) -> None:
+        """Write what is queued, as far as the reader takes it."""
+        while self._queue or self._part:
+            if not self._part:
+                self._part = b"".join(self._queue)
+                self._queue.clear()
+            try:
+                count = os.write(1, self._part)
+            except OSError:
+                # Nobody reads now, or no more: the bound drops new lines.
+                return
+            self._part = self._part[count:]
+
+
+def setup_bounded(*, level: str, node: str) -> BoundedHandler:
+    """Send the records of this process to standard output, structured."""
+    handler = BoundedHandler(level=level.upper(), node=node)
+    os.set_blocking(1, False)
+    handler.push_application()
+    return handler
+
+
 TEXT_FORMAT = (
     "{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name} "
     "{record.channel}: {record.message}"
--- a/jasperweir/helpers/metrics.py
+++ b/jasperweir/helpers/metrics.py
@@ -6,6 +6,9 @@
 import aioprometheus
 
 PREFIX = "jasperweir_"
+# Upper bounds of latency histograms, seconds: fine around the target times
+# of 0.1 to 0.6 s, coarse up to the longest deadlines.
+SECONDS_BUCKETS = [0.01, 0.03, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0]
 
 
 class Metrics:
@@ -21,6 +24,7 @@
         self._lock = threading.Lock()
         self._counters: dict[str, aioprometheus.Counter] = {}
         self._gauges: dict[str, aioprometheus.Gauge] = {}
+        self._histograms: dict[str, aioprometheus.Histogram] = {}
         self._values: dict[tuple[str, tuple[tuple[str, str], ...]], float] = {}
 
     def inc(self, name: str, amount: float = 1, **labels: str) -> None:
@@ -53,6 +57,21 @@
                 self._gauges[name] = gauge
             gauge.set(labels, value)
 
+    def observe(self, name: str, value: float, **labels: str) -> None:
+        """Add a value, in seconds, to a histogram."""
+        with self._lock:
+            histogram = self._histograms.get(name)
+            if histogram is None:
+                histogram = aioprometheus.Histogram(
+                    PREFIX + name,
+                    name.replace("_", " "),
+                    const_labels=self._labels,
+                    buckets=SECONDS_BUCKETS,
+                    registry=self._registry,
+                )
+                self._histograms[name] = histogram
+            histogram.observe(labels, value)
+
     def value(self, name: str, **labels: str) -> float:
         """Return a counter's value."""
         key = (name, tuple(sorted(labels.items())))
--- a/jasperweir/result_codes.py
+++ b/jasperweir/result_codes.py
@@ -46,6 +46,8 @@
     NO_SUCH_RUN = 4008
     NOT_FOUND = 4009
     BAD_HEADER = 4010
+    NO_ROUTE = 4011
+    KEY_UNKNOWN = 4012
 
     STALE_PARENT = 5001
     OP_ID_REUSED = 5002
@@ -60,6 +62,8 @@
     UNCONFIRMED = 5011
     STALE_FENCE = 5012
     LOG_EXISTS = 5013
+    BAD_DEPLOYMENT = 5014
+    NOT_CONFIRMED = 5015
 
 
 class Row(NamedTuple):
@@ -146,6 +150,10 @@
     Code.NO_SUCH_RUN: Row(404, _UNKNOWN, False, "No run of that id is known."),
     Code.NOT_FOUND: Row(404, _NOT_RUN, False, "No such path."),
     Code.BAD_HEADER: Row(400, _NOT_RUN, False, "A header is not valid."),
+    Code.NO_ROUTE: Row(
+        404, _NOT_RUN, False, "No route has this host and path."
+    ),
+    Code.KEY_UNKNOWN: Row(401, _NOT_RUN, False, "No customer has this key."),
     Code.STALE_PARENT: Row(
         409, None, False, "Another version was signed off on this parent."
     ),
@@ -180,4 +188,10 @@
     Code.LOG_EXISTS: Row(
         409, None, False, "A log exists already; nothing was founded."
     ),
+    Code.BAD_DEPLOYMENT: Row(
+        400, None, False, "The configuration cannot be read or breaks a rule."
+    ),
+    Code.NOT_CONFIRMED: Row(
+        503, None, True, "No majority confirms it now; ask again."
+    ),
 }
