Switch expert maps through agents beside the engines

Change: agents read reports and counts on the engine's own VM; the leader plans by averaged demand and switches by prepare, hold, arm, release.

--- a/jasperweir/components/balance/balancer.py
+++ b/jasperweir/components/balance/balancer.py
@@ -168,9 +168,7 @@
             key=lambda t: (self._cost(t, typical, now), self._rng.random()),
         )
 
-    def free_places(
-        self, targets: list[records.Target], now: float
-    ) -> float:
+    def free_places(self, targets: list[records.Target], now: float) -> float:
         """Return how many requests the targets could begin now."""
         return sum(
             max(0.0, t.slots - self.requests_at(t.target_id, now))
--- a/jasperweir/components/configctl/door.py
+++ b/jasperweir/components/configctl/door.py
@@ -65,6 +65,9 @@
     def call(self, req: http_message.Request) -> Call:
         """Read a call."""
 
+    def deployment(self, raw: bytes) -> model.Deployment:
+        """Read a configuration that was accepted."""
+
     def done(self) -> Reply:
         """Return the answer to a call that has been carried out."""
 
--- a/jasperweir/components/configctl/node.py
+++ b/jasperweir/components/configctl/node.py
@@ -390,9 +390,7 @@
         declared = self.machine.declared()
         if declared.version <= msg.held:
             return []
-        content = messages.Content(
-            version=declared.version, data=declared.data
-        )
+        content = messages.Content(version=declared.version, data=declared.data)
         return [core.Send(dst=src, msg=content)]
 
     def _compact(self) -> Actions:
@@ -491,7 +489,11 @@
                 del self._nodes[name]
         entries = self.nodes(directory_const.KIND_ENTRY, now)
         self._open_nodes = tuple(
-            sorted(node._replace(sequence=0, incarnation=0) for node in entries if node.open)
+            sorted(
+                node._replace(sequence=0, incarnation=0)
+                for node in entries
+                if node.open
+            )
         )
         digest = hashing.checksum(codec.pack(self._open_nodes))
         self._nodes_digest = digest >> 1
@@ -505,9 +507,7 @@
         ]
 
     def _node_list(self) -> records.Nodes:
-        return records.Nodes(
-            digest=self._nodes_digest, nodes=self._open_nodes
-        )
+        return records.Nodes(digest=self._nodes_digest, nodes=self._open_nodes)
 
     def _all_targets(self, now: float) -> records.Targets:
         return records.Targets(
--- a/jasperweir/components/follow/follower.py
+++ b/jasperweir/components/follow/follower.py
@@ -58,12 +58,14 @@
         seeds: tuple[str, ...],
         now: float,
         beat_s: float = directory_const.NODE_BEAT_SECONDS,
+        wants_content: bool = True,
     ) -> None:
         self.node = node
         self.directory = directory_lib.Directory()
         self.version = 0
         self._controls = {seed: Control() for seed in seeds}
         self._seeds = len(seeds)
+        self._wants_content = wants_content
         self._beat_s = beat_s
         self._beat_at = 0.0
         self._announced: dict[str, int] = {}
@@ -210,6 +212,8 @@
         self._announced[src] = version
 
     def _pull(self, now: float) -> Actions:
+        if not self._wants_content:
+            return []
         behind = [
             name
             for name, version in self._announced.items()
--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -146,9 +146,7 @@
             self._on_fault(fault, f"status {head.status}", hard=hard)
             return True
         if head.status < 500:
-            self._owner.balancer.succeeded(
-                self.target_id, now - self._sent_at
-            )
+            self._owner.balancer.succeeded(self.target_id, now - self._sent_at)
         else:
             self._owner.balancer.failed(self.target_id, now, hard=False)
         if self.life.started:
@@ -243,9 +241,7 @@
         self._release()
         self._head = self._head if self.life.started else None
         self._held, self._held_bytes = [], 0
-        self._splitter = events_lib.EventSplitter(
-            last_id=self.life.last_event
-        )
+        self._splitter = events_lib.EventSplitter(last_id=self.life.last_event)
         self._owner.note_fault(self, target, fault, reason)
         self._act(self.life.on_fault(target.target_id, fault, now))
 
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -205,9 +205,7 @@
         )
         self._metrics.observe("request_seconds", now - life.arrived)
         if first:
-            self._metrics.observe(
-                "first_byte_seconds", first - life.arrived
-            )
+            self._metrics.observe("first_byte_seconds", first - life.arrived)
         customer = life.match.customer
         _log.info(
             "request ended",
--- /dev/null
+++ b/jasperweir/components/mapswitch/__init__.py
@@ -0,0 +1,1 @@
+"""Expert maps of engine groups: demand, plans, and the safe switch."""
--- /dev/null
+++ b/jasperweir/components/mapswitch/const.py
@@ -0,0 +1,43 @@
+"""Constants of planning and switching expert maps."""
+
+# The agent reads its engine this often while nothing goes on, seconds. The
+# read is free on the engine's own VM.
+READ_SECONDS = 0.5
+# And this often while a switch is under way.
+BUSY_READ_SECONDS = 0.1
+# A beat older than this does not count, seconds.
+FRESH_SECONDS = 1.6
+# Time constant of the demand average, seconds: a few streams long, so that
+# it follows what the running requests choose.
+DEMAND_SECONDS = 2.5
+# Tokens that must have been counted before a plan is made.
+DEMAND_LEAST = 20_000.0
+# Least time between two plans of a group, seconds.
+PLAN_SECONDS = 1.5
+# A switch must shorten the expert part of a pass by this share: below, the
+# copies cost more than they bring.
+LEAST_GAIN = 0.06
+# Moves that one plan may make in a set, for each rank.
+MOVES_PER_RANK = 2
+
+# Time in which all ranks must have copied their new experts, seconds: eight
+# experts of 880 MB take some 0.3 s at the platform's usual link.
+PREPARE_SECONDS = 6.0
+# The held pass lies this long ahead of the newest known one, seconds: some
+# tries of an order that is lost.
+HOLD_AHEAD_SECONDS = 0.6
+HOLD_AHEAD_PASSES_MIN = 8
+# Arming that takes longer is called off, seconds.
+ARM_SECONDS = 1.2
+# After a switch that failed the group is left alone for this long, seconds.
+REST_SECONDS = 3.0
+# A question to an agent is sent again after this long, seconds.
+RESEND_SECONDS = 0.25
+
+# An engine on the same VM answers within milliseconds; later means lost.
+ORDER_SECONDS = 0.15
+# Tries of one order before it is made void.
+ORDER_TRIES = 6
+# A pass that no group reaches within a day, for orders that only move the
+# engine's sequence on.
+FAR_PASSES = 10_000_000
--- /dev/null
+++ b/jasperweir/components/mapswitch/coordinator.py
@@ -0,0 +1,458 @@
+"""The leader's switch of a group's expert map; sans-I/O.
+
+A switch prepares every rank, holds a coming pass at one rank, arms every
+rank for that pass, and releases it only when all are seen armed. So no pass
+begins on two maps, whichever order is lost, late, or carried out twice. A
+hold never expires: whoever takes over resolves what it finds.
+"""
+
+import dataclasses
+import enum
+import itertools
+from typing import Any
+from typing import NamedTuple
+
+from jasperweir import core
+from jasperweir.components.deployment import model
+from jasperweir.components.mapswitch import const
+from jasperweir.components.mapswitch import demand as demand_lib
+from jasperweir.components.mapswitch import members as members_lib
+from jasperweir.components.mapswitch import messages
+from jasperweir.components.mapswitch import plan as plan_lib
+from jasperweir.helpers import codec
+
+Actions = list[Any]
+# Versions of two terms never meet: each term has this many bits to count.
+_VERSION_BITS = 12
+
+
+class Phase(enum.Enum):
+    """Where a group's switch stands."""
+
+    IDLE = "idle"
+    PREPARING = "preparing"
+    HOLDING = "holding"
+    ARMING = "arming"
+    CALLING_OFF = "calling_off"
+    RELEASING = "releasing"
+    SWITCHING = "switching"
+
+
+class PhaseChanged(NamedTuple):
+    """Action: record a step of a switch, with what decided it."""
+
+    group: str
+    phase: str
+    version: int
+    at_pass: int
+    reason: str
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Outstanding:
+    """An order that its agent has not answered yet."""
+
+    agent: str
+    ask: messages.OrderAsk
+    order: messages.Order
+    sent_at: float
+
+
+class Group:
+    """Switch of one group under one term.
+
+    Attributes:
+        members: Its ranks.
+        demand: Demand for its experts.
+        phase: Where its switch stands.
+    """
+
+    def __init__(
+        self, *, name: str, engine: model.Engine, term: int,
+        numbers: "itertools.count[int]",
+    ) -> None:  # fmt: skip
+        self.name = name
+        self.members = members_lib.Members()
+        self.demand = demand_lib.Demand(
+            sets=engine.sets, experts=engine.experts
+        )
+        self.phase = Phase.IDLE
+        self._engine = engine
+        self._term = term
+        self._numbers = numbers
+        self._version = term << _VERSION_BITS
+        self._at_pass = 0
+        self._epoch = 0
+        self._since = 0.0
+        self._plan_at = 0.0
+        self._outstanding: dict[str, Outstanding] = {}
+        self._notes: Actions = []
+
+    # Inputs.
+
+    def on_beat(self, src: str, beat: messages.EngineBeat, now: float) -> None:
+        """Take in what an agent tells."""
+        self.members.on_beat(src, beat, now)
+        self.demand.observe(src, beat.counts, now)
+
+    def on_done(self, src: str, msg: messages.OrderDone, now: float) -> Actions:
+        """Take in what became of an order."""
+        waiting = self._outstanding.get(src)
+        if waiting is None or waiting.ask.number != msg.number:
+            return []
+        del self._outstanding[src]
+        if msg.state is not None:
+            self.members.on_state(src, msg.state)
+        out = [] if msg.ok else self._on_refused(waiting.order, now)
+        return out + self.tick(now)
+
+    def tick(self, now: float) -> Actions:
+        """Let time pass and take the next step if it is due."""
+        out = self._resend(now)
+        out += self._step(now)
+        notes, self._notes = self._notes, []
+        return out + notes
+
+    @property
+    def busy(self) -> bool:
+        """Whether a switch is under way."""
+        return self.phase is not Phase.IDLE
+
+    # Steps.
+
+    def _step(self, now: float) -> Actions:
+        if self._outstanding and self.phase is not Phase.ARMING:
+            return self._waiting(now)
+        match self.phase:
+            case Phase.IDLE:
+                return self._idle(now)
+            case Phase.PREPARING:
+                return self._preparing(now)
+            case Phase.HOLDING:
+                return self._holding(now)
+            case Phase.ARMING:
+                return self._arming(now)
+            case Phase.CALLING_OFF:
+                return self._calling_off(now)
+            case Phase.RELEASING | Phase.SWITCHING:
+                return self._switching(now)
+
+    def _waiting(self, now: float) -> Actions:
+        """Give up waiting where nothing has to be resolved first.
+
+        A hold whose outcome is not known shows in the rank's next state.
+        """
+        match self.phase:
+            case Phase.PREPARING:
+                return self._late(now, const.PREPARE_SECONDS)
+            case Phase.HOLDING:
+                return self._late(now, const.ARM_SECONDS)
+        return []
+
+    def _idle(self, now: float) -> Actions:
+        if now < self._plan_at or not self.members.complete(self._term, now):
+            return []
+        states = [m.state for m in self.members.all()]
+        self._epoch = states[0].epoch
+        if any(s.held or s.armed for s in states):
+            self._enter(Phase.CALLING_OFF, now, "found half done")
+            return self._calling_off(now)
+        self._plan_at = now + const.PLAN_SECONDS
+        if len({s.map_version for s in states}) > 1:
+            return []
+        placement = self._planned()
+        if placement is None:
+            return []
+        used = max(max(s.map_version, s.prepared) for s in states)
+        self._version = max(self._version, used) + 1
+        self._enter(Phase.PREPARING, now, "better placement found")
+        order = messages.Prepare(version=self._version, placement=placement)
+        return self._order_all(order, now)
+
+    def _planned(self) -> messages.Placement | None:
+        if self.demand.tokens < const.DEMAND_LEAST:
+            return None
+        shares = self.demand.shares()
+        before = after = 0.0
+        placement = []
+        current = self.members.placement()
+        if len(current) != len(shares):
+            return None
+        for ranks, row in zip(current, shares, strict=True):
+            start = plan_lib.table(ranks, self._engine.experts)
+            found = plan_lib.improve(
+                start,
+                row,
+                places=self._engine.places,
+                spare=self._engine.spare,
+            )
+            before += found.before
+            after += found.after
+            placement.append(plan_lib.rows(found.held))
+        if after > before * (1 - const.LEAST_GAIN):
+            return None
+        return tuple(placement)
+
+    def _preparing(self, now: float) -> Actions:
+        if not self._same_epoch():
+            return self._rest(now, "group formed anew")
+        states = [m.state for m in self.members.all()]
+        if all(s.prepared == self._version for s in states):
+            if not self.members.complete(self._term, now):
+                return self._late(now, const.PREPARE_SECONDS)
+            self._enter(Phase.HOLDING, now, "all ranks prepared")
+            return self._hold(now)
+        return self._late(now, const.PREPARE_SECONDS)
+
+    def _hold(self, now: float) -> Actions:
+        seconds = self.members.pass_seconds()
+        passes = int(const.HOLD_AHEAD_SECONDS / seconds) if seconds else 0
+        ahead = max(passes, const.HOLD_AHEAD_PASSES_MIN)
+        self._at_pass = self.members.newest_pass() + ahead
+        holder = self.members.all()[0]
+        order = messages.Hold(at_pass=self._at_pass)
+        return self._order(holder, order, now)
+
+    def _holding(self, now: float) -> Actions:
+        holder = self.members.all()[0]
+        if holder.state.held != self._at_pass:
+            return self._rest(now, "hold refused")
+        self._enter(Phase.ARMING, now, "pass held")
+        order = messages.Arm(version=self._version, at_pass=self._at_pass)
+        return self._order_all(order, now)
+
+    def _arming(self, now: float) -> Actions:
+        if not self._same_epoch():
+            return self._rest(now, "group formed anew")
+        late = now - self._since > const.ARM_SECONDS
+        if late and any(not self._is_armed(m) for m in self.members.all()):
+            return self._call_off(now, "arming took too long")
+        if self._outstanding:
+            return []
+        if not all(self._is_armed(m) for m in self.members.all()):
+            return self._call_off(now, "a rank is not armed")
+        self._enter(Phase.RELEASING, now, "all ranks armed")
+        holder = self.members.all()[0]
+        order = messages.Release(at_pass=self._at_pass)
+        return self._order(holder, order, now)
+
+    def _call_off(self, now: float, reason: str) -> Actions:
+        """Take back a switch whose ranks are not all armed.
+
+        Every rank gets the order, armed or not: its answer proves that no
+        earlier order of unknown outcome is left there.
+        """
+        self._outstanding.clear()
+        self._enter(Phase.CALLING_OFF, now, reason)
+        return self._order_all(messages.Disarm(version=self._version), now)
+
+    def _calling_off(self, now: float) -> Actions:
+        """Resolve what is half done: disarm all or none, then release."""
+        if not self.members.complete(self._term, now):
+            return []
+        members = self.members.all()
+        states = [m.state for m in members]
+        self._epoch = states[0].epoch
+        armed = [m for m in members if m.state.armed]
+        held = [m for m in members if m.state.held]
+        targets = {(m.state.armed, m.state.armed_at) for m in armed}
+        uniform = len(armed) == len(members) and len(targets) == 1
+        if armed and not uniform:
+            first = min(m.state.armed_at for m in armed)
+            if not any(m.state.held <= first for m in held):
+                order = messages.Hold(at_pass=first)
+                return self._order(members[0], order, now)
+            out: Actions = []
+            for m in armed:
+                disarm = messages.Disarm(version=m.state.armed)
+                out += self._order(m, disarm, now)
+            return out
+        if held:
+            out = []
+            for m in held:
+                release = messages.Release(at_pass=m.state.held)
+                out += self._order(m, release, now)
+            return out
+        return self._rest(now, "resolved")
+
+    def _switching(self, now: float) -> Actions:
+        members = self.members.all()
+        if self._same_epoch() and any(m.state.held for m in members):
+            # The release was refused or lost: resolve by what is there.
+            self._enter(Phase.CALLING_OFF, now, "release not confirmed")
+            return []
+        if self.phase is Phase.RELEASING:
+            self._enter(Phase.SWITCHING, now, "released")
+        versions = {m.state.map_version for m in members}
+        if versions == {self._version} or not self._same_epoch():
+            self._enter(Phase.IDLE, now, "switched")
+            self._plan_at = now + const.PLAN_SECONDS
+            return []
+        return self._late(now, const.PREPARE_SECONDS)
+
+    # Parts of steps.
+
+    def _is_armed(self, member: members_lib.Member) -> bool:
+        state = member.state
+        if state.map_version == self._version:
+            return True
+        armed = state.armed == self._version
+        return armed and state.armed_at == self._at_pass
+
+    def _same_epoch(self) -> bool:
+        return all(m.state.epoch == self._epoch for m in self.members.all())
+
+    def _late(self, now: float, seconds: float) -> Actions:
+        if now - self._since > seconds:
+            return self._rest(now, "took too long")
+        return []
+
+    def _rest(self, now: float, reason: str) -> Actions:
+        self._outstanding.clear()
+        self._enter(Phase.IDLE, now, reason)
+        self._plan_at = now + const.REST_SECONDS
+        return []
+
+    def _enter(self, phase: Phase, now: float, reason: str) -> None:
+        self.phase = phase
+        self._since = now
+        self._notes.append(
+            PhaseChanged(
+                group=self.name,
+                phase=phase.value,
+                version=self._version,
+                at_pass=self._at_pass,
+                reason=reason,
+            )
+        )
+
+    def _on_refused(self, order: messages.Order, now: float) -> Actions:
+        match order:
+            case messages.Prepare():
+                return self._rest(now, "prepare refused")
+            case messages.Hold() if self.phase is Phase.HOLDING:
+                return self._rest(now, "hold refused")
+            case messages.Arm() if self.phase is Phase.ARMING:
+                return self._call_off(now, "arm refused")
+        return []
+
+    # Orders.
+
+    def _order_all(self, order: messages.Order, now: float) -> Actions:
+        out: Actions = []
+        for member in self.members.all():
+            out += self._order(member, order, now)
+        return out
+
+    def _order(
+        self, member: members_lib.Member, order: messages.Order, now: float
+    ) -> Actions:
+        agent = member.agent
+        ask = messages.OrderAsk(
+            number=next(self._numbers),
+            term=self._term,
+            epoch=self._epoch,
+            sequence=member.state.sequence,
+            order=codec.pack_tagged(order),
+        )
+        self._outstanding[agent] = Outstanding(
+            agent=agent, ask=ask, order=order, sent_at=now
+        )
+        return [core.Send(dst=agent, msg=ask)]
+
+    def _resend(self, now: float) -> Actions:
+        out: Actions = []
+        for waiting in self._outstanding.values():
+            if now - waiting.sent_at < const.RESEND_SECONDS:
+                continue
+            waiting.sent_at = now
+            out.append(core.Send(dst=waiting.agent, msg=waiting.ask))
+        return out
+
+
+class Coordinator:
+    """All groups, as long as this control VM leads."""
+
+    def __init__(self) -> None:
+        self._term = 0
+        self._groups: dict[str, Group] = {}
+        self._agents: dict[str, float] = {}
+        self._numbers = itertools.count(1)
+        self._asked_at = float("-inf")
+
+    def lead(self, term: int) -> None:
+        """Begin a term, or with 0 stop; nothing of an older one is kept."""
+        if term == self._term:
+            return
+        self._term = term
+        self._groups = {}
+        self._asked_at = float("-inf")
+
+    def on_agent(self, name: str, now: float) -> None:
+        """Note an agent that beats here."""
+        self._agents[name] = now
+
+    def receive(
+        self,
+        src: str,
+        msg: Any,
+        engines: dict[str, model.Engine],
+        now: float,
+    ) -> Actions:
+        """Handle a message of an agent."""
+        if not self._term:
+            return []
+        match msg:
+            case messages.EngineBeat():
+                self._on_beat(src, msg, engines, now)
+            case messages.OrderDone():
+                for group in self._groups.values():
+                    if group.members.of(src) is not None:
+                        return group.on_done(src, msg, now)
+        return []
+
+    def tick(self, now: float) -> Actions:
+        """Let time pass."""
+        if not self._term:
+            return []
+        out: Actions = []
+        if now - self._asked_at > const.READ_SECONDS:
+            self._asked_at = now
+            out += self._ask_paces(now)
+        for group in self._groups.values():
+            was_busy = group.busy
+            out += group.tick(now)
+            if group.busy and not was_busy:
+                out += self._ask_paces(now)
+        return out
+
+    def _ask_paces(self, now: float) -> Actions:
+        busy = any(group.busy for group in self._groups.values())
+        ask = messages.PaceAsk(term=self._term, busy=busy)
+        return [
+            core.Send(dst=name, msg=ask)
+            for name, at in self._agents.items()
+            if now - at < const.FRESH_SECONDS * 4
+        ]
+
+    def _on_beat(
+        self,
+        src: str,
+        msg: messages.EngineBeat,
+        engines: dict[str, model.Engine],
+        now: float,
+    ) -> None:
+        engine = engines.get(msg.service)
+        if engine is None or not engine.sets or not msg.state.group:
+            return
+        name = f"{msg.service}/{msg.state.group}"
+        group = self._groups.get(name)
+        if group is None:
+            group = Group(
+                name=name,
+                engine=engine,
+                term=self._term,
+                numbers=self._numbers,
+            )
+            self._groups[name] = group
+        group.on_beat(src, msg, now)
--- /dev/null
+++ b/jasperweir/components/mapswitch/members.py
@@ -0,0 +1,109 @@
+"""What the leader knows of the ranks of one group."""
+
+import dataclasses
+
+from jasperweir.components.mapswitch import const
+from jasperweir.components.mapswitch import messages
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Member:
+    """One rank, as its agent last told.
+
+    Attributes:
+        agent: Name of the agent on its VM.
+        beat: Newest beat.
+        heard_at: When the beat arrived.
+        pass_seconds: Smoothed time of a pass, 0 while it is not known.
+    """
+
+    agent: str
+    beat: messages.EngineBeat
+    heard_at: float
+    pass_seconds: float = 0.0
+
+    @property
+    def state(self) -> messages.EngineState:
+        """The engine's state."""
+        return self.beat.state
+
+
+class Members:
+    """The ranks of one group."""
+
+    def __init__(self) -> None:
+        self._by_rank: dict[int, Member] = {}
+
+    def on_beat(self, src: str, beat: messages.EngineBeat, now: float) -> None:
+        """Take in a beat."""
+        rank = beat.state.rank
+        old = self._by_rank.get(rank)
+        self._by_rank[rank] = Member(
+            agent=src,
+            beat=beat,
+            heard_at=now,
+            pass_seconds=_pass_seconds(old, beat, now),
+        )
+
+    def on_state(self, agent: str, state: messages.EngineState) -> None:
+        """Take in the state that an order left behind."""
+        for member in self._by_rank.values():
+            if member.agent == agent and state.rank == member.state.rank:
+                member.beat = member.beat._replace(state=state)
+
+    def of(self, agent: str) -> Member | None:
+        """Return the rank at an agent."""
+        for member in self._by_rank.values():
+            if member.agent == agent:
+                return member
+        return None
+
+    def all(self) -> list[Member]:
+        """Return the known ranks in order."""
+        return [self._by_rank[rank] for rank in sorted(self._by_rank)]
+
+    def complete(self, term: int, now: float) -> bool:
+        """Tell whether every rank is known, fresh, settled and in step."""
+        members = self.all()
+        if not members:
+            return False
+        first = members[0].state
+        if len(members) != first.size:
+            return False
+        return all(
+            now - m.heard_at < const.FRESH_SECONDS
+            and m.beat.term == term
+            and m.beat.settled
+            and m.state.is_open
+            and m.state.epoch == first.epoch
+            and m.state.size == first.size
+            for m in members
+        )
+
+    def placement(self) -> messages.Placement:
+        """Return the experts in use, by set and rank."""
+        ranks = [member.beat.experts for member in self.all()]
+        sets = min((len(r) for r in ranks), default=0)
+        return tuple(
+            tuple(rank[number] for rank in ranks) for number in range(sets)
+        )
+
+    def newest_pass(self) -> int:
+        """Return the newest pass that any rank has begun."""
+        return max((m.state.passes for m in self.all()), default=0)
+
+    def pass_seconds(self) -> float:
+        """Return the shortest time of a pass that any rank showed."""
+        times = [m.pass_seconds for m in self.all() if m.pass_seconds > 0]
+        return min(times, default=0.0)
+
+
+def _pass_seconds(
+    old: Member | None, beat: messages.EngineBeat, now: float
+) -> float:
+    if old is None:
+        return 0.0
+    passed = beat.state.passes - old.state.passes
+    if passed <= 0 or now <= old.heard_at:
+        return old.pass_seconds
+    return (now - old.heard_at) / passed
--- /dev/null
+++ b/jasperweir/components/mapswitch/messages.py
@@ -0,0 +1,156 @@
+"""State of an engine, orders to it, and messages between leader and agent."""
+
+from typing import NamedTuple
+
+from jasperweir.helpers import codec
+
+# Experts by set and rank: ``placement[set][rank]`` holds expert numbers.
+Placement = tuple[tuple[tuple[int, ...], ...], ...]
+
+
+class EngineState(NamedTuple):
+    """What an engine reports of itself.
+
+    Attributes:
+        group: Name of its group.
+        epoch: Counts how often the group has formed.
+        rank: Its place in the group.
+        size: Ranks of the group.
+        is_open: Whether the group runs passes.
+        sequence: Number of orders that have begun something.
+        passes: Number of the last pass that was begun.
+        map_version: Map in use.
+        prepared: Version whose experts are all copied, 0 if none.
+        armed: Version to which it switches, 0 if none.
+        armed_at: Pass at which it switches.
+        held: Pass that does not begin without a release, 0 if none.
+        pace: Above 1 if it is slow.
+        running: Requests that it runs.
+        queued: Requests that wait.
+    """
+
+    group: str
+    epoch: int
+    rank: int
+    size: int
+    is_open: bool
+    sequence: int
+    passes: int
+    map_version: int
+    prepared: int
+    armed: int
+    armed_at: int
+    held: int
+    pace: float
+    running: int
+    queued: int
+
+
+@codec.message("mapswitch.prepare")
+class Prepare(NamedTuple):
+    """Copy the experts that are new in a map."""
+
+    version: int
+    placement: Placement
+
+
+@codec.message("mapswitch.arm")
+class Arm(NamedTuple):
+    """Use a prepared map from a pass on."""
+
+    version: int
+    at_pass: int
+
+
+@codec.message("mapswitch.disarm")
+class Disarm(NamedTuple):
+    """Take an Arm back."""
+
+    version: int
+
+
+@codec.message("mapswitch.hold")
+class Hold(NamedTuple):
+    """Do not begin a pass before its Release."""
+
+    at_pass: int
+
+
+@codec.message("mapswitch.release")
+class Release(NamedTuple):
+    """Let a held pass begin."""
+
+    at_pass: int
+
+
+Order = Prepare | Arm | Disarm | Hold | Release
+
+
+@codec.message("mapswitch.order_ask")
+class OrderAsk(NamedTuple):
+    """The leader of a term has an order for the engine at an agent.
+
+    Attributes:
+        number: Number of the order, which rises within a term.
+        term: Term of the leader.
+        epoch: Epoch of the group in which it holds.
+        sequence: The engine's sequence that the leader decided by; in any
+            other state the order must not be carried out.
+        order: The order, tagged.
+    """
+
+    number: int
+    term: int
+    epoch: int
+    sequence: int
+    order: bytes
+
+
+@codec.message("mapswitch.order_done")
+class OrderDone(NamedTuple):
+    """What became of an order.
+
+    Attributes:
+        number: Number of the order.
+        term: Term that the agent holds.
+        ok: Whether the engine's state is now the one that was asked for.
+        state: State after it, if it could be read.
+    """
+
+    number: int
+    term: int
+    ok: bool
+    state: EngineState | None
+
+
+@codec.message("mapswitch.beat")
+class EngineBeat(NamedTuple):
+    """An agent tells the leader of its engine.
+
+    Attributes:
+        service: Service of the engine.
+        address: Address of the engine.
+        term: Highest term that the agent has seen; it takes no order of a
+            lower one.
+        settled: Whether no order of unknown outcome is left.
+        state: What the engine reports.
+        counts: How often each expert was chosen since the engine started,
+            set after set.
+        experts: Experts that the engine holds, by set.
+    """
+
+    service: str
+    address: str
+    term: int
+    settled: bool
+    state: EngineState
+    counts: tuple[int, ...]
+    experts: tuple[tuple[int, ...], ...]
+
+
+@codec.message("mapswitch.pace")
+class PaceAsk(NamedTuple):
+    """The leader of a term wants beats at a faster or slower pace."""
+
+    term: int
+    busy: bool
--- a/jasperweir/daemons/deployed.py
+++ b/jasperweir/daemons/deployed.py
@@ -40,6 +40,7 @@
         control: ``ip:port`` for targets and operators, or empty.
         metrics: ``ip:port`` of the metrics page.
         engine: ``ip:port`` of the target on the same VM, or empty.
+        service: Service of that target, or empty.
         lost_at_once: Control VMs that may be lost without any harm.
         bounds: The deployment's bounds.
     """
@@ -57,6 +58,7 @@
     control: str
     metrics: str
     engine: str
+    service: str
     lost_at_once: int
     bounds: Bounds
 
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -11,6 +11,10 @@
 from jasperweir.components.configctl import const
 from jasperweir.components.configctl import door as door_lib
 from jasperweir.components.configctl import node as node_lib
+from jasperweir.components.deployment import model
+from jasperweir.components.directory import const as directory_const
+from jasperweir.components.mapswitch import coordinator as coordinator_lib
+from jasperweir.components.mapswitch import messages as mapswitch_messages
 from jasperweir.components.quorum import actions
 from jasperweir.components.quorum import storage as storage_lib
 from jasperweir.components.quorum import voter as voter_lib
@@ -48,12 +52,12 @@
         self._stopping = asyncio.Event()
         self._broken_until = 0.0
         self._node: node_lib.ConfigNode | None = None
+        self._coordinator = coordinator_lib.Coordinator()
+        self._engines: dict[str, model.Engine] = {}
 
     async def run(self) -> None:
         """Serve until told to stop."""
-        await self._host.start(
-            on_stop=self._on_stop, on_reload=self._on_reload
-        )
+        await self._host.start(on_stop=self._on_stop, on_reload=self._on_reload)
         self._open()
         await self._host.serve(self._cfg.control, self._handle)
         self._host.every(const.TICK_SECONDS, self._tick)
@@ -123,11 +127,29 @@
                 self._open()
             return
         self._perform(self._node.tick(now))
+        if self._node is not None:
+            self._coordinate(self._node, now)
+
+    def _coordinate(self, node: node_lib.ConfigNode, now: float) -> None:
+        """Drive the switch of expert maps while this VM surely leads."""
+        leads = node.voter.read_index(now) is not None
+        self._coordinator.lead(node.voter.term if leads else 0)
+        for agent in node.nodes(directory_const.KIND_AGENT, now):
+            self._coordinator.on_agent(agent.name, now)
+        self._perform(self._coordinator.tick(now))
 
     def _on_frame(self, src: str, msg: Any) -> None:
         if self._node is None:
             return
-        self._perform(self._node.receive(src, msg, self._host.now()))
+        now = self._host.now()
+        match msg:
+            case mapswitch_messages.EngineBeat():
+                acts = self._coordinator.receive(src, msg, self._engines, now)
+            case mapswitch_messages.OrderDone():
+                acts = self._coordinator.receive(src, msg, self._engines, now)
+            case _:
+                acts = self._node.receive(src, msg, now)
+        self._perform(acts)
 
     # Actions.
 
@@ -157,7 +179,9 @@
                     leader=act.leader,
                 )
             case node_lib.NewVersion():
-                _log.info("version in force", version=act.version)
+                self._on_version(act.version)
+            case coordinator_lib.PhaseChanged():
+                _log.info("expert map", **act._asdict())
             case node_lib.Replaced():
                 self._reply(act.number, self._dialect.done(), act.version)
             case node_lib.Acknowledged():
@@ -170,6 +194,18 @@
                 reply = self._dialect.refused(Code.NOT_CONFIRMED, ())
                 self._reply(act.number, reply, 0)
 
+    def _on_version(self, version: int) -> None:
+        _log.info("version in force", version=version)
+        assert self._node is not None
+        declared = self._node.machine.declared()
+        raw = zlib.decompress(declared.data)
+        deployment = self._dialect.deployment(raw)
+        self._engines = {
+            service.name: service.engine
+            for service in deployment.services
+            if service.engine is not None
+        }
+
     def _reply(self, number: int, reply: door_lib.Reply, version: int) -> None:
         answering = self._calls.pop(number, None)
         if answering is None:
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -104,9 +104,7 @@
 
     async def run(self) -> None:
         """Serve until told to stop."""
-        await self._host.start(
-            on_stop=self._on_stop, on_reload=self._on_reload
-        )
+        await self._host.start(on_stop=self._on_stop, on_reload=self._on_reload)
         self._server = await self._host.serve(
             self._cfg.callers, self._forwarder.handle
         )
--- a/jasperweir/helpers/http_client.py
+++ b/jasperweir/helpers/http_client.py
@@ -106,9 +106,7 @@
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         timeout_ms = int(self._times.dead_peer * 1000)
-        sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
-        )
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
         self.usable_until = time.monotonic() + self._times.idle
 
     def data_received(self, data: bytes) -> None:
