--- a/jasperweir/components/balance/balancer.py
+++ b/jasperweir/components/balance/balancer.py
@@ -35,6 +35,14 @@
     sequence: int
     heard_at: float
     loads: dict[str, float]
+    counts: dict[str, int]
+
+
+class Stated(NamedTuple):
+    """Requests at a target that no entry has told of, and when it said so."""
+
+    unknown: int
+    at: float
 
 
 class Balancer:
@@ -47,8 +55,11 @@
         self._tokens: dict[str, int] = {}
         self._peers: dict[str, Peer] = {}
         self._health: dict[str, Health] = {}
+        self._reports: dict[str, Stated] = {}
         self._sequence = 0
         self._changed = False
+        # Times that nothing was told since there was nothing new.
+        self._unsaid = 0
 
     # Own requests.
 
@@ -77,9 +88,11 @@
 
     def share(self) -> messages.Share | None:
         """Return what to tell the other entries, if anything changed."""
-        if not self._changed:
+        self._unsaid += 1
+        if not self._changed and self._unsaid < const.SHARE_EVERY:
             return None
         self._changed = False
+        self._unsaid = 0
         self._sequence += 1
         loads = tuple(
             messages.OpenLoad(name, count, self._tokens[name])
@@ -97,8 +110,9 @@
             load.target_id: _load(load.requests, load.tokens)
             for load in msg.loads
         }
+        counts = {load.target_id: load.requests for load in msg.loads}
         self._peers[src] = Peer(
-            sequence=msg.sequence, heard_at=now, loads=loads
+            sequence=msg.sequence, heard_at=now, loads=loads, counts=counts
         )
 
     def forget(self, src: str) -> None:
@@ -168,17 +182,44 @@
             key=lambda t: (self._cost(t, typical, now), self._rng.random()),
         )
 
-    def free_places(self, targets: list[records.Target], now: float) -> float:
+    def free_places(self, targets: list[records.Target], now: float) -> int:
         """Return how many requests the targets could begin now."""
         return sum(
-            max(0.0, t.slots - self.requests_at(t.target_id, now))
-            for t in targets
+            max(0, t.slots - self.count_at(t.target_id, now)) for t in targets
+        )
+
+    def count_at(self, target_id: str, now: float) -> int:
+        """Return the open requests of all entries at a target."""
+        known = self._known_count(target_id, now)
+        report = self._reports.get(target_id)
+        if report is None or now - report.at > const.REPORT_SECONDS:
+            return known
+        return known + report.unknown
+
+    def on_report(self, target_id: str, report: Report, now: float) -> None:
+        """Take in the load that a target states with an answer.
+
+        What it states beyond the requests known here belongs to entries
+        that have gone, or to callers that nobody can see.
+        """
+        stated = report.running + report.waiting
+        unknown = max(0, stated - self._known_count(target_id, now))
+        self._reports[target_id] = Stated(unknown=unknown, at=now)
+
+    def _known_count(self, target_id: str, now: float) -> int:
+        return self._requests.get(target_id, 0) + sum(
+            peer.counts.get(target_id, 0)
+            for peer in self._peers.values()
+            if now - peer.heard_at < const.SHARE_STALE_SECONDS
         )
 
     def _cost(
         self, target: records.Target, typical: float, now: float
     ) -> float:
         load = self.requests_at(target.target_id, now)
+        report = self._reports.get(target.target_id)
+        if report is not None and now - report.at < const.REPORT_SECONDS:
+            load += report.unknown
         cost = round(load / max(target.slots, 1), 3)
         if target.place != self._place:
             cost += const.FAR_COST / max(target.slots, 1)
--- a/jasperweir/components/balance/const.py
+++ b/jasperweir/components/balance/const.py
@@ -3,12 +3,14 @@
 # Entries tell each other their open requests this often; a tenth of a second
 # is a few passes of an engine and a few arrivals of a small deployment.
 SHARE_SECONDS = 0.1
+# What has not changed is told again after this many times.
+SHARE_EVERY = 6
 # Figures of an entry that has been silent for longer count no more.
 SHARE_STALE_SECONDS = 1.5
 # Load of a request, in requests: one place plus its tokens over this many.
 TOKENS_PER_PLACE = 4000.0
 # A load header is trusted for this long.
-REPORT_SECONDS = 0.5
+REPORT_SECONDS = 1.0
 
 # Failures in a row after which a target is left out, and for how long.
 EJECT_FAILURES = 2
--- a/jasperweir/components/balance/gate.py
+++ b/jasperweir/components/balance/gate.py
@@ -43,9 +43,9 @@
         """Take out a request whose caller has gone."""
         self._waiting = [w for w in self._waiting if w.number != number]
 
-    def admit(self, places: float) -> list[int]:
+    def admit(self, places: int) -> list[int]:
         """Return the requests that get the free places, most urgent first."""
-        count = min(int(places), len(self._waiting))
+        count = min(places, len(self._waiting))
         if count <= 0:
             return []
         chosen = self._waiting[:count]
--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -143,6 +143,8 @@
         if found.request_id and found.request_id != self.life.ask.request_id:
             return False
         now = self._owner.now()
+        if found.load is not None:
+            self._owner.balancer.on_report(self.target_id, found.load, now)
         fault = self.life.judge_head(head.status, found)
         if fault is not None:
             hard = fault is Fault.REPLACED
--- a/jasperweir/components/mapswitch/const.py
+++ b/jasperweir/components/mapswitch/const.py
@@ -31,13 +31,13 @@
 ARM_SECONDS = 1.2
 # After a switch that failed the group is left alone for this long, seconds.
 REST_SECONDS = 3.0
-# A question to an agent is sent again after this long, seconds.
-RESEND_SECONDS = 0.25
+# An agent that has not carried out an order after this long is passed by:
+# the leader gives the order itself, which is priced. Seconds.
+DIRECT_SECONDS = 0.3
+# After that it is tried again this often, seconds.
+RESEND_SECONDS = 1.0
 
 # An engine on the same VM answers within milliseconds; later means lost.
 ORDER_SECONDS = 0.15
-# Tries of one order before it is made void.
-ORDER_TRIES = 6
-# A pass that no group reaches within a day, for orders that only move the
-# engine's sequence on.
-FAR_PASSES = 10_000_000
+# Tries of one order before its failure is reported.
+ORDER_TRIES = 5
--- a/jasperweir/components/mapswitch/coordinator.py
+++ b/jasperweir/components/mapswitch/coordinator.py
@@ -1,9 +1,12 @@
 """The leader's switch of a group's expert map; sans-I/O.
 
 A switch prepares every rank, holds a coming pass at one rank, arms every
-rank for that pass, and releases it only when all are seen armed. So no pass
-begins on two maps, whichever order is lost, late, or carried out twice. A
-hold never expires: whoever takes over resolves what it finds.
+rank for that pass, and releases it only when all are seen armed. A switch
+that fails is called off: every rank is disarmed and then prepares a further
+version, after which no late copy of an order can arm it, and only then the
+pass is released. So no pass begins on two maps, whichever order is lost,
+late, or carried out twice. A hold never expires: whoever takes over resolves
+what it finds.
 """
 
 import dataclasses
@@ -38,6 +41,14 @@
     SWITCHING = "switching"
 
 
+class Direct(NamedTuple):
+    """Action: give an order to an engine whose agent does not answer."""
+
+    agent: str
+    address: str
+    ask: messages.OrderAsk
+
+
 class PhaseChanged(NamedTuple):
     """Action: record a step of a switch, with what decided it."""
 
@@ -53,9 +64,10 @@
     """An order that its agent has not answered yet."""
 
     agent: str
+    address: str
     ask: messages.OrderAsk
     order: messages.Order
-    sent_at: float
+    due_at: float
 
 
 class Group:
@@ -138,15 +150,9 @@
                 return self._switching(now)
 
     def _waiting(self, now: float) -> Actions:
-        """Give up waiting where nothing has to be resolved first.
-
-        A hold whose outcome is not known shows in the rank's next state.
-        """
-        match self.phase:
-            case Phase.PREPARING:
-                return self._late(now, const.PREPARE_SECONDS)
-            case Phase.HOLDING:
-                return self._late(now, const.ARM_SECONDS)
+        """Give up waiting where nothing has to be resolved first."""
+        if self.phase is Phase.PREPARING:
+            return self._late(now, const.PREPARE_SECONDS)
         return []
 
     def _idle(self, now: float) -> Actions:
@@ -155,8 +161,7 @@
         states = [m.state for m in self.members.all()]
         self._epoch = states[0].epoch
         if any(s.held or s.armed for s in states):
-            self._enter(Phase.CALLING_OFF, now, "found half done")
-            return self._calling_off(now)
+            return self._resolve(now, "found half done")
         self._plan_at = now + const.PLAN_SECONDS
         if len({s.map_version for s in states}) > 1:
             return []
@@ -216,7 +221,7 @@
     def _holding(self, now: float) -> Actions:
         holder = self.members.all()[0]
         if holder.state.held != self._at_pass:
-            return self._rest(now, "hold refused")
+            return self._resolve(now, "hold refused")
         self._enter(Phase.ARMING, now, "pass held")
         order = messages.Arm(version=self._version, at_pass=self._at_pass)
         return self._order_all(order, now)
@@ -224,71 +229,84 @@
     def _arming(self, now: float) -> Actions:
         if not self._same_epoch():
             return self._rest(now, "group formed anew")
-        late = now - self._since > const.ARM_SECONDS
-        if late and any(not self._is_armed(m) for m in self.members.all()):
-            return self._call_off(now, "arming took too long")
+        armed = all(self._is_armed(m) for m in self.members.all())
+        if not armed and now - self._since > const.ARM_SECONDS:
+            return self._resolve(now, "arming took too long")
         if self._outstanding:
             return []
-        if not all(self._is_armed(m) for m in self.members.all()):
-            return self._call_off(now, "a rank is not armed")
-        self._enter(Phase.RELEASING, now, "all ranks armed")
-        holder = self.members.all()[0]
-        order = messages.Release(at_pass=self._at_pass)
-        return self._order(holder, order, now)
+        if not armed:
+            return self._resolve(now, "a rank is not armed")
+        return self._release(now, "all ranks armed")
 
-    def _call_off(self, now: float, reason: str) -> Actions:
-        """Take back a switch whose ranks are not all armed.
+    def _resolve(self, now: float, reason: str) -> Actions:
+        """End what is half done: go through with it, or take it back.
 
-        Every rank gets the order, armed or not: its answer proves that no
-        earlier order of unknown outcome is left there.
+        Every rank is asked, armed or not, so that its state is known after
+        all earlier orders.
         """
         self._outstanding.clear()
+        states = [m.state for m in self.members.all()]
+        used = max(max(s.map_version, s.prepared, s.armed) for s in states)
+        self._version = max(self._version, used) + 1
         self._enter(Phase.CALLING_OFF, now, reason)
-        return self._order_all(messages.Disarm(version=self._version), now)
+        if self._uniform():
+            return self._release(now, "all ranks armed already")
+        out: Actions = []
+        for m in self.members.all():
+            # A rank that is not armed meets an order to disarm at once.
+            disarm = messages.Disarm(version=m.state.armed or self._version - 1)
+            out += self._order(m, disarm, now)
+        return out
 
     def _calling_off(self, now: float) -> Actions:
-        """Resolve what is half done: disarm all or none, then release."""
-        if not self.members.complete(self._term, now):
-            return []
+        if not self._same_epoch():
+            return self._rest(now, "group formed anew")
         members = self.members.all()
-        states = [m.state for m in members]
-        self._epoch = states[0].epoch
-        armed = [m for m in members if m.state.armed]
-        held = [m for m in members if m.state.held]
-        targets = {(m.state.armed, m.state.armed_at) for m in armed}
-        uniform = len(armed) == len(members) and len(targets) == 1
-        if armed and not uniform:
-            first = min(m.state.armed_at for m in armed)
-            if not any(m.state.held <= first for m in held):
-                order = messages.Hold(at_pass=first)
-                return self._order(members[0], order, now)
-            out: Actions = []
-            for m in armed:
-                disarm = messages.Disarm(version=m.state.armed)
-                out += self._order(m, disarm, now)
-            return out
-        if held:
-            out = []
-            for m in held:
+        if any(m.state.armed for m in members):
+            return self._resolve(now, "a rank is still armed")
+        behind = [m for m in members if m.state.prepared != self._version]
+        if behind:
+            return self._void(behind, now)
+        return self._release(now, "no rank can be armed")
+
+    def _void(self, behind: list[members_lib.Member], now: float) -> Actions:
+        """Make late copies of orders to arm void: prepare what is in use.
+
+        Nothing is copied for it, and an older version can be armed no more.
+        """
+        order = messages.Prepare(
+            version=self._version, placement=self.members.placement()
+        )
+        out: Actions = []
+        for m in behind:
+            out += self._order(m, order, now)
+        return out
+
+    def _release(self, now: float, reason: str) -> Actions:
+        self._enter(Phase.RELEASING, now, reason)
+        out: Actions = []
+        for m in self.members.all():
+            if m.state.held:
                 release = messages.Release(at_pass=m.state.held)
                 out += self._order(m, release, now)
-            return out
-        return self._rest(now, "resolved")
+        return out
 
     def _switching(self, now: float) -> Actions:
         members = self.members.all()
-        if self._same_epoch() and any(m.state.held for m in members):
-            # The release was refused or lost: resolve by what is there.
-            self._enter(Phase.CALLING_OFF, now, "release not confirmed")
+        if not self._same_epoch():
+            return self._rest(now, "group formed anew")
+        if any(m.state.held for m in members):
+            return self._resolve(now, "a pass is still held")
+        if not any(m.state.armed for m in members):
+            self._enter(Phase.IDLE, now, "at rest")
+            self._plan_at = now + const.PLAN_SECONDS
             return []
         if self.phase is Phase.RELEASING:
             self._enter(Phase.SWITCHING, now, "released")
-        versions = {m.state.map_version for m in members}
-        if versions == {self._version} or not self._same_epoch():
-            self._enter(Phase.IDLE, now, "switched")
-            self._plan_at = now + const.PLAN_SECONDS
-            return []
-        return self._late(now, const.PREPARE_SECONDS)
+        if now - self._since > const.PREPARE_SECONDS:
+            # An idle group makes no passes; it switches with its next ones.
+            self._since = now
+        return []
 
     # Parts of steps.
 
@@ -299,6 +317,12 @@
         armed = state.armed == self._version
         return armed and state.armed_at == self._at_pass
 
+    def _uniform(self) -> bool:
+        """Tell whether every rank is armed for one map and pass."""
+        states = [m.state for m in self.members.all()]
+        targets = {(s.armed, s.armed_at) for s in states}
+        return len(targets) == 1 and states[0].armed > 0
+
     def _same_epoch(self) -> bool:
         return all(m.state.epoch == self._epoch for m in self.members.all())
 
@@ -328,12 +352,12 @@
 
     def _on_refused(self, order: messages.Order, now: float) -> Actions:
         match order:
-            case messages.Prepare():
+            case messages.Prepare() if self.phase is Phase.PREPARING:
                 return self._rest(now, "prepare refused")
             case messages.Hold() if self.phase is Phase.HOLDING:
-                return self._rest(now, "hold refused")
+                return self._resolve(now, "hold refused")
             case messages.Arm() if self.phase is Phase.ARMING:
-                return self._call_off(now, "arm refused")
+                return self._resolve(now, "arm refused")
         return []
 
     # Orders.
@@ -352,21 +376,28 @@
             number=next(self._numbers),
             term=self._term,
             epoch=self._epoch,
-            sequence=member.state.sequence,
             order=codec.pack_tagged(order),
         )
         self._outstanding[agent] = Outstanding(
-            agent=agent, ask=ask, order=order, sent_at=now
+            agent=agent,
+            address=member.beat.address,
+            ask=ask,
+            order=order,
+            due_at=now + const.DIRECT_SECONDS,
         )
         return [core.Send(dst=agent, msg=ask)]
 
     def _resend(self, now: float) -> Actions:
         out: Actions = []
         for waiting in self._outstanding.values():
-            if now - waiting.sent_at < const.RESEND_SECONDS:
+            if now < waiting.due_at:
                 continue
-            waiting.sent_at = now
+            waiting.due_at = now + const.RESEND_SECONDS
             out.append(core.Send(dst=waiting.agent, msg=waiting.ask))
+            if self.phase is Phase.PREPARING:
+                # Nothing waits for it.
+                continue
+            out.append(Direct(waiting.agent, waiting.address, waiting.ask))
         return out
 
 
--- a/jasperweir/components/mapswitch/members.py
+++ b/jasperweir/components/mapswitch/members.py
@@ -63,7 +63,7 @@
         return [self._by_rank[rank] for rank in sorted(self._by_rank)]
 
     def complete(self, term: int, now: float) -> bool:
-        """Tell whether every rank is known, fresh, settled and in step."""
+        """Tell whether every rank is known, fresh and in step."""
         members = self.all()
         if not members:
             return False
@@ -73,7 +73,6 @@
         return all(
             now - m.heard_at < const.FRESH_SECONDS
             and m.beat.term == term
-            and m.beat.settled
             and m.state.is_open
             and m.state.epoch == first.epoch
             and m.state.size == first.size
--- a/jasperweir/components/mapswitch/messages.py
+++ b/jasperweir/components/mapswitch/messages.py
@@ -94,15 +94,12 @@
         number: Number of the order, which rises within a term.
         term: Term of the leader.
         epoch: Epoch of the group in which it holds.
-        sequence: The engine's sequence that the leader decided by; in any
-            other state the order must not be carried out.
         order: The order, tagged.
     """
 
     number: int
     term: int
     epoch: int
-    sequence: int
     order: bytes
 
 
@@ -132,7 +129,6 @@
         address: Address of the engine.
         term: Highest term that the agent has seen; it takes no order of a
             lower one.
-        settled: Whether no order of unknown outcome is left.
         state: What the engine reports.
         counts: How often each expert was chosen since the engine started,
             set after set.
@@ -142,7 +138,6 @@
     service: str
     address: str
     term: int
-    settled: bool
     state: EngineState
     counts: tuple[int, ...]
     experts: tuple[tuple[int, ...], ...]
--- a/jasperweir/daemons/site_agent.py
+++ b/jasperweir/daemons/site_agent.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from typing import Any
-from typing import Protocol
 
 from jasperweir import core
 from jasperweir.components.directory import const as directory_const
@@ -12,9 +11,8 @@
 from jasperweir.components.mapswitch import messages
 from jasperweir.components.mapswitch import runner as runner_lib
 from jasperweir.daemons import deployed
+from jasperweir.daemons import engine_client
 from jasperweir.daemons import loop_host
-from jasperweir.helpers import http_client
-from jasperweir.helpers import http_fetch
 from jasperweir.helpers import logs
 
 _log = logs.logger("agent")
@@ -22,44 +20,9 @@
 FOLLOW_SECONDS = 0.25
 # An agent beats this often; nobody is routed to it.
 BEAT_SECONDS = 1.0
-# The engine is on the same VM.
-ENGINE_TIMES = http_client.ClientTimes(connect=0.15, dead_peer=1.0, idle=1.0)
 TICK_SECONDS = 0.05
 
 
-class EngineDialect(Protocol):
-    """Translate between the engine's calls and types; decides nothing."""
-
-    STATE_TARGET: bytes
-    COUNTS_TARGET: bytes
-    PLACEMENT_TARGET: bytes
-    ORDER_TARGET: bytes
-
-    def state(self, body: bytes) -> messages.EngineState:
-        """Read a report.
-
-        Raises:
-            ValueError: It cannot be read.
-        """
-
-    def counts(self, body: bytes) -> tuple[int, ...]:
-        """Read how often each expert was chosen.
-
-        Raises:
-            ValueError: It cannot be read.
-        """
-
-    def placement(self, body: bytes) -> tuple[tuple[int, ...], ...]:
-        """Read the experts that the engine holds, by set.
-
-        Raises:
-            ValueError: It cannot be read.
-        """
-
-    def order(self, post: runner_lib.Post) -> bytes:
-        """Return the body of an order."""
-
-
 class SiteAgent:
     """Drive a Runner with the engine's own calls."""
 
@@ -67,7 +30,7 @@
         self,
         *,
         cfg: deployed.NodeSettings,
-        dialect: EngineDialect,
+        dialect: engine_client.EngineDialect,
     ) -> None:
         self._cfg = cfg
         self._dialect = dialect
@@ -88,7 +51,9 @@
             beat_s=BEAT_SECONDS,
             wants_content=False,
         )
-        self._pool = http_client.Pool(times=ENGINE_TIMES)
+        self._engine = engine_client.EngineClient(
+            address=cfg.engine, dialect=dialect, timeout_s=const.ORDER_SECONDS
+        )
         self._runner = runner_lib.Runner()
         self._busy = False
         self._read_at = 0.0
@@ -96,7 +61,6 @@
         self._leader = ""
         self._experts: tuple[tuple[int, ...], ...] = ()
         self._experts_of = (-1, -1)
-        self._tasks: set[asyncio.Task[None]] = set()
         self._ended = asyncio.Event()
 
     async def run(self) -> None:
@@ -104,7 +68,6 @@
         await self._host.start(on_stop=self._ended.set, on_reload=_no_reload)
         self._host.every(FOLLOW_SECONDS, self._follow)
         self._host.every(TICK_SECONDS, self._tick)
-        self._perform(self._runner.start())
         await self._ended.wait()
         self._host.stop()
 
@@ -123,7 +86,7 @@
                 if msg.term >= self._runner.term:
                     self._leader = src
                     self._busy = msg.busy
-                self._perform(self._runner.on_term(msg.term))
+                self._runner.on_term(msg.term)
             case _:
                 now = self._host.now()
                 self._perform(self._follower.receive(src, msg, now))
@@ -135,7 +98,7 @@
             return
         self._read_at = now
         self._reading = True
-        self._spawn(self._beat())
+        self._engine.spawn(self._beat())
 
     # Actions.
 
@@ -144,50 +107,11 @@
             match act:
                 case core.Send():
                     self._host.send(act)
-                case runner_lib.Read():
-                    self._spawn(self._read())
-                case runner_lib.Post():
-                    self._spawn(self._post(act))
-
-    def _spawn(self, coro: Any) -> None:
-        task = asyncio.get_running_loop().create_task(coro)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _read(self) -> None:
-        state = await self._state()
-        if state is None:
-            # An engine that is down or starting is asked again soon.
-            await asyncio.sleep(const.BUSY_READ_SECONDS)
-        self._perform(self._runner.on_read(state))
+                case runner_lib.Read() | runner_lib.Post():
+                    self._engine.spawn(self._carry_out(act))
 
-    async def _post(self, act: runner_lib.Post) -> None:
-        try:
-            status, _ = await http_fetch.fetch(
-                self._pool,
-                self._cfg.engine,
-                b"POST",
-                self._dialect.ORDER_TARGET,
-                self._dialect.order(act),
-                const.ORDER_SECONDS,
-            )
-        except OSError as exc:
-            _log.info(
-                "order unanswered",
-                order=type(act.order).__name__,
-                sequence=act.sequence,
-                reason=str(exc),
-            )
-            self._perform(self._runner.on_answer(None))
-            return
-        _log.info(
-            "order answered",
-            order=type(act.order).__name__,
-            sequence=act.sequence,
-            epoch=act.epoch,
-            status=status,
-        )
-        self._perform(self._runner.on_answer(status))
+    async def _carry_out(self, act: runner_lib.Read | runner_lib.Post) -> None:
+        self._perform(await self._engine.carry_out(self._runner, act))
 
     async def _beat(self) -> None:
         try:
@@ -196,62 +120,35 @@
             self._reading = False
 
     async def _send_beat(self) -> None:
-        settled = self._runner.idle
         term = self._runner.term
-        state = await self._state()
+        state = await self._engine.state()
         if state is None or not state.group:
             return
         if self._experts_of != (state.epoch, state.map_version):
-            raw = await self._get(self._dialect.PLACEMENT_TARGET)
+            raw = await self._engine.get(self._dialect.PLACEMENT_TARGET)
             if raw is None:
                 return
             self._experts = self._dialect.placement(raw)
             self._experts_of = (state.epoch, state.map_version)
-        raw = await self._get(self._dialect.COUNTS_TARGET)
+        raw = await self._engine.get(self._dialect.COUNTS_TARGET)
         beat = messages.EngineBeat(
             service=self._cfg.service,
             address=self._cfg.engine,
             term=term,
-            # An order that came while the engine was read is not in here.
-            settled=settled and self._runner.idle,
             state=state,
             counts=self._dialect.counts(raw) if raw is not None else (),
             experts=self._experts,
         )
         self._host.send(core.Send(dst=self._leader, msg=beat))
 
-    async def _state(self) -> messages.EngineState | None:
-        raw = await self._get(self._dialect.STATE_TARGET)
-        if raw is None:
-            return None
-        try:
-            return self._dialect.state(raw)
-        except ValueError as exc:
-            _log.warning("report cannot be read", reason=str(exc))
-            return None
-
-    async def _get(self, target: bytes) -> bytes | None:
-        try:
-            status, body = await http_fetch.fetch(
-                self._pool,
-                self._cfg.engine,
-                b"GET",
-                target,
-                b"",
-                const.ORDER_SECONDS,
-            )
-        except OSError as exc:
-            self._host.metrics.inc("engine_reads_failed")
-            _log.debug("engine not read", reason=str(exc))
-            return None
-        return body if status == 200 else None
-
 
 def _no_reload() -> None:
     _log.info("reload asked for: seeds are read at the start only")
 
 
-def run(*, cfg: deployed.NodeSettings, dialect: EngineDialect) -> None:
+def run(
+    *, cfg: deployed.NodeSettings, dialect: engine_client.EngineDialect
+) -> None:
     """Run an agent until it is stopped."""
 
     async def main() -> None:
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 from typing import Any
+from typing import NamedTuple
 import zlib
 
 from jasperweir import core
@@ -13,12 +14,15 @@
 from jasperweir.components.configctl import node as node_lib
 from jasperweir.components.deployment import model
 from jasperweir.components.directory import const as directory_const
+from jasperweir.components.mapswitch import const as mapswitch_const
 from jasperweir.components.mapswitch import coordinator as coordinator_lib
 from jasperweir.components.mapswitch import messages as mapswitch_messages
+from jasperweir.components.mapswitch import runner as runner_lib
 from jasperweir.components.quorum import actions
 from jasperweir.components.quorum import storage as storage_lib
 from jasperweir.components.quorum import voter as voter_lib
 from jasperweir.daemons import deployed
+from jasperweir.daemons import engine_client
 from jasperweir.daemons import loop_host
 from jasperweir.helpers import http_server
 from jasperweir.helpers import logs
@@ -35,6 +39,14 @@
 LINGER_SECONDS = 1.5
 
 
+class DirectEngine(NamedTuple):
+    """An engine that the leader gives orders to without an agent."""
+
+    address: str
+    runner: runner_lib.Runner
+    client: engine_client.EngineClient
+
+
 class SiteControl:
     """Drive a ConfigNode with a disk, a link and HTTP."""
 
@@ -43,7 +55,9 @@
         *,
         cfg: deployed.NodeSettings,
         dialect: door_lib.ControlDialect,
+        engines: engine_client.EngineDialect,
     ) -> None:
+        self._engine_dialect = engines
         self._cfg = cfg
         self._dialect = dialect
         self._host = loop_host.LoopHost(cfg=cfg, on_frame=self._on_frame)
@@ -56,6 +70,7 @@
         self._node: node_lib.ConfigNode | None = None
         self._coordinator = coordinator_lib.Coordinator()
         self._engines: dict[str, model.Engine] = {}
+        self._direct: dict[str, DirectEngine] = {}
         # Commit index and directory digest that are written down.
         self._noted = (0, 0)
 
@@ -204,6 +219,8 @@
                 )
             case node_lib.NewVersion():
                 self._on_version(act.version)
+            case coordinator_lib.Direct():
+                self._give_directly(act)
             case coordinator_lib.PhaseChanged():
                 _log.info("expert map", **act._asdict())
             case node_lib.Replaced():
@@ -218,6 +235,46 @@
                 reply = self._dialect.refused(Code.NOT_CONFIRMED, ())
                 self._reply(act.number, reply, 0)
 
+    def _give_directly(self, act: coordinator_lib.Direct) -> None:
+        """Give an order to an engine whose agent does not answer."""
+        self._host.metrics.inc("orders_given_directly")
+        engine = self._direct.get(act.agent)
+        if engine is None or engine.address != act.address:
+            engine = DirectEngine(
+                address=act.address,
+                runner=runner_lib.Runner(),
+                client=engine_client.EngineClient(
+                    address=act.address,
+                    dialect=self._engine_dialect,
+                    timeout_s=mapswitch_const.ORDER_SECONDS,
+                ),
+            )
+            self._direct[act.agent] = engine
+        acts = engine.runner.on_ask(act.agent, act.ask)
+        self._run_directly(engine, acts)
+
+    def _run_directly(
+        self, engine: "DirectEngine", acts: runner_lib.Actions
+    ) -> None:
+        for act in acts:
+            match act:
+                case core.Send():
+                    # Its result counts as its agent's.
+                    now = self._host.now()
+                    self._perform(
+                        self._coordinator.receive(
+                            act.dst, act.msg, self._engines, now
+                        )
+                    )
+                case runner_lib.Read() | runner_lib.Post():
+                    engine.client.spawn(self._carry_out(engine, act))
+
+    async def _carry_out(
+        self, engine: "DirectEngine", act: runner_lib.Read | runner_lib.Post
+    ) -> None:
+        acts = await engine.client.carry_out(engine.runner, act)
+        self._run_directly(engine, acts)
+
     def _on_version(self, version: int) -> None:
         _log.info("version in force", version=version)
         assert self._node is not None
@@ -291,11 +348,14 @@
 
 
 def run(
-    *, cfg: deployed.NodeSettings, dialect: door_lib.ControlDialect
+    *,
+    cfg: deployed.NodeSettings,
+    dialect: door_lib.ControlDialect,
+    engines: engine_client.EngineDialect,
 ) -> None:
     """Run a control VM until it is stopped."""
 
     async def main() -> None:
-        await SiteControl(cfg=cfg, dialect=dialect).run()
+        await SiteControl(cfg=cfg, dialect=dialect, engines=engines).run()
 
     asyncio.run(main())
