Entries tell each other open requests within milliseconds

Cause: requests sent to targets with free places waited up to 1.8 s for their first event: entries with 100 ms old figures met in the last places. Change: a change goes to the other entries after 4 ms; targets with equal counts are drawn at random.

--- a/jasperweir/components/balance/balancer.py
+++ b/jasperweir/components/balance/balancer.py
@@ -1,5 +1,6 @@
 """Choice of a target by the open requests of all entries; sans-I/O."""
 
+from collections.abc import Callable
 import dataclasses
 import random
 import statistics
@@ -34,7 +35,6 @@
 
     sequence: int
     heard_at: float
-    loads: dict[str, float]
     counts: dict[str, int]
 
 
@@ -46,39 +46,36 @@
 
 
 class Balancer:
-    """Own and other entries' open requests, health, and the choice."""
+    """Own and other entries' open requests, health, and the choice.
 
-    def __init__(self, *, place: str, rng: random.Random) -> None:
-        self._place = place
+    Attributes:
+        on_change: Called when the own open requests change.
+    """
+
+    def __init__(self, *, rng: random.Random) -> None:
+        self.on_change: Callable[[], None] = lambda: None
         self._rng = rng
         self._requests: dict[str, int] = {}
-        self._tokens: dict[str, int] = {}
         self._peers: dict[str, Peer] = {}
         self._health: dict[str, Health] = {}
         self._reports: dict[str, Stated] = {}
         self._sequence = 0
-        self._changed = False
-        # Times that nothing was told since there was nothing new.
-        self._unsaid = 0
 
     # Own requests.
 
-    def begin(self, target_id: str, tokens: int) -> None:
+    def begin(self, target_id: str) -> None:
         """Count a request that is sent to a target."""
         self._requests[target_id] = self._requests.get(target_id, 0) + 1
-        self._tokens[target_id] = self._tokens.get(target_id, 0) + tokens
-        self._changed = True
+        self.on_change()
 
-    def finish(self, target_id: str, tokens: int) -> None:
+    def finish(self, target_id: str) -> None:
         """Count a request that has ended at a target."""
         left = self._requests.get(target_id, 0) - 1
         if left > 0:
             self._requests[target_id] = left
-            self._tokens[target_id] -= tokens
         else:
             self._requests.pop(target_id, None)
-            self._tokens.pop(target_id, None)
-        self._changed = True
+        self.on_change()
 
     def open_requests(self) -> int:
         """Return the number of own requests at targets."""
@@ -86,16 +83,11 @@
 
     # Other entries.
 
-    def share(self) -> messages.Share | None:
-        """Return what to tell the other entries, if anything changed."""
-        self._unsaid += 1
-        if not self._changed and self._unsaid < const.SHARE_EVERY:
-            return None
-        self._changed = False
-        self._unsaid = 0
+    def share(self) -> messages.Share:
+        """Return what to tell the other entries."""
         self._sequence += 1
         loads = tuple(
-            messages.OpenLoad(name, count, self._tokens[name])
+            messages.OpenLoad(name, count)
             for name, count in self._requests.items()
         )
         return messages.Share(sequence=self._sequence, loads=loads)
@@ -106,30 +98,15 @@
         stale = peer is None or now - peer.heard_at > const.SHARE_STALE_SECONDS
         if not stale and peer is not None and msg.sequence <= peer.sequence:
             return
-        loads = {
-            load.target_id: _load(load.requests, load.tokens)
-            for load in msg.loads
-        }
         counts = {load.target_id: load.requests for load in msg.loads}
         self._peers[src] = Peer(
-            sequence=msg.sequence, heard_at=now, loads=loads, counts=counts
+            sequence=msg.sequence, heard_at=now, counts=counts
         )
 
     def forget(self, src: str) -> None:
         """Drop what an entry told that has gone."""
         self._peers.pop(src, None)
 
-    def requests_at(self, target_id: str, now: float) -> float:
-        """Return the load of all entries at a target, in requests."""
-        own = _load(
-            self._requests.get(target_id, 0), self._tokens.get(target_id, 0)
-        )
-        return own + sum(
-            peer.loads.get(target_id, 0.0)
-            for peer in self._peers.values()
-            if now - peer.heard_at < const.SHARE_STALE_SECONDS
-        )
-
     # Health.
 
     def succeeded(self, target_id: str, seconds: float | None) -> None:
@@ -191,10 +168,14 @@
     def count_at(self, target_id: str, now: float) -> int:
         """Return the open requests of all entries at a target."""
         known = self._known_count(target_id, now)
+        return known + self.unknown_at(target_id, now)
+
+    def unknown_at(self, target_id: str, now: float) -> int:
+        """Return the requests at a target that no entry has told of."""
         report = self._reports.get(target_id)
         if report is None or now - report.at > const.REPORT_SECONDS:
-            return known
-        return known + report.unknown
+            return 0
+        return report.unknown
 
     def on_report(self, target_id: str, report: Report, now: float) -> None:
         """Take in the load that a target states with an answer.
@@ -216,13 +197,7 @@
     def _cost(
         self, target: records.Target, typical: float, now: float
     ) -> float:
-        load = self.requests_at(target.target_id, now)
-        report = self._reports.get(target.target_id)
-        if report is not None and now - report.at < const.REPORT_SECONDS:
-            load += report.unknown
-        cost = round(load / max(target.slots, 1), 3)
-        if target.place != self._place:
-            cost += const.FAR_COST / max(target.slots, 1)
+        cost = self.count_at(target.target_id, now) / max(target.slots, 1)
         health = self._health.get(target.target_id)
         if health is not None and typical > 0:
             if health.seconds > const.SLOW_FACTOR * typical:
@@ -237,7 +212,3 @@
             and self._health[t.target_id].seconds > 0
         ]
         return statistics.median(times) if times else 0.0
-
-
-def _load(requests: int, tokens: int) -> float:
-    return requests + tokens / const.TOKENS_PER_PLACE
--- a/jasperweir/components/balance/const.py
+++ b/jasperweir/components/balance/const.py
@@ -1,14 +1,13 @@
 """Constants of balancing at one entry."""
 
-# Entries tell each other their open requests this often; a tenth of a second
-# is a few passes of an engine and a few arrivals of a small deployment.
-SHARE_SECONDS = 0.1
-# What has not changed is told again after this many times.
-SHARE_EVERY = 6
+# Entries tell each other a change of their open requests after this long, so
+# that a burst goes in one message; two that see the same free place meet in a
+# shorter time than a heartbeat of an engine.
+SHARE_DELAY_SECONDS = 0.004
+# And all of them this often, whether anything has changed or not.
+SHARE_SECONDS = 0.5
 # Figures of an entry that has been silent for longer count no more.
 SHARE_STALE_SECONDS = 1.5
-# Load of a request, in requests: one place plus its tokens over this many.
-TOKENS_PER_PLACE = 4000.0
 # A load header is trusted for this long.
 REPORT_SECONDS = 1.0
 
@@ -22,8 +21,6 @@
 SLOW_FACTOR = 2.5
 SLOW_COST = 1.0
 TIME_SMOOTHING = 0.25
-# Extra load counted for a target in another data centre: it breaks ties.
-FAR_COST = 0.05
 
 # Share of the retry budget that the entries use in all, so that figures
 # that have not arrived yet cannot exceed it.
--- a/jasperweir/components/balance/messages.py
+++ b/jasperweir/components/balance/messages.py
@@ -10,7 +10,6 @@
 
     target_id: str
     requests: int
-    tokens: int
 
 
 @codec.message("balance.share")
--- a/jasperweir/components/configctl/const.py
+++ b/jasperweir/components/configctl/const.py
@@ -3,7 +3,7 @@
 # Fine enough for heartbeats and elections of the log.
 TICK_SECONDS = 0.05
 # Control VMs tell each other and the nodes what they hold this often.
-BEAT_SECONDS = 0.4
+BEAT_SECONDS = 0.25
 # Another control VM is not listed any more after this silence.
 CONTROL_SILENT_SECONDS = 3.0
 # All target records are sent this often even if nothing has changed, so that
--- a/jasperweir/components/configctl/node.py
+++ b/jasperweir/components/configctl/node.py
@@ -245,11 +245,13 @@
 
     def nodes(self, kind: str, now: float) -> list[records.Node]:
         """Return the nodes of a kind that beat here."""
+        silent_s = directory_const.NODE_SILENT_SECONDS
+        if kind == directory_const.KIND_AGENT:
+            silent_s = directory_const.AGENT_SILENT_SECONDS
         return [
             heard.node
             for heard in self._nodes.values()
-            if heard.node.kind == kind
-            and now - heard.at < directory_const.NODE_SILENT_SECONDS
+            if heard.node.kind == kind and now - heard.at < silent_s
         ]
 
     # Questions and their way to the leader.
--- a/jasperweir/components/directory/const.py
+++ b/jasperweir/components/directory/const.py
@@ -11,6 +11,8 @@
 TOMBSTONE_SECONDS = 120.0
 # Nodes beat this often; three missed beats and a node is left out of the
 # addresses that callers get.
-NODE_BEAT_SECONDS = 0.4
-NODE_SILENT_SECONDS = 1.5
+NODE_BEAT_SECONDS = 0.25
+NODE_SILENT_SECONDS = 0.9
+# Agents beat once a second, since nobody is sent to them.
+AGENT_SILENT_SECONDS = 3.0
 NODE_FORGET_SECONDS = 10.0
--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -79,7 +79,7 @@
     def send_to(self, target: records.Target) -> None:
         """Send the request to a target, over an idle connection or a new."""
         self._target = target
-        self._owner.balancer.begin(target.target_id, self._tokens)
+        self._owner.balancer.begin(target.target_id)
         self._holds_place = True
         conn = self._owner.pool.take(_pool_key(target))
         if conn is not None:
@@ -131,10 +131,6 @@
         self._sent_at = now
         conn.send(http_message.write_head(line, headers) + req.body, self)
 
-    @property
-    def _tokens(self) -> int:
-        return self.life.ask.prompt_tokens + self.life.ask.answer_tokens
-
     # What a target answers.
 
     def on_head(self, head: http_message.Head, length: int | None) -> bool:
@@ -306,7 +302,7 @@
     def _release(self) -> None:
         """Give the place at the target back, once."""
         if self._target is not None and self._holds_place:
-            self._owner.balancer.finish(self.target_id, self._tokens)
+            self._owner.balancer.finish(self.target_id)
             self._holds_place = False
 
     def _close(self, outcome: str) -> None:
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -45,7 +45,6 @@
         *,
         clock: core.Clock,
         rng: random.Random,
-        place: str,
         dialect: dialect_lib.Dialect,
         directory: directory_lib.Directory,
         bounds: budget_lib.BudgetBounds,
@@ -53,7 +52,7 @@
         metrics: metrics_lib.Metrics,
     ) -> None:
         self.dialect = dialect
-        self.balancer = balancer_lib.Balancer(place=place, rng=rng)
+        self.balancer = balancer_lib.Balancer(rng=rng)
         self.pool = http_client.Pool(times=times)
         self.index: index_lib.Index | None = None
         self.entries = 1
@@ -173,6 +172,17 @@
         if target is None:
             exchange.give_up(Code.TARGETS_REFUSED)
             return
+        _log.info(
+            "target chosen",
+            id=exchange.life.ask.request_id,
+            target=target.target_id,
+            open=self.balancer.count_at(target.target_id, now),
+            unknown=self.balancer.unknown_at(target.target_id, now),
+            free=self.balancer.free_places(targets, now),
+            targets=len(targets),
+            waited_ms=round((now - exchange.life.arrived) * 1000),
+            sends=exchange.life.sends,
+        )
         exchange.send_to(target)
 
     def send_again(self, exchange: exchange_lib.Exchange) -> None:
@@ -257,9 +267,7 @@
             address=target.address,
             fault=fault.value,
             reason=reason,
-            load=round(
-                self.balancer.requests_at(target.target_id, self.now()), 2
-            ),
+            open=self.balancer.count_at(target.target_id, self.now()),
         )
 
     def note_time_up(self, exchange: exchange_lib.Exchange) -> None:
--- a/jasperweir/components/quorum/storage.py
+++ b/jasperweir/components/quorum/storage.py
@@ -197,38 +197,30 @@
             self._size += len(record)
 
     def note_commit(self, index: int) -> None:
-        """Write down how far the log is committed, without a sync.
+        """Write down how far the log is committed.
 
         It is only a hint for a quicker restart: what it covers was synced
         before it counted as committed, so an old or lost hint is harmless.
         """
-        self._write_unsynced(COMMIT_FILE, codec.pack(index))
+        self._replace(COMMIT_FILE, frame(codec.pack(index)))
 
     def note_side(self, data: bytes) -> None:
-        """Write down soft state for a quicker restart, without a sync."""
-        self._write_unsynced(SIDE_FILE, data)
+        """Write down soft state for a quicker restart."""
+        self._replace(SIDE_FILE, frame(data))
 
     def side(self) -> bytes:
         """Return the soft state, empty if there is none that is whole."""
-        return self._read_unsynced(SIDE_FILE)
+        return self._read_soft(SIDE_FILE)
 
     def _commit_hint(self) -> int:
-        data = self._read_unsynced(COMMIT_FILE)
+        data = self._read_soft(COMMIT_FILE)
         return int(codec.unpack(data, int)) if data else 0
 
-    def _write_unsynced(self, name: str, data: bytes) -> None:
-        try:
-            temp = self._folder / f"{name}.new"
-            temp.write_bytes(frame(data))
-            os.replace(temp, self._folder / name)
-        except OSError as exc:
-            raise exceptions.StorageError(str(exc)) from exc
-
-    def _read_unsynced(self, name: str) -> bytes:
+    def _read_soft(self, name: str) -> bytes:
         path = self._folder / name
         if not path.exists():
             return b""
-        # Whatever fails the checksum was torn by a loss of power.
+        # What fails its checksum is as good as absent here.
         return _record_at(path.read_bytes(), 0) or b""
 
     def _recover(self) -> messages.Recovered:
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -30,7 +30,7 @@
 FOLLOW_SECONDS = 0.1
 POOL_TIDY_SECONDS = 0.5
 # Callers keep an address answer for this long, and some three times as long.
-ANSWER_KEPT_SECONDS = 1.0
+ANSWER_KEPT_SECONDS = 0.5
 # An entry that stops serves those who still come for longer than any caller
 # keeps an answer that names it, seconds.
 STOP_SERVING_SECONDS = 4.5
@@ -91,13 +91,14 @@
         self._forwarder = forwarder_lib.Forwarder(
             clock=self._host.clock,
             rng=self._host.rng,
-            place=cfg.place,
             dialect=dialect,
             directory=self._follower.directory,
             bounds=bounds,
             times=http_client.ClientTimes(),
             metrics=self._host.metrics,
         )
+        self._share_due = False
+        self._forwarder.balancer.on_change = self._on_load_change
         self._forwarder.is_certain = self._is_certain
         self._forwarder.on_replaced = self._on_replaced
         self._server: http_server.Server | None = None
@@ -165,13 +166,19 @@
         now = self._host.now()
         self._perform(self._follower.retire(target.target_id, now))
 
+    def _on_load_change(self) -> None:
+        if self._share_due:
+            return
+        self._share_due = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(balance_const.SHARE_DELAY_SECONDS, self._share)
+
     def _share(self) -> None:
         now = self._host.now()
         entries = self._follower.open_entries(now)
         self._forwarder.entries = max(len(entries), 1)
+        self._share_due = False
         share = self._forwarder.balancer.share()
-        if share is None:
-            return
         for node in entries:
             if node.name != self._cfg.internal:
                 self._host.send(core.Send(dst=node.name, msg=share))
