Prove the map switch on a virtual clock; ask afar engines by answers only

Change: orders given from afar count by their answers. New: 8 scenarios and 150 random schedules of lost and late orders, killed agents and changed leaders; one map a pass in all.

--- a/features/declared.feature
+++ b/features/declared.feature
@@ -65,6 +65,14 @@
     Then the target has its acknowledgement
     And no entry would send to the target
 
+  Scenario: A control VM that nobody else hears does not confirm a leaving
+    Given a calm site with version 9
+    And a target that every control VM and entry knows
+    When "c1" is cut off from the other control VMs
+    And the target tells "c1" that it leaves
+    And 1 seconds pass at the site
+    Then the target is told to ask another control VM
+
   Scenario: A late heartbeat does not bring a leaving target back
     Given a calm site with version 9
     And a target that every control VM and entry knows
--- /dev/null
+++ b/features/harness/engines.py
@@ -0,0 +1,311 @@
+"""A group of engines in lock-step, with orders that get lost or come late."""
+
+import random
+
+from jasperweir import core
+from jasperweir.components.deployment import model
+from jasperweir.components.mapswitch import coordinator as coordinator_lib
+from jasperweir.components.mapswitch import messages
+from jasperweir.components.mapswitch import plan
+from jasperweir.components.mapswitch import runner as runner_lib
+
+STEP = 0.01
+PASS_SECONDS = 0.06
+REPORT_LAG = 0.2
+
+ENGINE = model.Engine(
+    slots=6,
+    kv_tokens=1000,
+    stride=5,
+    step_ms=5.0,
+    per_seq_ms=1.0,
+    context_ms_per_k=0.0,
+    read_tokens_per_s=60000.0,
+    chunk=512,
+    usual_prompt=800,
+    usual_answer=140,
+    sets=2,
+    experts=8,
+    places=3,
+    spare=2,
+    form_s=0.6,
+)
+
+
+class Rank:
+    """One engine; its answers to orders follow the platform's page."""
+
+    def __init__(self, number, ranks):
+        self.number = number
+        self.version = 0
+        self.highest = 0
+        self.held_map = tuple(
+            plan.initial(ranks, ENGINE.experts)[number]
+            for _ in range(ENGINE.sets)
+        )
+        self.prepared = 0
+        self.prepared_map = ()
+        self.prepared_at = 0.0
+        self.armed = 0
+        self.armed_at = 0
+        self.held = 0
+        self.counts = [0] * (ENGINE.sets * ENGINE.experts)
+
+
+class Group:
+    """All ranks; ``check`` runs as each pass begins."""
+
+    def __init__(self, ranks=4, seed=0):
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.epoch = 1
+        self.ranks = [Rank(i, ranks) for i in range(ranks)]
+        self.passes = 0
+        self.pass_at = 0.0
+        self.idle = False
+        self.lost = 0.0
+        self.late = []
+        self.stalled = 0.0
+        self.longest_stall = 0.0
+        self.switches = 0
+        self.broken = []
+        self.past = []
+        self.hot = 0
+
+    def tick(self, now):
+        self.now = now
+        for item in [i for i in self.late if i[0] <= now]:
+            self.late.remove(item)
+            self.carry_out(*item[1:])
+        self.past.append((now, [self.state(r) for r in self.ranks]))
+        self.past = [p for p in self.past if p[0] > now - 2 * REPORT_LAG]
+        if not self.idle and now >= self.pass_at:
+            self.begin_pass()
+
+    def begin_pass(self):
+        number = self.passes + 1
+        if any(r.held == number for r in self.ranks):
+            self.stalled += STEP
+            self.longest_stall = max(self.longest_stall, self.stalled)
+            return
+        self.stalled = 0.0
+        self.passes = number
+        self.pass_at = self.now + PASS_SECONDS
+        for rank in self.ranks:
+            if rank.armed and rank.armed_at == number:
+                rank.version = rank.armed
+                rank.held_map = rank.prepared_map
+                rank.armed = rank.armed_at = 0
+                self.switches += 1
+            for s in range(ENGINE.sets):
+                base = s * ENGINE.experts
+                rank.counts[base + self.hot] += 2000
+                for e in range(ENGINE.experts):
+                    rank.counts[base + e] += 100
+        versions = {r.version for r in self.ranks}
+        if len(versions) > 1:
+            self.broken.append((round(self.now, 2), number, versions))
+
+    def form_anew(self):
+        """A rank crashed and is back: everything begins again."""
+        self.epoch += 1
+        for rank in self.ranks:
+            fresh = Rank(rank.number, len(self.ranks))
+            fresh.highest = rank.highest
+            fresh.counts = rank.counts
+            self.ranks[rank.number] = fresh
+
+    def order(self, number, order, epoch):
+        """Return a status, or None for an order that gets no answer."""
+        if self.rng.random() < self.lost:
+            if self.rng.random() < 0.7:
+                at = self.now + self.rng.uniform(2, 12)
+                self.late.append((at, number, order, epoch))
+            return None
+        return self.carry_out(number, order, epoch)
+
+    def carry_out(self, number, order, epoch):
+        rank = self.ranks[number]
+        if epoch != self.epoch:
+            return 409
+        match order:
+            case messages.Prepare(version, placement):
+                if rank.armed or version <= rank.highest:
+                    return 409
+                rank.highest = rank.prepared = version
+                rank.prepared_map = tuple(s[number] for s in placement)
+                rank.prepared_at = self.now + 0.2
+                if rank.prepared_map == rank.held_map:
+                    rank.prepared_at = self.now
+                return 202
+            case messages.Arm(version, at_pass):
+                copied = self.now >= rank.prepared_at
+                if rank.prepared != version or not copied:
+                    return 409
+                if at_pass <= self.passes:
+                    return 409
+                rank.armed, rank.armed_at = version, at_pass
+                return 200
+            case messages.Disarm(version):
+                if rank.version == version:
+                    return 409
+                if rank.armed == version:
+                    rank.armed = rank.armed_at = 0
+                return 200
+            case messages.Hold(at_pass):
+                if rank.held and rank.held != at_pass:
+                    return 409
+                if at_pass <= self.passes:
+                    return 409
+                rank.held = at_pass
+                return 200
+            case messages.Release(at_pass):
+                if rank.held == at_pass:
+                    rank.held = 0
+                return 200
+
+    def state(self, rank):
+        copied = self.now >= rank.prepared_at
+        return messages.EngineState(
+            group="g",
+            epoch=self.epoch,
+            rank=rank.number,
+            size=len(self.ranks),
+            is_open=True,
+            sequence=0,
+            passes=self.passes,
+            map_version=rank.version,
+            prepared=rank.prepared if copied else 0,
+            armed=rank.armed,
+            armed_at=rank.armed_at,
+            held=rank.held,
+            pace=1.0,
+            running=1,
+            queued=0,
+        )
+
+    def stale_state(self, number):
+        for at, states in self.past:
+            if at >= self.now - REPORT_LAG:
+                return states[number]
+        return self.state(self.ranks[number])
+
+
+class Deployment:
+    """Agents and leaders around a group, on a virtual clock."""
+
+    def __init__(self, ranks=4, seed=0):
+        self.rng = random.Random(seed)
+        self.group = Group(ranks, seed)
+        self.now = 0.0
+        self.agents = {f"a{i}": runner_lib.Runner() for i in range(ranks)}
+        self.leaders = {}
+        self.direct = {}
+        self.down = {}
+        self.frozen = set()
+        self.phases = []
+        self.queue = []
+        self.term = 0
+        self.beat_at = 0.0
+
+    def lead(self):
+        """A new leader takes over in a higher term."""
+        self.term += 1
+        name = f"c{self.term}"
+        self.leaders[name] = coordinator_lib.Coordinator()
+        self.leaders[name].lead(self.term)
+        return name
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP
+            self.group.tick(self.now)
+            for name, until in list(self.down.items()):
+                if self.now >= until:
+                    del self.down[name]
+                    self.agents[name] = runner_lib.Runner()
+            self.beats()
+            for name, leader in self.leaders.items():
+                if name in self.frozen:
+                    continue
+                for agent in self.agents:
+                    leader.on_agent(agent, self.now)
+                self.perform(name, leader.tick(self.now))
+            self.deliver()
+
+    def beats(self):
+        if self.now < self.beat_at:
+            return
+        self.beat_at = self.now + 0.1
+        for i, (name, runner) in enumerate(self.agents.items()):
+            if name in self.down:
+                continue
+            rank = self.group.ranks[i]
+            beat = messages.EngineBeat(
+                service="s",
+                address=name,
+                term=runner.term,
+                state=self.group.state(rank),
+                counts=tuple(rank.counts),
+                experts=rank.held_map,
+            )
+            for leader in self.leaders:
+                self.send(name, leader, beat)
+
+    def send(self, src, dst, msg):
+        delay = self.rng.uniform(0.001, 0.02)
+        self.queue.append((self.now + delay, src, dst, msg))
+
+    def deliver(self):
+        due = [q for q in self.queue if q[0] <= self.now]
+        self.queue = [q for q in self.queue if q[0] > self.now]
+        for item in sorted(due, key=lambda q: q[0]):
+            _, src, dst, msg = item
+            if dst in self.frozen:
+                self.queue.append((self.now + STEP, src, dst, msg))
+            elif dst in self.leaders:
+                acts = self.leaders[dst].receive(
+                    src, msg, {"s": ENGINE}, self.now
+                )
+                self.perform(dst, acts)
+            elif dst in self.agents and dst not in self.down:
+                runner = self.agents[dst]
+                match msg:
+                    case messages.PaceAsk():
+                        runner.on_term(msg.term)
+                    case messages.OrderAsk():
+                        self.drive(dst, runner, runner.on_ask(src, msg), dst)
+
+    def perform(self, name, acts):
+        for act in acts:
+            match act:
+                case core.Send():
+                    self.send(name, act.dst, act.msg)
+                case coordinator_lib.PhaseChanged():
+                    self.phases.append((round(self.now, 2), name, act))
+                case coordinator_lib.Direct():
+                    key = (name, act.agent)
+                    runner = self.direct.setdefault(
+                        key, runner_lib.Runner(reads_are_fresh=False)
+                    )
+                    self.drive(
+                        name, runner, runner.on_ask(act.agent, act.ask),
+                        act.agent,
+                    )  # fmt: skip
+
+    def drive(self, host, runner, acts, agent):
+        number = int(agent[1:])
+        while acts:
+            act = acts.pop(0)
+            match act:
+                case core.Send() if host in self.leaders:
+                    self.send(agent, host, act.msg)
+                case core.Send():
+                    self.send(host, act.dst, act.msg)
+                case runner_lib.Read():
+                    rank = self.group.ranks[number]
+                    acts += runner.on_read(self.group.state(rank))
+                case runner_lib.Post():
+                    status = self.group.order(number, act.order, act.epoch)
+                    acts += runner.on_answer(act.order, status)
--- /dev/null
+++ b/features/mapswitch.feature
@@ -0,0 +1,57 @@
+Feature: Every pass of a group begins on one expert map
+
+  Scenario: A group follows its demand, and no pass waits for it
+    Given a group of 4 engines under a leader
+    When 5 seconds pass at the group
+    Then the group has switched its map
+    And no pass has begun on two maps
+    And no pass has waited
+
+  Scenario: The most loaded rank has less to do after a switch
+    Given a group of 4 engines under a leader
+    When 5 seconds pass at the group
+    Then the hot expert is on more than one rank
+
+  Scenario: The agent that has just given the hold is killed
+    Given a group of 4 engines under a leader
+    When the first rank holds a pass and its agent is down for 4 seconds
+    And 5 seconds pass at the group
+    Then no pass has begun on two maps
+    And no pass has waited longer than 1.0 seconds
+
+  Scenario: A leader that takes over resolves a hold
+    Given a group of 4 engines under a leader
+    When the first rank holds a pass and the leader freezes
+    And 0.5 seconds pass at the group
+    And another leader takes over
+    And 3 seconds pass at the group
+    Then no pass has begun on two maps
+    And passes go on
+
+  Scenario: A frozen leader that wakes changes nothing
+    Given a group of 4 engines under a leader
+    When the first rank holds a pass and the leader freezes
+    And another leader takes over
+    And 2 seconds pass at the group
+    And the frozen leader wakes
+    And 3 seconds pass at the group
+    Then no pass has begun on two maps
+    And passes go on
+
+  Scenario: A late order to arm finds nothing that it could arm
+    Given a group of 4 engines under a leader
+    When a lost order to arm comes just before the pass it was meant for
+    Then no pass has begun on two maps
+
+  Scenario: A group that forms anew begins again with its first map
+    Given a group of 4 engines under a leader
+    When 5 seconds pass at the group
+    And the group forms anew
+    And 5 seconds pass at the group
+    Then no pass has begun on two maps
+    And the group has switched its map
+
+  Scenario: One map a pass under random schedules
+    When 150 random schedules of lost and late orders run
+    Then no pass of any schedule has begun on two maps
+    And passes go on in each of them
--- a/features/steps/declared_steps.py
+++ b/features/steps/declared_steps.py
@@ -232,6 +232,12 @@
     assert isinstance(got, node_lib.Acknowledged), got
 
 
+@then("the target is told to ask another control VM")
+def step_not_acked(context):
+    got = context.site.results.get(context.ack)
+    assert isinstance(got, node_lib.Unconfirmed), got
+
+
 @then("no entry would send to the target")
 def step_nobody(context):
     site = context.site
--- /dev/null
+++ b/features/steps/mapswitch_steps.py
@@ -0,0 +1,178 @@
+"""Steps on the switch of expert maps."""
+
+import random
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.harness import engines
+
+
+@given("a group of 4 engines under a leader")
+def step_group(context):
+    context.dep = engines.Deployment()
+    context.leader = context.dep.lead()
+
+
+@when("{seconds:g} seconds pass at the group")
+def step_pass(context, seconds):
+    context.passes = context.dep.group.passes
+    context.dep.run(seconds)
+
+
+@then("the group has switched its map")
+def step_switched(context):
+    assert context.dep.group.ranks[0].version > 0, context.dep.phases
+
+
+@then("no pass has begun on two maps")
+def step_one_map(context):
+    assert not context.dep.group.broken, context.dep.group.broken
+
+
+@then("no pass has waited")
+def step_no_wait(context):
+    assert context.dep.group.longest_stall == 0.0
+
+
+@then("no pass has waited longer than {seconds:g} seconds")
+def step_wait(context, seconds):
+    assert context.dep.group.longest_stall <= seconds, (
+        context.dep.group.longest_stall
+    )
+
+
+@then("the hot expert is on more than one rank")
+def step_hot(context):
+    ranks = context.dep.group.ranks
+    holders = [r for r in ranks if 0 in r.held_map[0]]
+    assert len(holders) > 1
+
+
+def until_held(dep):
+    for _ in range(600):
+        dep.run(engines.STEP)
+        if dep.group.ranks[0].held:
+            return
+    raise AssertionError("no hold was seen")
+
+
+@when("the first rank holds a pass and its agent is down for 4 seconds")
+def step_agent_down(context):
+    until_held(context.dep)
+    context.dep.down["a0"] = context.dep.now + 4
+
+
+@when("the first rank holds a pass and the leader freezes")
+def step_leader_freezes(context):
+    until_held(context.dep)
+    context.dep.frozen.add(context.leader)
+
+
+@when("another leader takes over")
+def step_take_over(context):
+    context.dep.lead()
+
+
+@when("the frozen leader wakes")
+def step_wakes(context):
+    context.dep.frozen.clear()
+
+
+@then("passes go on")
+def step_go_on(context):
+    assert context.dep.group.passes > context.passes + 5
+
+
+@when("a lost order to arm comes just before the pass it was meant for")
+def step_late_arm(context):
+    dep = context.dep
+    group = dep.group
+    until_held(dep)
+    order = group.order
+    lost = []
+
+    def lossy(number, what, epoch):
+        if number == 3 and type(what).__name__ == "Arm":
+            lost.append((number, what, epoch))
+            return None
+        return order(number, what, epoch)
+
+    group.order = lossy
+    while group.passes < group.ranks[0].held - 1:
+        dep.run(engines.STEP)
+    # The group runs out of work before the held pass, and stays so.
+    group.idle = True
+    dep.run(5.0)
+    group.order = order
+    assert lost
+    assert not group.ranks[0].held, "the switch was not called off"
+    assert group.passes == lost[0][1].at_pass - 1
+    group.carry_out(*lost[0])
+    group.idle = False
+    dep.run(3.0)
+
+
+@when("the group forms anew")
+def step_form(context):
+    context.dep.group.form_anew()
+
+
+@when("{count:d} random schedules of lost and late orders run")
+def step_random(context, count):
+    context.broken = []
+    context.stuck = []
+    context.switches = 0
+    for seed in range(count):
+        dep = schedule(seed)
+        if dep.group.broken:
+            context.broken.append((seed, dep.group.broken[0]))
+        before = dep.group.passes
+        dep.run(3.0)
+        if dep.group.passes < before + 10:
+            context.stuck.append(seed)
+        context.switches += dep.group.switches
+
+
+@then("no pass of any schedule has begun on two maps")
+def step_none_broken(context):
+    assert context.switches > 0
+    assert not context.broken, context.broken
+
+
+@then("passes go on in each of them")
+def step_none_stuck(context):
+    assert not context.stuck, context.stuck
+
+
+def schedule(seed):
+    """Lose orders, kill agents, change and freeze leaders, pause work."""
+    rng = random.Random(seed)
+    dep = engines.Deployment(seed=seed)
+    dep.lead()
+    for _ in range(12):
+        dep.run(rng.uniform(0.05, 0.9))
+        match rng.randrange(7):
+            case 0:
+                dep.group.lost = rng.choice((0.0, 0.3, 0.5))
+            case 1:
+                agent = rng.choice(list(dep.agents))
+                dep.down[agent] = dep.now + rng.uniform(0.3, 3.0)
+            case 2:
+                dep.lead()
+            case 3:
+                dep.frozen = {rng.choice(list(dep.leaders))}
+            case 4:
+                dep.frozen = set()
+                dep.lead()
+            case 5:
+                dep.group.idle = not dep.group.idle
+            case 6:
+                dep.group.hot = rng.randrange(8)
+    dep.group.lost = 0.0
+    dep.group.idle = False
+    dep.frozen = set()
+    dep.lead()
+    dep.run(14.0)
+    return dep
--- a/jasperweir/components/mapswitch/coordinator.py
+++ b/jasperweir/components/mapswitch/coordinator.py
@@ -22,6 +22,7 @@
 from jasperweir.components.mapswitch import members as members_lib
 from jasperweir.components.mapswitch import messages
 from jasperweir.components.mapswitch import plan as plan_lib
+from jasperweir.components.mapswitch import runner as runner_lib
 from jasperweir.helpers import codec
 
 Actions = list[Any]
@@ -93,6 +94,8 @@
         self._term = term
         self._numbers = numbers
         self._version = term << _VERSION_BITS
+        # Versions from here on were prepared after the last call-off.
+        self._void_floor = 0
         self._at_pass = 0
         self._epoch = 0
         self._since = 0.0
@@ -115,8 +118,12 @@
         if waiting is None or waiting.ask.number != msg.number:
             return []
         del self._outstanding[src]
+        member = self.members.of(src)
         if msg.state is not None:
             self.members.on_state(src, msg.state)
+        elif msg.ok and member is not None:
+            state = runner_lib.after(waiting.order, member.state)
+            self.members.on_state(src, state)
         out = [] if msg.ok else self._on_refused(waiting.order, now)
         return out + self.tick(now)
 
@@ -255,6 +262,7 @@
         states = [m.state for m in self.members.all()]
         used = max(max(s.map_version, s.prepared, s.armed) for s in states)
         self._version = max(self._version, used) + 1
+        self._void_floor = self._version
         self._enter(Phase.CALLING_OFF, now, reason)
         if self._uniform():
             return self._release(now, "all ranks armed already")
@@ -271,7 +279,7 @@
         members = self.members.all()
         if any(m.state.armed for m in members):
             return self._resolve(now, "a rank is still armed")
-        behind = [m for m in members if m.state.prepared != self._version]
+        behind = [m for m in members if m.state.prepared < self._void_floor]
         if behind:
             return self._void(behind, now)
         return self._release(now, "no rank can be armed")
@@ -281,6 +289,8 @@
 
         Nothing is copied for it, and an older version can be armed no more.
         """
+        # A version that a lost order has used up would be refused.
+        self._version += 1
         order = messages.Prepare(
             version=self._version, placement=self.members.placement()
         )
--- a/jasperweir/components/mapswitch/runner.py
+++ b/jasperweir/components/mapswitch/runner.py
@@ -28,7 +28,7 @@
 
     order: messages.Order
     epoch: int
-    sequence: int
+    sequence: int | None
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -59,8 +59,16 @@
         term: Highest term seen; orders of lower ones are refused.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, reads_are_fresh: bool = True) -> None:
+        """Begin without an order.
+
+        Args:
+            reads_are_fresh: Whether the engine's reports show its present
+                state, as they do on its own VM. From elsewhere they lag, and
+                only the answers to orders tell.
+        """
         self.term = 0
+        self._reads_are_fresh = reads_are_fresh
         self._job: Job | None = None
         self._done: messages.OrderDone | None = None
         # Whether a read or a post is under way.
@@ -89,7 +97,7 @@
             return []
         order = codec.unpack_tagged(ask.order)
         self._job = Job(src=src, ask=ask, order=order)
-        return self._read()
+        return self._go_on(self._job)
 
     def on_read(self, state: messages.EngineState | None) -> Actions:
         """Take in the engine's state, None if it could not be read."""
@@ -101,19 +109,13 @@
             job.tries += 1
             if job.tries >= const.ORDER_TRIES:
                 return self._finish(job, None, ok=False)
-            return self._read()
+            return self._go_on(job)
         if job.accepted or is_met(job.order, state):
             return self._finish(job, state, ok=True)
         spent = job.tries >= const.ORDER_TRIES
         if job.refused or spent or state.epoch != job.ask.epoch:
             return self._finish(job, state, ok=False)
-        job.tries += 1
-        self._waiting = True
-        return [
-            Post(
-                order=job.order, epoch=state.epoch, sequence=state.sequence
-            )
-        ]  # fmt: skip
+        return self._post(job, state.epoch, state.sequence)
 
     def on_answer(self, order: messages.Order, status: int | None) -> Actions:
         """Take in the status of a posted order, None for no answer."""
@@ -124,13 +126,24 @@
         if job.order is order and status is not None:
             job.accepted = status in (200, 202)
             job.refused = not job.accepted
-        return self._read()
+            if not self._reads_are_fresh:
+                return self._finish(job, None, ok=job.accepted)
+        return self._go_on(job)
 
-    def _read(self) -> Actions:
+    def _go_on(self, job: Job) -> Actions:
         if self._waiting:
             return []
+        if self._reads_are_fresh:
+            self._waiting = True
+            return [Read()]
+        if job.tries >= const.ORDER_TRIES:
+            return self._finish(job, None, ok=False)
+        return self._post(job, job.ask.epoch, None)
+
+    def _post(self, job: Job, epoch: int, sequence: int | None) -> Actions:
+        job.tries += 1
         self._waiting = True
-        return [Read()]
+        return [Post(order=job.order, epoch=epoch, sequence=sequence)]
 
     def _finish(
         self, job: Job, state: messages.EngineState | None, *, ok: bool
@@ -141,6 +154,24 @@
         return [core.Send(dst=job.src, msg=done)]
 
 
+def after(
+    order: messages.Order, state: messages.EngineState
+) -> messages.EngineState:
+    """Return an engine's state after it has accepted an order."""
+    match order:
+        case messages.Arm():
+            return state._replace(armed=order.version, armed_at=order.at_pass)
+        case messages.Disarm():
+            return state._replace(armed=0, armed_at=0)
+        case messages.Hold():
+            return state._replace(held=order.at_pass)
+        case messages.Release():
+            return state._replace(held=0)
+        case messages.Prepare():
+            # Given from afar only to make orders void, which copies nothing.
+            return state._replace(prepared=order.version)
+
+
 def is_met(order: messages.Order, state: messages.EngineState) -> bool:
     """Tell whether an engine is in the state that an order asks for."""
     match order:
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -242,7 +242,7 @@
         if engine is None or engine.address != act.address:
             engine = DirectEngine(
                 address=act.address,
-                runner=runner_lib.Runner(),
+                runner=runner_lib.Runner(reads_are_fresh=False),
                 client=engine_client.EngineClient(
                     address=act.address,
                     dialect=self._engine_dialect,
