Time the late arm of its scenario by the pass it was meant for

Now the leader stands still after the call-off, and the scenario fails when the void step is removed (seen).

--- a/features/steps/mapswitch_steps.py
+++ b/features/steps/mapswitch_steps.py
@@ -100,15 +100,18 @@
         return order(number, what, epoch)
 
     group.order = lossy
-    while group.passes < group.ranks[0].held - 1:
+    while group.ranks[0].held:
         dep.run(engines.STEP)
-    # The group runs out of work before the held pass, and stays so.
+    # No further plan comes between the call-off and the late order.
+    dep.frozen.add(context.leader)
+    while group.passes < lost[0][1].at_pass - 1:
+        dep.run(engines.STEP)
+    # The group runs out of work before the pass that was held, and stays so.
     group.idle = True
-    dep.run(5.0)
     group.order = order
-    assert lost
+    dep.run(5.0)
     assert not group.ranks[0].held, "the switch was not called off"
-    assert group.passes == lost[0][1].at_pass - 1
+    assert group.passes == lost[0][1].at_pass - 1, "the pass has begun"
     group.carry_out(*lost[0])
     group.idle = False
     dep.run(3.0)
