Let resumed streams wait for a place; spread those who return; tests on processes

Cause: after a loss of power callers that resume a stream, their last try, were refused while entries had no configuration yet; those refused under overload came back together. Change: a resumed request waits up to 1.8 s, advice on when to return grows with refusals.

--- /dev/null
+++ b/features/forward.feature
@@ -0,0 +1,86 @@
+Feature: A request is answered once, truly, and sent again only where it may
+
+  Scenario Outline: What follows a fault depends on the route and on proof
+    Given a <kind> request that one target has received
+    When the target shows "<fault>"
+    Then the verdict is "<verdict>"
+
+    Examples:
+      | kind      | fault    | verdict         |
+      | safe      | not_run  | again           |
+      | safe      | unknown  | again           |
+      | unsafe    | not_run  | targets_refused |
+      | unsafe    | unknown  | broken_off      |
+      | unsafe    | unsent   | again           |
+      | unsafe    | replaced | again           |
+      | stream    | unknown  | broken_off      |
+      | resumable | unknown  | again           |
+
+  Scenario: "Not run" is never said once a target may have run the request
+    Given a safe request that one target has received
+    When the target shows "unknown"
+    And a second target shows "not_run"
+    Then the verdict is "broken_off"
+
+  Scenario Outline: The head of an answer is believed only with its proof
+    Given a <kind> request that one target has received
+    When a target answers <status> that is <marks>
+    Then the head is judged "<judged>"
+
+    Examples:
+      | kind   | status | marks            | judged   |
+      | safe   | 200    | signed           | fine     |
+      | safe   | 200    | unsigned         | unknown  |
+      | safe   | 200    | signed, encoded  | unknown  |
+      | unsafe | 503    | unsigned         | unknown  |
+      | unsafe | 503    | not run          | not_run  |
+      | unsafe | 421    | of another       | replaced |
+      | unsafe | 500    | signed           | fine     |
+      | safe   | 500    | signed           | unknown  |
+      | unsafe | 404    | signed           | fine     |
+
+  Scenario: A resumed stream waits longer than a first try
+    Then a resumed request waits 1.8 s for a place and a first one 0.08 s
+
+  Scenario: Events are handed on whole and the last id is known
+    When the stream "id: 1|data: a||id: 2|data: b||id: 3|da" is split
+    Then 2 events went out and the last id is "2"
+
+  Scenario: An event that comes in pieces is handed on once
+    When a stream comes as "id: 7|da" and then as "ta: x||"
+    Then 1 events went out and the last id is "7"
+
+  Scenario: Entries share the retry budget without asking each other
+    Given 10 entries with a budget of 0.2 and a burst of 96
+    When each of them gets 20 requests and wants to send all again
+    Then the second sends of all stay within the budget
+
+  Scenario: The least loaded target is chosen by the counts of all entries
+    Given targets "a,b,c" with 2 places each
+    When another entry has 2 requests at "a" and 1 at "b"
+    Then every request goes to "c" until it has as many as "b"
+
+  Scenario: The figures of an entry that has gone do not count for long
+    Given targets "a,b,c" with 2 places each
+    When another entry has 2 requests at "a" and 1 at "b"
+    And 2 seconds pass at the balancer
+    Then 6 places are free
+
+  Scenario: What a target states beyond the known requests takes places
+    Given targets "a,b,c" with 2 places each
+    When "a" states 2 running and 1 waiting requests
+    Then 4 places are free
+
+  Scenario: A fault that hits most targets ejects only some
+    Given targets "a,b,c" with 2 places each
+    When all targets fail hard
+    Then some target is still chosen
+
+  Scenario: Urgent requests get the free places first
+    When requests of priority 2, 1 and 2 wait and one place is free
+    Then the request of priority 1 gets it
+
+  Scenario: Those who are refused one after the other return spread out
+    When 20 requests are refused within a second
+    Then the last is asked back later than the first
+    And none is asked back after more than 2.9 s
--- /dev/null
+++ b/features/steps/forward_steps.py
@@ -0,0 +1,241 @@
+"""Steps on forwarding, balancing and budgets."""
+
+import random
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.harness import site
+from jasperweir.components.balance import advice
+from jasperweir.components.balance import balancer
+from jasperweir.components.balance import budget
+from jasperweir.components.balance import gate
+from jasperweir.components.balance import messages
+from jasperweir.components.deployment import index
+from jasperweir.components.deployment import model
+from jasperweir.components.forward import dialect
+from jasperweir.components.forward import events
+from jasperweir.components.forward import life as life_lib
+
+KINDS = {
+    "safe": (model.Kind.SAFE, 2, False),
+    "unsafe": (model.Kind.UNSAFE, 1, False),
+    "stream": (model.Kind.STREAM, 2, False),
+    "resumable": (model.Kind.STREAM, 2, True),
+}
+
+
+def life_of(kind, resume_after=""):
+    what, attempts, resumable = KINDS[kind]
+    route = model.Route(
+        name="r",
+        host="h",
+        prefix="/",
+        kind=what,
+        timeout_s=8.0,
+        target_s=0.4,
+        gap_s=0.12,
+        priority=1,
+        backends=(model.Backend("s", 1.0),),
+        max_attempts=attempts,
+        public=True,
+        resumable=resumable,
+    )
+    ask = dialect.Ask("id", 8.0, "", 10, 10, resume_after)
+    match = index.Match(route=route, customer=None)
+    return life_lib.Life(match=match, ask=ask, now=100.0)
+
+
+@given("a {kind} request that one target has received")
+def step_request(context, kind):
+    context.life = life_of(kind)
+    context.life.sent("t1")
+
+
+@when('the target shows "{fault}"')
+def step_fault(context, fault):
+    what = life_lib.Fault(fault)
+    if what is life_lib.Fault.UNSENT:
+        context.life.sends = context.life.arrivals = 0
+    context.verdict = context.life.on_fault("t1", what, 100.1)
+
+
+@when('a second target shows "{fault}"')
+def step_second(context, fault):
+    context.life.sent("t2")
+    what = life_lib.Fault(fault)
+    context.verdict = context.life.on_fault("t2", what, 100.2)
+
+
+@then('the verdict is "{name}"')
+def step_verdict(context, name):
+    match context.verdict:
+        case life_lib.SendAgain():
+            assert name == "again", "again"
+        case life_lib.GiveUp(code):
+            assert code.name.lower() == name, code
+        case other:
+            raise AssertionError(other)
+
+
+@when("a target answers {status:d} that is {marks}")
+def step_answers(context, status, marks):
+    head = dialect.TargetHead(
+        request_id="id",
+        signed="unsigned" not in marks and "signed" in marks,
+        not_run="not run" in marks,
+        other_target="of another" in marks,
+        encoded="encoded" in marks,
+        load=None,
+    )
+    context.judged = context.life.judge_head(status, head)
+
+
+@then('the head is judged "{name}"')
+def step_judged(context, name):
+    got = context.judged.value if context.judged else "fine"
+    assert got == name, got
+
+
+@then("a resumed request waits 1.8 s for a place and a first one 0.08 s")
+def step_waits(context):
+    resumed = life_of("resumable", "5")
+    first = life_of("resumable")
+    assert round(resumed.waits_until - 100.0, 3) == 1.8
+    assert round(first.waits_until - 100.0, 3) == 0.08
+
+
+@when('the stream "{text}" is split')
+def step_split(context, text):
+    split(context, [text])
+
+
+@when('a stream comes as "{one}" and then as "{two}"')
+def step_split_two(context, one, two):
+    split(context, [one, two])
+
+
+def split(context, parts):
+    splitter = events.EventSplitter(last_id="")
+    out = [splitter.feed(p.replace("|", "\n").encode()) for p in parts]
+    context.events = b"".join(out).count(b"\n\n")
+    context.last_id = splitter.last_id
+
+
+@then('{count:d} events went out and the last id is "{last}"')
+def step_events(context, count, last):
+    assert (context.events, context.last_id) == (count, last)
+
+
+@given("{count:d} entries with a budget of {ratio:g} and a burst of {burst:g}")
+def step_budget(context, count, ratio, burst):
+    bounds = budget.BudgetBounds(ratio=ratio, burst=burst, window_s=10.0)
+    context.budgets = [
+        budget.RetryBudget(bounds=bounds) for _ in range(count)
+    ]  # fmt: skip
+    context.most = ratio * 20 * count + burst
+
+
+@when("each of them gets 20 requests and wants to send all again")
+def step_spend(context):
+    context.taken = 0
+    for one in context.budgets:
+        for _ in range(20):
+            one.count_first("s", 5.0)
+        for _ in range(20):
+            entries = len(context.budgets)
+            context.taken += one.take("s", entries, 5.5)
+
+
+@then("the second sends of all stay within the budget")
+def step_within(context):
+    assert 0 < context.taken <= context.most, context.taken
+
+
+@given('targets "{names}" with {places:d} places each')
+def step_targets(context, names, places):
+    context.now = 10.0
+    context.balancer = balancer.Balancer(rng=random.Random(1))
+    context.targets = [
+        site.target(target_id=n, address=f"{n}:80")._replace(slots=places)
+        for n in names.split(",")
+    ]
+
+
+@when('another entry has {one:d} requests at "{a}" and {two:d} at "{b}"')
+def step_other(context, one, a, two, b):
+    loads = (messages.OpenLoad(a, one), messages.OpenLoad(b, two))
+    share = messages.Share(sequence=1, loads=loads)
+    context.balancer.on_share("e2", share, context.now)
+
+
+@then('every request goes to "{name}" until it has as many as "b"')
+def step_goes(context, name):
+    chosen = context.balancer.choose(context.targets, set(), context.now)
+    assert chosen.target_id == name
+    context.balancer.begin(name)
+    found = {
+        context.balancer.choose(context.targets, set(), context.now).target_id
+        for _ in range(30)
+    }
+    assert found == {"b", name}, found
+
+
+@when("{seconds:g} seconds pass at the balancer")
+def step_later(context, seconds):
+    context.now += seconds
+
+
+@when('"{name}" states {running:d} running and {waiting:d} waiting requests')
+def step_states(context, name, running, waiting):
+    report = balancer.Report(running, waiting, 2)
+    context.balancer.on_report(name, report, context.now)
+
+
+@then("{count:d} places are free")
+def step_free(context, count):
+    free = context.balancer.free_places(context.targets, context.now)
+    assert free == count, free
+
+
+@when("all targets fail hard")
+def step_fail(context):
+    for target in context.targets:
+        context.balancer.failed(target.target_id, context.now, hard=True)
+
+
+@then("some target is still chosen")
+def step_chosen(context):
+    assert context.balancer.choose(context.targets, set(), context.now)
+
+
+@when("requests of priority 2, 1 and 2 wait and one place is free")
+def step_wait(context):
+    waiting = gate.Gate()
+    for number, priority in enumerate((2, 1, 2)):
+        waiting.wait(
+            gate.Waiting(priority, 5.0 + number, number, 9.0, 5.0)
+        )  # fmt: skip
+    context.admitted = waiting.admit(1, 6.0)
+
+
+@then("the request of priority 1 gets it")
+def step_gets(context):
+    assert context.admitted == [1]
+
+
+@when("20 requests are refused within a second")
+def step_refused(context):
+    spread = advice.ReturnAdvice(rng=random.Random(2))
+    context.waits = [spread.after_refusal(5.0 + i / 20) for i in range(20)]
+
+
+@then("the last is asked back later than the first")
+def step_last(context):
+    assert context.waits[-1] > 3 * context.waits[0]
+
+
+@then("none is asked back after more than {seconds:g} s")
+def step_none_later(context, seconds):
+    assert max(context.waits) <= seconds
--- /dev/null
+++ b/jasperweir/components/balance/advice.py
@@ -0,0 +1,38 @@
+"""When a refused caller should come back."""
+
+import collections
+import random
+
+# Returning earlier than this would find the same requests still running.
+LEAST_SECONDS = 0.25
+# Callers follow up to a third of the time that they have left.
+MOST_SECONDS = 2.2
+# Each refusal of the last seconds stands for others who return as well.
+SECONDS_PER_REFUSAL = 0.12
+WINDOW_SECONDS = 2.0
+# A process that has just started has its configuration within this time.
+STARTING_SECONDS = 0.8
+
+
+class ReturnAdvice:
+    """Spread those who return over the time that an overload is likely to last.
+
+    The more were refused of late, the later they are asked back, so that not
+    all of them are refused again.
+    """
+
+    def __init__(self, *, rng: random.Random) -> None:
+        self._rng = rng
+        self._refused: collections.deque[float] = collections.deque()
+
+    def after_refusal(self, now: float) -> float:
+        """Count a refusal; return the seconds after which to come back."""
+        while self._refused and self._refused[0] <= now - WINDOW_SECONDS:
+            self._refused.popleft()
+        wait = LEAST_SECONDS + SECONDS_PER_REFUSAL * len(self._refused)
+        self._refused.append(now)
+        return min(wait, MOST_SECONDS) * self._rng.uniform(0.7, 1.3)
+
+    def while_starting(self) -> float:
+        """Return the seconds after which a starting process is ready."""
+        return STARTING_SECONDS * self._rng.uniform(0.8, 1.4)
--- a/jasperweir/components/balance/const.py
+++ b/jasperweir/components/balance/const.py
@@ -29,5 +29,9 @@
 # A request may wait for a place for this share of its target time: later
 # refusals cost their whole credit.
 WAIT_SHARE = 0.2
-# Returning earlier than this would find the same requests still running.
-RETRY_AFTER_SECONDS = 0.25
+# A caller that resumes a stream has no further try: it waits this long for a
+# place, or for targets and a configuration to be there again, since a late
+# rest of its answer is worth more to it than none.
+RESUMED_WAIT_SECONDS = 1.8
+# Time until a waiting request is tried again where targets refused it.
+PAUSE_SECONDS = 0.15
--- a/jasperweir/components/balance/gate.py
+++ b/jasperweir/components/balance/gate.py
@@ -3,8 +3,6 @@
 import bisect
 from typing import NamedTuple
 
-from jasperweir.components.balance import const
-
 
 class Waiting(NamedTuple):
     """A request that waits, in the order in which places are given.
@@ -14,12 +12,14 @@
         since: When it arrived, monotonic seconds.
         number: Own number of the request.
         until: When it is refused, monotonic seconds.
+        not_before: When it may be sent at the earliest, monotonic seconds.
     """
 
     priority: int
     since: float
     number: int
     until: float
+    not_before: float
 
 
 class Gate:
@@ -32,24 +32,22 @@
         """Return how many requests wait."""
         return len(self._waiting)
 
-    def wait(
-        self, number: int, priority: int, target_s: float, now: float
-    ) -> None:
-        """Queue a request for a short share of its target time."""
-        until = now + const.WAIT_SHARE * target_s
-        bisect.insort(self._waiting, Waiting(priority, now, number, until))
+    def wait(self, waiting: Waiting) -> None:
+        """Queue a request."""
+        bisect.insort(self._waiting, waiting)
 
     def withdraw(self, number: int) -> None:
         """Take out a request whose caller has gone."""
         self._waiting = [w for w in self._waiting if w.number != number]
 
-    def admit(self, places: int) -> list[int]:
+    def admit(self, places: int, now: float) -> list[int]:
         """Return the requests that get the free places, most urgent first."""
-        count = min(places, len(self._waiting))
-        if count <= 0:
+        due = [w for w in self._waiting if w.not_before <= now]
+        chosen = due[: max(places, 0)]
+        if not chosen:
             return []
-        chosen = self._waiting[:count]
-        del self._waiting[:count]
+        taken = {w.number for w in chosen}
+        self._waiting = [w for w in self._waiting if w.number not in taken]
         return [w.number for w in chosen]
 
     def expire(self, now: float) -> list[int]:
--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -20,6 +20,10 @@
 Fault = life_lib.Fault
 
 
+# Refusals by targets that may end within a second or two.
+_WAITABLE = (Code.TARGETS_REFUSED, Code.NO_TARGET)
+
+
 class Exchange:
     """A caller's request, its sends to targets, and its answer.
 
@@ -258,7 +262,8 @@
             case life_lib.SendAgain():
                 self._owner.send_again(self)
             case life_lib.GiveUp():
-                self.refuse(verdict.code)
+                if not self._may_wait(verdict.code):
+                    self.refuse(verdict.code)
             case life_lib.BreakOff():
                 self._answering.abort()
                 self._close(f"broken off: {verdict.reason}")
@@ -267,6 +272,11 @@
         """End a request for which no other target is to be tried."""
         self._act(self.life.give_up(code))
 
+    def _may_wait(self, code: Code) -> bool:
+        if self.life.started or code not in _WAITABLE:
+            return False
+        return self._owner.may_wait(self)
+
     def refuse(self, code: Code) -> None:
         """Give the caller a numbered answer of our own."""
         if self.done:
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -3,9 +3,11 @@
 from collections.abc import Callable
 import itertools
 import random
+from typing import NamedTuple
 
 from jasperweir import core
 from jasperweir import result_codes
+from jasperweir.components.balance import advice as advice_lib
 from jasperweir.components.balance import balancer as balancer_lib
 from jasperweir.components.balance import budget as budget_lib
 from jasperweir.components.balance import const as balance_const
@@ -26,6 +28,14 @@
 _log = logs.logger("forward")
 
 
+class Early(NamedTuple):
+    """A request that came before there was a configuration."""
+
+    answering: http_server.Answering
+    ask: dialect_lib.Ask
+    until: float
+
+
 class Forwarder:
     """Everything that the requests of one entry share.
 
@@ -64,6 +74,8 @@
         self._directory = directory
         self._budget = budget_lib.RetryBudget(bounds=bounds)
         self._metrics = metrics
+        self._advice = advice_lib.ReturnAdvice(rng=rng)
+        self._early: list[Early] = []
         self._numbers = itertools.count(1)
         self._open: dict[int, exchange_lib.Exchange] = {}
         self._gates: dict[str, gate_lib.Gate] = {}
@@ -89,8 +101,40 @@
             self._turn_away(answering, None, Code.BAD_HEADER, str(exc))
             return
         if index is None:
+            self._keep_early(answering, ask)
+            return
+        self._accept(answering, ask, index)
+
+    def _keep_early(
+        self, answering: http_server.Answering, ask: dialect_lib.Ask
+    ) -> None:
+        """Keep a resumed request for a moment until there are routes."""
+        if not ask.resume_after or self.stopping:
             self._turn_away(answering, ask, Code.NOT_READY, "no configuration")
             return
+        until = self.now() + balance_const.RESUMED_WAIT_SECONDS
+        self._early.append(Early(answering=answering, ask=ask, until=until))
+
+    def _release_early(self, now: float) -> None:
+        early, self._early = self._early, []
+        for kept in early:
+            if kept.answering.done:
+                continue
+            if self.index is not None:
+                self._accept(kept.answering, kept.ask, self.index)
+            elif now < kept.until:
+                self._early.append(kept)
+            else:
+                self._turn_away(
+                    kept.answering, kept.ask, Code.NOT_READY, "no configuration"
+                )
+
+    def _accept(
+        self,
+        answering: http_server.Answering,
+        ask: dialect_lib.Ask,
+        index: index_lib.Index,
+    ) -> None:
         match = self._match(answering, ask, index)
         if match is None:
             return
@@ -151,16 +195,46 @@
     def _admit(self, exchange: exchange_lib.Exchange, now: float) -> None:
         targets = self._directory.serving(exchange.service, now)
         if not targets:
-            exchange.give_up(Code.NO_TARGET)
+            if not self.may_wait(exchange):
+                exchange.give_up(Code.NO_TARGET)
             return
-        gate = self._gates.setdefault(exchange.service, gate_lib.Gate())
+        gate = self._gate(exchange.service)
         places = self.balancer.free_places(targets, now)
         if places >= 1 and not len(gate):
             self._send(exchange, targets, now)
             return
-        route = exchange.life.match.route
-        priority = exchange.life.match.priority
-        gate.wait(exchange.number, priority, route.target_s, now)
+        self._wait(exchange, now, now)
+
+    def _gate(self, service: str) -> gate_lib.Gate:
+        return self._gates.setdefault(service, gate_lib.Gate())
+
+    def _wait(
+        self,
+        exchange: exchange_lib.Exchange,
+        now: float,
+        not_before: float,
+    ) -> None:
+        waiting = gate_lib.Waiting(
+            priority=exchange.life.match.priority,
+            since=exchange.life.arrived,
+            number=exchange.number,
+            until=exchange.life.waits_until,
+            not_before=not_before,
+        )
+        self._gate(exchange.service).wait(waiting)
+
+    def may_wait(self, exchange: exchange_lib.Exchange) -> bool:
+        """Let a request wait that targets refused, if it has the time."""
+        now = self.now()
+        not_before = now + balance_const.PAUSE_SECONDS
+        life = exchange.life
+        if not life.is_resumed or life.waits_until <= not_before:
+            return False
+        if self.stopping:
+            return False
+        life.tried.clear()
+        self._wait(exchange, now, not_before)
+        return True
 
     def _send(
         self,
@@ -188,34 +262,49 @@
     def send_again(self, exchange: exchange_lib.Exchange) -> None:
         """Send a request to another target if the budget allows."""
         now = self.now()
-        if exchange.life.arrivals and not self._budget.take(
-            exchange.service, self.entries, now
-        ):
-            self._metrics.inc("retries_denied")
+        arrived = exchange.life.arrivals > 0
+        if arrived and not self._take_retry(exchange.service, now):
             exchange.give_up(Code.TARGETS_REFUSED)
             return
-        if exchange.life.arrivals:
-            self._metrics.inc("retries")
         targets = self._directory.serving(exchange.service, now)
         self._send(exchange, targets, now)
 
     def tick(self) -> None:
         """Let time pass: give places to those who wait, refuse the late."""
         now = self.now()
+        if self._early:
+            self._release_early(now)
         for service, gate in self._gates.items():
             if not len(gate):
                 continue
             targets = self._directory.serving(service, now)
             places = self.balancer.free_places(targets, now)
-            for number in gate.admit(places):
+            for number in gate.admit(places, now):
                 exchange = self._open.get(number)
                 if exchange is not None:
-                    self._send(exchange, targets, now)
+                    self._send_waiting(exchange, targets, now)
             for number in gate.expire(now):
                 exchange = self._open.get(number)
                 if exchange is not None:
                     exchange.give_up(Code.OVERLOADED)
 
+    def _send_waiting(
+        self,
+        exchange: exchange_lib.Exchange,
+        targets: list[records.Target],
+        now: float,
+    ) -> None:
+        arrived = exchange.life.arrivals > 0
+        if arrived and not self._take_retry(exchange.service, now):
+            exchange.give_up(Code.TARGETS_REFUSED)
+            return
+        self._send(exchange, targets, now)
+
+    def _take_retry(self, service: str, now: float) -> bool:
+        taken = self._budget.take(service, self.entries, now)
+        self._metrics.inc("retries" if taken else "retries_denied")
+        return taken
+
     # Ends.
 
     def closed(self, exchange: exchange_lib.Exchange, outcome: str) -> None:
@@ -290,8 +379,9 @@
         headers = self.dialect.own_headers(ask)
         headers.append((b"jasperweir-code", b"%d" % int(code)))
         if row.http == 503:
-            wait = balance_const.RETRY_AFTER_SECONDS
-            wait *= self._rng.uniform(0.8, 1.4)
+            wait = self._advice.while_starting()
+            if code is not Code.NOT_READY:
+                wait = self._advice.after_refusal(self.now())
             headers.append((b"retry-after", b"%.3f" % wait))
         answering.reply(row.http, headers, b"")
 
--- a/jasperweir/components/forward/life.py
+++ b/jasperweir/components/forward/life.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from jasperweir import result_codes
+from jasperweir.components.balance import const as balance_const
 from jasperweir.components.deployment import index
 from jasperweir.components.deployment import model
 from jasperweir.components.forward import const
@@ -88,6 +89,19 @@
         """Whether the answer is passed on event by event."""
         return self.match.route.kind is model.Kind.STREAM
 
+    @property
+    def is_resumed(self) -> bool:
+        """Whether the caller goes on with an answer that broke off."""
+        return bool(self.ask.resume_after) and self.match.route.resumable
+
+    @property
+    def waits_until(self) -> float:
+        """When a request without a place is refused, monotonic seconds."""
+        wait = balance_const.WAIT_SHARE * self.match.route.target_s
+        if self.is_resumed:
+            wait = balance_const.RESUMED_WAIT_SECONDS
+        return self.arrived + wait
+
     def remaining(self, now: float) -> float:
         """Return the seconds that are left for an answer."""
         return self.ends - now
--- /dev/null
+++ b/standins/platform_target.py
@@ -0,0 +1,183 @@
+"""A target that speaks the users' platform, for tests without their kit.
+
+It announces itself, runs plain requests and streams of events, can break a
+stream off midway or refuse, and records what ran.
+"""
+
+import argparse
+import contextlib
+import http.server
+import json
+import threading
+import time
+import urllib.error
+import urllib.request
+
+BEAT_SECONDS = 0.5
+EVENT_SECONDS = 0.03
+
+
+class State:
+    """What the stand-in is told to do, and what it has seen."""
+
+    def __init__(self, *, target_id: str, events: int) -> None:
+        self.target_id = target_id
+        self.events = events
+        self.break_after = 0
+        self.refuse = False
+        self.presence = "ready"
+        self.sequence = 0
+        self.runs: list[str] = []
+        self.seen: list[dict[str, str]] = []
+        self.lock = threading.Lock()
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    """Requests of entries, and ``/told`` of the test."""
+
+    protocol_version = "HTTP/1.1"
+    state: State
+
+    def do_GET(self) -> None:
+        """Serve a request without a body."""
+        if self.path == "/told":
+            self._json({"runs": self.state.runs, "seen": self.state.seen})
+            return
+        self._serve(b"")
+
+    def do_POST(self) -> None:
+        """Serve a request with a body."""
+        body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        if self.path == "/tell":
+            for key, value in json.loads(body).items():
+                setattr(self.state, key, value)
+            self._json({})
+            return
+        self._serve(body)
+
+    def handle(self) -> None:
+        """Serve a connection; a caller that leaves is no error."""
+        with contextlib.suppress(ConnectionError):
+            super().handle()
+
+    def log_message(self, format: str, *args: object) -> None:
+        """Keep quiet."""
+
+    def _serve(self, body: bytes) -> None:
+        state = self.state
+        meant = self.headers.get("Target-Instance")
+        if meant and meant != state.target_id:
+            self._plain(421, b"", signed=False)
+            return
+        if state.refuse:
+            self._plain(503, b"", signed=False, not_run=True)
+            return
+        with state.lock:
+            state.runs.append(self.headers.get("Attempt-Id", ""))
+            state.seen.append({k.lower(): v for k, v in self.headers.items()})
+        if "/stream/" in self.path:
+            self._stream()
+            return
+        self._plain(200, b"ran " + body, signed=True)
+
+    def _plain(
+        self, status: int, body: bytes, *, signed: bool, not_run: bool = False
+    ) -> None:
+        self.send_response(status)
+        self._marks(signed)
+        if not_run:
+            self.send_header("Not-Executed", "1")
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def _stream(self) -> None:
+        state = self.state
+        first = int(self.headers.get("Last-Event-Id") or 0) + 1
+        self.send_response(200)
+        self._marks(True)
+        self.send_header("Content-Type", "text/event-stream")
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        for number in range(first, state.events + 1):
+            # Only a stream from the start breaks off, not its resumed rest.
+            if first == 1 and 0 < state.break_after < number:
+                state.break_after = 0
+                # The middle of an event, then nothing more.
+                self._chunk(f"id: {number}\nda".encode())
+                self.close_connection = True
+                self.connection.close()
+                return
+            self._chunk(f"id: {number}\ndata: piece {number}\n\n".encode())
+            time.sleep(EVENT_SECONDS)
+        self.wfile.write(b"0\r\n\r\n")
+
+    def _chunk(self, data: bytes) -> None:
+        self.wfile.write(b"%x\r\n%b\r\n" % (len(data), data))
+        self.wfile.flush()
+
+    def _marks(self, signed: bool) -> None:
+        self.send_header("Attempt-Id", self.headers.get("Attempt-Id", ""))
+        if signed:
+            self.send_header("Server-Signature", f"{self.state.target_id}.1")
+
+    def _json(self, value: object) -> None:
+        body = json.dumps(value).encode()
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+def announce(
+    state: State, service: str, address: str, controls: list[str]
+) -> None:
+    """Send heartbeats to the first control VM that answers."""
+    while True:
+        state.sequence += 1
+        beat = {
+            "service": service,
+            "address": address,
+            "zone": "p",
+            "slots": 6,
+            "state": state.presence,
+            "sequence": state.sequence,
+        }
+        for control in controls:
+            req = urllib.request.Request(
+                f"http://{control}/Instances.Heartbeat/{state.target_id}",
+                data=json.dumps(beat).encode(),
+                headers={"Content-Type": "application/json"},
+                method="POST",
+            )
+            try:
+                with urllib.request.urlopen(req, timeout=1.0):
+                    break
+            except (OSError, urllib.error.URLError):
+                continue
+        time.sleep(BEAT_SECONDS)
+
+
+def main() -> None:
+    """Serve until killed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--address", required=True)
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--id", required=True)
+    parser.add_argument("--controls", required=True)
+    parser.add_argument("--events", type=int, default=10)
+    args = parser.parse_args()
+    state = State(target_id=args.id, events=args.events)
+    host, _, port = args.address.rpartition(":")
+    handler = type("BoundHandler", (Handler,), {"state": state})
+    server = http.server.ThreadingHTTPServer((host, int(port)), handler)
+    threading.Thread(
+        target=announce,
+        args=(state, args.service, args.address, args.controls.split(",")),
+        daemon=True,
+    ).start()
+    server.serve_forever()
+
+
+if __name__ == "__main__":
+    main()
