Hold passes from another VM, follow slow ranks, stop copying when good enough

Change: another rank's agent gives the hold; a hold that is not confirmed in 0.3 s is taken back before any rank is armed; results are told at the engine's answer; plans weigh paces and stop at 1.2 times the mean; entries learn of slow targets.

--- a/features/harness/engines.py
+++ b/features/harness/engines.py
@@ -71,6 +71,7 @@
         self.broken = []
         self.past = []
         self.hot = 0
+        self.deaf = set()
 
     def tick(self, now):
         self.now = now
@@ -117,6 +118,8 @@
 
     def order(self, number, order, epoch):
         """Return a status, or None for an order that gets no answer."""
+        if number in self.deaf:
+            return None
         if self.rng.random() < self.lost:
             if self.rng.random() < 0.7:
                 at = self.now + self.rng.uniform(2, 12)
@@ -297,7 +300,15 @@
                     case messages.PaceAsk():
                         runner.on_term(msg.term)
                     case messages.OrderAsk():
-                        self.drive(dst, runner, runner.on_ask(src, msg), dst)
+                        self.on_order(dst, runner, src, msg)
+
+    def on_order(self, name, runner, src, ask):
+        if ask.engine != name:
+            key = (name, ask.engine)
+            runner = self.direct.setdefault(
+                key, runner_lib.Runner(reads_are_fresh=False)
+            )
+        self.drive(name, runner, runner.on_ask(src, ask), ask.engine)
 
     def perform(self, name, acts):
         for act in acts:
@@ -307,14 +318,12 @@
                 case coordinator_lib.PhaseChanged():
                     self.phases.append((round(self.now, 2), name, act))
                 case coordinator_lib.Direct():
-                    key = (name, act.agent)
+                    key = (name, act.ask.engine)
                     runner = self.direct.setdefault(
                         key, runner_lib.Runner(reads_are_fresh=False)
                     )
-                    self.drive(
-                        name, runner, runner.on_ask(act.agent, act.ask),
-                        act.agent,
-                    )  # fmt: skip
+                    acts_now = runner.on_ask(act.agent, act.ask)
+                    self.drive(name, runner, acts_now, act.ask.engine)
 
     def drive(self, host, runner, acts, agent):
         number = int(agent[1:])
--- a/features/mapswitch.feature
+++ b/features/mapswitch.feature
@@ -19,6 +19,13 @@
     Then no pass has begun on two maps
     And no pass has waited longer than 1.0 seconds
 
+  Scenario: The VM that has just given the hold stands still
+    Given a group of 4 engines under a leader
+    When a pass is held and the VM that gave the hold stands still for 4 seconds
+    And 5 seconds pass at the group
+    Then no pass has begun on two maps
+    And no pass has waited longer than 0.3 seconds
+
   Scenario: A leader that takes over resolves a hold
     Given a group of 4 engines under a leader
     When the first rank holds a pass and the leader freezes
--- a/features/steps/mapswitch_steps.py
+++ b/features/steps/mapswitch_steps.py
@@ -64,6 +64,19 @@
     context.dep.down["a0"] = context.dep.now + 4
 
 
+@when("a pass is held and the VM that gave the hold stands still for 4 seconds")
+def step_giver_still(context):
+    dep = context.dep
+    until_held(dep)
+    # Nothing that it sent after the hold has left.
+    dep.queue = [q for q in dep.queue if q[1] != "a3"]
+    dep.frozen.add("a3")
+    dep.group.deaf.add(3)
+    dep.run(4.0)
+    dep.frozen.discard("a3")
+    dep.group.deaf.clear()
+
+
 @when("the first rank holds a pass and the leader freezes")
 def step_leader_freezes(context):
     until_held(context.dep)
--- a/jasperweir/components/balance/balancer.py
+++ b/jasperweir/components/balance/balancer.py
@@ -59,6 +59,8 @@
         self._peers: dict[str, Peer] = {}
         self._health: dict[str, Health] = {}
         self._reports: dict[str, Stated] = {}
+        self._paces: dict[str, float] = {}
+        self._paces_at = float("-inf")
         self._sequence = 0
 
     # Own requests.
@@ -162,7 +164,9 @@
     def free_places(self, targets: list[records.Target], now: float) -> int:
         """Return how many requests the targets could begin now."""
         return sum(
-            max(0, t.slots - self.count_at(t.target_id, now)) for t in targets
+            max(0, t.slots - self.count_at(t.target_id, now))
+            for t in targets
+            if self.pace_of(t, now) < const.PACE_MAX
         )
 
     def count_at(self, target_id: str, now: float) -> int:
@@ -187,6 +191,17 @@
         unknown = max(0, stated - self._known_count(target_id, now))
         self._reports[target_id] = Stated(unknown=unknown, at=now)
 
+    def on_paces(self, paces: dict[str, float], now: float) -> None:
+        """Take in which targets, by address, are slower than usual."""
+        self._paces = paces
+        self._paces_at = now
+
+    def pace_of(self, target: records.Target, now: float) -> float:
+        """Return how much longer a target takes for the same work."""
+        if now - self._paces_at > const.PACE_SECONDS:
+            return 1.0
+        return self._paces.get(target.address, 1.0)
+
     def _known_count(self, target_id: str, now: float) -> int:
         return self._requests.get(target_id, 0) + sum(
             peer.counts.get(target_id, 0)
@@ -197,7 +212,10 @@
     def _cost(
         self, target: records.Target, typical: float, now: float
     ) -> float:
-        cost = self.count_at(target.target_id, now) / max(target.slots, 1)
+        count = self.count_at(target.target_id, now)
+        # A slow target takes its first request when the others have as many
+        # as make them take as long.
+        cost = (count + 1) * self.pace_of(target, now) / max(target.slots, 1)
         health = self._health.get(target.target_id)
         if health is not None and typical > 0:
             if health.seconds > const.SLOW_FACTOR * typical:
--- a/jasperweir/components/balance/const.py
+++ b/jasperweir/components/balance/const.py
@@ -11,6 +11,11 @@
 # A load header is trusted for this long.
 REPORT_SECONDS = 1.0
 
+# News of slow targets holds this long without being told again.
+PACE_SECONDS = 2.0
+# Places at a target that is this many times slower do not count.
+PACE_MAX = 2.0
+
 # Failures in a row after which a target is left out, and for how long.
 EJECT_FAILURES = 2
 EJECT_SECONDS = 1.0
--- a/jasperweir/components/mapswitch/const.py
+++ b/jasperweir/components/mapswitch/const.py
@@ -18,6 +18,11 @@
 # A switch must shorten the expert part of a pass by this share: below, the
 # copies cost more than they bring.
 LEAST_GAIN = 0.06
+# A plan is good enough at this load of the slowest rank over the mean: what
+# further copies would bring is below what they cost.
+GOOD_PEAK = 1.2
+# Targets from this pace on are named to the entries as slow.
+SLOW_PACE = 1.15
 # Moves that one plan may make in a set, for each rank.
 MOVES_PER_RANK = 2
 
--- a/jasperweir/components/mapswitch/coordinator.py
+++ b/jasperweir/components/mapswitch/coordinator.py
@@ -46,7 +46,6 @@
     """Action: give an order to an engine whose agent does not answer."""
 
     agent: str
-    address: str
     ask: messages.OrderAsk
 
 
@@ -65,7 +64,6 @@
     """An order that its agent has not answered yet."""
 
     agent: str
-    address: str
     ask: messages.OrderAsk
     order: messages.Order
     due_at: float
@@ -94,6 +92,9 @@
         self._term = term
         self._numbers = numbers
         self._version = term << _VERSION_BITS
+        # Whether an order to arm may still be under way; a new leader cannot
+        # know.
+        self._arms_out = True
         # Versions from here on were prepared after the last call-off.
         self._void_floor = 0
         self._at_pass = 0
@@ -112,18 +113,24 @@
         self.members.on_beat(src, beat, now)
         self.demand.observe(src, beat.counts, now)
 
-    def on_done(self, src: str, msg: messages.OrderDone, now: float) -> Actions:
+    def on_done(self, msg: messages.OrderDone, now: float) -> Actions:
         """Take in what became of an order."""
-        waiting = self._outstanding.get(src)
-        if waiting is None or waiting.ask.number != msg.number:
+        found = [
+            waiting
+            for waiting in self._outstanding.values()
+            if waiting.ask.number == msg.number
+        ]
+        if not found:
             return []
+        waiting = found[0]
+        # The rank that was meant, which need not be the one that tells.
+        src = waiting.agent
         del self._outstanding[src]
         member = self.members.of(src)
         if msg.state is not None:
             self.members.on_state(src, msg.state)
         elif msg.ok and member is not None:
-            state = runner_lib.after(waiting.order, member.state)
-            self.members.on_state(src, state)
+            self.members.on_state(src, self._after(waiting.order, member))
         out = [] if msg.ok else self._on_refused(waiting.order, now)
         return out + self.tick(now)
 
@@ -134,6 +141,16 @@
         notes, self._notes = self._notes, []
         return out + notes
 
+    def _after(
+        self, order: messages.Order, member: members_lib.Member
+    ) -> messages.EngineState:
+        state = runner_lib.after(order, member.state)
+        if isinstance(order, messages.Prepare):
+            if self.phase is Phase.CALLING_OFF:
+                # Prepared only to make orders void, which copies nothing.
+                state = state._replace(prepared=order.version)
+        return state
+
     @property
     def busy(self) -> bool:
         """Whether a switch is under way."""
@@ -162,8 +179,22 @@
         """Give up waiting where nothing has to be resolved first."""
         if self.phase is Phase.PREPARING:
             return self._late(now, const.PREPARE_SECONDS)
+        if self.phase is Phase.HOLDING:
+            if now - self._since > const.DIRECT_SECONDS:
+                return self._abandon_hold(now)
         return []
 
+    def _abandon_hold(self, now: float) -> Actions:
+        """Take back a hold whose giver does not answer.
+
+        Its VM may stand still, with an engine that could not be disarmed.
+        """
+        self._outstanding.clear()
+        self._careful = const.CAREFUL_SWITCHES
+        self._enter(Phase.RELEASING, now, "the hold is not confirmed")
+        release = messages.Release(at_pass=self._at_pass)
+        return self._order(self.members.all()[0], release, now)
+
     def _idle(self, now: float) -> Actions:
         if now < self._plan_at or not self.members.complete(self._term, now):
             return []
@@ -171,6 +202,8 @@
         self._epoch = states[0].epoch
         if any(s.held or s.armed for s in states):
             return self._resolve(now, "found half done")
+        # Arms are only ever sent under a hold, and none is left.
+        self._arms_out = False
         self._plan_at = now + const.PLAN_SECONDS
         if len({s.map_version for s in states}) > 1:
             return []
@@ -187,6 +220,7 @@
         if self.demand.tokens < const.DEMAND_LEAST:
             return None
         shares = self.demand.shares()
+        paces = plan_lib.paces([m.state.pace for m in self.members.all()])
         before = after = 0.0
         placement = []
         current = self.members.placement()
@@ -197,6 +231,7 @@
             found = plan_lib.improve(
                 start,
                 row,
+                paces,
                 places=self._engine.places,
                 spare=self._engine.spare,
             )
@@ -229,12 +264,21 @@
         self._at_pass = self.members.newest_pass() + ahead
         holder = self.members.all()[0]
         order = messages.Hold(at_pass=self._at_pass)
-        return self._order(holder, order, now)
+        return self._order(holder, order, now, giver=self._giver())
+
+    def _giver(self) -> members_lib.Member:
+        """Return the rank whose agent holds the pass at another rank.
+
+        If the VM that has just given the hold stands still, the engine that
+        holds the pass can still be told to release it.
+        """
+        return self.members.all()[-1]
 
     def _holding(self, now: float) -> Actions:
         holder = self.members.all()[0]
         if holder.state.held != self._at_pass:
             return self._resolve(now, "hold refused")
+        self._arms_out = True
         self._enter(Phase.ARMING, now, "pass held")
         order = messages.Arm(version=self._version, at_pass=self._at_pass)
         return self._order_all(order, now)
@@ -266,6 +310,8 @@
         self._enter(Phase.CALLING_OFF, now, reason)
         if self._uniform():
             return self._release(now, "all ranks armed already")
+        if not self._arms_out:
+            return self._release(now, "no rank has been armed")
         out: Actions = []
         for m in self.members.all():
             # A rank that is not armed meets an order to disarm at once.
@@ -386,23 +432,27 @@
         return out
 
     def _order(
-        self, member: members_lib.Member, order: messages.Order, now: float
+        self,
+        member: members_lib.Member,
+        order: messages.Order,
+        now: float,
+        giver: members_lib.Member | None = None,
     ) -> Actions:
         agent = member.agent
         ask = messages.OrderAsk(
             number=next(self._numbers),
             term=self._term,
             epoch=self._epoch,
+            engine=member.beat.address,
             order=codec.pack_tagged(order),
         )
         self._outstanding[agent] = Outstanding(
             agent=agent,
-            address=member.beat.address,
             ask=ask,
             order=order,
             due_at=now + const.DIRECT_SECONDS,
         )
-        return [core.Send(dst=agent, msg=ask)]
+        return [core.Send(dst=(giver or member).agent, msg=ask)]
 
     def _resend(self, now: float) -> Actions:
         out: Actions = []
@@ -414,7 +464,7 @@
             if self.phase is Phase.PREPARING:
                 # Nothing waits for it.
                 continue
-            out.append(Direct(waiting.agent, waiting.address, waiting.ask))
+            out.append(Direct(waiting.agent, waiting.ask))
         return out
 
 
@@ -428,6 +478,11 @@
         self._numbers = itertools.count(1)
         self._asked_at = float("-inf")
 
+    @property
+    def leads(self) -> bool:
+        """Whether this control VM leads."""
+        return self._term > 0
+
     def lead(self, term: int) -> None:
         """Begin a term, or with 0 stop; nothing of an older one is kept."""
         if term == self._term:
@@ -454,9 +509,10 @@
             case messages.EngineBeat():
                 self._on_beat(src, msg, engines, now)
             case messages.OrderDone():
+                out: Actions = []
                 for group in self._groups.values():
-                    if group.members.of(src) is not None:
-                        return group.on_done(src, msg, now)
+                    out += group.on_done(msg, now)
+                return out
         return []
 
     def tick(self, now: float) -> Actions:
@@ -474,6 +530,17 @@
                 out += self._ask_paces(now)
         return out
 
+    def slow_targets(self) -> messages.SlowTargets:
+        """Return the targets that report to be slower than usual."""
+        return messages.SlowTargets(
+            targets=tuple(
+                messages.SlowTarget(m.beat.address, round(m.state.pace, 2))
+                for group in self._groups.values()
+                for m in group.members.all()
+                if m.state.pace >= const.SLOW_PACE
+            )
+        )
+
     def _ask_paces(self, now: float) -> Actions:
         busy = any(group.busy for group in self._groups.values())
         ask = messages.PaceAsk(term=self._term, busy=busy)
--- a/jasperweir/components/mapswitch/messages.py
+++ b/jasperweir/components/mapswitch/messages.py
@@ -94,12 +94,14 @@
         number: Number of the order, which rises within a term.
         term: Term of the leader.
         epoch: Epoch of the group in which it holds.
+        engine: Address of the engine, which may be on another VM.
         order: The order, tagged.
     """
 
     number: int
     term: int
     epoch: int
+    engine: str
     order: bytes
 
 
@@ -143,6 +145,20 @@
     experts: tuple[tuple[int, ...], ...]
 
 
+class SlowTarget(NamedTuple):
+    """A target that is slower than usual, by a factor."""
+
+    address: str
+    pace: float
+
+
+@codec.message("balance.slow")
+class SlowTargets(NamedTuple):
+    """The leader tells the entries which targets are slow at present."""
+
+    targets: tuple[SlowTarget, ...]
+
+
 @codec.message("mapswitch.pace")
 class PaceAsk(NamedTuple):
     """The leader of a term wants beats at a faster or slower pace."""
--- a/jasperweir/components/mapswitch/plan.py
+++ b/jasperweir/components/mapswitch/plan.py
@@ -49,41 +49,62 @@
     return tuple(tuple(range(rank, experts, ranks)) for rank in range(ranks))
 
 
-def peak(held: Bools, shares: Floats) -> float:
-    """Return the most loaded rank's load as a multiple of the mean."""
-    loads = _loads(held, shares)
+def paces(reported: list[float]) -> Floats:
+    """Return how much longer each rank takes for the same work."""
+    return np.maximum(np.array(reported, dtype=np.float64), 0.1)
+
+
+def peak(held: Bools, shares: Floats, pace: Floats) -> float:
+    """Return the slowest rank's time as a multiple of the mean load."""
+    loads = _loads(held, shares) * pace
     return float(loads.max() * len(loads))
 
 
 def improve(
-    start: Bools, shares: Floats, *, places: int, spare: int
+    start: Bools,
+    shares: Floats,
+    pace: Floats,
+    *,
+    places: int,
+    spare: int,
 ) -> SetPlan:
     """Return a better placement of one set.
 
     Args:
         start: Placement in use.
         shares: Share of each expert; they sum to 1.
+        pace: How much longer each rank takes for the same work.
         places: Experts that a rank may hold.
         spare: Experts that a rank may add in one change.
     """
     held = start.copy()
-    before = peak(held, shares)
+    before = peak(held, shares, pace)
     best, best_peak = held.copy(), before
     for _ in range(const.MOVES_PER_RANK * len(start)):
-        move = _best_move(held, start, shares, places, spare)
+        if best_peak <= const.GOOD_PEAK:
+            break
+        move = _best_move(held, start, shares, pace, places, spare)
         if move is None:
             break
-        rank, add, drop = move
-        held[rank, add] = True
-        if drop >= 0:
-            held[rank, drop] = False
-        reached = peak(held, shares)
+        if move.add >= 0:
+            held[move.rank, move.add] = True
+        if move.drop >= 0:
+            held[move.rank, move.drop] = False
+        reached = peak(held, shares, pace)
         if reached < best_peak - 1e-9:
             best, best_peak = held.copy(), reached
     copies = int((best & ~start).sum())
     return SetPlan(best, before, best_peak, copies)
 
 
+class _Move(NamedTuple):
+    """Experts that a rank adds and drops; below 0 for none."""
+
+    rank: int
+    add: int
+    drop: int
+
+
 def _loads(held: Bools, shares: Floats) -> Floats:
     copies = np.maximum(held.sum(axis=0), 1)
     loads: Floats = held @ (shares / copies)
@@ -91,23 +112,32 @@
 
 
 def _best_move(
-    held: Bools, start: Bools, shares: Floats, places: int, spare: int
-) -> tuple[int, int, int] | None:
-    """Return rank, expert to add and expert to drop that help most.
+    held: Bools,
+    start: Bools,
+    shares: Floats,
+    pace: Floats,
+    places: int,
+    spare: int,
+) -> _Move | None:
+    """Return the move that helps most.
 
     A copy of one of the slowest rank's experts goes to another rank, in a
-    free place or in that of an expert with further copies. The measure is
-    the sum of a high power of the loads: it falls when any rank near the
-    peak is relieved, so plateaus of the peak alone do not end the search.
+    free place or in that of an expert with further copies; or the slowest
+    rank drops an expert that others hold. The measure is the sum of a high
+    power of the times: it falls when any rank near the peak is relieved, so
+    plateaus of the peak alone do not end the search.
     """
     loads = _loads(held, shares)
     copies = held.sum(axis=0)
     added = (held & ~start).sum(axis=1)
     free = held.sum(axis=1) < places
-    slowest = int(loads.argmax())
-    best: tuple[int, int, int] | None = None
-    best_value = _measure(loads) * (1 - 1e-6)
-    order = np.argsort(loads)
+    slowest = int((loads * pace).argmax())
+    moves = [
+        _Move(slowest, -1, int(e))
+        for e in np.flatnonzero(held[slowest])
+        if copies[e] > 1
+    ]
+    order = np.argsort(loads * pace)
     for add in np.flatnonzero(held[slowest]):
         for rank in order[: len(order) // 2 + 1]:
             if held[rank, add]:
@@ -116,21 +146,24 @@
             if added[rank] + grows > spare:
                 continue
             drops = _drops(held, copies, shares, int(rank), bool(free[rank]))
-            for drop in drops:
-                after = _after(
-                    held, shares, copies, loads, int(rank), int(add), drop
-                )
-                value = _measure(after)
-                if value < best_value:
-                    best_value = value
-                    best = (int(rank), int(add), drop)
+            moves += [_Move(int(rank), int(add), drop) for drop in drops]
+    best: _Move | None = None
+    best_value = _measure(loads * pace) * (1 - 1e-6)
+    for move in moves:
+        after = _after(held, shares, copies, loads, move)
+        value = _measure(after * pace)
+        if value < best_value:
+            best_value, best = value, move
     return best
 
 
 def _drops(
-    held: Bools, copies: npt.NDArray[np.int64], shares: Floats, rank: int,
+    held: Bools,
+    copies: npt.NDArray[np.int64],
+    shares: Floats,
+    rank: int,
     has_room: bool,
-) -> list[int]:  # fmt: skip
+) -> list[int]:
     if has_room:
         return [-1]
     others = [int(e) for e in np.flatnonzero(held[rank]) if copies[e] > 1]
@@ -142,14 +175,14 @@
     shares: Floats,
     copies: npt.NDArray[np.int64],
     loads: Floats,
-    rank: int,
-    add: int,
-    drop: int,
+    move: _Move,
 ) -> Floats:
     after = loads.copy()
-    share, count = shares[add], copies[add]
-    after[held[:, add]] -= share / count - share / (count + 1)
-    after[rank] += share / (count + 1)
+    rank, add, drop = move
+    if add >= 0:
+        share, count = shares[add], copies[add]
+        after[held[:, add]] -= share / count - share / (count + 1)
+        after[rank] += share / (count + 1)
     if drop >= 0:
         share, count = shares[drop], copies[drop]
         after[rank] -= share / count
--- a/jasperweir/components/mapswitch/runner.py
+++ b/jasperweir/components/mapswitch/runner.py
@@ -40,7 +40,6 @@
         ask: The order as it came.
         order: The order.
         tries: How often it was posted or the engine could not be read.
-        accepted: Whether the engine has accepted it.
         refused: Whether the engine has refused it.
     """
 
@@ -48,7 +47,6 @@
     ask: messages.OrderAsk
     order: messages.Order
     tries: int = 0
-    accepted: bool = False
     refused: bool = False
 
 
@@ -110,7 +108,7 @@
             if job.tries >= const.ORDER_TRIES:
                 return self._finish(job, None, ok=False)
             return self._go_on(job)
-        if job.accepted or is_met(job.order, state):
+        if is_met(job.order, state):
             return self._finish(job, state, ok=True)
         spent = job.tries >= const.ORDER_TRIES
         if job.refused or spent or state.epoch != job.ask.epoch:
@@ -124,10 +122,11 @@
         if job is None:
             return []
         if job.order is order and status is not None:
-            job.accepted = status in (200, 202)
-            job.refused = not job.accepted
-            if not self._reads_are_fresh:
-                return self._finish(job, None, ok=job.accepted)
+            accepted = status in (200, 202)
+            job.refused = not accepted
+            if accepted or not self._reads_are_fresh:
+                # At once: this VM may be gone a moment later.
+                return self._finish(job, None, ok=accepted)
         return self._go_on(job)
 
     def _go_on(self, job: Job) -> Actions:
@@ -168,8 +167,8 @@
         case messages.Release():
             return state._replace(held=0)
         case messages.Prepare():
-            # Given from afar only to make orders void, which copies nothing.
-            return state._replace(prepared=order.version)
+            # The copies may still be under way.
+            return state
 
 
 def is_met(order: messages.Order, state: messages.EngineState) -> bool:
--- a/jasperweir/daemons/engine_client.py
+++ b/jasperweir/daemons/engine_client.py
@@ -1,10 +1,12 @@
 """Calls to one engine, for an agent or for a leader from afar."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 from typing import Any
 from typing import Protocol
 
+from jasperweir import core
 from jasperweir.components.mapswitch import const
 from jasperweir.components.mapswitch import messages
 from jasperweir.components.mapswitch import runner as runner_lib
@@ -137,3 +139,35 @@
             _log.info("engine not read", engine=self._address, reason=str(exc))
             return None
         return body if status == 200 else None
+
+
+class RemoteEngine:
+    """Give orders to an engine on another VM; answers alone tell."""
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        dialect: EngineDialect,
+        send: Callable[[core.Send], None],
+    ) -> None:
+        self._runner = runner_lib.Runner(reads_are_fresh=False)
+        self._send = send
+        self._client = EngineClient(
+            address=address, dialect=dialect, timeout_s=const.ORDER_SECONDS
+        )
+
+    def give(self, src: str, ask: messages.OrderAsk) -> None:
+        """Give an order; its result is sent to who asked for it."""
+        self._run(self._runner.on_ask(src, ask))
+
+    def _run(self, acts: runner_lib.Actions) -> None:
+        for act in acts:
+            match act:
+                case core.Send():
+                    self._send(act)
+                case runner_lib.Read() | runner_lib.Post():
+                    self._client.spawn(self._carry_out(act))
+
+    async def _carry_out(self, act: runner_lib.Read | runner_lib.Post) -> None:
+        self._run(await self._client.carry_out(self._runner, act))
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -3,7 +3,6 @@
 import asyncio
 import pathlib
 from typing import Any
-from typing import NamedTuple
 import zlib
 
 from jasperweir import core
@@ -14,10 +13,8 @@
 from jasperweir.components.configctl import node as node_lib
 from jasperweir.components.deployment import model
 from jasperweir.components.directory import const as directory_const
-from jasperweir.components.mapswitch import const as mapswitch_const
 from jasperweir.components.mapswitch import coordinator as coordinator_lib
 from jasperweir.components.mapswitch import messages as mapswitch_messages
-from jasperweir.components.mapswitch import runner as runner_lib
 from jasperweir.components.quorum import actions
 from jasperweir.components.quorum import storage as storage_lib
 from jasperweir.components.quorum import voter as voter_lib
@@ -34,19 +31,13 @@
 DISK_RETRY_SECONDS = 0.5
 # Soft state is written down this often if it has changed, seconds.
 NOTE_SECONDS = 0.5
+# Entries are told of slow targets this often, seconds.
+TELL_SLOW_SECONDS = 0.5
 # A stopping control VM stays this long after it has handed over the lead, so
 # that calls under way get their answers, seconds.
 LINGER_SECONDS = 1.5
 
 
-class DirectEngine(NamedTuple):
-    """An engine that the leader gives orders to without an agent."""
-
-    address: str
-    runner: runner_lib.Runner
-    client: engine_client.EngineClient
-
-
 class SiteControl:
     """Drive a ConfigNode with a disk, a link and HTTP."""
 
@@ -70,7 +61,8 @@
         self._node: node_lib.ConfigNode | None = None
         self._coordinator = coordinator_lib.Coordinator()
         self._engines: dict[str, model.Engine] = {}
-        self._direct: dict[str, DirectEngine] = {}
+        self._direct: dict[str, engine_client.RemoteEngine] = {}
+        self._told_slow = False
         # Commit index and directory digest that are written down.
         self._noted = (0, 0)
 
@@ -81,6 +73,7 @@
         await self._host.serve(self._cfg.control, self._handle)
         self._host.every(const.TICK_SECONDS, self._tick)
         self._host.every(NOTE_SECONDS, self._note)
+        self._host.every(TELL_SLOW_SECONDS, self._tell_slow)
         await self._stopping.wait()
         await asyncio.sleep(LINGER_SECONDS)
         self._host.stop()
@@ -238,42 +231,35 @@
     def _give_directly(self, act: coordinator_lib.Direct) -> None:
         """Give an order to an engine whose agent does not answer."""
         self._host.metrics.inc("orders_given_directly")
-        engine = self._direct.get(act.agent)
-        if engine is None or engine.address != act.address:
-            engine = DirectEngine(
-                address=act.address,
-                runner=runner_lib.Runner(reads_are_fresh=False),
-                client=engine_client.EngineClient(
-                    address=act.address,
-                    dialect=self._engine_dialect,
-                    timeout_s=mapswitch_const.ORDER_SECONDS,
-                ),
+        engine = self._direct.get(act.ask.engine)
+        if engine is None:
+            engine = engine_client.RemoteEngine(
+                address=act.ask.engine,
+                dialect=self._engine_dialect,
+                send=self._on_direct_result,
             )
-            self._direct[act.agent] = engine
-        acts = engine.runner.on_ask(act.agent, act.ask)
-        self._run_directly(engine, acts)
+            self._direct[act.ask.engine] = engine
+        engine.give(act.agent, act.ask)
 
-    def _run_directly(
-        self, engine: "DirectEngine", acts: runner_lib.Actions
-    ) -> None:
-        for act in acts:
-            match act:
-                case core.Send():
-                    # Its result counts as its agent's.
-                    now = self._host.now()
-                    self._perform(
-                        self._coordinator.receive(
-                            act.dst, act.msg, self._engines, now
-                        )
-                    )
-                case runner_lib.Read() | runner_lib.Post():
-                    engine.client.spawn(self._carry_out(engine, act))
-
-    async def _carry_out(
-        self, engine: "DirectEngine", act: runner_lib.Read | runner_lib.Post
-    ) -> None:
-        acts = await engine.client.carry_out(engine.runner, act)
-        self._run_directly(engine, acts)
+    def _on_direct_result(self, act: core.Send) -> None:
+        """Take in a result as if the engine's agent had told it."""
+        now = self._host.now()
+        self._perform(
+            self._coordinator.receive(act.dst, act.msg, self._engines, now)
+        )
+
+    def _tell_slow(self) -> None:
+        """Tell the entries which targets are slow, while any is."""
+        node = self._node
+        if node is None or not self._coordinator.leads:
+            return
+        slow = self._coordinator.slow_targets()
+        if not slow.targets and not self._told_slow:
+            return
+        self._told_slow = bool(slow.targets)
+        now = self._host.now()
+        for entry in node.nodes(directory_const.KIND_ENTRY, now):
+            self._host.send(core.Send(dst=entry.name, msg=slow))
 
     def _on_version(self, version: int) -> None:
         _log.info("version in force", version=version)
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -17,6 +17,7 @@
 from jasperweir.components.follow import follower as follower_lib
 from jasperweir.components.forward import dialect as dialect_lib
 from jasperweir.components.forward import forwarder as forwarder_lib
+from jasperweir.components.mapswitch import messages as mapswitch_messages
 from jasperweir.daemons import deployed
 from jasperweir.daemons import loop_host
 from jasperweir.helpers import http_client
@@ -137,9 +138,14 @@
 
     def _on_frame(self, src: str, msg: Any) -> None:
         now = self._host.now()
-        if isinstance(msg, balance_messages.Share):
-            self._forwarder.balancer.on_share(src, msg, now)
-            return
+        match msg:
+            case balance_messages.Share():
+                self._forwarder.balancer.on_share(src, msg, now)
+                return
+            case mapswitch_messages.SlowTargets():
+                paces = {t.address: t.pace for t in msg.targets}
+                self._forwarder.balancer.on_paces(paces, now)
+                return
         self._perform(self._follower.receive(src, msg, now))
 
     def _perform(self, acts: follower_lib.Actions) -> None:
