Let an entry give the holds, and place held passes by the usual pass

Change: an entry, on a VM without a disk, gives holds; states known from answers are not replaced by a beat for 0.2 s; passes ahead by the median of the ranks.

--- a/features/harness/engines.py
+++ b/features/harness/engines.py
@@ -219,6 +219,7 @@
         name = f"c{self.term}"
         self.leaders[name] = coordinator_lib.Coordinator()
         self.leaders[name].lead(self.term)
+        self.leaders[name].on_entries(["e1"])
         return name
 
     def run(self, seconds):
@@ -294,6 +295,8 @@
                     src, msg, {"s": ENGINE}, self.now
                 )
                 self.perform(dst, acts)
+            elif dst == "e1" and isinstance(msg, messages.OrderAsk):
+                self.on_order("e1", None, src, msg)
             elif dst in self.agents and self.is_up(dst):
                 runner = self.agents[dst]
                 match msg:
--- a/features/steps/mapswitch_steps.py
+++ b/features/steps/mapswitch_steps.py
@@ -69,12 +69,10 @@
     dep = context.dep
     until_held(dep)
     # Nothing that it sent after the hold has left.
-    dep.queue = [q for q in dep.queue if q[1] != "a3"]
-    dep.frozen.add("a3")
-    dep.group.deaf.add(3)
+    dep.queue = [q for q in dep.queue if q[1] != "e1"]
+    dep.frozen.add("e1")
     dep.run(4.0)
-    dep.frozen.discard("a3")
-    dep.group.deaf.clear()
+    dep.frozen.discard("e1")
 
 
 @when("the first rank holds a pass and the leader freezes")
--- a/jasperweir/components/mapswitch/const.py
+++ b/jasperweir/components/mapswitch/const.py
@@ -36,7 +36,11 @@
 HOLD_AHEAD_CAREFUL_SECONDS = 1.2
 # Switches that must go well before the shorter time is used again.
 CAREFUL_SWITCHES = 4
-HOLD_AHEAD_PASSES_MIN = 8
+# Besides, in passes, since what is known of them is a read old.
+HOLD_AHEAD_PASSES = 3
+# A state that follows from an order's answer is not replaced by a beat for
+# this long: the beat may have been read before the order. Seconds.
+STATE_HOLDS_SECONDS = 0.2
 # Arming that takes longer is called off, seconds.
 ARM_SECONDS = 1.0
 # After a switch that failed the group is left alone for this long, seconds.
--- a/jasperweir/components/mapswitch/coordinator.py
+++ b/jasperweir/components/mapswitch/coordinator.py
@@ -80,7 +80,7 @@
 
     def __init__(
         self, *, name: str, engine: model.Engine, term: int,
-        numbers: "itertools.count[int]",
+        numbers: "itertools.count[int]", giver: str,
     ) -> None:  # fmt: skip
         self.name = name
         self.members = members_lib.Members()
@@ -91,6 +91,9 @@
         self._engine = engine
         self._term = term
         self._numbers = numbers
+        # Node that gives holds. If the VM that has just given one stands
+        # still, no engine of the group should stand still with it.
+        self._giver = giver
         self._version = term << _VERSION_BITS
         # Whether an order to arm may still be under way; a new leader cannot
         # know.
@@ -128,9 +131,10 @@
         del self._outstanding[src]
         member = self.members.of(src)
         if msg.state is not None:
-            self.members.on_state(src, msg.state)
-        elif msg.ok and member is not None:
-            self.members.on_state(src, self._after(waiting.order, member))
+            self.members.on_state(src, msg.state, now)
+        elif msg.ok and member is not None and self._tells(waiting.order):
+            state = self._after(waiting.order, member)
+            self.members.on_state(src, state, now)
         out = [] if msg.ok else self._on_refused(waiting.order, now)
         return out + self.tick(now)
 
@@ -141,6 +145,11 @@
         notes, self._notes = self._notes, []
         return out + notes
 
+    def _tells(self, order: messages.Order) -> bool:
+        """Tell whether an accepted order leaves a known state at once."""
+        copying = self.phase is Phase.PREPARING
+        return not (isinstance(order, messages.Prepare) and copying)
+
     def _after(
         self, order: messages.Order, member: members_lib.Member
     ) -> messages.EngineState:
@@ -151,6 +160,10 @@
                 state = state._replace(prepared=order.version)
         return state
 
+    def set_giver(self, name: str) -> None:
+        """Let another node give the holds."""
+        self._giver = name
+
     @property
     def busy(self) -> bool:
         """Whether a switch is under way."""
@@ -260,19 +273,11 @@
             self._careful -= 1
             ahead_s = const.HOLD_AHEAD_CAREFUL_SECONDS
         passes = int(ahead_s / seconds) if seconds else 0
-        ahead = max(passes, const.HOLD_AHEAD_PASSES_MIN)
-        self._at_pass = self.members.newest_pass() + ahead
+        passes += const.HOLD_AHEAD_PASSES
+        self._at_pass = self.members.newest_pass() + passes
         holder = self.members.all()[0]
         order = messages.Hold(at_pass=self._at_pass)
-        return self._order(holder, order, now, giver=self._giver())
-
-    def _giver(self) -> members_lib.Member:
-        """Return the rank whose agent holds the pass at another rank.
-
-        If the VM that has just given the hold stands still, the engine that
-        holds the pass can still be told to release it.
-        """
-        return self.members.all()[-1]
+        return self._order(holder, order, now, giver=self._giver)
 
     def _holding(self, now: float) -> Actions:
         holder = self.members.all()[0]
@@ -348,9 +353,10 @@
     def _release(self, now: float, reason: str) -> Actions:
         self._enter(Phase.RELEASING, now, reason)
         out: Actions = []
-        for m in self.members.all():
-            if m.state.held:
-                release = messages.Release(at_pass=m.state.held)
+        for i, m in enumerate(self.members.all()):
+            held = m.state.held or (self._at_pass if i == 0 else 0)
+            if held:
+                release = messages.Release(at_pass=held)
                 out += self._order(m, release, now)
         return out
 
@@ -436,7 +442,7 @@
         member: members_lib.Member,
         order: messages.Order,
         now: float,
-        giver: members_lib.Member | None = None,
+        giver: str = "",
     ) -> Actions:
         agent = member.agent
         ask = messages.OrderAsk(
@@ -452,7 +458,7 @@
             order=order,
             due_at=now + const.DIRECT_SECONDS,
         )
-        return [core.Send(dst=(giver or member).agent, msg=ask)]
+        return [core.Send(dst=giver or member.agent, msg=ask)]
 
     def _resend(self, now: float) -> Actions:
         out: Actions = []
@@ -477,6 +483,7 @@
         self._agents: dict[str, float] = {}
         self._numbers = itertools.count(1)
         self._asked_at = float("-inf")
+        self._giver = ""
 
     @property
     def leads(self) -> bool:
@@ -491,6 +498,13 @@
         self._groups = {}
         self._asked_at = float("-inf")
 
+    def on_entries(self, names: list[str]) -> None:
+        """Note the entries; one of them gives the holds of each group."""
+        if self._giver not in names:
+            self._giver = names[-1] if names else ""
+            for group in self._groups.values():
+                group.set_giver(self._giver)
+
     def on_agent(self, name: str, now: float) -> None:
         """Note an agent that beats here."""
         self._agents[name] = now
@@ -568,6 +582,7 @@
                 engine=engine,
                 term=self._term,
                 numbers=self._numbers,
+                giver=self._giver,
             )
             self._groups[name] = group
         group.on_beat(src, msg, now)
--- a/jasperweir/components/mapswitch/members.py
+++ b/jasperweir/components/mapswitch/members.py
@@ -1,6 +1,7 @@
 """What the leader knows of the ranks of one group."""
 
 import dataclasses
+import statistics
 
 from jasperweir.components.mapswitch import const
 from jasperweir.components.mapswitch import messages
@@ -14,12 +15,14 @@
         agent: Name of the agent on its VM.
         beat: Newest beat.
         heard_at: When the beat arrived.
+        holds_until: Until when beats do not replace the state.
         pass_seconds: Smoothed time of a pass, 0 while it is not known.
     """
 
     agent: str
     beat: messages.EngineBeat
     heard_at: float
+    holds_until: float = 0.0
     pass_seconds: float = 0.0
 
     @property
@@ -38,18 +41,27 @@
         """Take in a beat."""
         rank = beat.state.rank
         old = self._by_rank.get(rank)
+        pass_seconds = _pass_seconds(old, beat, now)
+        holds_until = 0.0
+        if old is not None and now < old.holds_until:
+            holds_until = old.holds_until
+            beat = beat._replace(state=old.state)
         self._by_rank[rank] = Member(
             agent=src,
             beat=beat,
             heard_at=now,
-            pass_seconds=_pass_seconds(old, beat, now),
+            holds_until=holds_until,
+            pass_seconds=pass_seconds,
         )
 
-    def on_state(self, agent: str, state: messages.EngineState) -> None:
+    def on_state(
+        self, agent: str, state: messages.EngineState, now: float
+    ) -> None:
         """Take in the state that an order left behind."""
         for member in self._by_rank.values():
             if member.agent == agent and state.rank == member.state.rank:
                 member.beat = member.beat._replace(state=state)
+                member.holds_until = now + const.STATE_HOLDS_SECONDS
 
     def of(self, agent: str) -> Member | None:
         """Return the rank at an agent."""
@@ -92,9 +104,9 @@
         return max((m.state.passes for m in self.all()), default=0)
 
     def pass_seconds(self) -> float:
-        """Return the shortest time of a pass that any rank showed."""
+        """Return the usual time of a pass by what the ranks showed."""
         times = [m.pass_seconds for m in self.all() if m.pass_seconds > 0]
-        return min(times, default=0.0)
+        return statistics.median(times) if times else 0.0
 
 
 def _pass_seconds(
--- a/jasperweir/daemons/site_agent.py
+++ b/jasperweir/daemons/site_agent.py
@@ -55,7 +55,6 @@
             address=cfg.engine, dialect=dialect, timeout_s=const.ORDER_SECONDS
         )
         self._runner = runner_lib.Runner()
-        self._remote: dict[str, engine_client.RemoteEngine] = {}
         self._busy = False
         self._read_at = 0.0
         self._reading = False
@@ -82,7 +81,7 @@
             case messages.OrderAsk():
                 if msg.term >= self._runner.term:
                     self._leader = src
-                self._on_order(src, msg)
+                self._perform(self._runner.on_ask(src, msg))
             case messages.PaceAsk():
                 if msg.term >= self._runner.term:
                     self._leader = src
@@ -92,20 +91,6 @@
                 now = self._host.now()
                 self._perform(self._follower.receive(src, msg, now))
 
-    def _on_order(self, src: str, ask: messages.OrderAsk) -> None:
-        if ask.engine == self._cfg.engine:
-            self._perform(self._runner.on_ask(src, ask))
-            return
-        remote = self._remote.get(ask.engine)
-        if remote is None:
-            remote = engine_client.RemoteEngine(
-                address=ask.engine,
-                dialect=self._dialect,
-                send=self._host.send,
-            )
-            self._remote[ask.engine] = remote
-        remote.give(src, ask)
-
     def _tick(self) -> None:
         now = self._host.now()
         pace = const.BUSY_READ_SECONDS if self._busy else const.READ_SECONDS
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -168,6 +168,16 @@
         self._coordinator.lead(node.voter.term if leads else 0)
         for agent in node.nodes(directory_const.KIND_AGENT, now):
             self._coordinator.on_agent(agent.name, now)
+        entries = node.nodes(directory_const.KIND_ENTRY, now)
+        # An entry on a VM without a disk, where there is one.
+        controls = {name.rpartition(":")[0] for name in node.controls}
+        controls.add(self._cfg.address)
+        apart = [
+            entry.name
+            for entry in entries
+            if entry.name.rpartition(":")[0] not in controls
+        ]
+        self._coordinator.on_entries(apart or [e.name for e in entries])
         self._perform(self._coordinator.tick(now))
 
     def _on_frame(self, src: str, msg: Any) -> None:
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -19,6 +19,7 @@
 from jasperweir.components.forward import forwarder as forwarder_lib
 from jasperweir.components.mapswitch import messages as mapswitch_messages
 from jasperweir.daemons import deployed
+from jasperweir.daemons import engine_client
 from jasperweir.daemons import loop_host
 from jasperweir.helpers import http_client
 from jasperweir.helpers import http_message
@@ -67,9 +68,15 @@
     """Drive a Forwarder and a Follower with sockets."""
 
     def __init__(
-        self, *, cfg: deployed.NodeSettings, dialect: EntryDialect
+        self,
+        *,
+        cfg: deployed.NodeSettings,
+        dialect: EntryDialect,
+        engines: engine_client.EngineDialect,
     ) -> None:
         self._cfg = cfg
+        self._engine_dialect = engines
+        self._engines: dict[str, engine_client.RemoteEngine] = {}
         self._dialect = dialect
         self._host = loop_host.LoopHost(cfg=cfg, on_frame=self._on_frame)
         node = records.Node(
@@ -142,12 +149,27 @@
             case balance_messages.Share():
                 self._forwarder.balancer.on_share(src, msg, now)
                 return
+            case mapswitch_messages.OrderAsk():
+                self._on_order(src, msg)
+                return
             case mapswitch_messages.SlowTargets():
                 paces = {t.address: t.pace for t in msg.targets}
                 self._forwarder.balancer.on_paces(paces, now)
                 return
         self._perform(self._follower.receive(src, msg, now))
 
+    def _on_order(self, src: str, ask: mapswitch_messages.OrderAsk) -> None:
+        """Give an order to an engine on behalf of the leader."""
+        engine = self._engines.get(ask.engine)
+        if engine is None:
+            engine = engine_client.RemoteEngine(
+                address=ask.engine,
+                dialect=self._engine_dialect,
+                send=self._host.send,
+            )
+            self._engines[ask.engine] = engine
+        engine.give(src, ask)
+
     def _perform(self, acts: follower_lib.Actions) -> None:
         for act in acts:
             match act:
@@ -241,10 +263,15 @@
         answering.reply(200, headers, body)
 
 
-def run(*, cfg: deployed.NodeSettings, dialect: EntryDialect) -> None:
+def run(
+    *,
+    cfg: deployed.NodeSettings,
+    dialect: EntryDialect,
+    engines: engine_client.EngineDialect,
+) -> None:
     """Run an entry until it is stopped."""
 
     async def main() -> None:
-        await SiteEntry(cfg=cfg, dialect=dialect).run()
+        await SiteEntry(cfg=cfg, dialect=dialect, engines=engines).run()
 
     asyncio.run(main())
