--- a/features/harness/engines.py
+++ b/features/harness/engines.py
@@ -5,7 +5,9 @@
 from jasperweir import core
 from jasperweir.components.deployment import model
 from jasperweir.components.mapswitch import coordinator as coordinator_lib
+from jasperweir.components.mapswitch import group as group_lib
 from jasperweir.components.mapswitch import messages
+from jasperweir.components.mapswitch import orders as orders_lib
 from jasperweir.components.mapswitch import plan
 from jasperweir.components.mapswitch import runner as runner_lib
 
@@ -318,9 +320,9 @@
             match act:
                 case core.Send():
                     self.send(name, act.dst, act.msg)
-                case coordinator_lib.PhaseChanged():
+                case group_lib.PhaseChanged():
                     self.phases.append((round(self.now, 2), name, act))
-                case coordinator_lib.Direct():
+                case orders_lib.Direct():
                     key = (name, act.ask.engine)
                     runner = self.direct.setdefault(
                         key, runner_lib.Runner(reads_are_fresh=False)
--- /dev/null
+++ b/jasperweir/components/mapswitch/group.py
@@ -0,0 +1,414 @@
+"""The switch of one group's expert map, as its leader drives it; sans-I/O.
+
+A switch prepares every rank, holds a coming pass at one rank, arms every
+rank for that pass, and releases it only when all are seen armed. A switch
+that fails is called off: every rank is disarmed and then prepares a further
+version, after which no late copy of an order can arm it, and only then the
+pass is released. So no pass begins on two maps, whichever order is lost,
+late, or carried out twice. A hold never expires: whoever takes over resolves
+what it finds.
+"""
+
+import enum
+import itertools
+from typing import Any
+from typing import NamedTuple
+
+from jasperweir.components.deployment import model
+from jasperweir.components.mapswitch import const
+from jasperweir.components.mapswitch import demand as demand_lib
+from jasperweir.components.mapswitch import members as members_lib
+from jasperweir.components.mapswitch import messages
+from jasperweir.components.mapswitch import orders as orders_lib
+from jasperweir.components.mapswitch import plan as plan_lib
+from jasperweir.components.mapswitch import runner as runner_lib
+
+Actions = list[Any]
+# Versions of two terms never meet: each term has this many bits to count.
+_VERSION_BITS = 12
+
+
+class Phase(enum.Enum):
+    """Where a group's switch stands."""
+
+    IDLE = "idle"
+    PREPARING = "preparing"
+    HOLDING = "holding"
+    ARMING = "arming"
+    CALLING_OFF = "calling_off"
+    RELEASING = "releasing"
+    SWITCHING = "switching"
+
+
+class PhaseChanged(NamedTuple):
+    """Action: record a step of a switch, with what decided it."""
+
+    group: str
+    phase: str
+    version: int
+    at_pass: int
+    reason: str
+
+
+class Group:
+    """Switch of one group under one term.
+
+    Attributes:
+        members: Its ranks.
+        demand: Demand for its experts.
+        phase: Where its switch stands.
+    """
+
+    def __init__(
+        self, *, name: str, engine: model.Engine, term: int,
+        numbers: "itertools.count[int]", giver: str,
+    ) -> None:  # fmt: skip
+        self.name = name
+        self.members = members_lib.Members()
+        self.demand = demand_lib.Demand(
+            sets=engine.sets, experts=engine.experts
+        )
+        self.phase = Phase.IDLE
+        self._engine = engine
+        self._term = term
+        # Node that gives holds. If the VM that has just given one stands
+        # still, no engine of the group should stand still with it.
+        self._giver = giver
+        self._version = term << _VERSION_BITS
+        # Whether an order to arm may still be under way; a new leader cannot
+        # know.
+        self._arms_out = True
+        # Versions from here on were prepared after the last call-off.
+        self._void_floor = 0
+        self._at_pass = 0
+        self._epoch = 0
+        self._since = 0.0
+        self._plan_at = 0.0
+        # Switches left in which orders are given more time.
+        self._careful = 0
+        self._orders = orders_lib.OrderBook(term=term, numbers=numbers)
+        self._notes: Actions = []
+
+    # Inputs.
+
+    def on_beat(self, src: str, beat: messages.EngineBeat, now: float) -> None:
+        """Take in what an agent tells."""
+        self.members.on_beat(src, beat, now)
+        self.demand.observe(src, beat.counts, now)
+
+    def on_done(self, msg: messages.OrderDone, now: float) -> Actions:
+        """Take in what became of an order."""
+        waiting = self._orders.take(msg.number)
+        if waiting is None:
+            return []
+        # The rank that was meant, which need not be the one that tells.
+        src = waiting.agent
+        member = self.members.of(src)
+        if msg.state is not None:
+            self.members.on_state(src, msg.state, now)
+        elif msg.ok and member is not None and self._tells(waiting.order):
+            state = self._after(waiting.order, member)
+            self.members.on_state(src, state, now)
+        out = [] if msg.ok else self._on_refused(waiting.order, now)
+        return out + self.tick(now)
+
+    def tick(self, now: float) -> Actions:
+        """Let time pass and take the next step if it is due."""
+        # Nothing waits for the copies, so that nobody is passed by there.
+        direct = self.phase is not Phase.PREPARING
+        out = self._orders.resend(now, direct=direct)
+        out += self._step(now)
+        notes, self._notes = self._notes, []
+        return out + notes
+
+    def _tells(self, order: messages.Order) -> bool:
+        """Tell whether an accepted order leaves a known state at once."""
+        copying = self.phase is Phase.PREPARING
+        return not (isinstance(order, messages.Prepare) and copying)
+
+    def _after(
+        self, order: messages.Order, member: members_lib.Member
+    ) -> messages.EngineState:
+        state = runner_lib.after(order, member.state)
+        if isinstance(order, messages.Prepare):
+            if self.phase is Phase.CALLING_OFF:
+                # Prepared only to make orders void, which copies nothing.
+                state = state._replace(prepared=order.version)
+        return state
+
+    def set_giver(self, name: str) -> None:
+        """Let another node give the holds."""
+        self._giver = name
+
+    @property
+    def busy(self) -> bool:
+        """Whether a switch is under way."""
+        return self.phase is not Phase.IDLE
+
+    # Steps.
+
+    def _step(self, now: float) -> Actions:
+        if self._orders.open and self.phase is not Phase.ARMING:
+            return self._waiting(now)
+        match self.phase:
+            case Phase.IDLE:
+                return self._idle(now)
+            case Phase.PREPARING:
+                return self._preparing(now)
+            case Phase.HOLDING:
+                return self._holding(now)
+            case Phase.ARMING:
+                return self._arming(now)
+            case Phase.CALLING_OFF:
+                return self._calling_off(now)
+            case Phase.RELEASING | Phase.SWITCHING:
+                return self._switching(now)
+
+    def _waiting(self, now: float) -> Actions:
+        """Give up waiting where nothing has to be resolved first."""
+        if self.phase is Phase.PREPARING:
+            return self._late(now, const.PREPARE_SECONDS)
+        if self.phase is Phase.HOLDING:
+            if now - self._since > const.DIRECT_SECONDS:
+                return self._abandon_hold(now)
+        return []
+
+    def _abandon_hold(self, now: float) -> Actions:
+        """Take back a hold whose giver does not answer.
+
+        Its VM may stand still, with an engine that could not be disarmed.
+        """
+        self._orders.clear()
+        self._careful = const.CAREFUL_SWITCHES
+        self._enter(Phase.RELEASING, now, "the hold is not confirmed")
+        release = messages.Release(at_pass=self._at_pass)
+        return self._order(self.members.all()[0], release, now)
+
+    def _idle(self, now: float) -> Actions:
+        if now < self._plan_at or not self.members.complete(self._term, now):
+            return []
+        states = [m.state for m in self.members.all()]
+        self._epoch = states[0].epoch
+        if any(s.held or s.armed for s in states):
+            return self._resolve(now, "found half done")
+        # Arms are only ever sent under a hold, and none is left.
+        self._arms_out = False
+        self._plan_at = now + const.PLAN_SECONDS
+        if len({s.map_version for s in states}) > 1:
+            return []
+        placement = self._planned()
+        if placement is None:
+            return []
+        used = max(max(s.map_version, s.prepared) for s in states)
+        self._version = max(self._version, used) + 1
+        self._enter(Phase.PREPARING, now, "better placement found")
+        order = messages.Prepare(version=self._version, placement=placement)
+        return self._order_all(order, now)
+
+    def _planned(self) -> messages.Placement | None:
+        if self.demand.tokens < const.DEMAND_LEAST:
+            return None
+        shares = self.demand.shares()
+        paces = plan_lib.paces([m.state.pace for m in self.members.all()])
+        before = after = 0.0
+        placement = []
+        current = self.members.placement()
+        if len(current) != len(shares):
+            return None
+        for ranks, row in zip(current, shares, strict=True):
+            start = plan_lib.table(ranks, self._engine.experts)
+            found = plan_lib.improve(
+                start,
+                row,
+                paces,
+                places=self._engine.places,
+                spare=self._engine.spare,
+            )
+            before += found.before
+            after += found.after
+            placement.append(plan_lib.rows(found.held))
+        if after > before * (1 - const.LEAST_GAIN):
+            return None
+        return tuple(placement)
+
+    def _preparing(self, now: float) -> Actions:
+        if not self.members.in_epoch(self._epoch):
+            return self._rest(now, "group formed anew")
+        states = [m.state for m in self.members.all()]
+        if all(s.prepared == self._version for s in states):
+            if not self.members.complete(self._term, now):
+                return self._late(now, const.PREPARE_SECONDS)
+            self._enter(Phase.HOLDING, now, "all ranks prepared")
+            return self._hold(now)
+        return self._late(now, const.PREPARE_SECONDS)
+
+    def _hold(self, now: float) -> Actions:
+        seconds = self.members.pass_seconds()
+        ahead_s = const.HOLD_AHEAD_SECONDS
+        if self._careful:
+            self._careful -= 1
+            ahead_s = const.HOLD_AHEAD_CAREFUL_SECONDS
+        passes = int(ahead_s / seconds) if seconds else 0
+        passes += const.HOLD_AHEAD_PASSES
+        self._at_pass = self.members.newest_pass() + passes
+        holder = self.members.all()[0]
+        order = messages.Hold(at_pass=self._at_pass)
+        return self._order(holder, order, now, giver=self._giver)
+
+    def _holding(self, now: float) -> Actions:
+        holder = self.members.all()[0]
+        if holder.state.held != self._at_pass:
+            return self._resolve(now, "hold refused")
+        self._arms_out = True
+        self._enter(Phase.ARMING, now, "pass held")
+        order = messages.Arm(version=self._version, at_pass=self._at_pass)
+        return self._order_all(order, now)
+
+    def _arming(self, now: float) -> Actions:
+        if not self.members.in_epoch(self._epoch):
+            return self._rest(now, "group formed anew")
+        armed = all(self._is_armed(m) for m in self.members.all())
+        if not armed and now - self._since > const.ARM_SECONDS:
+            return self._resolve(now, "arming took too long")
+        if self._orders.open:
+            return []
+        if not armed:
+            return self._resolve(now, "a rank is not armed")
+        return self._release(now, "all ranks armed")
+
+    def _resolve(self, now: float, reason: str) -> Actions:
+        """End what is half done: go through with it, or take it back.
+
+        Every rank is asked, armed or not, so that its state is known after
+        all earlier orders.
+        """
+        self._orders.clear()
+        self._careful = const.CAREFUL_SWITCHES
+        states = [m.state for m in self.members.all()]
+        used = max(max(s.map_version, s.prepared, s.armed) for s in states)
+        self._version = max(self._version, used) + 1
+        self._void_floor = self._version
+        self._enter(Phase.CALLING_OFF, now, reason)
+        if self.members.uniform():
+            return self._release(now, "all ranks armed already")
+        if not self._arms_out:
+            return self._release(now, "no rank has been armed")
+        out: Actions = []
+        for m in self.members.all():
+            # A rank that is not armed meets an order to disarm at once.
+            disarm = messages.Disarm(version=m.state.armed or self._version - 1)
+            out += self._order(m, disarm, now)
+        return out
+
+    def _calling_off(self, now: float) -> Actions:
+        if not self.members.in_epoch(self._epoch):
+            return self._rest(now, "group formed anew")
+        members = self.members.all()
+        if any(m.state.armed for m in members):
+            return self._resolve(now, "a rank is still armed")
+        behind = [m for m in members if m.state.prepared < self._void_floor]
+        if behind:
+            return self._void(behind, now)
+        return self._release(now, "no rank can be armed")
+
+    def _void(self, behind: list[members_lib.Member], now: float) -> Actions:
+        """Make late copies of orders to arm void: prepare what is in use.
+
+        Nothing is copied for it, and an older version can be armed no more.
+        """
+        # A version that a lost order has used up would be refused.
+        self._version += 1
+        order = messages.Prepare(
+            version=self._version, placement=self.members.placement()
+        )
+        out: Actions = []
+        for m in behind:
+            out += self._order(m, order, now)
+        return out
+
+    def _release(self, now: float, reason: str) -> Actions:
+        self._enter(Phase.RELEASING, now, reason)
+        out: Actions = []
+        for i, m in enumerate(self.members.all()):
+            held = m.state.held or (self._at_pass if i == 0 else 0)
+            if held:
+                release = messages.Release(at_pass=held)
+                out += self._order(m, release, now)
+        return out
+
+    def _switching(self, now: float) -> Actions:
+        members = self.members.all()
+        if not self.members.in_epoch(self._epoch):
+            return self._rest(now, "group formed anew")
+        if any(m.state.held for m in members):
+            return self._resolve(now, "a pass is still held")
+        if not any(m.state.armed for m in members):
+            self._enter(Phase.IDLE, now, "at rest")
+            self._plan_at = now + const.PLAN_SECONDS
+            return []
+        if self.phase is Phase.RELEASING:
+            self._enter(Phase.SWITCHING, now, "released")
+        if now - self._since > const.PREPARE_SECONDS:
+            # An idle group makes no passes; it switches with its next ones.
+            self._since = now
+        return []
+
+    # Parts of steps.
+
+    def _is_armed(self, member: members_lib.Member) -> bool:
+        state = member.state
+        if state.map_version == self._version:
+            return True
+        armed = state.armed == self._version
+        return armed and state.armed_at == self._at_pass
+
+    def _late(self, now: float, seconds: float) -> Actions:
+        if now - self._since > seconds:
+            return self._rest(now, "took too long")
+        return []
+
+    def _rest(self, now: float, reason: str) -> Actions:
+        self._orders.clear()
+        self._enter(Phase.IDLE, now, reason)
+        self._plan_at = now + const.REST_SECONDS
+        return []
+
+    def _enter(self, phase: Phase, now: float, reason: str) -> None:
+        self.phase = phase
+        self._since = now
+        self._notes.append(
+            PhaseChanged(
+                group=self.name,
+                phase=phase.value,
+                version=self._version,
+                at_pass=self._at_pass,
+                reason=reason,
+            )
+        )
+
+    def _on_refused(self, order: messages.Order, now: float) -> Actions:
+        match order:
+            case messages.Prepare() if self.phase is Phase.PREPARING:
+                return self._rest(now, "prepare refused")
+            case messages.Hold() if self.phase is Phase.HOLDING:
+                return self._resolve(now, "hold refused")
+            case messages.Arm() if self.phase is Phase.ARMING:
+                return self._resolve(now, "arm refused")
+        return []
+
+    # Orders.
+
+    def _order_all(self, order: messages.Order, now: float) -> Actions:
+        out: Actions = []
+        for member in self.members.all():
+            out += self._order(member, order, now)
+        return out
+
+    def _order(
+        self,
+        member: members_lib.Member,
+        order: messages.Order,
+        now: float,
+        giver: str = "",
+    ) -> Actions:
+        return self._orders.give(member, order, self._epoch, now, giver=giver)
--- a/jasperweir/components/mapswitch/members.py
+++ b/jasperweir/components/mapswitch/members.py
@@ -91,6 +91,16 @@
             for m in members
         )
 
+    def uniform(self) -> bool:
+        """Tell whether every rank is armed for one map and pass."""
+        states = [m.state for m in self.all()]
+        targets = {(s.armed, s.armed_at) for s in states}
+        return len(targets) == 1 and states[0].armed > 0
+
+    def in_epoch(self, epoch: int) -> bool:
+        """Tell whether the group has not formed anew since an epoch."""
+        return all(m.state.epoch == epoch for m in self.all())
+
     def placement(self) -> messages.Placement:
         """Return the experts in use, by set and rank."""
         ranks = [member.beat.experts for member in self.all()]
--- /dev/null
+++ b/jasperweir/components/mapswitch/orders.py
@@ -0,0 +1,94 @@
+"""Orders of a leader that their agents have not answered yet."""
+
+import dataclasses
+import itertools
+from typing import Any
+from typing import NamedTuple
+
+from jasperweir import core
+from jasperweir.components.mapswitch import const
+from jasperweir.components.mapswitch import members as members_lib
+from jasperweir.components.mapswitch import messages
+from jasperweir.helpers import codec
+
+Actions = list[Any]
+
+
+class Direct(NamedTuple):
+    """Action: give an order to an engine whose agent does not answer."""
+
+    agent: str
+    ask: messages.OrderAsk
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Outstanding:
+    """An order that its agent has not answered yet."""
+
+    agent: str
+    ask: messages.OrderAsk
+    order: messages.Order
+    due_at: float
+
+
+class OrderBook:
+    """At most one open order for each rank of a group."""
+
+    def __init__(self, *, term: int, numbers: "itertools.count[int]") -> None:
+        self._term = term
+        self._numbers = numbers
+        self._outstanding: dict[str, Outstanding] = {}
+
+    @property
+    def open(self) -> bool:
+        """Whether any order has not been answered."""
+        return bool(self._outstanding)
+
+    def clear(self) -> None:
+        """Wait for no answer any more."""
+        self._outstanding.clear()
+
+    def take(self, number: int) -> Outstanding | None:
+        """Return and close the order of a number."""
+        for agent, waiting in self._outstanding.items():
+            if waiting.ask.number == number:
+                del self._outstanding[agent]
+                return waiting
+        return None
+
+    def give(
+        self,
+        member: members_lib.Member,
+        order: messages.Order,
+        epoch: int,
+        now: float,
+        *,
+        giver: str,
+    ) -> Actions:
+        """Give an order for a rank, through its agent or another node."""
+        ask = messages.OrderAsk(
+            number=next(self._numbers),
+            term=self._term,
+            epoch=epoch,
+            engine=member.beat.address,
+            order=codec.pack_tagged(order),
+        )
+        self._outstanding[member.agent] = Outstanding(
+            agent=member.agent,
+            ask=ask,
+            order=order,
+            due_at=now + const.DIRECT_SECONDS,
+        )
+        return [core.Send(dst=giver or member.agent, msg=ask)]
+
+    def resend(self, now: float, *, direct: bool) -> Actions:
+        """Send again what is due, and by itself to the engine if allowed."""
+        out: Actions = []
+        for waiting in self._outstanding.values():
+            if now < waiting.due_at:
+                continue
+            waiting.due_at = now + const.RESEND_SECONDS
+            out.append(core.Send(dst=waiting.agent, msg=waiting.ask))
+            if direct:
+                out.append(Direct(waiting.agent, waiting.ask))
+        return out
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -14,7 +14,9 @@
 from jasperweir.components.deployment import model
 from jasperweir.components.directory import const as directory_const
 from jasperweir.components.mapswitch import coordinator as coordinator_lib
+from jasperweir.components.mapswitch import group as group_lib
 from jasperweir.components.mapswitch import messages as mapswitch_messages
+from jasperweir.components.mapswitch import orders as orders_lib
 from jasperweir.components.quorum import actions
 from jasperweir.components.quorum import storage as storage_lib
 from jasperweir.components.quorum import voter as voter_lib
@@ -222,9 +224,9 @@
                 )
             case node_lib.NewVersion():
                 self._on_version(act.version)
-            case coordinator_lib.Direct():
+            case orders_lib.Direct():
                 self._give_directly(act)
-            case coordinator_lib.PhaseChanged():
+            case group_lib.PhaseChanged():
                 _log.info("expert map", **act._asdict())
             case node_lib.Replaced():
                 self._reply(act.number, self._dialect.done(), act.version)
@@ -238,7 +240,7 @@
                 reply = self._dialect.refused(Code.NOT_CONFIRMED, ())
                 self._reply(act.number, reply, 0)
 
-    def _give_directly(self, act: coordinator_lib.Direct) -> None:
+    def _give_directly(self, act: orders_lib.Direct) -> None:
         """Give an order to an engine whose agent does not answer."""
         self._host.metrics.inc("orders_given_directly")
         engine = self._direct.get(act.ask.engine)
