--- a/features/harness/matrix.py
+++ b/features/harness/matrix.py
@@ -7,7 +7,7 @@
 from features.harness import ranks
 from features.harness import site
 from jasperweir.components.claims import const as claim_const
-from jasperweir.components.configctl import node as node_lib
+from jasperweir.components.configctl import roster as roster_lib
 from jasperweir.components.membership import messages as member_messages
 from jasperweir.helpers import codec
 
@@ -306,7 +306,7 @@
 
 
 def acknowledged(scene, told) -> bool:
-    return isinstance(scene.results.get(told), node_lib.Acknowledged)
+    return isinstance(scene.results.get(told), roster_lib.Acknowledged)
 
 
 def running(scene) -> list[str]:
--- a/features/harness/site.py
+++ b/features/harness/site.py
@@ -6,6 +6,7 @@
 from features.harness import quorum as quorum_lib
 from jasperweir import core
 from jasperweir.components.configctl import node as node_lib
+from jasperweir.components.configctl import roster as roster_lib
 from jasperweir.components.directory import records
 from jasperweir.components.follow import follower as follower_lib
 from jasperweir.components.quorum import actions
@@ -73,7 +74,7 @@
         node = self.nodes.pop(name, None)
         if node is not None:
             self.hints[name] = node.voter.commit
-            self.sides[name] = node.side_state(self.now)
+            self.sides[name] = node.roster.side_state(self.now)
         self.followers.pop(name, None)
 
     def wipe(self, name):
@@ -145,7 +146,7 @@
                     self.on_replaced(name, act)
                 case node_lib.Described():
                     self.on_described(name, act)
-                case node_lib.Acknowledged() | node_lib.Unconfirmed():
+                case roster_lib.Acknowledged() | roster_lib.Unconfirmed():
                     self.results[(name, act.number)] = act
 
     def post(self, src, dst, msg):
@@ -186,7 +187,7 @@
         self.results[(name, act.number)] = act
 
     def announce(self, name, target):
-        asked = self.nodes[name].announce(target, self.now)
+        asked = self.nodes[name].roster.announce(target, self.now)
         self.perform(name, asked.acts)
         return (name, asked.number)
 
--- a/features/steps/declared_steps.py
+++ b/features/steps/declared_steps.py
@@ -8,6 +8,7 @@
 
 from features.harness import site as site_lib
 from jasperweir.components.configctl import node as node_lib
+from jasperweir.components.configctl import roster as roster_lib
 from jasperweir.components.quorum import progress
 
 
@@ -78,7 +79,7 @@
 def step_ask_again(context):
     for ask in context.asks:
         got = context.site.results.get(ask)
-        assert isinstance(got, node_lib.Unconfirmed), got
+        assert isinstance(got, roster_lib.Unconfirmed), got
 
 
 @then("a read at every control VM returns the first content of version 9")
@@ -112,7 +113,7 @@
 @then("the reader is told to ask again")
 def step_reader(context):
     got = context.site.results.get(context.read)
-    assert isinstance(got, node_lib.Unconfirmed), got
+    assert isinstance(got, roster_lib.Unconfirmed), got
 
 
 @when("the leading control VM freezes")
@@ -215,7 +216,7 @@
     site.announce("c1", site_lib.target(sequence=5))
     site.run(1.0)
     for node in site.nodes.values():
-        assert node.directory.serving("s", site.now)
+        assert node.roster.directory.serving("s", site.now)
     for follower in site.followers.values():
         assert follower.directory.serving("s", site.now)
 
@@ -229,13 +230,13 @@
 @then("the target has its acknowledgement")
 def step_acked(context):
     got = context.site.results.get(context.ack)
-    assert isinstance(got, node_lib.Acknowledged), got
+    assert isinstance(got, roster_lib.Acknowledged), got
 
 
 @then("the target is told to ask another control VM")
 def step_not_acked(context):
     got = context.site.results.get(context.ack)
-    assert isinstance(got, node_lib.Unconfirmed), got
+    assert isinstance(got, roster_lib.Unconfirmed), got
 
 
 @then("no entry would send to the target")
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -11,6 +11,7 @@
 from jasperweir.components.configctl import const
 from jasperweir.components.configctl import door as door_lib
 from jasperweir.components.configctl import node as node_lib
+from jasperweir.components.configctl import roster as roster_lib
 from jasperweir.components.deployment import model
 from jasperweir.components.directory import const as directory_const
 from jasperweir.components.mapswitch import coordinator as coordinator_lib
@@ -152,12 +153,12 @@
         node = self._node
         if node is None:
             return
-        noted = (node.voter.commit, node.directory.digest)
+        noted = (node.voter.commit, node.roster.directory.digest)
         if noted == self._noted:
             return
         try:
             self._storage.note_commit(node.voter.commit)
-            self._storage.note_side(node.side_state(self._host.now()))
+            self._storage.note_side(node.roster.side_state(self._host.now()))
         except exceptions.StorageError as exc:
             # Only a restart would take longer without it.
             _log.warning("soft state not written", reason=str(exc))
@@ -168,11 +169,11 @@
         """Drive the switch of expert maps while this VM surely leads."""
         leads = node.voter.read_index(now) is not None
         self._coordinator.lead(node.voter.term if leads else 0)
-        for agent in node.nodes(directory_const.KIND_AGENT, now):
+        for agent in node.roster.nodes(directory_const.KIND_AGENT, now):
             self._coordinator.on_agent(agent.name, now)
-        entries = node.nodes(directory_const.KIND_ENTRY, now)
+        entries = node.roster.nodes(directory_const.KIND_ENTRY, now)
         # An entry on a VM without a disk, where there is one.
-        controls = {name.rpartition(":")[0] for name in node.controls}
+        controls = {name.rpartition(":")[0] for name in node.roster.controls}
         controls.add(self._cfg.address)
         apart = [
             entry.name
@@ -230,13 +231,13 @@
                 _log.info("expert map", **act._asdict())
             case node_lib.Replaced():
                 self._reply(act.number, self._dialect.done(), act.version)
-            case node_lib.Acknowledged():
+            case roster_lib.Acknowledged():
                 self._reply(act.number, self._dialect.done(), 0)
             case node_lib.Described():
                 raw = zlib.decompress(act.declared.data)
                 reply = self._dialect.described(act.declared, raw)
                 self._reply(act.number, reply, act.declared.version)
-            case node_lib.Unconfirmed():
+            case roster_lib.Unconfirmed():
                 reply = self._dialect.refused(Code.NOT_CONFIRMED, ())
                 self._reply(act.number, reply, 0)
 
@@ -270,7 +271,7 @@
             return
         self._told_slow = bool(slow.targets)
         now = self._host.now()
-        for entry in node.nodes(directory_const.KIND_ENTRY, now):
+        for entry in node.roster.nodes(directory_const.KIND_ENTRY, now):
             self._host.send(core.Send(dst=entry.name, msg=slow))
 
     def _on_version(self, version: int) -> None:
@@ -327,7 +328,7 @@
 
     def _ask(
         self, node: node_lib.ConfigNode, call: door_lib.Call
-    ) -> node_lib.Asked:
+    ) -> roster_lib.Asked:
         now = self._host.now()
         match call:
             case door_lib.Replace():
@@ -337,10 +338,10 @@
             case door_lib.Announce():
                 if call.target.presence:
                     _log.info("target leaves", target=call.target.target_id)
-                return node.announce(call.target, now)
+                return node.roster.announce(call.target, now)
             case door_lib.Deregister():
                 _log.info("target gone", target=call.target_id)
-                return node.deregister(call.target_id, now)
+                return node.roster.deregister(call.target_id, now)
             case _:
                 return node.describe(now)
 
