--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -495,13 +495,17 @@
     threads = [threading.Thread(target=call, args=(i,)) for i in range(6)]
     for thread in threads:
         thread.start()
-    for name in ENTRIES:
-        assert local.stop(name, seconds=60) == 0, name
-        local.start(name)
-        local.wait_for("entry back", lambda n=name: local.ready(n))
-    stop.set()
-    for thread in threads:
-        thread.join()
+    try:
+        for name in ENTRIES:
+            code = local.stop(name, seconds=60)
+            assert code == 0, f"{name} ended with {code}"
+            local.start(name)
+            local.wait_for("entry back", lambda n=name: local.ready(n))
+    finally:
+        # Callers end with the step, also when it fails.
+        stop.set()
+        for thread in threads:
+            thread.join()
 
 
 @then("no request was cut off")
--- a/script/run_tests.py
+++ b/script/run_tests.py
@@ -12,9 +12,17 @@
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 KNOWN_RED_MAX = 3
 CHECKS = (
+    ("names", [sys.executable, str(ROOT / "script" / "check_names.py")]),
     ("format", [str(BIN / "ruff"), "format", "--check", "."]),
     ("lint", [str(BIN / "ruff"), "check", "."]),
     ("types", [str(BIN / "mypy")]),
+    (
+        "types of the adapter",
+        [
+            *("env", "MYPYPATH=platform", str(BIN / "mypy")),
+            *("--explicit-package-bases", "platform/adapter"),
+        ],
+    ),
 )
 
 
@@ -40,6 +48,18 @@
     return len(CHECKS) - len(failed), failed
 
 
+def print_failures(feature: dict[str, Any]) -> None:
+    """Print each failed step with what it saw."""
+    for element in feature.get("elements", []):
+        for step in element.get("steps", []):
+            result = step.get("result", {})
+            if result.get("status") not in ("failed", "error"):
+                continue
+            print(f"-- {element['name']}: {step['name']}")
+            seen = result.get("error_message", [])
+            print("\n".join(seen) if isinstance(seen, list) else seen)
+
+
 def run_behave(args: list[str]) -> tuple[int, list[str]]:
     """Run the features; return how many scenarios passed, which failed."""
     print("== behave", flush=True)
@@ -61,6 +81,8 @@
         for element in feature.get("elements", [])
         if element["type"] != "background"
     ]
+    for feature in features:
+        print_failures(feature)
     passed = sum(1 for _, status in scenarios if status == "passed")
     failed = [name for name, status in scenarios if status != "passed"]
     if not scenarios:
