--- a/script/measurements.py
+++ b/script/measurements.py
@@ -226,6 +226,7 @@
     parts = [HEAD, *entry_part(), *routing_part(), *experts_part()]
     parts += group_part()
     parts += control_part()
+    parts.append((DATA / "platform.md").read_text(encoding="utf-8"))
     text = "\n".join(parts)
     (ROOT / "docs" / "MEASUREMENTS.md").write_text(text, encoding="utf-8")
 
