Never release a held pass while any rank is armed alone

Found by reading: a group that had found nothing half done would have released without disarming, had a rank become armed all the same. Also takes out a method that nothing called.

--- a/jasperweir/components/mapswitch/group.py
+++ b/jasperweir/components/mapswitch/group.py
@@ -291,7 +291,7 @@
         self._enter(Phase.CALLING_OFF, now, reason)
         if self.members.uniform():
             return self._release(now, "all ranks armed already")
-        if not self._arms_out:
+        if not self._arms_out and not any(s.armed for s in states):
             return self._release(now, "no rank has been armed")
         out: Actions = []
         for m in self.members.all():
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -57,9 +57,6 @@
     def addresses(self, found: list[str], kept_s: float) -> bytes:
         """Return the body of an address answer."""
 
-    def is_ready_check(self, req: http_message.Request) -> bool:
-        """Tell whether the platform asks if this entry is ready."""
-
     def deployment(self, raw: bytes) -> model.Deployment:
         """Read a configuration that a control VM has accepted."""
 
