--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -33,6 +33,23 @@
     context.client = client_lib.Client(
         seeds=context.local.entry_http(), customer="c"
     )
+    context.local.wait_for("claims at rest", lambda: claims_at_rest(context))
+
+
+def claims_at_rest(context):
+    """Tell whether all entries own claims, in one view that is repaired."""
+    local = context.local
+    _, control = local.get(local.specs["control-1"].http, "/status")
+    view = control["view"]
+    if {member[0] for member in view["members"]} != set(ENTRIES):
+        return False
+    for name in ENTRIES:
+        _, entry = local.get(local.specs[name].http, "/readyz")
+        if entry["claims_epoch"] != view["epoch"]:
+            return False
+        if entry["claims_ready_epoch"] != view["epoch"]:
+            return False
+    return True
 
 
 def write_bundle(context, deadline):
