Give no address answer before a configuration is in force

An entry that stops serves for the configured time (1 s) plus 3 s, so a caller could still hold its address when the listener was gone: connection refused, second try. Found by letting the client tell what each earlier try met (Answer.earlier), and by recording the answer that it held: from the entry restarted 0.8 s before, ttl_s 5.0.

Ruled out, by the logs of three failing runs: a refusal (503) of the restarted entry, a kept-alive connection closed under a request, the news of the leave arriving late (it was known in time).

The new scenario fails on the old code with ttl_s=5.0.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -63,3 +63,8 @@
     When all agents restart
     And 6 seconds pass among the nodes
     Then every entry sees every node as "ALIVE"
+
+  Scenario: An entry that has no configuration yet names no addresses
+    Given an entry that has just started and knows two others
+    Then it gives no address answer
+    And with a bundle whose answers are kept for 1 s it names the two for 1 s
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -1,10 +1,14 @@
 """Steps on membership."""
 
+import random
+
 from behave import given
 from behave import then
 from behave import when
 
 from features.harness import nodes
+from jasperweir.components.bundle import contents
+from jasperweir.components.entry import node as node_lib
 from jasperweir.components.membership import messages
 
 Status = messages.Status
@@ -120,3 +124,47 @@
     roster = context.nodes.nodes["e1"].roster
     bad = [m.name for m in roster.members() if m.seq and m.name != name]
     assert not bad, bad
+
+
+@given("an entry that has just started and knows two others")
+def fresh_entry(context):
+    identity = node_lib.Identity(
+        name="e1", place="p", inc=1, addr="e1:1", http="e1:2"
+    )
+    context.entry = node_lib.Entry(
+        identity=identity,
+        seeds=(),
+        voters=(),
+        max_streams=8,
+        rng=random.Random(1),
+    )
+    for name in ("e2", "e3"):
+        member = messages.Member(
+            name, "entry", "p", 1, 0, Status.ALIVE, f"{name}:1", f"{name}:2"
+        )
+        context.entry.gossip.roster.merge(member, 0.0)
+
+
+@then("it gives no address answer")
+def no_answer(context):
+    answer = context.entry.addresses(service="", place="", salt="s")
+    assert answer is None, answer
+
+
+@then(
+    "with a bundle whose answers are kept for {seconds:g} s it names the two "
+    "for {kept:g} s"
+)
+def some_answer(context, seconds, kept):
+    content = contents.Contents.from_flat(
+        {
+            "bundle\x1fname": "b",
+            "callers\x1faddress_ttl_s": f"{seconds:g}",
+            "place p\x1fregion": "r",
+            "service m\x1fkind": "model",
+        }
+    )
+    context.entry.replica.bundle = content.bundle
+    answer = context.entry.addresses(service="", place="", salt="s")
+    assert answer.ttl_s == kept, answer
+    assert {a.name for a in answer.addresses} == {"e2", "e3"}, answer
--- a/jasperweir/client.py
+++ b/jasperweir/client.py
@@ -28,6 +28,8 @@
         tries: Requests sent.
         first_token_s: Seconds to the first byte of a stream.
         gaps_s: Seconds between the chunks of a stream.
+        error: What broke the connection, or empty.
+        earlier: What each try before the last one met.
     """
 
     code: int
@@ -37,6 +39,8 @@
     tries: int
     first_token_s: float = 0.0
     gaps_s: tuple[float, ...] = ()
+    error: str = ""
+    earlier: tuple[str, ...] = ()
 
     def text(self) -> str:
         """Return the text of a streamed or whole completion."""
@@ -116,6 +120,7 @@
         # Tries that may have run; only the first such try may be called the
         # first, so that an entry never says "not run" of a run it missed.
         exposed = 0
+        earlier: list[str] = []
         for attempt in range(1, MAX_TRIES + 1):
             remaining = deadline - time.monotonic()
             if remaining <= 0:
@@ -124,9 +129,11 @@
             answer, again, wait = self._try(
                 address, method, path, body, key, exposed + 1, remaining
             )
-            answer = answer._replace(tries=attempt)
+            answer = answer._replace(tries=attempt, earlier=tuple(earlier))
             if not again:
                 return answer
+            seen = answer.error or f"{answer.status} {answer.body!r}"
+            earlier.append(f"{address}: {seen}")
             exposed += answer.outcome != "not_run"
             avoid.add(address)
             pause = min(wait, max(deadline - time.monotonic(), 0))
@@ -172,7 +179,7 @@
                 times.append(time.monotonic())
                 received += chunk
             resp.release_conn()
-        except urllib3.exceptions.HTTPError:
+        except urllib3.exceptions.HTTPError as exc:
             self._kept_until = 0.0
             if run and received:
                 rest = self._resume(run, received, address)
@@ -184,7 +191,8 @@
                         0.0,
                     )
             again = bool(key) or method == "GET" or not received
-            return Answer(0, "unknown", 0, received, attempt), again, 0.05
+            broken = Answer(0, "unknown", 0, received, attempt)
+            return broken._replace(error=repr(exc)), again, 0.05
         answer = _answer(resp.status, received, attempt)._replace(
             code=int(resp.headers.get(CODE_HEADER, "0")),
             outcome=resp.headers.get(OUTCOME_HEADER, "unknown"),
--- a/jasperweir/components/entry/node.py
+++ b/jasperweir/components/entry/node.py
@@ -206,15 +206,21 @@
 
     def addresses(
         self, *, service: str, place: str, salt: str
-    ) -> address_lib.Answer:
-        """Return the address answer for a caller."""
+    ) -> address_lib.Answer | None:
+        """Return the address answer for a caller.
+
+        None without a configuration: nobody knows then for how long callers
+        may keep an answer, and an entry that stops waits just that long.
+        """
         bundle = self.replica.bundle
+        if bundle is None:
+            return None
         return address_lib.build(
             roster=self.gossip.roster,
             service=service,
             place=place,
             regions=self.replica.regions(),
-            ttl_s=bundle.callers.address_ttl_s if bundle else 5.0,
+            ttl_s=bundle.callers.address_ttl_s,
             salt=salt,
         )
 
--- a/jasperweir/daemons/entry.py
+++ b/jasperweir/daemons/entry.py
@@ -206,6 +206,8 @@
                 salt=req.query.get("salt", req.header("user-agent")),
             )
         )
+        if answer is None:
+            return web.code_resp(Code.NOT_READY, retry_after=1.0)
         return web.json_resp(
             200,
             {
