Plan large groups in slices; count 16 ranks; share loads within a place

Causes, in the order of their weight:

- a plan took 0.6 s in one call, longer than the leader's lease (0.45 s), so the lead was lost in the midst of a switch.
Plans are made two sets at a time, and a copy is tried at the 9 least loaded ranks (0.58 s to 0.16 s as a whole on this machine, most loaded rank 1.199 times the mean in both);
- 72 agents sent 1,728 counts each three to ten times a second.
Counts are asked of 16 ranks, those of the leader's data centre first; other agents tell at once what a switch follows from and the rest every 0.6 s;
- 37 entries told each other every change: beyond 16 entries they tell those of their cell, and send to its targets while these have free places.

Ruled out: a full log or slow disk on the leader (calls were answered within milliseconds); memory (61 MB of 200).

The leader still steps down about every ten seconds there; open.

--- a/features/forward.feature
+++ b/features/forward.feature
@@ -55,6 +55,31 @@
     When each of them gets 20 requests and wants to send all again
     Then the second sends of all stay within the budget
 
+  Scenario Outline: A small system shares all loads, a large one by cells
+    Given <entries> entries in 3 places
+    Then each entry tells <peers> others, all in its own place: <near>
+
+    Examples:
+      | entries | peers    | near |
+      | 10      | 9        | no   |
+      | 37      | 11 to 12 | yes  |
+      | 300     | 5 to 35  | yes  |
+
+  Scenario: Entries of a cell tell each other
+    Given 300 entries in 3 places
+    Then whoever is told by an entry tells it as well
+
+  Scenario Outline: A large system sends to near targets while they have places
+    Given <entries> entries in 3 places
+    And <targets> targets in 3 places
+    Then each entry sends first to <first> targets
+
+    Examples:
+      | entries | targets | first |
+      | 10      | 16      | 16    |
+      | 37      | 72      | 24    |
+      | 37      | 3       | 3     |
+
   Scenario: The least loaded target is chosen by the counts of all entries
     Given targets "a,b,c" with 2 places each
     When another entry has 2 requests at "a" and 1 at "b"
--- a/features/harness/engines.py
+++ b/features/harness/engines.py
@@ -214,12 +214,13 @@
         self.beat_at = 0.0
         self.tap = None
         self.cut = set()
+        self.counted = set()
 
     def lead(self):
         """A new leader takes over in a higher term."""
         self.term += 1
         name = f"c{self.term}"
-        self.leaders[name] = coordinator_lib.Coordinator()
+        self.leaders[name] = coordinator_lib.Coordinator(place="p")
         self.leaders[name].lead(self.term)
         self.leaders[name].on_entries(["e1"])
         return name
@@ -238,7 +239,7 @@
                 if name in self.frozen:
                     continue
                 for agent in self.agents:
-                    leader.on_agent(agent, self.now)
+                    leader.on_agent(agent, "p", self.now)
                 self.perform(name, leader.tick(self.now))
             self.deliver()
 
@@ -255,7 +256,7 @@
                 address=name,
                 term=runner.term,
                 state=self.group.state(rank),
-                counts=tuple(rank.counts),
+                counts=tuple(rank.counts) if name in self.counted else (),
                 experts=rank.held_map,
             )
             for leader in self.leaders:
@@ -304,9 +305,16 @@
                 match msg:
                     case messages.PaceAsk():
                         runner.on_term(msg.term)
+                        self.note_counted(dst, msg.counted)
                     case messages.OrderAsk():
                         self.on_order(dst, runner, src, msg)
 
+    def note_counted(self, agent, counted):
+        if counted:
+            self.counted.add(agent)
+        else:
+            self.counted.discard(agent)
+
     def on_order(self, name, runner, src, ask):
         if ask.engine != name:
             key = (name, ask.engine)
--- a/features/mapswitch.feature
+++ b/features/mapswitch.feature
@@ -12,6 +12,41 @@
     When 5 seconds pass at the group
     Then the hot expert is on more than one rank
 
+  Scenario: The plan of a large group leaves time for heartbeats
+    Given a question for a plan of 72 ranks, 144 experts and 12 sets
+    When it is planned
+    Then no more than 2 sets were planned at a time
+    And the most loaded rank has at most 1.25 times the mean
+
+  Scenario: A group that forms anew while it is planned for
+    Given a group of 4 engines under a leader
+    When it forms anew while a plan is made
+    And 5 seconds pass at the group
+    Then no pass has begun on two maps
+    And the group has switched its map
+
+  Scenario: The counts of some ranks tell the demand of a large group
+    Given a leader in place "p" that hears 24 agents there and 48 elsewhere
+    Then it asks 16 agents for counts, all of them in place "p"
+
+  Scenario Outline: An agent tells at once what changes, and the rest seldom
+    Given an agent of a group of <ranks> ranks whose counts are <wanted>
+    When its engine runs passes for 6 seconds
+    Then it has told the leader <calm> times
+    And it tells at once that its engine is armed
+
+    Examples:
+      | ranks | wanted     | calm     |
+      | 16    | wanted     | 18 to 21 |
+      | 72    | wanted     | 18 to 21 |
+      | 72    | not wanted | 9 to 11  |
+
+  Scenario: A new leader is told by every agent
+    Given an agent of a group of 72 ranks whose counts are not wanted
+    When its engine runs passes for 6 seconds
+    And another leader asks it
+    Then it tells at once
+
   Scenario: The agent that has just given the hold is killed
     Given a group of 4 engines under a leader
     When the first rank holds a pass and its agent is down for 4 seconds
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -12,8 +12,10 @@
 from jasperweir.components.balance import budget
 from jasperweir.components.balance import gate
 from jasperweir.components.balance import messages
+from jasperweir.components.balance import neighbours
 from jasperweir.components.deployment import index
 from jasperweir.components.deployment import model
+from jasperweir.components.directory import records
 from jasperweir.components.forward import dialect
 from jasperweir.components.forward import events
 from jasperweir.components.forward import life as life_lib
@@ -153,6 +155,66 @@
     assert 0 < context.taken <= context.most, context.taken
 
 
+PLACES = ("north", "south", "east")
+
+
+@given("{count:d} entries in 3 places")
+def step_entries(context, count):
+    nodes = tuple(
+        records.Node(
+            name=f"10.0.{n % 3}.{n}:7601",
+            kind="entry",
+            place=PLACES[n % 3],
+            caller_address="",
+            open=True,
+            incarnation=1,
+            sequence=0,
+        )
+        for n in range(count)
+    )
+    context.cells = {}
+    for node in nodes:
+        cell = neighbours.Neighbours(name=node.name, place=node.place)
+        cell.on_entries(nodes)
+        context.cells[node] = cell
+
+
+@then("each entry tells {peers} others, all in its own place: {near}")
+def step_tells(context, peers, near):
+    least, _, most = peers.partition(" to ")
+    for node, cell in context.cells.items():
+        count = len(cell.peers)
+        assert int(least) <= count <= int(most or least), count
+        same = all(peer.place == node.place for peer in cell.peers)
+        assert same == (near == "yes")
+        assert node not in cell.peers
+
+
+@then("whoever is told by an entry tells it as well")
+def step_mutual(context):
+    for node, cell in context.cells.items():
+        assert all(node in context.cells[peer].peers for peer in cell.peers)
+
+
+@given("{count:d} targets in 3 places")
+def step_placed_targets(context, count):
+    context.targets = [
+        site.target(target_id=f"t{n}", address=f"10.1.0.{n}:80")._replace(
+            place=PLACES[n % 3]
+        )
+        for n in range(count)
+    ]
+
+
+@then("each entry sends first to {count:d} targets")
+def step_first_targets(context, count):
+    for node, cell in context.cells.items():
+        found = cell.home(context.targets)
+        assert len(found) == count, len(found)
+        if count < len(context.targets):
+            assert {target.place for target in found} == {node.place}
+
+
 @given('targets "{names}" with {places:d} places each')
 def step_targets(context, names, places):
     context.now = 10.0
--- a/jasperweir/components/balance/const.py
+++ b/jasperweir/components/balance/const.py
@@ -8,6 +8,13 @@
 SHARE_SECONDS = 0.5
 # Figures of an entry that has been silent for longer count no more.
 SHARE_STALE_SECONDS = 1.5
+# Up to this many entries all tell each other; beyond, only those of a cell
+# (37 entries that all told each other sent most of the bytes between data
+# centres, docs/MEASUREMENTS.md).
+MESH_ENTRIES = 16
+# A cell of fewer targets than this is no home: sent to first, it would make
+# the fault of one target that of many requests.
+HOME_TARGETS = 6
 # A load header is trusted for this long.
 REPORT_SECONDS = 1.0
 
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -12,6 +12,7 @@
 from jasperweir.components.balance import budget as budget_lib
 from jasperweir.components.balance import const as balance_const
 from jasperweir.components.balance import gate as gate_lib
+from jasperweir.components.balance import neighbours as neighbours_lib
 from jasperweir.components.deployment import index as index_lib
 from jasperweir.components.deployment import model
 from jasperweir.components.directory import directory as directory_lib
@@ -36,11 +37,19 @@
     until: float
 
 
+class Reach(NamedTuple):
+    """Targets that a request may go to now, and their free places."""
+
+    targets: list[records.Target]
+    places: int
+
+
 class Forwarder:
     """Everything that the requests of one entry share.
 
     Attributes:
         balancer: Open requests and health of targets.
+        neighbours: Entries and targets that this one deals with first.
         pool: Connections to targets.
         dialect: Protocol of callers and targets.
         index: Configuration in force, None before the first.
@@ -57,6 +66,7 @@
         rng: random.Random,
         dialect: dialect_lib.Dialect,
         directory: directory_lib.Directory,
+        neighbours: neighbours_lib.Neighbours,
         bounds: budget_lib.BudgetBounds,
         times: http_client.ClientTimes,
         metrics: metrics_lib.Metrics,
@@ -71,6 +81,7 @@
         self.on_replaced: Callable[[records.Target], None] = lambda _: None
         self._clock = clock
         self._rng = rng
+        self.neighbours = neighbours
         self._directory = directory
         self._budget = budget_lib.RetryBudget(bounds=bounds)
         self._metrics = metrics
@@ -199,9 +210,9 @@
                 exchange.give_up(Code.NO_TARGET)
             return
         gate = self._gate(exchange.service)
-        places = self.balancer.free_places(targets, now)
-        if places >= 1 and not len(gate):
-            self._send(exchange, targets, now)
+        reach = self._reach(targets, now)
+        if reach.places >= 1 and not len(gate):
+            self._send(exchange, reach, now)
             return
         self._wait(exchange, now, now)
 
@@ -236,13 +247,24 @@
         self._wait(exchange, now, not_before)
         return True
 
+    def _reach(self, targets: list[records.Target], now: float) -> Reach:
+        """Return the near targets while they have places, else all."""
+        near = self.neighbours.home(targets)
+        places = self.balancer.free_places(near, now)
+        if places >= 1 or len(near) == len(targets):
+            return Reach(targets=near, places=places)
+        places = self.balancer.free_places(targets, now)
+        return Reach(targets=targets, places=places)
+
     def _send(
-        self,
-        exchange: exchange_lib.Exchange,
-        targets: list[records.Target],
-        now: float,
+        self, exchange: exchange_lib.Exchange, reach: Reach, now: float
     ) -> None:
-        target = self.balancer.choose(targets, exchange.life.tried, now)
+        tried = exchange.life.tried
+        target = self.balancer.choose(reach.targets, tried, now)
+        if target is None:
+            # All near ones have been tried.
+            targets = self._directory.serving(exchange.service, now)
+            target = self.balancer.choose(targets, tried, now)
         if target is None:
             exchange.give_up(Code.TARGETS_REFUSED)
             return
@@ -252,8 +274,8 @@
             target=target.target_id,
             open=self.balancer.count_at(target.target_id, now),
             unknown=self.balancer.unknown_at(target.target_id, now),
-            free=self.balancer.free_places(targets, now),
-            targets=len(targets),
+            free=reach.places,
+            targets=len(reach.targets),
             waited_ms=round((now - exchange.life.arrived) * 1000),
             sends=exchange.life.sends,
         )
@@ -267,7 +289,7 @@
             exchange.give_up(Code.TARGETS_REFUSED)
             return
         targets = self._directory.serving(exchange.service, now)
-        self._send(exchange, targets, now)
+        self._send(exchange, self._reach(targets, now), now)
 
     def tick(self) -> None:
         """Let time pass: give places to those who wait, refuse the late."""
@@ -278,11 +300,11 @@
             if not len(gate):
                 continue
             targets = self._directory.serving(service, now)
-            places = self.balancer.free_places(targets, now)
-            for number in gate.admit(places, now):
+            reach = self._reach(targets, now)
+            for number in gate.admit(reach.places, now):
                 exchange = self._open.get(number)
                 if exchange is not None:
-                    self._send_waiting(exchange, targets, now)
+                    self._send_waiting(exchange, reach, now)
             for number in gate.expire(now):
                 exchange = self._open.get(number)
                 if exchange is not None:
@@ -291,14 +313,14 @@
     def _send_waiting(
         self,
         exchange: exchange_lib.Exchange,
-        targets: list[records.Target],
+        reach: Reach,
         now: float,
     ) -> None:
         arrived = exchange.life.arrivals > 0
         if arrived and not self._take_retry(exchange.service, now):
             exchange.give_up(Code.TARGETS_REFUSED)
             return
-        self._send(exchange, targets, now)
+        self._send(exchange, reach, now)
 
     def _take_retry(self, service: str, now: float) -> bool:
         taken = self._budget.take(service, self.entries, now)
--- a/jasperweir/components/mapswitch/const.py
+++ b/jasperweir/components/mapswitch/const.py
@@ -5,6 +5,10 @@
 READ_SECONDS = 0.3
 # And this often while a switch is under way.
 BUSY_READ_SECONDS = 0.1
+# An agent whose counts are not wanted beats this often if nothing changes.
+QUIET_BEAT_SECONDS = 0.6
+# A change of pace of this much is told at once.
+PACE_STEP = 0.1
 # A beat older than this does not count, seconds.
 FRESH_SECONDS = 1.6
 # Time constant of the demand average, seconds: the length of a stream, since
@@ -25,6 +29,16 @@
 SLOW_PACE = 1.15
 # Moves that one plan may make in a set, for each rank.
 MOVES_PER_RANK = 2
+# A copy goes to one of this many of the least loaded ranks; more make a plan
+# of 72 ranks four times as long and no better (docs/MEASUREMENTS.md).
+CANDIDATE_RANKS = 9
+# Ranks times experts that are planned at a time: two sets of 72 ranks and 144
+# experts, some 30 ms of work on a control VM, while heartbeats of the log are
+# 150 ms apart.
+CELLS_PER_TICK = 21_000
+# Ranks of a group whose counts are read; requests are spread over the ranks,
+# so that these tell the demand of all. Counts are most of a beat's bytes.
+COUNTED_RANKS = 16
 
 # Time in which all ranks must have copied their new experts, seconds: eight
 # experts of 880 MB take some 0.3 s at the platform's usual link.
--- a/jasperweir/components/mapswitch/coordinator.py
+++ b/jasperweir/components/mapswitch/coordinator.py
@@ -2,6 +2,7 @@
 
 import itertools
 from typing import Any
+from typing import NamedTuple
 
 from jasperweir import core
 from jasperweir.components.deployment import model
@@ -12,13 +13,21 @@
 Actions = list[Any]
 
 
+class Agent(NamedTuple):
+    """An agent that beats here: its data centre and when it was heard."""
+
+    place: str
+    at: float
+
+
 class Coordinator:
     """All groups, as long as this control VM leads."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, place: str) -> None:
+        self._place = place
         self._term = 0
         self._groups: dict[str, group_lib.Group] = {}
-        self._agents: dict[str, float] = {}
+        self._agents: dict[str, Agent] = {}
         self._numbers = itertools.count(1)
         self._asked_at = float("-inf")
         self._giver = ""
@@ -28,6 +37,10 @@
         """Whether this control VM leads."""
         return self._term > 0
 
+    def groups(self) -> list[group_lib.Group]:
+        """Return the groups known in this term."""
+        return list(self._groups.values())
+
     def lead(self, term: int) -> None:
         """Begin a term, or with 0 stop; nothing of an older one is kept."""
         if term == self._term:
@@ -43,9 +56,9 @@
             for group in self._groups.values():
                 group.set_giver(self._giver)
 
-    def on_agent(self, name: str, now: float) -> None:
+    def on_agent(self, name: str, place: str, now: float) -> None:
         """Note an agent that beats here."""
-        self._agents[name] = now
+        self._agents[name] = Agent(place=place, at=now)
 
     def receive(
         self,
@@ -95,12 +108,29 @@
 
     def _ask_paces(self, now: float) -> Actions:
         busy = any(group.busy for group in self._groups.values())
-        ask = messages.PaceAsk(term=self._term, busy=busy)
-        return [
-            core.Send(dst=name, msg=ask)
-            for name, at in self._agents.items()
-            if now - at < const.FRESH_SECONDS * 4
-        ]
+        counted = self._counted()
+        out: Actions = []
+        for name, agent in self._agents.items():
+            if now - agent.at >= const.FRESH_SECONDS * 4:
+                continue
+            ask = messages.PaceAsk(
+                term=self._term, busy=busy, counted=name in counted
+            )
+            out.append(core.Send(dst=name, msg=ask))
+        return out
+
+    def _counted(self) -> set[str]:
+        """Return the agents whose counts are read, the near ones first."""
+        chosen: set[str] = set()
+        for group in self._groups.values():
+            agents = [member.agent for member in group.members.all()]
+            agents.sort(key=self._is_far)
+            chosen.update(agents[: const.COUNTED_RANKS])
+        return chosen
+
+    def _is_far(self, agent: str) -> bool:
+        known = self._agents.get(agent)
+        return known is None or known.place != self._place
 
     def _on_beat(
         self,
--- a/jasperweir/components/mapswitch/group.py
+++ b/jasperweir/components/mapswitch/group.py
@@ -21,6 +21,7 @@
 from jasperweir.components.mapswitch import messages
 from jasperweir.components.mapswitch import orders as orders_lib
 from jasperweir.components.mapswitch import plan as plan_lib
+from jasperweir.components.mapswitch import planner as planner_lib
 from jasperweir.components.mapswitch import runner as runner_lib
 
 Actions = list[Any]
@@ -69,7 +70,7 @@
             sets=engine.sets, experts=engine.experts
         )
         self.phase = Phase.IDLE
-        self._engine = engine
+        self._planner = planner_lib.Planner(engine=engine)
         self._term = term
         # Node that gives holds. If the VM that has just given one stands
         # still, no engine of the group should stand still with it.
@@ -145,6 +146,11 @@
         """Whether a switch is under way."""
         return self.phase is not Phase.IDLE
 
+    @property
+    def planning(self) -> bool:
+        """Whether a plan is being made."""
+        return self._planner.active
+
     # Steps.
 
     def _step(self, now: float) -> Actions:
@@ -185,19 +191,57 @@
         return self._order(self.members.all()[0], release, now)
 
     def _idle(self, now: float) -> Actions:
-        if now < self._plan_at or not self.members.complete(self._term, now):
+        due = self._planner.active or now >= self._plan_at
+        if not due or not self.members.complete(self._term, now):
             return []
         states = [m.state for m in self.members.all()]
         self._epoch = states[0].epoch
         if any(s.held or s.armed for s in states):
+            self._planner.drop()
             return self._resolve(now, "found half done")
         # Arms are only ever sent under a hold, and none is left.
         self._arms_out = False
+        if self._planner.active:
+            return self._planning(states, now)
         self._plan_at = now + const.PLAN_SECONDS
         if len({s.map_version for s in states}) > 1:
             return []
-        placement = self._planned()
-        if placement is None:
+        shares = self.demand.shares()
+        current = self.members.placement()
+        if self.demand.tokens < const.DEMAND_LEAST:
+            return []
+        if len(current) != len(shares):
+            return []
+        question = planner_lib.Question(
+            epoch=self._epoch,
+            map_version=states[0].map_version,
+            current=current,
+            shares=shares,
+            paces=plan_lib.paces([s.pace for s in states]),
+        )
+        self._planner.begin(question)
+        return self._planning(states, now)
+
+    def _planning(
+        self, states: list[messages.EngineState], now: float
+    ) -> Actions:
+        """Go on with a plan, and prepare it once it is made."""
+        match self._planner.go_on():
+            case planner_lib.Better(question, placement):
+                return self._prepare(states, question, placement, now)
+            case planner_lib.Unfinished() | planner_lib.GoodEnough():
+                return []
+
+    def _prepare(
+        self,
+        states: list[messages.EngineState],
+        question: planner_lib.Question,
+        placement: messages.Placement,
+        now: float,
+    ) -> Actions:
+        as_asked = (question.epoch, question.map_version)
+        if any((s.epoch, s.map_version) != as_asked for s in states):
+            # The group has formed anew while the plan was made.
             return []
         used = max(max(s.map_version, s.prepared) for s in states)
         self._version = max(self._version, used) + 1
@@ -205,32 +249,6 @@
         order = messages.Prepare(version=self._version, placement=placement)
         return self._order_all(order, now)
 
-    def _planned(self) -> messages.Placement | None:
-        if self.demand.tokens < const.DEMAND_LEAST:
-            return None
-        shares = self.demand.shares()
-        paces = plan_lib.paces([m.state.pace for m in self.members.all()])
-        before = after = 0.0
-        placement = []
-        current = self.members.placement()
-        if len(current) != len(shares):
-            return None
-        for ranks, row in zip(current, shares, strict=True):
-            start = plan_lib.table(ranks, self._engine.experts)
-            found = plan_lib.improve(
-                start,
-                row,
-                paces,
-                places=self._engine.places,
-                spare=self._engine.spare,
-            )
-            before += found.before
-            after += found.after
-            placement.append(plan_lib.rows(found.held))
-        if after > before * (1 - const.LEAST_GAIN):
-            return None
-        return tuple(placement)
-
     def _preparing(self, now: float) -> Actions:
         if not self.members.in_epoch(self._epoch):
             return self._rest(now, "group formed anew")
--- a/jasperweir/components/mapswitch/messages.py
+++ b/jasperweir/components/mapswitch/messages.py
@@ -133,7 +133,7 @@
             lower one.
         state: What the engine reports.
         counts: How often each expert was chosen since the engine started,
-            set after set.
+            set after set; empty if the leader did not ask for them.
         experts: Experts that the engine holds, by set.
     """
 
@@ -161,7 +161,14 @@
 
 @codec.message("mapswitch.pace")
 class PaceAsk(NamedTuple):
-    """The leader of a term wants beats at a faster or slower pace."""
+    """The leader of a term wants beats at a faster or slower pace.
+
+    Attributes:
+        term: Term of the leader.
+        busy: Whether a switch is under way.
+        counted: Whether the beats are to hold the counts of experts.
+    """
 
     term: int
     busy: bool
+    counted: bool
--- a/jasperweir/components/mapswitch/orders.py
+++ b/jasperweir/components/mapswitch/orders.py
@@ -38,6 +38,8 @@
         self._term = term
         self._numbers = numbers
         self._outstanding: dict[str, Outstanding] = {}
+        self._packed_order: messages.Order | None = None
+        self._packed = b""
 
     @property
     def open(self) -> bool:
@@ -71,7 +73,7 @@
             term=self._term,
             epoch=epoch,
             engine=member.beat.address,
-            order=codec.pack_tagged(order),
+            order=self._pack(order),
         )
         self._outstanding[member.agent] = Outstanding(
             agent=member.agent,
@@ -81,6 +83,13 @@
         )
         return [core.Send(dst=giver or member.agent, msg=ask)]
 
+    def _pack(self, order: messages.Order) -> bytes:
+        """Pack an order, once for all ranks that get the same one."""
+        if order is not self._packed_order:
+            self._packed_order = order
+            self._packed = codec.pack_tagged(order)
+        return self._packed
+
     def resend(self, now: float, *, direct: bool) -> Actions:
         """Send again what is due, and by itself to the engine if allowed."""
         out: Actions = []
--- /dev/null
+++ b/jasperweir/components/mapswitch/pacer.py
@@ -0,0 +1,67 @@
+"""When an agent tells the leader of its engine; sans-I/O.
+
+Reading the engine is free on its own VM, telling is not: the leader of a
+group of 72 ranks that all told it ten times a second could not keep up.
+"""
+
+from jasperweir.components.mapswitch import const
+from jasperweir.components.mapswitch import messages
+
+
+class Pacer:
+    """Beats of one agent.
+
+    Attributes:
+        busy: Whether the leader has a switch under way.
+        counted: Whether the leader wants the counts of this engine.
+    """
+
+    def __init__(self) -> None:
+        self.busy = False
+        self.counted = False
+        self._read_at = float("-inf")
+        self._told_at = float("-inf")
+        self._told: messages.EngineState | None = None
+        self._leader = ""
+
+    def on_ask(self, leader: str, ask: messages.PaceAsk) -> None:
+        """Take in what the leader wants."""
+        if leader != self._leader:
+            self._leader = leader
+            self._told = None
+        self.busy = ask.busy
+        self.counted = ask.counted
+
+    def read_due(self, now: float) -> bool:
+        """Tell whether the engine is to be read now."""
+        pause = const.BUSY_READ_SECONDS if self.busy else const.READ_SECONDS
+        if now - self._read_at < pause:
+            return False
+        self._read_at = now
+        return True
+
+    def tell_due(self, state: messages.EngineState, now: float) -> bool:
+        """Tell whether the leader is to be told of a state now."""
+        old = self._told
+        silent = now - self._told_at
+        due = (
+            old is None
+            or _steps(state) != _steps(old)
+            or abs(state.pace - old.pace) >= const.PACE_STEP
+            or silent >= self._pause(state)
+        )
+        if due:
+            self._told = state
+            self._told_at = now
+        return due
+
+    def _pause(self, state: messages.EngineState) -> float:
+        """Return how long the leader may go without a beat."""
+        if self.counted or state.size <= const.COUNTED_RANKS:
+            return const.BUSY_READ_SECONDS if self.busy else const.READ_SECONDS
+        return const.QUIET_BEAT_SECONDS
+
+
+def _steps(state: messages.EngineState) -> messages.EngineState:
+    """Return the part of a state that the steps of a switch follow from."""
+    return state._replace(passes=0, sequence=0, pace=0.0, running=0, queued=0)
--- a/jasperweir/components/mapswitch/plan.py
+++ b/jasperweir/components/mapswitch/plan.py
@@ -138,8 +138,9 @@
         if copies[e] > 1
     ]
     order = np.argsort(loads * pace)
+    candidates = min(len(order) // 2 + 1, const.CANDIDATE_RANKS)
     for add in np.flatnonzero(held[slowest]):
-        for rank in order[: len(order) // 2 + 1]:
+        for rank in order[:candidates]:
             if held[rank, add]:
                 continue
             grows = 0 if start[rank, add] else 1
--- a/jasperweir/daemons/site_agent.py
+++ b/jasperweir/daemons/site_agent.py
@@ -9,6 +9,7 @@
 from jasperweir.components.follow import follower as follower_lib
 from jasperweir.components.mapswitch import const
 from jasperweir.components.mapswitch import messages
+from jasperweir.components.mapswitch import pacer as pacer_lib
 from jasperweir.components.mapswitch import runner as runner_lib
 from jasperweir.daemons import deployed
 from jasperweir.daemons import engine_client
@@ -55,8 +56,7 @@
             address=cfg.engine, dialect=dialect, timeout_s=const.ORDER_SECONDS
         )
         self._runner = runner_lib.Runner()
-        self._busy = False
-        self._read_at = 0.0
+        self._pacer = pacer_lib.Pacer()
         self._reading = False
         self._leader = ""
         self._experts: tuple[tuple[int, ...], ...] = ()
@@ -85,18 +85,17 @@
             case messages.PaceAsk():
                 if msg.term >= self._runner.term:
                     self._leader = src
-                    self._busy = msg.busy
+                    self._pacer.on_ask(src, msg)
                 self._runner.on_term(msg.term)
             case _:
                 now = self._host.now()
                 self._perform(self._follower.receive(src, msg, now))
 
     def _tick(self) -> None:
-        now = self._host.now()
-        pace = const.BUSY_READ_SECONDS if self._busy else const.READ_SECONDS
-        if not self._leader or self._reading or now - self._read_at < pace:
+        if not self._leader or self._reading:
+            return
+        if not self._pacer.read_due(self._host.now()):
             return
-        self._read_at = now
         self._reading = True
         self._engine.spawn(self._beat())
 
@@ -124,13 +123,17 @@
         state = await self._engine.state()
         if state is None or not state.group:
             return
+        if not self._pacer.tell_due(state, self._host.now()):
+            return
         if self._experts_of != (state.epoch, state.map_version):
             raw = await self._engine.get(self._dialect.PLACEMENT_TARGET)
             if raw is None:
                 return
             self._experts = self._dialect.placement(raw)
             self._experts_of = (state.epoch, state.map_version)
-        raw = await self._engine.get(self._dialect.COUNTS_TARGET)
+        raw = None
+        if self._pacer.counted:
+            raw = await self._engine.get(self._dialect.COUNTS_TARGET)
         beat = messages.EngineBeat(
             service=self._cfg.service,
             address=self._cfg.engine,
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -62,7 +62,7 @@
         self._stopping = asyncio.Event()
         self._broken_until = 0.0
         self._node: node_lib.ConfigNode | None = None
-        self._coordinator = coordinator_lib.Coordinator()
+        self._coordinator = coordinator_lib.Coordinator(place=cfg.place)
         self._engines: dict[str, model.Engine] = {}
         self._direct: dict[str, engine_client.RemoteEngine] = {}
         self._told_slow = False
@@ -170,7 +170,7 @@
         leads = node.voter.read_index(now) is not None
         self._coordinator.lead(node.voter.term if leads else 0)
         for agent in node.roster.nodes(directory_const.KIND_AGENT, now):
-            self._coordinator.on_agent(agent.name, now)
+            self._coordinator.on_agent(agent.name, agent.place, now)
         entries = node.roster.nodes(directory_const.KIND_ENTRY, now)
         # An entry on a VM without a disk, where there is one.
         controls = {name.rpartition(":")[0] for name in node.roster.controls}
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -10,6 +10,7 @@
 from jasperweir.components.balance import budget as budget_lib
 from jasperweir.components.balance import const as balance_const
 from jasperweir.components.balance import messages as balance_messages
+from jasperweir.components.balance import neighbours as neighbours_lib
 from jasperweir.components.deployment import index as index_lib
 from jasperweir.components.deployment import model
 from jasperweir.components.directory import const as directory_const
@@ -98,6 +99,9 @@
             rng=self._host.rng,
             dialect=dialect,
             directory=self._follower.directory,
+            neighbours=neighbours_lib.Neighbours(
+                name=cfg.internal, place=cfg.place
+            ),
             bounds=bounds,
             times=http_client.ClientTimes(),
             metrics=self._host.metrics,
@@ -202,11 +206,12 @@
         now = self._host.now()
         entries = self._follower.open_entries(now)
         self._forwarder.entries = max(len(entries), 1)
+        neighbours = self._forwarder.neighbours
+        neighbours.on_entries(entries)
         self._share_due = False
         share = self._forwarder.balancer.share()
-        for node in entries:
-            if node.name != self._cfg.internal:
-                self._host.send(core.Send(dst=node.name, msg=share))
+        for node in neighbours.peers:
+            self._host.send(core.Send(dst=node.name, msg=share))
 
     # Planned stop.
 
