Let control run on VMs without a disk, and name one founder

Change: such a process holds no seat, passes operators' questions to the leader that other control VMs tell of, and hears targets as before. The lowest seed decides on the founder: itself, or after 1.5 s the lowest control VM with a disk that asked for a seat; it keeps to its word, and a process takes the word only at the system's first start, with an empty log and no leader heard.

Tests: six control VMs of which the last, the first or all seeds have no disk; a second word after the founder's founds nothing. Before: no such process could start. Ruled out: redirecting callers to a seed, since a seed may have no disk.

--- a/features/declared.feature
+++ b/features/declared.feature
@@ -77,6 +77,29 @@
     Then no operator is told anything but to ask again
     And a while later version 2 is taken by the three
 
+  Scenario Outline: Control VMs without a disk pass on what they are asked
+    Given a site of 6 control VMs where "<without>" have no disk
+    When version 2 is sent to each control VM
+    Then every operator is told that version 2 is committed
+    And every control VM returns version 2
+    And every entry acts on version 2
+    And the voting seats are "<seats>"
+
+    Examples:
+      | without  | seats    |
+      | c4,c5,c6 | c1,c2,c3 |
+      | c1,c2,c6 | c3,c4,c5 |
+      | c1,c2,c3 | c4,c5,c6 |
+
+  Scenario: A founder is named once, and nobody founds a second log
+    Given a site of 6 control VMs where "c1,c2,c3" have no disk
+    And a calm version 2
+    When "c1" restarts
+    And a copy of its word reaches "c5" and "c6"
+    And 3 seconds pass at the site
+    Then the voting seats are "c4,c5,c6"
+    And every control VM returns version 2
+
   Scenario: A leaving target is known to a second control VM when it is told
     Given a calm site with version 9
     And a target that every control VM and entry knows
--- a/features/harness/site.py
+++ b/features/harness/site.py
@@ -24,8 +24,17 @@
         reads: Version and time of each answered read.
     """
 
-    def __init__(self, controls=3, entries=2, seed=0, bootstrap=True, wanted=3):
+    def __init__(
+        self,
+        controls=3,
+        entries=2,
+        seed=0,
+        bootstrap=True,
+        wanted=3,
+        diskless=(),
+    ):
         self.wanted = wanted
+        self.diskless = set(diskless)
         self.now = 0.0
         self.rng = random.Random(seed)
         self.names = [f"c{i}" for i in range(1, controls + 1)]
@@ -47,8 +56,10 @@
         for name in self.names:
             self.start(name)
         if bootstrap:
-            first = self.nodes[min(self.names)]
-            self.perform(first.name, first.bootstrap())
+            for name, node in self.nodes.items():
+                node.begin_founding(
+                    decides=name == min(self.names[:3]), now=self.now
+                )
         for i in range(1, entries + 1):
             self.start_entry(f"e{i}")
 
@@ -65,6 +76,7 @@
             voter=voter,
             seeds=tuple(seeds or self.names[:3]),
             wanted_seats=self.wanted,
+            has_disk=name not in self.diskless,
         )
         acts = self.nodes[name].restore(
             self.hints[name], self.sides.get(name, b""), self.now
@@ -136,6 +148,7 @@
                 case core.Send():
                     self.post(name, act.dst, act.msg)
                 case actions.SaveMeta() | actions.SaveEntries():
+                    assert name not in self.diskless, act
                     self.disks[name].save(act)
                 case actions.SaveSnapshot():
                     self.disks[name].save(act)
--- a/features/steps/declared_steps.py
+++ b/features/steps/declared_steps.py
@@ -7,6 +7,7 @@
 from behave import when
 
 from features.harness import site as site_lib
+from jasperweir.components.configctl import messages as config_messages
 from jasperweir.components.configctl import node as node_lib
 from jasperweir.components.configctl import roster as roster_lib
 from jasperweir.components.quorum import progress
@@ -384,3 +385,30 @@
     ask = context.site.replace("c1", version)
     context.site.run(1.5)
     assert isinstance(context.site.results.get(ask), node_lib.Replaced)
+
+
+@given('a site of 6 control VMs where "{names}" have no disk')
+def step_diskless(context, names):
+    context.site = site_lib.Site(controls=6, diskless=names.split(","))
+    context.site.run(5.0)
+    context.asks = []
+
+
+@given("a calm version {version:d}")
+def step_calm_version(context, version):
+    context.asks = [context.site.replace("c1", version)]
+    context.site.run(1.5)
+    assert context.site.acked[0] == version
+
+
+@when('"{name}" restarts')
+def step_restart_one(context, name):
+    context.site.kill(name)
+    context.site.start(name)
+    context.site.nodes[name].begin_founding(decides=True, now=context.site.now)
+
+
+@when('a copy of its word reaches "{one}" and "{two}"')
+def step_founds(context, one, two):
+    for name in (one, two):
+        context.site.post("c1", name, config_messages.Found())
--- a/jasperweir/components/configctl/const.py
+++ b/jasperweir/components/configctl/const.py
@@ -23,6 +23,9 @@
 # A leader waits this long for control VMs that the seeds do not name: all
 # start within a third of a second, and a seat takes some tenths.
 SEATS_WAIT_SECONDS = 5.0
+# Where the control VM that decides on the founder has no disk, it hears for so
+# long who has one; all start within a third of a second.
+FOUNDER_WAIT_SECONDS = 1.5
 # A process that asked for a seat longer ago than this is not considered.
 HELLO_FRESH_SECONDS = 2.5
 # Time that the acknowledgement of a leaving target waits for a second
--- a/jasperweir/components/configctl/messages.py
+++ b/jasperweir/components/configctl/messages.py
@@ -39,6 +39,11 @@
     data: bytes
 
 
+@codec.message("configctl.found")
+class Found(NamedTuple):
+    """A control VM without a disk names the one that founds the log."""
+
+
 @codec.message("configctl.version")
 class VersionNews(NamedTuple):
     """A version has been committed."""
--- a/jasperweir/components/configctl/node.py
+++ b/jasperweir/components/configctl/node.py
@@ -7,6 +7,7 @@
 
 from jasperweir import core
 from jasperweir.components.configctl import const
+from jasperweir.components.configctl import founding as founding_lib
 from jasperweir.components.configctl import messages
 from jasperweir.components.configctl import roster as roster_lib
 from jasperweir.components.configctl import seats as seats_lib
@@ -82,11 +83,15 @@
         voter: voter_lib.Voter,
         seeds: tuple[str, ...],
         wanted_seats: int,
+        has_disk: bool = True,
     ) -> None:
         self.name = name
         self.voter = voter
         self.machine = machine_lib.Machine()
         self._wanted = wanted_seats
+        # Without a disk it asks for no seat, and passes questions on.
+        self._has_disk = has_disk
+        self._founding: founding_lib.Founding | None = None
         others = tuple(seed for seed in seeds if seed != name)
         # Members without which nothing is taken in, even where the
         # deployment turns out to have fewer control VMs than are wanted.
@@ -131,10 +136,10 @@
         out += self._drive_seats(now)
         out += self._drive_pending(now)
         out += self.roster.tick(self._facts(now), now)
-        if not self.voter.is_voting and now >= self._hello_at:
-            self._hello_at = now + quorum_const.HELLO_SECONDS
-            hello = quorum_messages.Hello(disk=self.voter.disk, addr=self.name)
-            out += [core.Send(dst=n, msg=hello) for n in self.roster.peers()]
+        if self._founding is not None:
+            out += self._drive_founding(self._founding, now)
+        if self._has_disk and not self.voter.is_voting:
+            out += self._ask_for_seat(now)
         return out + self._compact()
 
     def receive(self, src: str, msg: Any, now: float) -> Actions:
@@ -152,6 +157,10 @@
                 self._applicants[src] = seats_lib.Applicant(
                     name=src, disk=msg.disk, addr=msg.addr, asked_at=now
                 )
+                if self._founding is not None:
+                    self._founding.on_applicant(src)
+            case messages.Found():
+                return self._on_found()
         if type(msg).__module__ == quorum_messages.__name__:
             return self._absorb(self.voter.receive(src, msg, now), now)
         return self.roster.receive(src, msg, self._facts(now), now)
@@ -168,16 +177,56 @@
             self.roster.restore(side, now)
         return self._absorb(self.voter.restore_commit(commit_hint), now)
 
-    def bootstrap(self) -> Actions:
+    def begin_founding(self, *, decides: bool, now: float) -> None:
+        """Take part in founding the log, at the system's first start."""
+        self._founding = founding_lib.Founding(
+            name=self.name, has_disk=self._has_disk, decides=decides, now=now
+        )
+
+    def _drive_founding(
+        self, founding: founding_lib.Founding, now: float
+    ) -> Actions:
+        if not self._is_blank or self._leader(now).name:
+            self._founding = None
+            return []
+        founder = founding.founder(now)
+        if not founder:
+            return []
+        if founder == self.name:
+            return self._on_found()
+        return [core.Send(dst=founder, msg=messages.Found())]
+
+    def _on_found(self) -> Actions:
         """Found a new log with this disk as its only member."""
+        if self._founding is None or not self._is_blank:
+            return []
+        self._founding = None
         return self.voter.bootstrap(self.name)
 
+    @property
+    def _is_blank(self) -> bool:
+        return not self.voter.log.last_index and not self.voter.term
+
+    def _ask_for_seat(self, now: float) -> Actions:
+        if now < self._hello_at:
+            return []
+        self._hello_at = now + quorum_const.HELLO_SECONDS
+        hello = quorum_messages.Hello(disk=self.voter.disk, addr=self.name)
+        return [core.Send(dst=n, msg=hello) for n in self.roster.peers()]
+
+    def _leader(self, now: float) -> roster_lib.Leader:
+        """Return the leader, from other control VMs where no seat is held."""
+        if self._has_disk:
+            return roster_lib.Leader(self.voter.leader, self.voter.term)
+        return self.roster.heard_leader(now)
+
     def _facts(self, now: float) -> roster_lib.Facts:
+        leader = self._leader(now)
         return roster_lib.Facts(
             version=self.machine.declared().version,
             certain=self.voter.read_index(now) is not None,
-            leader=self.voter.leader,
-            term=self.voter.term,
+            leader=leader.name,
+            term=leader.term,
             seats=self.voter.seats,
         )
 
@@ -197,7 +246,7 @@
 
     def _drive_pending(self, now: float) -> Actions:
         out: Actions = []
-        leader = self.voter.leader
+        leader = self._leader(now).name
         for number, pending in list(self._pending.items()):
             if now >= pending.until:
                 del self._pending[number]
--- a/jasperweir/components/configctl/roster.py
+++ b/jasperweir/components/configctl/roster.py
@@ -46,6 +46,13 @@
     acts: Actions
 
 
+class Leader(NamedTuple):
+    """Name of a leading control VM, or empty, and the term of its lead."""
+
+    name: str
+    term: int
+
+
 class Facts(NamedTuple):
     """What a control VM's log says, for its beats.
 
@@ -87,6 +94,8 @@
         self._seeds = seeds
         self._numbers = numbers
         self._seats = quorum_messages.Seats()
+        # Whom each other control VM takes for the leader.
+        self._leaders: dict[str, Leader] = {}
         self._news: dict[int, float] = {}
         self._nodes: dict[str, Heard] = {}
         self._open_nodes: tuple[records.Node, ...] = ()
@@ -161,6 +170,16 @@
         names.pop(self._name, None)
         return list(names)
 
+    def heard_leader(self, now: float) -> Leader:
+        """Return the newest leader that other control VMs tell of."""
+        told = [
+            leader
+            for name, leader in self._leaders.items()
+            if leader.name
+            and now - self.controls[name] < const.CONTROL_SILENT_SECONDS
+        ]
+        return max(told, key=lambda leader: leader.term, default=Leader("", 0))
+
     def node_names(self) -> list[str]:
         """Return the names of all entries and agents that beat here."""
         return list(self._nodes)
@@ -215,6 +234,7 @@
         self, src: str, msg: records.ControlBeat, now: float
     ) -> Actions:
         self.controls[src] = now
+        self._leaders[src] = Leader(msg.leader, msg.term)
         for name in msg.controls:
             self.controls.setdefault(name, float("-inf"))
         if msg.digest == self.directory.digest:
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -19,6 +19,7 @@
 from jasperweir.components.mapswitch import messages as mapswitch_messages
 from jasperweir.components.mapswitch import orders as orders_lib
 from jasperweir.components.quorum import actions
+from jasperweir.components.quorum import no_storage
 from jasperweir.components.quorum import storage as storage_lib
 from jasperweir.components.quorum import voter as voter_lib
 from jasperweir.daemons import deployed
@@ -55,9 +56,7 @@
         self._cfg = cfg
         self._dialect = dialect
         self._host = loop_host.LoopHost(cfg=cfg, on_frame=self._on_frame)
-        self._storage = storage_lib.DiskStorage(
-            folder=pathlib.Path(cfg.data_folder), synced_is_intact=True
-        )
+        self._storage = _storage(cfg.data_folder)
         self._calls: dict[int, http_server.Answering] = {}
         self._stopping = asyncio.Event()
         self._broken_until = 0.0
@@ -104,10 +103,10 @@
             voter=voter,
             seeds=self._cfg.seeds,
             wanted_seats=self._cfg.wanted_seats,
+            has_disk=bool(self._cfg.data_folder),
         )
         side = self._storage.side()
         self._perform(self._node.restore(recovered.commit_hint, side, now))
-        fresh = not voter.log.last_index and not voter.term
         _log.info(
             "data folder read",
             disk=voter.disk,
@@ -116,9 +115,11 @@
             snapshot=voter.snapshot.idx,
             bootstrap=self._cfg.bootstrap,
         )
-        founder = min(self._cfg.seeds, default=self._cfg.internal)
-        if self._cfg.bootstrap and fresh and founder == self._cfg.internal:
-            self._perform(self._node.bootstrap())
+        if self._cfg.bootstrap:
+            lowest = min(self._cfg.seeds, default=self._cfg.internal)
+            decides = lowest == self._cfg.internal
+            self._node.begin_founding(decides=decides, now=now)
+            self._perform(self._node.tick(now))
 
     def _disk_failed(self, exc: exceptions.StorageError) -> None:
         """Forget what is not on disk, and try again a little later."""
@@ -346,6 +347,16 @@
                 return node.describe(now)
 
 
+def _storage(
+    folder: str,
+) -> storage_lib.DiskStorage | no_storage.NoStorage:
+    if not folder:
+        return no_storage.NoStorage()
+    return storage_lib.DiskStorage(
+        folder=pathlib.Path(folder), synced_is_intact=True
+    )
+
+
 def run(
     *,
     cfg: deployed.NodeSettings,
