Let entries of a crowded data centre send their surplus elsewhere

Callers spread over entries, not over places at targets.

Change: each entry draws the data centre of a request so that every target gets the same share, and up to 24 entries (before: 16) all tell each other.

Test: 20 + 10 + 10 entries, 24 + 24 + 24 targets, shares within 10 percent.

--- a/features/forward.feature
+++ b/features/forward.feature
@@ -62,6 +62,7 @@
     Examples:
       | entries | peers    | near |
       | 10      | 9        | no   |
+      | 17      | 16       | no   |
       | 37      | 11 to 12 | yes  |
       | 300     | 5 to 35  | yes  |
 
@@ -80,6 +81,11 @@
       | 37      | 72      | 24    |
       | 37      | 3       | 3     |
 
+  Scenario: The surplus of a data centre goes where places are to spare
+    Given 20 entries in the first place and 10 in each of two others
+    And 72 targets in 3 places
+    Then each target gets the same share of all requests within 10 percent
+
   Scenario: The least loaded target is chosen by the counts of all entries
     Given targets "a,b,c" with 2 places each
     When another entry has 2 requests at "a" and 1 at "b"
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -1,5 +1,6 @@
 """Steps on forwarding, balancing and budgets."""
 
+import collections
 import random
 
 from behave import given
@@ -160,17 +161,29 @@
 
 @given("{count:d} entries in 3 places")
 def step_entries(context, count):
+    place_entries(context, [PLACES[n % 3] for n in range(count)])
+
+
+@given(
+    "{first:d} entries in the first place and {other:d} in each of two others"
+)
+def step_uneven_entries(context, first, other):
+    north, south, east = PLACES
+    place_entries(context, [north] * first + [south] * other + [east] * other)
+
+
+def place_entries(context, places):
     nodes = tuple(
         records.Node(
-            name=f"10.0.{n % 3}.{n}:7601",
+            name=f"10.0.0.{n}:7601",
             kind="entry",
-            place=PLACES[n % 3],
+            place=place,
             caller_address="",
             open=True,
             incarnation=1,
             sequence=0,
         )
-        for n in range(count)
+        for n, place in enumerate(places)
     )
     context.cells = {}
     for node in nodes:
@@ -209,12 +222,26 @@
 @then("each entry sends first to {count:d} targets")
 def step_first_targets(context, count):
     for node, cell in context.cells.items():
-        found = cell.home(context.targets)
+        found = cell.home(context.targets, 0.0)
         assert len(found) == count, len(found)
         if count < len(context.targets):
             assert {target.place for target in found} == {node.place}
 
 
+@then("each target gets the same share of all requests within 10 percent")
+def step_even_shares(context):
+    draws = [(n + 0.5) / 400 for n in range(400)]
+    load = collections.Counter()
+    for cell in context.cells.values():
+        for draw in draws:
+            found = cell.home(context.targets, draw)
+            for target in found:
+                load[target.target_id] += 1 / len(found)
+    mean = sum(load.values()) / len(context.targets)
+    assert max(load.values()) < 1.1 * mean, load.most_common(3)
+    assert min(load.values()) > 0.9 * mean, load.most_common()[-3:]
+
+
 @given('targets "{names}" with {places:d} places each')
 def step_targets(context, names, places):
     context.now = 10.0
--- a/jasperweir/components/balance/const.py
+++ b/jasperweir/components/balance/const.py
@@ -11,7 +11,9 @@
 # Up to this many entries all tell each other; beyond, only those of a cell
 # (37 entries that all told each other sent most of the bytes between data
 # centres, docs/MEASUREMENTS.md).
-MESH_ENTRIES = 16
+MESH_ENTRIES = 24
+# A data centre with twice as many entries or more is split into cells.
+CELL_ENTRIES = 16
 # A cell of fewer targets than this is no home: sent to first, it would make
 # the fault of one target that of many requests.
 HOME_TARGETS = 6
--- a/jasperweir/components/balance/neighbours.py
+++ b/jasperweir/components/balance/neighbours.py
@@ -2,15 +2,20 @@
 
 In a small system every entry tells every other and all targets are equal.
 Messages grow with the square of the entries, and bytes between data centres
-cost, so in a large one an entry deals with the entries of its own cell and
-sends to the targets of that cell as long as they have free places. A cell is
-a part of a data centre. Sans-I/O.
+cost, so in a large one an entry deals with the entries of its own cell, a part
+of its data centre, and sends to the targets there. Callers spread evenly over
+all entries: where a data centre has more of the entries than of the places at
+targets, its entries send the surplus to the others. Sans-I/O.
 """
 
+import collections
+
 from jasperweir.components.balance import const
 from jasperweir.components.directory import records
 from jasperweir.helpers import hashing
 
+Targets = list[records.Target]
+
 
 class Neighbours:
     """Cell of one entry.
@@ -23,39 +28,73 @@
         self.peers: tuple[records.Node, ...] = ()
         self._name = name
         self._place = place
-        # Cells of this data centre, 0 while all entries tell each other.
-        self._cells = 0
+        # Entries by data centre; empty while all entries tell each other.
+        self._entries: collections.Counter[str] = collections.Counter()
+        self._cells = 1
         self._cell = 0
 
     def on_entries(self, entries: tuple[records.Node, ...]) -> None:
         """Take in which entries there are."""
         others = [node for node in entries if node.name != self._name]
+        self._entries.clear()
         if len(others) < const.MESH_ENTRIES:
-            self._cells = 0
             self.peers = tuple(others)
             return
-        near = [node for node in others if node.place == self._place]
-        self._cells = max(1, (len(near) + 1) // const.MESH_ENTRIES)
+        self._entries.update(node.place for node in others)
+        self._entries[self._place] += 1
+        self._cells = max(1, self._entries[self._place] // const.CELL_ENTRIES)
         self._cell = self._cell_of(self._name)
         self.peers = tuple(
-            node for node in near if self._cell_of(node.name) == self._cell
+            node
+            for node in others
+            if node.place == self._place
+            and self._cell_of(node.name) == self._cell
         )
 
-    def home(self, targets: list[records.Target]) -> list[records.Target]:
-        """Return the targets to send to first, out of a service's."""
-        if not self._cells:
+    def home(self, targets: Targets, draw: float) -> Targets:
+        """Return the targets to send a request to first.
+
+        Args:
+            targets: All targets of its service.
+            draw: Random number of at least 0 and below 1.
+        """
+        if not self._entries:
             return targets
-        near = [target for target in targets if target.place == self._place]
-        own = [
-            target
-            for target in near
-            if self._cell_of(target.address) == self._cell
-        ]
-        for found in (own, near):
-            if len(found) >= const.HOME_TARGETS:
-                return found
-        # So few that one bad target would be a large part of them.
-        return targets
+        by_place: dict[str, Targets] = collections.defaultdict(list)
+        for target in targets:
+            by_place[target.place].append(target)
+        place = self._pick_place(by_place, draw)
+        near = by_place[place]
+        if place == self._place:
+            own = [t for t in near if self._cell_of(t.address) == self._cell]
+            near = own if len(own) >= const.HOME_TARGETS else near
+        # Of a few, one bad target would be a large part.
+        return near if len(near) >= const.HOME_TARGETS else targets
+
+    def _pick_place(self, by_place: dict[str, Targets], draw: float) -> str:
+        """Return the own data centre, or one that has places to spare."""
+        slots = {
+            place: sum(target.slots for target in found)
+            for place, found in by_place.items()
+        }
+        total = max(sum(slots.values()), 1)
+        entries = max(self._entries.total(), 1)
+        spare = {
+            place: count / total - self._entries[place] / entries
+            for place, count in sorted(slots.items())
+        }
+        kept = slots.get(self._place, 0) / total
+        kept /= self._entries[self._place] / entries
+        if draw < kept:
+            return self._place
+        spare = {place: share for place, share in spare.items() if share > 0}
+        # What is left of the draw is even again.
+        left = (draw - kept) / (1 - kept) * sum(spare.values())
+        for place, share in spare.items():
+            left -= share
+            if left < 0:
+                return place
+        return self._place
 
     def _cell_of(self, name: str) -> int:
         if self._cells < 2:
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -249,7 +249,7 @@
 
     def _reach(self, targets: list[records.Target], now: float) -> Reach:
         """Return the near targets while they have places, else all."""
-        near = self.neighbours.home(targets)
+        near = self.neighbours.home(targets, self._rng.random())
         places = self.balancer.free_places(near, now)
         if places >= 1 or len(near) == len(targets):
             return Reach(targets=near, places=places)
