Beat at once to control VMs that have not answered yet

Cause: agents beat once a second to the control VMs they know, at first the three seeds.

Change: a control VM that has not answered of late gets a beat every 0.25 s.

Test: an agent is known to six control VMs within 0.5 s; before, c4 did not know it.

--- a/features/declared.feature
+++ b/features/declared.feature
@@ -91,6 +91,12 @@
       | c1,c2,c6 | c3,c4,c5 |
       | c1,c2,c3 | c4,c5,c6 |
 
+  Scenario: Control VMs that no seed names soon know an agent that starts
+    Given a site with 6 control VMs of which two may be lost at once
+    When an agent starts
+    And 0.5 seconds pass at the site
+    Then every control VM knows the agent
+
   Scenario: A founder is named once, and nobody founds a second log
     Given a site of 6 control VMs where "c1,c2,c3" have no disk
     And a calm version 2
--- a/features/harness/site.py
+++ b/features/harness/site.py
@@ -105,6 +105,18 @@
         )
         self.versions[name] = 0
 
+    def start_agent(self, name):
+        node = records.Node(
+            name, "agent", "p", "", False, self.rng.getrandbits(30), 0
+        )
+        self.followers[name] = follower_lib.Follower(
+            node=node,
+            seeds=tuple(self.names[:3]),
+            now=self.now,
+            beat_s=1.0,
+            wants_content=False,
+        )
+
     # Time and messages.
 
     def run(self, seconds):
--- a/features/steps/declared_steps.py
+++ b/features/steps/declared_steps.py
@@ -412,3 +412,16 @@
 def step_founds(context, one, two):
     for name in (one, two):
         context.site.post("c1", name, config_messages.Found())
+
+
+@when("an agent starts")
+def step_agent(context):
+    context.site.start_agent("a1")
+
+
+@then("every control VM knows the agent")
+def step_knows_agent(context):
+    site = context.site
+    for name, node in site.nodes.items():
+        found = node.roster.nodes("agent", site.now)
+        assert [agent.name for agent in found] == ["a1"], name
--- a/jasperweir/components/follow/follower.py
+++ b/jasperweir/components/follow/follower.py
@@ -1,5 +1,6 @@
 """Follow configuration, targets, entries and the leader; sans-I/O."""
 
+from collections.abc import Iterable
 import dataclasses
 from typing import Any
 from typing import NamedTuple
@@ -20,6 +21,9 @@
 PULL_SECONDS = 0.4
 # A process without a configuration beats this often.
 EAGER_SECONDS = 0.1
+# A control VM that has not answered yet gets a beat this often, whatever the
+# usual interval: a leader must know all agents before it can plan.
+UNHEARD_BEAT_SECONDS = 0.25
 # A control VM that has been silent this long is not counted as heard.
 CONTROL_FRESH_SECONDS = 1.5
 # The leader's word on the newest version holds this long: a version that is
@@ -73,6 +77,7 @@
         self._wants_content = wants_content
         self._beat_s = beat_s
         self._beat_at = 0.0
+        self._unheard_at = 0.0
         self._announced: dict[str, int] = {}
         self._announced_at = 0.0
         self._pulled_at = float("-inf")
@@ -160,7 +165,11 @@
             waits = self._wants_content and not self.ready(now)
             pause = min(self._beat_s, EAGER_SECONDS) if waits else self._beat_s
             self._beat_at = now + pause
+            self._unheard_at = now + UNHEARD_BEAT_SECONDS
             out += self._beats()
+        elif now >= self._unheard_at:
+            self._unheard_at = now + UNHEARD_BEAT_SECONDS
+            out += self._beats(self._unheard(now))
         return out
 
     def receive(self, src: str, msg: Any, now: float) -> Actions:
@@ -198,9 +207,19 @@
             and now - control.heard_at < CONTROL_FRESH_SECONDS
         ]
 
-    def _beats(self) -> Actions:
+    def _unheard(self, now: float) -> list[str]:
+        """Return the control VMs that have not answered of late."""
+        return [
+            name
+            for name, control in self._controls.items()
+            if now - control.heard_at >= CONTROL_FRESH_SECONDS
+        ]
+
+    def _beats(self, names: Iterable[str] | None = None) -> Actions:
+        """Return beats to some control VMs, or to all."""
         out: Actions = []
-        for name, control in self._controls.items():
+        for name in self._controls if names is None else names:
+            control = self._controls[name]
             beat = records.NodeBeat(
                 node=self.node,
                 version=self.version,
