Load the planner soon after the start; ask for counts at once

Change: the planner is loaded in a thread 0.3 s after the start of control; a leader that has heard no engine asks 16 agents for counts.

--- a/features/mapswitch.feature
+++ b/features/mapswitch.feature
@@ -29,6 +29,10 @@
     Given a leader in place "p" that hears 24 agents there and 48 elsewhere
     Then it asks 16 agents for counts, all of them in place "p"
 
+  Scenario: A leader that has heard no engine yet asks for counts as well
+    Given a leader in place "p" that knows of 24 agents there and 48 elsewhere
+    Then it asks 16 agents for counts, all of them in place "p"
+
   Scenario Outline: An agent tells at once what changes, and the rest seldom
     Given an agent of a group of <ranks> ranks whose counts are <wanted>
     When its engine runs passes for 6 seconds
--- a/features/steps/mapswitch_steps.py
+++ b/features/steps/mapswitch_steps.py
@@ -135,6 +135,18 @@
     "{far:d} elsewhere"
 )
 def step_leader_hears(context, place, near, far):
+    hear_agents(context, place, near, far, beats=True)
+
+
+@given(
+    'a leader in place "{place}" that knows of {near:d} agents there and '
+    "{far:d} elsewhere"
+)
+def step_leader_knows(context, place, near, far):
+    hear_agents(context, place, near, far, beats=False)
+
+
+def hear_agents(context, place, near, far, *, beats):
     leader = coordinator_lib.Coordinator(
         place=place, make_group=group_lib.Group
     )
@@ -155,7 +167,8 @@
             counts=(),
             experts=rank.held_map,
         )
-        leader.receive(name, beat, {"s": engines.ENGINE}, 0.0)
+        if beats:
+            leader.receive(name, beat, {"s": engines.ENGINE}, 0.0)
     context.near = {f"a{number}" for number in range(far, size)}
     context.asked = {act.dst for act in leader.tick(1.0) if act.msg.counted}
 
--- a/jasperweir/components/mapswitch/coordinator.py
+++ b/jasperweir/components/mapswitch/coordinator.py
@@ -136,6 +136,10 @@
 
     def _counted(self) -> set[str]:
         """Return the agents whose counts are read, the near ones first."""
+        if not self._groups:
+            # Whoever tells first also tells its counts.
+            known = sorted(self._agents, key=self._is_far)
+            return set(known[: const.COUNTED_RANKS])
         chosen: set[str] = set()
         for group in self._groups.values():
             agents = [member.agent for member in group.members.all()]
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -42,6 +42,9 @@
 LINGER_SECONDS = 1.5
 
 
+# The planner is loaded this long after the start, when entries have their
+# configuration and before an election ends, seconds.
+LOAD_GROUPS_SECONDS = 0.3
 GROUPS_MODULE = "jasperweir.components.mapswitch.group"
 
 
@@ -67,9 +70,8 @@
         self._coordinator = coordinator_lib.Coordinator(
             place=cfg.place, make_group=self._make_group
         )
-        # Module of the groups, loaded when this VM first leads.
+        # Module of the groups, None until it is loaded.
         self._groups: Any = None
-        self._loading: asyncio.Future[Any] | None = None
         self._engines: dict[str, model.Engine] = {}
         self._direct: dict[str, engine_client.RemoteEngine] = {}
         self._told_slow = False
@@ -81,6 +83,8 @@
         await self._host.start(on_stop=self._on_stop, on_reload=self._on_reload)
         self._open()
         await self._host.serve(self._cfg.control, self._handle)
+        loop = asyncio.get_running_loop()
+        loop.call_later(LOAD_GROUPS_SECONDS, self._load_groups)
         self._host.every(const.TICK_SECONDS, self._tick)
         self._host.every(NOTE_SECONDS, self._note)
         self._host.every(TELL_SLOW_SECONDS, self._tell_slow)
@@ -177,7 +181,7 @@
     def _coordinate(self, node: node_lib.ConfigNode, now: float) -> None:
         """Drive the switch of expert maps while this VM surely leads."""
         leads = node.voter.read_index(now) is not None
-        leads = leads and self._groups_loaded()
+        leads = leads and self._groups is not None
         self._coordinator.lead(node.voter.term if leads else 0)
         for agent in node.roster.nodes(directory_const.KIND_AGENT, now):
             self._coordinator.on_agent(agent.name, agent.place, now)
@@ -193,22 +197,20 @@
         self._coordinator.on_entries(apart or [e.name for e in entries])
         self._perform(self._coordinator.tick(now))
 
-    def _groups_loaded(self) -> bool:
-        """Load the groups' module beside the event loop when first leading.
+    def _load_groups(self) -> None:
+        """Load the groups' module beside the event loop.
 
-        Its numeric library takes a tenth of a second of a whole core and
-        12 MB, which the other control VMs and every restart do without.
+        Its numeric library takes a tenth of a second of a whole core, which
+        callers would wait for after a loss of power if it came first.
         """
-        if self._groups is not None:
-            return True
-        if self._loading is None:
-            loop = asyncio.get_running_loop()
-            self._loading = loop.run_in_executor(
-                None, importlib.import_module, GROUPS_MODULE
-            )
-        elif self._loading.done():
-            self._groups = self._loading.result()
-        return self._groups is not None
+        loop = asyncio.get_running_loop()
+        loading = loop.run_in_executor(
+            None, importlib.import_module, GROUPS_MODULE
+        )
+        loading.add_done_callback(self._on_groups)
+
+    def _on_groups(self, loading: "asyncio.Future[Any]") -> None:
+        self._groups = loading.result()
 
     def _make_group(self, **facts: Any) -> Any:
         return self._groups.Group(**facts)
