--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -20,13 +20,12 @@
 from jasperweir.components.forward import dialect as dialect_lib
 from jasperweir.components.forward import exchange as exchange_lib
 from jasperweir.components.forward import life as life_lib
+from jasperweir.components.forward import record as record_lib
 from jasperweir.helpers import http_client
 from jasperweir.helpers import http_server
-from jasperweir.helpers import logs
 from jasperweir.helpers import metrics as metrics_lib
 
 Code = result_codes.Code
-_log = logs.logger("forward")
 
 
 class Early(NamedTuple):
@@ -84,7 +83,7 @@
         self.neighbours = neighbours
         self._directory = directory
         self._budget = budget_lib.RetryBudget(bounds=bounds)
-        self._metrics = metrics
+        self._record = record_lib.Recorder(metrics=metrics)
         self._advice = advice_lib.ReturnAdvice(rng=rng)
         self._early: list[Early] = []
         self._numbers = itertools.count(1)
@@ -268,16 +267,15 @@
         if target is None:
             exchange.give_up(Code.TARGETS_REFUSED)
             return
-        _log.info(
-            "target chosen",
-            id=exchange.life.ask.request_id,
-            target=target.target_id,
-            open=self.balancer.count_at(target.target_id, now),
-            unknown=self.balancer.unknown_at(target.target_id, now),
+        target_id = target.target_id
+        self._record.chosen(
+            exchange,
+            target,
+            at_target=self.balancer.count_at(target_id, now),
+            unknown=self.balancer.unknown_at(target_id, now),
             free=reach.places,
             targets=len(reach.targets),
-            waited_ms=round((now - exchange.life.arrived) * 1000),
-            sends=exchange.life.sends,
+            now=now,
         )
         exchange.send_to(target)
 
@@ -324,7 +322,7 @@
 
     def _take_retry(self, service: str, now: float) -> bool:
         taken = self._budget.take(service, self.entries, now)
-        self._metrics.inc("retries" if taken else "retries_denied")
+        self._record.retry(taken=taken)
         return taken
 
     # Ends.
@@ -335,31 +333,15 @@
         gate = self._gates.get(exchange.service)
         if gate is not None and len(gate):
             gate.withdraw(exchange.number)
-        now = self.now()
-        life = exchange.life
-        first = exchange.first_byte_at
-        self._metrics.inc(
-            "requests", route=life.match.route.name, outcome=outcome
-        )
-        self._metrics.observe("request_seconds", now - life.arrived)
-        if first:
-            self._metrics.observe("first_byte_seconds", first - life.arrived)
-        customer = life.match.customer
-        _log.info(
-            "request ended",
-            id=life.ask.request_id,
-            route=life.match.route.name,
-            customer=customer.name if customer else "",
-            service=exchange.service,
-            target=exchange.target_id,
-            sends=life.sends,
-            outcome=outcome,
-            version=self.index.deployment.version if self.index else 0,
-            first_ms=round((first - life.arrived) * 1000) if first else -1,
-            gap_ms=round(exchange.longest_gap * 1000),
-            total_ms=round((now - life.arrived) * 1000),
+        self._record.ended(
+            exchange, outcome, version=self._version, now=self.now()
         )
 
+    @property
+    def _version(self) -> int:
+        """Configuration version in force, 0 before the first."""
+        return self.index.deployment.version if self.index else 0
+
     def note_fault(
         self,
         exchange: exchange_lib.Exchange,
@@ -370,25 +352,12 @@
         """Record a send that brought no usable answer."""
         if fault is life_lib.Fault.REPLACED:
             self.on_replaced(target)
-        self._metrics.inc("faults", fault=fault.value)
-        _log.info(
-            "send failed",
-            id=exchange.life.ask.request_id,
-            target=target.target_id,
-            address=target.address,
-            fault=fault.value,
-            reason=reason,
-            open=self.balancer.count_at(target.target_id, self.now()),
-        )
+        at_target = self.balancer.count_at(target.target_id, self.now())
+        self._record.fault(exchange, target, fault, reason, at_target)
 
     def note_time_up(self, exchange: exchange_lib.Exchange) -> None:
         """Record a request whose time is up."""
-        _log.info(
-            "time is up",
-            id=exchange.life.ask.request_id,
-            target=exchange.target_id,
-            sends=exchange.life.sends,
-        )
+        self._record.time_up(exchange)
 
     def reply_code(
         self,
@@ -414,12 +383,5 @@
         code: Code,
         detail: str,
     ) -> None:
-        self._metrics.inc("turned_away", code=code.name.lower())
-        _log.info(
-            "request turned away",
-            id=ask.request_id if ask else "",
-            code=code.name.lower(),
-            detail=detail,
-            version=self.index.deployment.version if self.index else 0,
-        )
+        self._record.turned_away(ask, code, detail, self._version)
         self.reply_code(answering, ask, code)
--- /dev/null
+++ b/jasperweir/components/forward/record.py
@@ -0,0 +1,136 @@
+"""Log lines and metrics of an entry's decisions on requests."""
+
+from jasperweir import result_codes
+from jasperweir.components.directory import records
+from jasperweir.components.forward import dialect as dialect_lib
+from jasperweir.components.forward import exchange as exchange_lib
+from jasperweir.components.forward import life as life_lib
+from jasperweir.helpers import logs
+from jasperweir.helpers import metrics as metrics_lib
+
+_log = logs.logger("forward")
+
+
+class Recorder:
+    """Write down what was decided on each request, with its inputs."""
+
+    def __init__(self, *, metrics: metrics_lib.Metrics) -> None:
+        self._metrics = metrics
+
+    def chosen(
+        self,
+        exchange: exchange_lib.Exchange,
+        target: records.Target,
+        *,
+        at_target: int,
+        unknown: int,
+        free: int,
+        targets: int,
+        now: float,
+    ) -> None:
+        """Record the choice of a target.
+
+        Args:
+            exchange: The request.
+            target: Its target.
+            at_target: Open requests there, by all that is known.
+            unknown: Those of them that no entry has told of.
+            free: Free places at the targets that came into question.
+            targets: Number of these.
+            now: Monotonic seconds.
+        """
+        life = exchange.life
+        _log.info(
+            "target chosen",
+            id=life.ask.request_id,
+            target=target.target_id,
+            open=at_target,
+            unknown=unknown,
+            free=free,
+            targets=targets,
+            waited_ms=round((now - life.arrived) * 1000),
+            sends=life.sends,
+        )
+
+    def retry(self, *, taken: bool) -> None:
+        """Count a second send that the budget allowed or denied."""
+        self._metrics.inc("retries" if taken else "retries_denied")
+
+    def ended(
+        self,
+        exchange: exchange_lib.Exchange,
+        outcome: str,
+        *,
+        version: int,
+        now: float,
+    ) -> None:
+        """Record what became of a request."""
+        life = exchange.life
+        first = exchange.first_byte_at
+        self._metrics.inc(
+            "requests", route=life.match.route.name, outcome=outcome
+        )
+        self._metrics.observe("request_seconds", now - life.arrived)
+        if first:
+            self._metrics.observe("first_byte_seconds", first - life.arrived)
+        customer = life.match.customer
+        _log.info(
+            "request ended",
+            id=life.ask.request_id,
+            route=life.match.route.name,
+            customer=customer.name if customer else "",
+            service=exchange.service,
+            target=exchange.target_id,
+            sends=life.sends,
+            outcome=outcome,
+            version=version,
+            first_ms=round((first - life.arrived) * 1000) if first else -1,
+            gap_ms=round(exchange.longest_gap * 1000),
+            total_ms=round((now - life.arrived) * 1000),
+        )
+
+    def fault(
+        self,
+        exchange: exchange_lib.Exchange,
+        target: records.Target,
+        fault: life_lib.Fault,
+        reason: str,
+        at_target: int,
+    ) -> None:
+        """Record a send that brought no usable answer."""
+        self._metrics.inc("faults", fault=fault.value)
+        _log.info(
+            "send failed",
+            id=exchange.life.ask.request_id,
+            target=target.target_id,
+            address=target.address,
+            fault=fault.value,
+            reason=reason,
+            open=at_target,
+        )
+
+    def time_up(self, exchange: exchange_lib.Exchange) -> None:
+        """Record a request whose time is up."""
+        _log.info(
+            "time is up",
+            id=exchange.life.ask.request_id,
+            target=exchange.target_id,
+            sends=exchange.life.sends,
+        )
+
+    def turned_away(
+        self,
+        ask: dialect_lib.Ask | None,
+        code: result_codes.Code,
+        detail: str,
+        version: int,
+    ) -> None:
+        """Record a request that was answered without being taken in."""
+        self._metrics.inc("turned_away", code=code.name.lower())
+        _log.info(
+            "request turned away",
+            id=ask.request_id if ask else "",
+            code=code.name.lower(),
+            detail=detail,
+            version=version,
+        )
