Let the soak lose answers and trouble targets more often

Change: targets can run a request and lose its answer; they are troubled four times as often and faults follow each other faster.

--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -10,6 +10,8 @@
 from features.soak import ledger as ledger_lib
 
 CALL_SECONDS = 5.0
+# Stands for a status where no connection came about.
+REFUSED = -1
 PAUSE_SECONDS = 0.02
 CHANGE_SECONDS = 0.7
 
@@ -42,9 +44,9 @@
         self._sent += 1
         rid = f"{kind}-{self._number}-{self._sent}"
         self._world.ledger.sent(rid)
-        began = time.monotonic()
         status, reason, signed, body = self._send(address, kind, rid)
-        planned = self._world.only_planned_since(began) and status != -1
+        # A connection that was refused carried no request.
+        planned = self._world.faults.planned_only and status != REFUSED
         self._world.ledger.ended(
             rid,
             ledger_lib.Seen(
@@ -62,7 +64,7 @@
             self._addresses = [a for a in self._addresses if a != address]
 
     def _send(self, address, kind, rid):
-        """Return status (-1: never sent), what broke, signature and body."""
+        """Return status, what broke the connection, signature and body."""
         conn = self._conns.get(address)
         if conn is None or self._rng.random() < 0.2:
             host, _, port = address.rpartition(":")
@@ -73,7 +75,7 @@
             try:
                 conn.connect()
             except OSError as exc:
-                return -1, repr(exc), False, b""
+                return REFUSED, repr(exc), False, b""
         method = "GET" if kind == "safe" else "POST"
         body = None if kind == "safe" else rid.encode()
         path = f"/{kind}/1"
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -9,6 +9,8 @@
 
 VMS = (1, 2, 3)
 STOP_SECONDS = 10.0
+# From one fault to the next.
+PAUSE_SECONDS = (0.05, 0.8)
 # A wiped or killed control VM has this long before another may be lost.
 REPAIR_SECONDS = 6.0
 
@@ -36,9 +38,11 @@
         if not self.planned_only:
             kinds += [
                 self._kill, self._freeze, self._wipe, self._reset,
-                self._slow, self._cut, self._bend_target,
+                self._slow, self._cut,
+                # What targets do is what most promises are about.
+                *[self._bend_target] * 4,
             ]  # fmt: skip
-        while not self._world.stopping.wait(self._rng.uniform(0.1, 1.5)):
+        while not self._world.stopping.wait(self._rng.uniform(*PAUSE_SECONDS)):
             self._thaw_due()
             self._rng.choice(kinds)()
         self._mend()
@@ -158,7 +162,12 @@
     def _bend_target(self):
         number = self._rng.choice(self._world.TARGETS)
         what = self._rng.choice(
-            ({"break_after": 3}, {"refuse": True}, {"refuse": False})
+            (
+                {"break_after": 3},
+                {"lose_answers": 3},
+                {"refuse": True},
+                {"refuse": False},
+            )
         )
         self._note(f"target {number} {what}")
         self._world.tell(number, **what)
--- a/features/soak/ledger.py
+++ b/features/soak/ledger.py
@@ -18,7 +18,8 @@
         signed: Whether it bears a target's signature.
         body: Its bytes.
         reason: What ended the connection too early, or empty.
-        planned: Whether only planned work went on since it was sent.
+        planned: Whether its connection stood and the run does planned work
+            only, so that nothing may cut it off.
     """
 
     kind: str
--- a/features/soak/proxy.py
+++ b/features/soak/proxy.py
@@ -8,6 +8,8 @@
 import threading
 
 CHUNK = 65536
+# Time for connections to end after their proxy has closed.
+CLOSE_SECONDS = 2.0
 # With this linger a close resets the connection.
 RESET = struct.pack("ii", 1, 0)
 
@@ -117,7 +119,8 @@
         for proxy in self.by_name.values():
             proxy.close()
         pumps = asyncio.all_tasks() - {asyncio.current_task()}
-        await asyncio.wait(pumps, timeout=2.0) if pumps else None
+        if pumps:
+            await asyncio.wait(pumps, timeout=CLOSE_SECONDS)
 
     def stop(self):
         """Close every proxy and end the event loop."""
--- a/features/soak/world.py
+++ b/features/soak/world.py
@@ -15,7 +15,7 @@
 CALLERS = 6
 # Every fourth seed does planned work only, and then nothing may be cut off.
 PLANNED_EVERY = 4
-# Planned work cuts off nothing; requests this old by its end are left out.
+# All is served again within this time after the last fault has been mended.
 RECOVER_SECONDS = 12.0
 
 
@@ -137,10 +137,6 @@
 
     # What callers, operators and faults use.
 
-    def only_planned_since(self, began):
-        """Tell whether nothing but planned work went on since then."""
-        return self.faults.planned_only and began >= self.began
-
     def control_addresses(self):
         """Return the addresses of control, through the proxies."""
         return [
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -25,6 +25,8 @@
         self.events = events
         self.break_after = 0
         self.refuse = False
+        # Plain requests that still run and whose answers get lost.
+        self.lose_answers = 0
         self.presence = "ready"
         self.sequence = 0
         self.runs: list[str] = []
@@ -78,6 +80,10 @@
         if "/stream/" in self.path:
             self._stream()
             return
+        if state.lose_answers > 0:
+            state.lose_answers -= 1
+            self.close_connection = True
+            return
         self._plain(200, b"ran " + body, signed=True)
 
     def _plain(
