--- a/features/steps/declared_steps.py
+++ b/features/steps/declared_steps.py
@@ -86,12 +86,18 @@
 @then("a read at every control VM returns the first content of version 9")
 def step_read_all(context):
     site = context.site
+    for declared in read_everywhere(site):
+        assert declared.data == site.contents[9]
+
+
+def read_everywhere(site):
+    """Read the configuration at every control VM; return what they tell."""
     asks = [site.describe(name) for name in site.nodes]
     site.run(1.0)
-    for ask in asks:
-        got = site.results.get(ask)
-        assert isinstance(got, node_lib.Described), got
-        assert got.declared.data == site.contents[9]
+    answers = [site.results.get(ask) for ask in asks]
+    for answer in answers:
+        assert isinstance(answer, node_lib.Described), answer
+    return [answer.declared for answer in answers]
 
 
 @when('"{name}" is cut off from the other control VMs')
@@ -370,13 +376,8 @@
 
 @then("every control VM returns version {version:d}")
 def step_read_version(context, version):
-    site = context.site
-    asks = [site.describe(name) for name in site.nodes]
-    site.run(1.0)
-    for ask in asks:
-        got = site.results.get(ask)
-        assert isinstance(got, node_lib.Described), got
-        assert got.declared.version == version, got.declared.version
+    for declared in read_everywhere(context.site):
+        assert declared.version == version, declared.version
 
 
 @then("a while later version {version:d} is taken by the three")
