--- a/script/guards.py
+++ b/script/guards.py
@@ -176,6 +176,23 @@
     Guard("retries are a share of first tries", C + "limits/retry.py",
           "        if self._tokens < 1:\n            return False\n", "",
           "routing"),
+    Guard("seats that losses need before a change", C + "configctl/node.py",
+          "if len(voting) >= self._wanted:",
+          "if len(voting) >= self._least:", "declared"),
+    Guard("only a blank log is founded", C + "configctl/node.py",
+          "if self._founding is None or not self._is_blank:", "if False:",
+          "declared"),
+    Guard("control VMs without a disk ask for no seat",
+          C + "configctl/node.py",
+          "if self._has_disk and not self.voter.is_voting:",
+          "if not self.voter.is_voting:", "declared"),
+    Guard("no address answer without a configuration", C + "entry/node.py",
+          "        if bundle is None:\n            return None\n", "",
+          "membership"),
+    Guard("a rested connection carries nothing that must run once",
+          "jasperweir/helpers/http_client.py",
+          "if time.monotonic() - conn.idle_since <= longest_rest:",
+          "if True:", "hop"),
 )  # fmt: skip
 
 
