Let the soak refuse disk writes, and refused callers come back

Change: for 0.3 to 3 s a control process may not write to any file (its limit on file size is set from outside); half of the refused callers come back as asked, with what is left of their time.

Not met by the soak: clocks that jump; that needs rights over the machine's clock.

--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -5,6 +5,7 @@
 import random
 import threading
 import time
+from typing import NamedTuple
 
 from features.harness import platform as platform_lib
 from features.soak import ledger as ledger_lib
@@ -14,6 +15,28 @@
 REFUSED = -1
 PAUSE_SECONDS = 0.02
 CHANGE_SECONDS = 0.7
+# What a caller states that it will wait, milliseconds.
+DEADLINE_MS = 4500
+# A refused caller comes back as asked, but for no longer than this.
+RETURN_SECONDS = 1.5
+
+
+class Got(NamedTuple):
+    """What one attempt brought.
+
+    Attributes:
+        status: Status, 0 without an answer, REFUSED without a connection.
+        reason: What broke the connection, or empty.
+        signed: Whether a target has signed the answer.
+        body: Bytes of the answer.
+        back_s: Seconds after which to come back, 0 if not asked to.
+    """
+
+    status: int
+    reason: str = ""
+    signed: bool = False
+    body: bytes = b""
+    back_s: float = 0.0
 
 
 class Caller(threading.Thread):
@@ -41,30 +64,38 @@
             time.sleep(0.1)
             return
         kind = self._rng.choice(("safe", "book", "stream"))
+        got = self._attempt(address, kind, DEADLINE_MS)
+        if got.back_s and self._rng.random() < 0.5:
+            back_s = min(got.back_s, RETURN_SECONDS)
+            time.sleep(back_s)
+            self._attempt(address, kind, DEADLINE_MS - round(back_s * 1000))
+
+    def _attempt(self, address, kind, deadline_ms):
+        """Send a request once and enter what came of it in the ledger."""
         self._sent += 1
         rid = f"{kind}-{self._number}-{self._sent}"
         self._world.ledger.sent(rid)
-        status, reason, signed, body = self._send(address, kind, rid)
+        got = self._send(address, kind, rid, deadline_ms)
         # A connection that was refused carried no request.
-        planned = self._world.faults.planned_only and status != REFUSED
+        planned = self._world.faults.planned_only and got.status != REFUSED
         self._world.ledger.ended(
             rid,
             ledger_lib.Seen(
                 kind=kind,
-                status=max(status, 0),
-                whole=not reason,
-                signed=signed,
-                body=body,
-                reason=reason,
+                status=max(got.status, 0),
+                whole=not got.reason,
+                signed=got.signed,
+                body=got.body,
+                reason=got.reason,
                 planned=planned,
             ),
         )
-        if reason:
+        if got.reason:
             self._conns.pop(address, None)
             self._addresses = [a for a in self._addresses if a != address]
+        return got
 
-    def _send(self, address, kind, rid):
-        """Return status, what broke the connection, signature and body."""
+    def _send(self, address, kind, rid, deadline_ms):
         conn = self._conns.get(address)
         if conn is None or self._rng.random() < 0.2:
             host, _, port = address.rpartition(":")
@@ -75,23 +106,28 @@
             try:
                 conn.connect()
             except OSError as exc:
-                return REFUSED, repr(exc), False, b""
+                return Got(REFUSED, repr(exc))
         method = "GET" if kind == "safe" else "POST"
         body = None if kind == "safe" else rid.encode()
-        path = f"/{kind}/1"
-        status, found, signed = 0, b"", False
+        got = Got(0)
         try:
-            conn.request(method, path, body=body, headers=_headers(rid))
+            conn.request(
+                method, f"/{kind}/1", body=body,
+                headers=_headers(rid, deadline_ms),
+            )  # fmt: skip
             resp = conn.getresponse()
-            status = resp.status
-            signed = resp.getheader("Server-Signature") is not None
-            found = resp.read()
+            got = got._replace(
+                status=resp.status,
+                signed=resp.getheader("Server-Signature") is not None,
+                back_s=float(resp.getheader("Retry-After") or 0.0),
+            )
+            got = got._replace(body=resp.read())
             if resp.will_close:
                 self._conns.pop(address, None)
         except (OSError, http.client.HTTPException) as exc:
             conn.close()
-            return status, repr(exc), signed, found
-        return status, "", signed, found
+            return got._replace(reason=repr(exc))
+        return got
 
     def _address(self):
         now = time.monotonic()
@@ -102,11 +138,11 @@
         return self._rng.choice(self._addresses) if self._addresses else None
 
 
-def _headers(rid):
+def _headers(rid, deadline_ms):
     return {
         "Host": platform_lib.HOST,
         "Attempt-Id": rid,
-        "Deadline-Ms": "4500",
+        "Deadline-Ms": str(deadline_ms),
         "Authorization": f"Bearer {platform_lib.KEY}",
     }
 
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -1,6 +1,8 @@
 """Random faults from outside the processes, in series and overlapping."""
 
+import contextlib
 import random
+import resource
 import shutil
 import signal
 import subprocess
@@ -30,6 +32,8 @@
         self._rng = random.Random(f"{world.seed}/faults")
         self._world = world
         self._frozen = {}
+        # Control processes whose disks refuse writes, and until when.
+        self._full = {}
         self._control_lost_at = float("-inf")
 
     def run(self):
@@ -38,12 +42,13 @@
         if not self.planned_only:
             kinds += [
                 self._kill, self._freeze, self._wipe, self._reset,
-                self._slow, self._cut,
+                self._slow, self._cut, self._refuse_writes,
                 # What targets do is what most promises are about.
                 *[self._bend_target] * 4,
             ]  # fmt: skip
         while not self._world.stopping.wait(self._rng.uniform(*PAUSE_SECONDS)):
             self._thaw_due()
+            self._mend_disks(time.monotonic())
             self._rng.choice(kinds)()
         self._mend()
 
@@ -61,6 +66,7 @@
 
     def _may_lose_control(self):
         frozen = any(name.startswith("control") for name in self._frozen)
+        frozen = frozen or bool(self._full)
         waited = time.monotonic() - self._control_lost_at > REPAIR_SECONDS
         return waited and not frozen
 
@@ -103,6 +109,34 @@
         shutil.rmtree(self._world.plat.folder / f"data-{number}")
         self._start(name)
 
+    def _refuse_writes(self):
+        """Let every write of one control process to any file fail."""
+        name = f"control-{self._rng.choice(VMS)}"
+        if self._full or not self._may_lose_control():
+            return
+        self._note(f"disk of {name} refuses")
+        self._limit_files(name, 0)
+        seconds = self._rng.uniform(0.3, 3.0)
+        self._full[name] = time.monotonic() + seconds
+
+    def _mend_disks(self, now):
+        for name, until in list(self._full.items()):
+            if now < until:
+                continue
+            del self._full[name]
+            self._control_lost_at = time.monotonic()
+            self._note(f"disk of {name} takes writes")
+            self._limit_files(name, resource.RLIM_INFINITY)
+
+    def _limit_files(self, name, size):
+        # A process that has ended meanwhile is started without a limit.
+        with contextlib.suppress(ProcessLookupError):
+            resource.prlimit(
+                self._world.plat.procs[name].pid,
+                resource.RLIMIT_FSIZE,
+                (size, resource.RLIM_INFINITY),
+            )
+
     def _end(self, name, what):
         if name.startswith("control"):
             self._control_lost_at = time.monotonic()
@@ -175,6 +209,7 @@
     def _mend(self):
         for name in list(self._frozen):
             self._thaw(name)
+        self._mend_disks(float("inf"))
         self._world.proxies.calm()
         for number in self._world.TARGETS:
             self._world.tell(number, refuse=False, break_after=0)
