Report what became of requests from the logs alone

Cause: an engineer could follow one failed request (docs/OPERATIONS.md) but had no view of a whole spell of trouble: which seconds were worst, and what had changed in them.

Change: `jasperweir report requests LOG...` adds up `request ended` lines by route and outcome (in time, late, refused, failed, left), apart for callers that had come back, names the worst windows and what else was logged in them.

--- /dev/null
+++ b/features/steps/outcomes_steps.py
@@ -0,0 +1,113 @@
+"""Steps on the report on requests."""
+
+import contextlib
+import io
+import json
+
+from behave import given
+from behave import then
+from behave import when
+
+from jasperweir.cli import main as cli
+from jasperweir.components.outcomes import lines
+from jasperweir.components.outcomes import summary as summary_lib
+
+
+def ended(outcome="answered 200", at=10.0, first_ms=300, gap_ms=90, used_ms=0):
+    return json.dumps(
+        {
+            "at": at, "event": "request ended", "route": "r",
+            "outcome": outcome, "first_ms": first_ms, "gap_ms": gap_ms,
+            "target_ms": 400, "gap_target_ms": 120, "used_ms": used_ms,
+        }
+    )  # fmt: skip
+
+
+def line(at, event, **fields):
+    return json.dumps({"at": at, "node": "vm-1", "event": event, **fields})
+
+
+@when(
+    'the log has a request that ended "{outcome}" with {first:d} ms to its '
+    "first byte and pauses of {gap:d} ms"
+)
+def step_ended(context, outcome, first, gap):
+    context.summary = summary_lib.Summary()
+    context.summary.add([ended(outcome, first_ms=first, gap_ms=gap)])
+
+
+@then("the report counts it as {counted}")
+def step_counted(context, counted):
+    counts = context.summary.routes["r"]
+    assert counts == {lines.Outcome(counted): 1}, counts
+
+
+@given("a log with a good window and one in which a leader was lost")
+def step_windows(context):
+    context.summary = summary_lib.Summary(window_s=2.0)
+    context.summary.add(
+        [
+            "  10.100 vm-1 " + ended(at=4.1),
+            ended(at=11.9),
+            line(12.5, "role changed", is_now="follower"),
+            line(12.6, "send failed", reason="status 503"),
+            ended(at=12.7),
+            ended("targets_refused", at=13.9),
+        ]
+    )
+
+
+@then("the worst window begins at {begins:g} s")
+def step_worst(context, begins):
+    assert context.summary.worst()[0].begins == begins
+
+
+@then('it names "{one}" and "{other}"')
+def step_names(context, one, other):
+    assert set(context.summary.worst()[0].changes) == {one, other}
+
+
+@given("a log with a torn line, a line of another program and a blank one")
+def step_torn(context):
+    context.summary = summary_lib.Summary()
+    context.summary.add([ended()[:-9], "listening on 80", "", "{}", "[1]"])
+
+
+@then("the report counts no request")
+def step_none(context):
+    assert not context.summary.routes
+
+
+@when("the log has a request of a caller that came back")
+def step_return(context):
+    context.summary = summary_lib.Summary()
+    context.summary.add([ended(used_ms=2600), ended()])
+
+
+@then("the report counts 1 request of callers that came back")
+def step_one_return(context):
+    assert context.summary.returns.total() == 1
+
+
+@when('"report requests" is run on a log with 3 served and 2 refused requests')
+def step_run(context):
+    path = f"{context.folder}/entry.log"
+    texts = [ended()] * 3 + [ended("overloaded", first_ms=-1)] * 2
+    with open(path, "w", encoding="utf-8") as log:
+        log.write("\n".join(texts))
+    out = io.StringIO()
+    with contextlib.redirect_stdout(out):
+        code = cli.main(["report", "requests", path])
+    assert code == 0, code
+    context.page = out.getvalue().splitlines()
+
+
+@then("it prints a row of 3 in time and 2 refused")
+def step_row(context):
+    row = next(x for x in context.page if x.startswith("r  ")).split()
+    assert row == ["r", "3", "0", "2", "0", "0"], row
+
+
+@then('it names "overloaded" with 2')
+def step_named(context):
+    assert ["2", "overloaded"] in [x.split() for x in context.page]
--- a/jasperweir/cli/report.py
+++ b/jasperweir/cli/report.py
@@ -9,6 +9,8 @@
 import urllib3
 
 from jasperweir.components.burn import report as burn_report
+from jasperweir.components.outcomes import const as outcomes_const
+from jasperweir.components.outcomes import summary as summary_lib
 
 EXIT_UNREACHABLE = 4
 
@@ -30,6 +32,20 @@
     )
     experts.add_argument("--json", action="store_true")
     experts.set_defaults(func=_experts)
+    requests = kinds.add_parser("requests", help="what became of requests")
+    requests.add_argument(
+        "logs",
+        nargs="+",
+        type=argparse.FileType("r"),
+        help="files, or - (a time in seconds may stand before each line)",
+    )
+    requests.add_argument(
+        "--window",
+        type=float,
+        default=outcomes_const.WINDOW_SECONDS,
+        help="length of a window, seconds",
+    )
+    requests.set_defaults(func=_requests)
 
 
 def _fetch(addresses: str, path: str) -> list[dict[str, Any]]:
@@ -60,6 +76,14 @@
     return 0
 
 
+def _requests(args: argparse.Namespace) -> int:
+    summary = summary_lib.Summary(window_s=args.window)
+    for log in args.logs:
+        summary.add(log)
+    print(summary_lib.as_text(summary), end="")
+    return 0
+
+
 def _experts(args: argparse.Namespace) -> int:
     answers = [a for a in _fetch(args.agents, "/experts") if a.get("group")]
     if not answers:
--- /dev/null
+++ b/jasperweir/components/outcomes/__init__.py
@@ -0,0 +1,1 @@
+"""What became of requests, second by second, from the logs of processes."""
