Let callers that came back wait longer, and tell outages from full targets

Refused callers were asked back after 0.3 to 2.2 s, met the same outage and were refused for good. Each refusal also took a second send from the retry budget.

Change: a caller that has used up a part of its route's usual time has come back and will hardly ask again: it waits up to 3.5 times its target time for a place (a first try: 0.2 times) and goes before first tries. Three refusals in a row are an outage: no second sends, callers are asked back after 1.6 to 2.6 s, those that wait go on when a target accepts one. Entries that see the same free places give away their share of them only.

Proved: the scenario with real processes fails on the code before (503); seven guards, each removed, turn a test red.

--- a/features/forward.feature
+++ b/features/forward.feature
@@ -115,3 +115,61 @@
     When 20 requests are refused within a second
     Then the last is asked back later than the first
     And none is asked back after more than 2.9 s
+
+  Scenario Outline: A caller that has come back is told by the time it states
+    Given callers of a route of 8 s that stated <earlier> s before
+    Then a caller that states <stated> s has used <used> s
+
+    Examples:
+      | earlier | stated | used |
+      | 8.05    | 8.05   | 0    |
+      | 8.05    | 5.4    | 2.6  |
+      | 8.05    | 7.9    | 0    |
+      | 5.0     | 5.0    | 0    |
+      | 60      | 8.05   | 0    |
+
+  Scenario: A shorter time-out makes nobody look as if it had come back
+    Given callers of a route of 8 s that stated 8.05 s before
+    When its time-out is changed to 7.5 s
+    Then a caller that states 8.05 s has used 0 s
+    And a caller that states 5.4 s has used 2.1 s
+
+  Scenario: Callers return later where no target is announced
+    When 20 requests are refused since there is no target
+    Then each is asked back after 1.6 to 2.6 s
+
+  Scenario Outline: A caller that has come back waits longer than a first try
+    Given a request of a caller that has used <used> s and has <left> s left
+    Then it waits <waits> s for a place
+
+    Examples:
+      | used | left | waits |
+      | 0    | 8.0  | 0.08  |
+      | 2.6  | 5.4  | 1.4   |
+      | 6.8  | 1.2  | 0.4   |
+
+  Scenario: Who asked first gets a free place first
+    When a request waits whose caller has used 2 s, and an older first try
+    Then the request of the caller that came back gets the free place
+
+  Scenario: Targets that refuse everybody are told from those that are full
+    When a service refuses 2 requests in a row
+    Then it has no outage
+    When it refuses one more
+    Then it has an outage, in which waiting requests try it once in 0.5 s
+    When a target takes a request
+    Then it has no outage
+
+  Scenario: Single refusals make no outage
+    When a service refuses a request every 3 s, 5 times
+    Then it has no outage
+
+  Scenario: Callers return after an outage, not in its midst
+    When 20 requests are refused in an outage
+    Then each is asked back after 1.6 to 2.6 s
+
+  Scenario: Entries that see the same free places share them
+    Given 10 entries that each see 96 free places
+    Then each of them gives away 10 at once
+    Given 10 entries that each see 1 free places
+    Then each of them gives away 1 at once
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -36,6 +36,14 @@
     When both targets serve again
     Then a booking is run once
 
+  Scenario: A caller that was refused and came back is not refused again
+    Given three VMs with control and entry, and two targets
+    When both targets refuse
+    And 4 callers are refused that will still wait 5 s
+    Then the first of them was sent to both targets, and the last to one
+    When one comes back with 3 s left, and the targets serve 0.5 s later
+    Then it is answered whole, and its request was run once
+
   Scenario: A caller that leaves ends the work at its target
     Given three VMs with control and entry, and two targets
     When a caller leaves a long stream
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -8,18 +8,23 @@
 from behave import when
 
 from features.harness import site
+from jasperweir import result_codes
 from jasperweir.components.balance import advice
 from jasperweir.components.balance import balancer
 from jasperweir.components.balance import budget
 from jasperweir.components.balance import gate
 from jasperweir.components.balance import messages
 from jasperweir.components.balance import neighbours
+from jasperweir.components.balance import outage
+from jasperweir.components.balance import patience
 from jasperweir.components.deployment import index
 from jasperweir.components.deployment import model
 from jasperweir.components.directory import records
 from jasperweir.components.forward import dialect
 from jasperweir.components.forward import events
 from jasperweir.components.forward import life as life_lib
+from jasperweir.components.forward import places as places_lib
+from jasperweir.components.forward import refusals
 
 KINDS = {
     "safe": (model.Kind.SAFE, 2, False),
@@ -29,7 +34,7 @@
 }
 
 
-def life_of(kind, resume_after=""):
+def life_of(kind, resume_after="", used_s=0.0, patience_s=8.0):
     what, attempts, resumable = KINDS[kind]
     route = model.Route(
         name="r",
@@ -45,9 +50,9 @@
         public=True,
         resumable=resumable,
     )
-    ask = dialect.Ask("id", 8.0, "", 10, 10, resume_after)
+    ask = dialect.Ask("id", patience_s, "", 10, 10, resume_after)
     match = index.Match(route=route, customer=None)
-    return life_lib.Life(match=match, ask=ask, now=100.0)
+    return life_lib.Life(match=match, ask=ask, now=100.0, used_s=used_s)
 
 
 @given("a {kind} request that one target has received")
@@ -328,3 +333,134 @@
 @then("none is asked back after more than {seconds:g} s")
 def step_none_later(context, seconds):
     assert max(context.waits) <= seconds
+
+
+@given("callers of a route of {timeout_s:g} s that stated {stated:g} s before")
+def step_patience(context, timeout_s, stated):
+    context.patience = patience.UsualPatience()
+    context.timeout_s = timeout_s
+    context.patience.used("r", stated, timeout_s)
+
+
+@when("its time-out is changed to {timeout_s:g} s")
+def step_timeout(context, timeout_s):
+    context.timeout_s = timeout_s
+
+
+@when("20 requests are refused since there is no target")
+def step_no_target(context):
+    made = refusals.Refusals(dialect=PlainDialect(), rng=random.Random(2))
+    context.waits = []
+    for _ in range(20):
+        answering = KeptAnswer()
+        made.refuse(answering, None, result_codes.Code.NO_TARGET, 5.0)
+        context.waits.append(float(dict(answering.headers)[b"retry-after"]))
+
+
+class PlainDialect:
+    """A protocol whose own answers need no header."""
+
+    def own_headers(self, ask):
+        return []
+
+
+class KeptAnswer:
+    """Keep the headers of the answer that a caller would get."""
+
+    def reply(self, status, headers, body):
+        self.headers = headers
+
+
+@then("a caller that states {stated:g} s has used {used:g} s")
+def step_used(context, stated, used):
+    got = context.patience.used("r", stated, context.timeout_s)
+    assert round(got, 3) == used, got
+
+
+@given("a request of a caller that has used {used:g} s and has {left:g} s left")
+def step_returned(context, used, left):
+    context.life = life_of("resumable", used_s=used, patience_s=left)
+
+
+@then("it waits {seconds:g} s for a place")
+def step_waits_for(context, seconds):
+    got = context.life.waits_until - context.life.arrived
+    assert round(got, 3) == seconds, got
+
+
+@when("a request waits whose caller has used 2 s, and an older first try")
+def step_two_wait(context):
+    waiting = gate.Gate()
+    for number, used_s in enumerate((0.0, 2.0)):
+        asked_at = life_of("safe", used_s=used_s).asked_at + 0.05 * number
+        waiting.wait(gate.Waiting(1, asked_at, number, 109.0, 100.0))
+    context.admitted = waiting.admit(1, 101.0)
+
+
+@then("the request of the caller that came back gets the free place")
+def step_returned_gets(context):
+    assert context.admitted == [1]
+
+
+@when("a service refuses {count:d} requests in a row")
+def step_refuses(context, count):
+    context.now = 50.0
+    context.outage = outage.Outage()
+    for _ in range(count):
+        assert not context.outage.on_refusal(context.now)
+
+
+@when("it refuses one more")
+def step_one_more(context):
+    context.now += 0.1
+    assert context.outage.on_refusal(context.now)
+
+
+@when("a target takes a request")
+def step_takes(context):
+    assert context.outage.on_answer(context.now)
+
+
+@when("a service refuses a request every {pause:g} s, {count:d} times")
+def step_single(context, pause, count):
+    context.outage = outage.Outage()
+    for n in range(count):
+        context.now = 50.0 + n * pause
+        context.outage.on_refusal(context.now)
+
+
+@then("it has no outage")
+def step_no_outage(context):
+    assert not context.outage.lasts(context.now)
+
+
+@then("it has an outage, in which waiting requests try it once in {pause:g} s")
+def step_outage(context, pause):
+    taken = 0
+    for n in range(100):
+        at = context.now + n * 0.01
+        assert context.outage.lasts(at)
+        taken += context.outage.take_probe(at)
+    assert taken == round(1.0 / pause), taken
+
+
+@when("{count:d} requests are refused in an outage")
+def step_refused_in_outage(context, count):
+    spread = advice.ReturnAdvice(rng=random.Random(2))
+    context.waits = [spread.during_outage() for _ in range(count)]
+
+
+@then("each is asked back after {least:g} to {most:g} s")
+def step_asked_back(context, least, most):
+    assert least <= min(context.waits) < max(context.waits) <= most
+    assert max(context.waits) - min(context.waits) > (most - least) / 2
+
+
+@given("{entries:d} entries that each see {places:d} free places")
+def step_same_places(context, entries, places):
+    context.reach = places_lib.Reach([], places, entries)
+
+
+@then("each of them gives away {count:d} at once")
+def step_gives_away(context, count):
+    assert context.reach.share == count, context.reach.share
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -194,6 +194,41 @@
     assert runs(context.plat).count("booked") == 1
 
 
+@when("{count:d} callers are refused that will still wait 5 s")
+def step_refused_first(context, count):
+    for number in range(count):
+        status, _, _ = context.plat.request(1, "/stream/1", f"f{number}", b"")
+        assert status == 503
+
+
+@then("the first of them was sent to both targets, and the last to one")
+def step_sent(context):
+    # A moment for the last lines to be written.
+    time.sleep(0.3)
+    log = (context.plat.folder / "entry-1.log").read_text()
+    failed = [x for x in log.splitlines() if '"send failed"' in x]
+    sent = [sum(f'"{rid}"' in x for x in failed) for rid in ("f0", "f3")]
+    assert sent == [2, 1], sent
+
+
+@when("one comes back with 3 s left, and the targets serve 0.5 s later")
+def step_comes_back(context):
+    timer = threading.Timer(0.5, step_serve, [context])
+    timer.start()
+    context.answer = context.plat.request(
+        1, "/stream/1", "again", b"", Deadline_Ms="3000"
+    )
+    timer.join()
+
+
+@then("it is answered whole, and its request was run once")
+def step_answered_whole(context):
+    status, _, body = context.answer
+    assert status == 200, status
+    assert body.count(b"data: piece") == 10, body
+    assert runs(context.plat).count("again") == 1
+
+
 @when("a caller leaves a long stream")
 def step_leave(context):
     context.plat.tell(1, events=200)
--- a/jasperweir/components/balance/advice.py
+++ b/jasperweir/components/balance/advice.py
@@ -10,6 +10,10 @@
 # Each refusal of the last seconds stands for others who return as well.
 SECONDS_PER_REFUSAL = 0.12
 WINDOW_SECONDS = 2.0
+# While a service refuses everybody, callers return after this long, spread so
+# that they do not all meet at its end. The longest is what a caller with 8 s
+# follows; together with its wait here it bridges some four seconds.
+OUTAGE_SECONDS = (1.6, 2.6)
 # A process that has just started has its configuration within this time.
 STARTING_SECONDS = 0.8
 
@@ -33,6 +37,10 @@
         self._refused.append(now)
         return min(wait, MOST_SECONDS) * self._rng.uniform(0.7, 1.3)
 
+    def during_outage(self) -> float:
+        """Return the seconds after which an outage may have ended."""
+        return self._rng.uniform(*OUTAGE_SECONDS)
+
     def while_starting(self) -> float:
         """Return the seconds after which a starting process is ready."""
         return STARTING_SECONDS * self._rng.uniform(0.8, 1.4)
--- a/jasperweir/components/balance/const.py
+++ b/jasperweir/components/balance/const.py
@@ -47,5 +47,23 @@
 # place, or for targets and a configuration to be there again, since a late
 # rest of its answer is worth more to it than none.
 RESUMED_WAIT_SECONDS = 1.8
+# A caller that was refused and has come back has no further try either, but
+# nothing of its answer yet. It waits for this many times its target time: it
+# would leave after four times that without a first event.
+RETURNED_WAIT_SHARE = 3.5
+# And for no more than this share of the time that it has left.
+RETURNED_WAIT_MOST_SHARE = 1 / 3
+# A caller that has used up this much of its route's usual time has come back;
+# the earliest that a refusal asks anybody back, less the spread of networks.
+RETURN_LEAST_SECONDS = 0.15
 # Time until a waiting request is tried again where targets refused it.
 PAUSE_SECONDS = 0.15
+
+# A service that has refused this many requests in a row serves nobody.
+OUTAGE_REFUSALS = 3
+# Refusals that are further apart say nothing about each other: a dead rank
+# holds up its group's work for 1.5 s before the next refusals come.
+OUTAGE_SILENT_SECONDS = 2.0
+# During an outage requests that come for the first time are its probes. An
+# entry that gets none sends a waiting request this often instead.
+OUTAGE_PROBE_SECONDS = 0.5
--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -30,6 +30,7 @@
 
     Attributes:
         number: Own number of the request.
+        answering: Way back to the caller.
         service: Service that it goes to.
         life: Facts and rules of the request.
         done: Whether the caller has its final answer or has gone.
@@ -51,7 +52,7 @@
         self.life = life
         self.done = False
         self._owner = owner
-        self._answering = answering
+        self.answering = answering
         self._target: records.Target | None = None
         self._conn: http_client.ClientConnection | None = None
         self._holds_place = False
@@ -72,7 +73,7 @@
     @property
     def request(self) -> http_message.Request:
         """The caller's request."""
-        return self._answering.request
+        return self.answering.request
 
     @property
     def target_id(self) -> str:
@@ -154,6 +155,7 @@
             hard = fault is Fault.REPLACED
             self._on_fault(fault, f"status {head.status}", hard=hard)
             return True
+        self._owner.note_taken(self)
         if head.status < 500:
             self._owner.balancer.succeeded(self.target_id, now - self._sent_at)
         else:
@@ -177,16 +179,16 @@
                 self._note_gap()
                 self.life.last_event = self._splitter.last_id
                 self._begin_answer(None)
-                self._answering.send(whole)
+                self.answering.send(whole)
             return
         if self.life.started:
-            self._answering.send(data)
+            self.answering.send(data)
             return
         self._held.append(data)
         self._held_bytes += len(data)
         if self._held_bytes > const.HOLD_BYTES:
             self._begin_answer(self._length)
-            self._answering.send(b"".join(self._held))
+            self.answering.send(b"".join(self._held))
             self._held = []
 
     def _note_gap(self) -> None:
@@ -205,13 +207,13 @@
         self._release()
         if self._passes_events:
             self._begin_answer(None)
-            self._answering.send(self._splitter.rest())
-            self._answering.end()
+            self.answering.send(self._splitter.rest())
+            self.answering.end()
         elif self.life.started:
-            self._answering.end()
+            self.answering.end()
         else:
             assert self._head is not None
-            self._answering.reply(
+            self.answering.reply(
                 self._head.status,
                 http_message.end_to_end(self._head.headers),
                 b"".join(self._held),
@@ -237,7 +239,7 @@
         assert self._head is not None
         self.life.started = True
         headers = http_message.end_to_end(self._head.headers)
-        self._answering.start(self._head.status, headers, length)
+        self.answering.start(self._head.status, headers, length)
 
     # What goes wrong.
 
@@ -269,7 +271,7 @@
                 if not self._may_wait(verdict.code):
                     self.refuse(verdict.code)
             case life_lib.BreakOff():
-                self._answering.abort()
+                self.answering.abort()
                 self._close(f"broken off: {verdict.reason}")
 
     def give_up(self, code: Code) -> None:
@@ -287,7 +289,7 @@
             return
         self._drop_conn()
         self._release()
-        self._owner.reply_code(self._answering, self.life.ask, code)
+        self._owner.refuse(self, code)
         self._close(code.name.lower())
 
     def _on_time_up(self) -> None:
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -3,24 +3,27 @@
 from collections.abc import Callable
 import itertools
 import random
-from typing import NamedTuple
 
 from jasperweir import core
 from jasperweir import result_codes
-from jasperweir.components.balance import advice as advice_lib
 from jasperweir.components.balance import balancer as balancer_lib
 from jasperweir.components.balance import budget as budget_lib
 from jasperweir.components.balance import const as balance_const
 from jasperweir.components.balance import gate as gate_lib
 from jasperweir.components.balance import neighbours as neighbours_lib
+from jasperweir.components.balance import outage as outage_lib
+from jasperweir.components.balance import patience as patience_lib
 from jasperweir.components.deployment import index as index_lib
 from jasperweir.components.deployment import model
 from jasperweir.components.directory import directory as directory_lib
 from jasperweir.components.directory import records
 from jasperweir.components.forward import dialect as dialect_lib
+from jasperweir.components.forward import early as early_lib
 from jasperweir.components.forward import exchange as exchange_lib
 from jasperweir.components.forward import life as life_lib
+from jasperweir.components.forward import places as places_lib
 from jasperweir.components.forward import record as record_lib
+from jasperweir.components.forward import refusals as refusals_lib
 from jasperweir.helpers import http_client
 from jasperweir.helpers import http_server
 from jasperweir.helpers import metrics as metrics_lib
@@ -28,31 +31,16 @@
 Code = result_codes.Code
 
 
-class Early(NamedTuple):
-    """A request that came before there was a configuration."""
-
-    answering: http_server.Answering
-    ask: dialect_lib.Ask
-    until: float
-
-
-class Reach(NamedTuple):
-    """Targets that a request may go to now, and their free places."""
-
-    targets: list[records.Target]
-    places: int
-
-
 class Forwarder:
     """Everything that the requests of one entry share.
 
     Attributes:
         balancer: Open requests and health of targets.
         neighbours: Entries and targets that this one deals with first.
+        places: Where a request may go now.
         pool: Connections to targets.
         dialect: Protocol of callers and targets.
         index: Configuration in force, None before the first.
-        entries: How many entries share the retry budget.
         stopping: Whether new requests are refused.
         is_certain: Tells whether the configuration in force is the newest.
         on_replaced: Called with a target whose address another one has.
@@ -74,18 +62,22 @@
         self.balancer = balancer_lib.Balancer(rng=rng)
         self.pool = http_client.Pool(times=times)
         self.index: index_lib.Index | None = None
-        self.entries = 1
         self.stopping = False
         self.is_certain: Callable[[], bool] = lambda: True
         self.on_replaced: Callable[[records.Target], None] = lambda _: None
         self._clock = clock
         self._rng = rng
         self.neighbours = neighbours
+        self.places = places_lib.Places(
+            balancer=self.balancer, neighbours=neighbours, rng=rng
+        )
         self._directory = directory
         self._budget = budget_lib.RetryBudget(bounds=bounds)
         self._record = record_lib.Recorder(metrics=metrics)
-        self._advice = advice_lib.ReturnAdvice(rng=rng)
-        self._early: list[Early] = []
+        self._refusals = refusals_lib.Refusals(dialect=dialect, rng=rng)
+        self._patience = patience_lib.UsualPatience()
+        self._outages = outage_lib.Outages()
+        self._early = early_lib.EarlyRequests()
         self._numbers = itertools.count(1)
         self._open: dict[int, exchange_lib.Exchange] = {}
         self._gates: dict[str, gate_lib.Gate] = {}
@@ -123,21 +115,18 @@
             self._turn_away(answering, ask, Code.NOT_READY, "no configuration")
             return
         until = self.now() + balance_const.RESUMED_WAIT_SECONDS
-        self._early.append(Early(answering=answering, ask=ask, until=until))
+        self._early.keep(early_lib.Early(answering, ask, until))
 
-    def _release_early(self, now: float) -> None:
-        early, self._early = self._early, []
-        for kept in early:
-            if kept.answering.done:
-                continue
-            if self.index is not None:
-                self._accept(kept.answering, kept.ask, self.index)
-            elif now < kept.until:
-                self._early.append(kept)
-            else:
-                self._turn_away(
-                    kept.answering, kept.ask, Code.NOT_READY, "no configuration"
-                )
+    def _accept_early(self, early: early_lib.Early) -> bool:
+        if self.index is None:
+            return False
+        self._accept(early.answering, early.ask, self.index)
+        return True
+
+    def _refuse_early(self, early: early_lib.Early) -> None:
+        self._turn_away(
+            early.answering, early.ask, Code.NOT_READY, "no configuration"
+        )
 
     def _accept(
         self,
@@ -153,7 +142,9 @@
             return
         now = self.now()
         service = self._service(match.route)
-        life = life_lib.Life(match=match, ask=ask, now=now)
+        life = life_lib.Life(
+            match=match, ask=ask, now=now, used_s=self._used_s(ask, match.route)
+        )
         exchange = exchange_lib.Exchange(
             number=next(self._numbers),
             owner=self,
@@ -165,6 +156,12 @@
         self._budget.count_first(service, now)
         self._admit(exchange, now)
 
+    def _used_s(self, ask: dialect_lib.Ask, route: model.Route) -> float:
+        """Return the seconds that a caller has spent on earlier tries."""
+        if ask.patience_s is None:
+            return 0.0
+        return self._patience.used(route.name, ask.patience_s, route.timeout_s)
+
     def _match(
         self,
         answering: http_server.Answering,
@@ -208,9 +205,12 @@
             if not self.may_wait(exchange):
                 exchange.give_up(Code.NO_TARGET)
             return
-        gate = self._gate(exchange.service)
-        reach = self._reach(targets, now)
-        if reach.places >= 1 and not len(gate):
+        reach = self.places.reach(targets, now)
+        # During an outage those who come first show whether it has ended.
+        first = not len(self._gate(exchange.service))
+        if reach.places >= 1 and (
+            first or self._outages.of(exchange.service).lasts(now)
+        ):
             self._send(exchange, reach, now)
             return
         self._wait(exchange, now, now)
@@ -226,19 +226,20 @@
     ) -> None:
         waiting = gate_lib.Waiting(
             priority=exchange.life.match.priority,
-            since=exchange.life.arrived,
+            since=exchange.life.asked_at,
             number=exchange.number,
             until=exchange.life.waits_until,
             not_before=not_before,
         )
         self._gate(exchange.service).wait(waiting)
+        self._record.waits(exchange, now)
 
     def may_wait(self, exchange: exchange_lib.Exchange) -> bool:
         """Let a request wait that targets refused, if it has the time."""
         now = self.now()
         not_before = now + balance_const.PAUSE_SECONDS
         life = exchange.life
-        if not life.is_resumed or life.waits_until <= not_before:
+        if not life.is_last_try or life.waits_until <= not_before:
             return False
         if self.stopping:
             return False
@@ -246,17 +247,11 @@
         self._wait(exchange, now, not_before)
         return True
 
-    def _reach(self, targets: list[records.Target], now: float) -> Reach:
-        """Return the near targets while they have places, else all."""
-        near = self.neighbours.home(targets, self._rng.random())
-        places = self.balancer.free_places(near, now)
-        if places >= 1 or len(near) == len(targets):
-            return Reach(targets=near, places=places)
-        places = self.balancer.free_places(targets, now)
-        return Reach(targets=targets, places=places)
-
     def _send(
-        self, exchange: exchange_lib.Exchange, reach: Reach, now: float
+        self,
+        exchange: exchange_lib.Exchange,
+        reach: places_lib.Reach,
+        now: float,
     ) -> None:
         tried = exchange.life.tried
         target = self.balancer.choose(reach.targets, tried, now)
@@ -282,36 +277,45 @@
     def send_again(self, exchange: exchange_lib.Exchange) -> None:
         """Send a request to another target if the budget allows."""
         now = self.now()
-        arrived = exchange.life.arrivals > 0
-        if arrived and not self._take_retry(exchange.service, now):
+        if self._outages.of(exchange.service).lasts(now):
+            # Another target would refuse it as well.
             exchange.give_up(Code.TARGETS_REFUSED)
             return
         targets = self._directory.serving(exchange.service, now)
-        self._send(exchange, self._reach(targets, now), now)
+        self._send_once_more(exchange, self.places.reach(targets, now), now)
 
     def tick(self) -> None:
         """Let time pass: give places to those who wait, refuse the late."""
         now = self.now()
-        if self._early:
-            self._release_early(now)
+        if len(self._early):
+            self._early.release(
+                now, accept=self._accept_early, refuse=self._refuse_early
+            )
         for service, gate in self._gates.items():
             if not len(gate):
                 continue
             targets = self._directory.serving(service, now)
-            reach = self._reach(targets, now)
-            for number in gate.admit(reach.places, now):
+            reach = self.places.reach(targets, now)
+            for number in gate.admit(self._given(service, reach, now), now):
                 exchange = self._open.get(number)
                 if exchange is not None:
-                    self._send_waiting(exchange, reach, now)
+                    self._send_once_more(exchange, reach, now)
             for number in gate.expire(now):
                 exchange = self._open.get(number)
                 if exchange is not None:
                     exchange.give_up(Code.OVERLOADED)
 
-    def _send_waiting(
+    def _given(self, service: str, reach: places_lib.Reach, now: float) -> int:
+        """Return how many of those who wait are sent now."""
+        outage = self._outages.of(service)
+        if not outage.lasts(now):
+            return reach.share
+        return int(reach.places >= 1 and outage.take_probe(now))
+
+    def _send_once_more(
         self,
         exchange: exchange_lib.Exchange,
-        reach: Reach,
+        reach: places_lib.Reach,
         now: float,
     ) -> None:
         arrived = exchange.life.arrivals > 0
@@ -321,7 +325,7 @@
         self._send(exchange, reach, now)
 
     def _take_retry(self, service: str, now: float) -> bool:
-        taken = self._budget.take(service, self.entries, now)
+        taken = self._budget.take(service, self.places.entries, now)
         self._record.retry(taken=taken)
         return taken
 
@@ -352,29 +356,31 @@
         """Record a send that brought no usable answer."""
         if fault is life_lib.Fault.REPLACED:
             self.on_replaced(target)
+        if fault is life_lib.Fault.NOT_RUN:
+            if self._outages.of(exchange.service).on_refusal(self.now()):
+                self._record.outage(exchange.service, begins=True)
         at_target = self.balancer.count_at(target.target_id, self.now())
         self._record.fault(exchange, target, fault, reason, at_target)
 
+    def note_taken(self, exchange: exchange_lib.Exchange) -> None:
+        """Note that a target has taken a request."""
+        if self._outages.of(exchange.service).on_answer(self.now()):
+            self._record.outage(exchange.service, begins=False)
+
     def note_time_up(self, exchange: exchange_lib.Exchange) -> None:
         """Record a request whose time is up."""
         self._record.time_up(exchange)
 
-    def reply_code(
-        self,
-        answering: http_server.Answering,
-        ask: dialect_lib.Ask | None,
-        code: Code,
-    ) -> None:
-        """Give a caller the answer that a result code stands for."""
-        row = result_codes.TABLE[code]
-        headers = self.dialect.own_headers(ask)
-        headers.append((b"jasperweir-code", b"%d" % int(code)))
-        if row.http == 503:
-            wait = self._advice.while_starting()
-            if code is not Code.NOT_READY:
-                wait = self._advice.after_refusal(self.now())
-            headers.append((b"retry-after", b"%.3f" % wait))
-        answering.reply(row.http, headers, b"")
+    def refuse(self, exchange: exchange_lib.Exchange, code: Code) -> None:
+        """Answer a request by a result code, with when to come back."""
+        now = self.now()
+        self._refusals.refuse(
+            exchange.answering,
+            exchange.life.ask,
+            code,
+            now,
+            outage=self._outages.of(exchange.service).lasts(now),
+        )
 
     def _turn_away(
         self,
@@ -384,4 +390,4 @@
         detail: str,
     ) -> None:
         self._record.turned_away(ask, code, detail, self._version)
-        self.reply_code(answering, ask, code)
+        self._refusals.refuse(answering, ask, code, self.now())
--- a/jasperweir/components/forward/life.py
+++ b/jasperweir/components/forward/life.py
@@ -54,6 +54,8 @@
         match: Route and customer.
         ask: What the caller stated.
         arrived: When it arrived, monotonic seconds.
+        asked_at: When its caller first asked, as far as is known, monotonic
+            seconds.
         ends: When its answer must be final, monotonic seconds.
         sends: How many targets have received it.
         arrivals: How many times it has arrived at an address, which is what
@@ -66,11 +68,25 @@
     """
 
     def __init__(
-        self, *, match: index.Match, ask: dialect_lib.Ask, now: float
+        self,
+        *,
+        match: index.Match,
+        ask: dialect_lib.Ask,
+        now: float,
+        used_s: float = 0.0,
     ) -> None:
+        """Begin a request.
+
+        Args:
+            match: Route and customer.
+            ask: What the caller stated.
+            now: Monotonic seconds.
+            used_s: Seconds that its caller has spent on earlier tries.
+        """
         self.match = match
         self.ask = ask
         self.arrived = now
+        self.asked_at = now - used_s
         patience = ask.patience_s
         if patience is None:
             patience = const.DEFAULT_DEADLINE_SECONDS
@@ -94,12 +110,25 @@
         """Whether the caller goes on with an answer that broke off."""
         return bool(self.ask.resume_after) and self.match.route.resumable
 
+    @property
+    def is_last_try(self) -> bool:
+        """Whether its caller is not likely to ask once more if refused."""
+        return self.is_resumed or self.asked_at < self.arrived
+
     @property
     def waits_until(self) -> float:
         """When a request without a place is refused, monotonic seconds."""
-        wait = balance_const.WAIT_SHARE * self.match.route.target_s
+        target_s = self.match.route.target_s
         if self.is_resumed:
             wait = balance_const.RESUMED_WAIT_SECONDS
+        elif self.is_last_try:
+            left = self.remaining(self.arrived)
+            wait = min(
+                balance_const.RETURNED_WAIT_SHARE * target_s,
+                balance_const.RETURNED_WAIT_MOST_SHARE * left,
+            )
+        else:
+            wait = balance_const.WAIT_SHARE * target_s
         return self.arrived + wait
 
     def remaining(self, now: float) -> float:
--- a/jasperweir/components/forward/record.py
+++ b/jasperweir/components/forward/record.py
@@ -52,6 +52,28 @@
             sends=life.sends,
         )
 
+    def waits(self, exchange: exchange_lib.Exchange, now: float) -> None:
+        """Record that a request waits for a place or for its targets."""
+        life = exchange.life
+        self._metrics.inc("waits", last_try=str(life.is_last_try).lower())
+        _log.info(
+            "request waits",
+            id=life.ask.request_id,
+            service=exchange.service,
+            sends=life.sends,
+            used_ms=round((life.arrived - life.asked_at) * 1000),
+            until_ms=round((life.waits_until - now) * 1000),
+        )
+
+    def outage(self, service: str, *, begins: bool) -> None:
+        """Record that all targets of a service refuse, or no longer do."""
+        if begins:
+            self._metrics.inc("outages", service=service)
+        _log.info(
+            "targets refuse" if begins else "targets accept again",
+            service=service,
+        )
+
     def retry(self, *, taken: bool) -> None:
         """Count a second send that the budget allowed or denied."""
         self._metrics.inc("retries" if taken else "retries_denied")
@@ -87,6 +109,9 @@
             first_ms=round((first - life.arrived) * 1000) if first else -1,
             gap_ms=round(exchange.longest_gap * 1000),
             total_ms=round((now - life.arrived) * 1000),
+            used_ms=round((life.arrived - life.asked_at) * 1000),
+            target_ms=round(life.match.route.target_s * 1000),
+            gap_target_ms=round(life.match.route.gap_s * 1000),
         )
 
     def fault(
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -205,7 +205,7 @@
     def _share(self) -> None:
         now = self._host.now()
         entries = self._follower.open_entries(now)
-        self._forwarder.entries = max(len(entries), 1)
+        self._forwarder.places.entries = max(len(entries), 1)
         neighbours = self._forwarder.neighbours
         neighbours.on_entries(entries)
         self._share_due = False
--- a/script/guards.py
+++ b/script/guards.py
@@ -10,7 +10,10 @@
 from typing import NamedTuple
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-PARTS = ("jasperweir", "standins", "features", "pyproject.toml", "examples")
+PARTS = (
+    "jasperweir", "platform", "standins", "features", "pyproject.toml",
+    "examples",
+)  # fmt: skip
 RUN_SECONDS = 90
 C = "jasperweir/components/"
 
@@ -193,6 +196,24 @@
           "jasperweir/helpers/http_client.py",
           "if time.monotonic() - conn.idle_since <= longest_rest:",
           "if True:", "hop"),
+    Guard("a caller that came back waits longer", C + "forward/life.py",
+          "elif self.is_last_try:", "elif False:", "forward"),
+    Guard("who asked first goes first", C + "forward/life.py",
+          "self.asked_at = now - used_s", "self.asked_at = now", "forward"),
+    Guard("a shorter time-out is no return", C + "balance/patience.py",
+          "min(longest_s, timeout_s)", "longest_s", "forward"),
+    Guard("an outage needs several refusals", C + "balance/outage.py",
+          "return self._refusals >= const.OUTAGE_REFUSALS",
+          "return self._refusals > 0", "forward"),
+    Guard("refusals far apart are no outage", C + "balance/outage.py",
+          "            self._refusals = 0\n        self._refusals += 1",
+          "            pass\n        self._refusals += 1", "forward"),
+    Guard("entries share free places", C + "forward/places.py",
+          "/ max(self.entries, 1)", "/ 1", "forward"),
+    Guard("no second send in an outage", C + "forward/forwarder.py",
+          "if self._outages.of(exchange.service).lasts(now):\n"
+          "            # Another",
+          "if False:\n            # Another", "platform"),
 )  # fmt: skip
 
 
