Give each hold once, by an entry that answers

The entry that gives holds was being restarted and gave none; after 0.3 s the leader took the hold back and in the same tick gave it itself. It came after its release and stood until the next plan looked for it, 0.45 s later.

Change: a hold is not sent again and never given by the leader; after one that was not confirmed another entry gives the next; one that comes late is looked for in each tick.

Ruled out: the frozen VM (froze at 8.278 s, after the leader's own hold), by the times of both logs put on one clock.

--- a/features/harness/engines.py
+++ b/features/harness/engines.py
@@ -10,6 +10,7 @@
 from jasperweir.components.mapswitch import messages
 from jasperweir.components.mapswitch import plan
 from jasperweir.components.mapswitch import runner as runner_lib
+from jasperweir.helpers import codec
 
 STEP = 0.01
 PASS_SECONDS = 0.06
@@ -214,6 +215,10 @@
         self.beat_at = 0.0
         self.tap = None
         self.cut = set()
+        # Orders that a leader gave to an engine itself.
+        self.given_directly = []
+        # Entries that may give holds.
+        self.entries = ("e1", "e2")
         self.counted = set()
 
     def lead(self):
@@ -300,8 +305,8 @@
                     src, msg, {"s": ENGINE}, self.now
                 )
                 self.perform(dst, acts)
-            elif dst == "e1" and isinstance(msg, messages.OrderAsk):
-                self.on_order("e1", None, src, msg)
+            elif dst in self.entries and isinstance(msg, messages.OrderAsk):
+                self.on_order(dst, None, src, msg)
             elif dst in self.agents and self.is_up(dst):
                 runner = self.agents[dst]
                 match msg:
@@ -333,6 +338,8 @@
                 case actions.PhaseChanged():
                     self.phases.append((round(self.now, 2), name, act))
                 case actions.Direct():
+                    order = codec.unpack_tagged(act.ask.order)
+                    self.given_directly.append(order)
                     key = (name, act.ask.engine)
                     runner = self.direct.setdefault(
                         key, runner_lib.Runner(reads_are_fresh=False)
--- a/features/mapswitch.feature
+++ b/features/mapswitch.feature
@@ -65,6 +65,22 @@
     Then no pass has begun on two maps
     And no pass has waited longer than 0.3 seconds
 
+  Scenario: The node that gives holds does not answer
+    Given a group of 4 engines under a leader
+    And two entries that may give holds, the first choice cut off
+    When 5 seconds pass at the group
+    Then no pass has begun on two maps
+    And no pass has waited
+    And the leader itself has given no hold
+    And the group has switched its map
+
+  Scenario: A hold that comes after it was taken back is found at once
+    Given a group of 4 engines under a leader
+    When a hold reaches its engine 0.35 seconds late
+    And 5 seconds pass at the group
+    Then no pass has begun on two maps
+    And no pass has waited longer than 0.1 seconds
+
   Scenario: A leader that takes over resolves a hold
     Given a group of 4 engines under a leader
     When the first rank holds a pass and the leader freezes
--- a/features/steps/mapswitch_steps.py
+++ b/features/steps/mapswitch_steps.py
@@ -14,6 +14,7 @@
 from jasperweir.components.mapswitch import pacer as pacer_lib
 from jasperweir.components.mapswitch import plan as plan_lib
 from jasperweir.components.mapswitch import planner as planner_lib
+from jasperweir.helpers import codec
 
 
 @given("a group of 4 engines under a leader")
@@ -258,6 +259,41 @@
     context.dep.frozen.add(context.leader)
 
 
+@given("two entries that may give holds, the first choice cut off")
+def step_two_givers(context):
+    dep = context.dep
+    dep.leaders[context.leader].on_entries(["e2", "e1"])
+    dep.cut_pair(context.leader, "e1")
+
+
+@then("the leader itself has given no hold")
+def step_no_direct_hold(context):
+    given = context.dep.given_directly
+    assert not any(isinstance(x, messages.Hold) for x in given), given
+
+
+@when("a hold reaches its engine {seconds:g} seconds late")
+def step_late_hold(context, seconds):
+    dep = context.dep
+    held_up = []
+
+    def tap(dep, src, dst, msg):
+        if not isinstance(msg, messages.OrderAsk) or held_up:
+            return False
+        if not isinstance(codec.unpack_tagged(msg.order), messages.Hold):
+            return False
+        held_up.append(msg)
+        dep.queue.append((dep.now + seconds, src, dst, msg))
+        return True
+
+    dep.tap = tap
+    for _ in range(600):
+        dep.run(engines.STEP)
+        if held_up:
+            return
+    raise AssertionError("no hold was sent")
+
+
 @when("another leader takes over")
 def step_take_over(context):
     context.dep.lead()
--- a/jasperweir/components/mapswitch/coordinator.py
+++ b/jasperweir/components/mapswitch/coordinator.py
@@ -45,7 +45,7 @@
         self._agents: dict[str, Agent] = {}
         self._numbers = itertools.count(1)
         self._asked_at = float("-inf")
-        self._giver = ""
+        self._givers: tuple[str, ...] = ()
 
     @property
     def leads(self) -> bool:
@@ -66,10 +66,9 @@
 
     def on_entries(self, names: list[str]) -> None:
         """Note the entries; one of them gives the holds of each group."""
-        if self._giver not in names:
-            self._giver = names[-1] if names else ""
-            for group in self._groups.values():
-                group.set_giver(self._giver)
+        self._givers = tuple(names)
+        for group in self._groups.values():
+            group.set_givers(self._givers)
 
     def on_agent(self, name: str, place: str, now: float) -> None:
         """Note an agent that beats here."""
@@ -169,7 +168,7 @@
                 engine=engine,
                 term=self._term,
                 numbers=self._numbers,
-                giver=self._giver,
+                givers=self._givers,
             )
             self._groups[name] = group
         group.on_beat(src, msg, now)
--- a/jasperweir/components/mapswitch/group.py
+++ b/jasperweir/components/mapswitch/group.py
@@ -17,6 +17,7 @@
 from jasperweir.components.mapswitch import actions
 from jasperweir.components.mapswitch import const
 from jasperweir.components.mapswitch import demand as demand_lib
+from jasperweir.components.mapswitch import givers as givers_lib
 from jasperweir.components.mapswitch import members as members_lib
 from jasperweir.components.mapswitch import messages
 from jasperweir.components.mapswitch import orders as orders_lib
@@ -52,7 +53,7 @@
 
     def __init__(
         self, *, name: str, engine: model.Engine, term: int,
-        numbers: "itertools.count[int]", giver: str,
+        numbers: "itertools.count[int]", givers: tuple[str, ...],
     ) -> None:  # fmt: skip
         self.name = name
         self.members = members_lib.Members()
@@ -62,9 +63,9 @@
         self.phase = Phase.IDLE
         self._planner = planner_lib.Planner(engine=engine)
         self._term = term
-        # Node that gives holds. If the VM that has just given one stands
-        # still, no engine of the group should stand still with it.
-        self._giver = giver
+        # If the VM that has just given a hold stands still, no engine of the
+        # group should stand still with it: an entry gives the holds.
+        self._givers = givers_lib.Givers(givers)
         self._version = term << _VERSION_BITS
         # Whether an order to arm may still be under way; a new leader cannot
         # know.
@@ -105,9 +106,13 @@
 
     def tick(self, now: float) -> Actions:
         """Let time pass and take the next step if it is due."""
-        # Nothing waits for the copies, so that nobody is passed by there.
-        direct = self.phase is not Phase.PREPARING
-        out = self._orders.resend(now, direct=direct)
+        out: Actions = []
+        # A hold that is not confirmed is taken back, and a second copy of it
+        # could come after that.
+        if self.phase is not Phase.HOLDING:
+            # Nothing waits for copies, so that nobody is passed by there.
+            direct = self.phase is not Phase.PREPARING
+            out += self._orders.resend(now, direct=direct)
         out += self._step(now)
         notes, self._notes = self._notes, []
         return out + notes
@@ -127,9 +132,9 @@
                 state = state._replace(prepared=order.version)
         return state
 
-    def set_giver(self, name: str) -> None:
-        """Let another node give the holds."""
-        self._giver = name
+    def set_givers(self, names: tuple[str, ...]) -> None:
+        """Take in which nodes may give the holds."""
+        self._givers.update(names)
 
     @property
     def busy(self) -> bool:
@@ -175,6 +180,7 @@
         Its VM may stand still, with an engine that could not be disarmed.
         """
         self._orders.clear()
+        self._givers.pass_over()
         self._careful = const.CAREFUL_SWITCHES
         self._enter(Phase.RELEASING, now, "the hold is not confirmed")
         release = messages.Release(at_pass=self._at_pass)
@@ -182,6 +188,8 @@
 
     def _idle(self, now: float) -> Actions:
         due = self._planner.active or now >= self._plan_at
+        # A hold that came late stops all ranks once they reach its pass.
+        due = due or self.members.any_held()
         if not due or not self.members.complete(self._term, now):
             return []
         states = [m.state for m in self.members.all()]
@@ -261,7 +269,7 @@
         self._at_pass = self.members.newest_pass() + passes
         holder = self.members.all()[0]
         order = messages.Hold(at_pass=self._at_pass)
-        return self._order(holder, order, now, giver=self._giver)
+        return self._order(holder, order, now, giver=self._givers.current)
 
     def _holding(self, now: float) -> Actions:
         holder = self.members.all()[0]
--- a/jasperweir/components/mapswitch/members.py
+++ b/jasperweir/components/mapswitch/members.py
@@ -91,6 +91,10 @@
             for m in members
         )
 
+    def any_held(self) -> bool:
+        """Tell whether any rank holds a pass."""
+        return any(m.state.held for m in self._by_rank.values())
+
     def uniform(self) -> bool:
         """Tell whether every rank is armed for one map and pass."""
         states = [m.state for m in self.all()]
