Let streams leave a target that has become slow

Change: entries stop their streams at a target from three times its usual pace on and go on at another at the event that follows, within the attempts of the route, the retry budget and the free places. The leader tells at once which targets are slow (it looked every 0.5 s). Holds are given by entries that are not stopping.

Ruled out: that the pauses are the experts' (maps were switched off the slow rank within 0.3 s); by the engine's figures 630 ms are six sequences at 12 times the pace.

The rank's fixed part of a pass stays.

--- /dev/null
+++ b/features/harness/hop.py
@@ -0,0 +1,182 @@
+"""A forwarder with scripted targets on one event loop, without a platform."""
+
+import asyncio
+import contextlib
+import random
+
+from features.harness import site
+from jasperweir import core
+from jasperweir.components.balance import budget
+from jasperweir.components.balance import neighbours
+from jasperweir.components.deployment import index
+from jasperweir.components.deployment import model
+from jasperweir.components.directory import directory
+from jasperweir.components.forward import dialect
+from jasperweir.components.forward import forwarder
+from jasperweir.helpers import http_client
+from jasperweir.helpers import http_message
+from jasperweir.helpers import metrics
+
+EVENTS = 6
+SETTLE_SECONDS = 0.1
+
+
+class Target:
+    """Send events up to a number, then stand still until told to go on."""
+
+    def __init__(self, *, stops_after):
+        self.stops_after = stops_after
+        self.requests = 0
+        self.closed = False
+        self.address = ""
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def _serve(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.requests += 1
+        after = int(head.partition(b"after: ")[2].partition(b"\r\n")[0] or 0)
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for number in range(after + 1, self.stops_after + 1):
+            event = b"id: %d\ndata: x\n\n" % number
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+        if self.stops_after == EVENTS:
+            writer.write(b"0\r\n\r\n")
+        with contextlib.suppress(asyncio.CancelledError):
+            self.closed = not await reader.read(1)
+            writer.close()
+
+    def close(self):
+        self._server.close()
+
+
+class Dialect:
+    """A protocol with one header: the event after which to go on."""
+
+    def dispatch(self, req, sent):
+        return [(b"after", (sent.resume_after or "0").encode())]
+
+    def target_head(self, head):
+        return dialect.TargetHead("", True, False, False, False, None)
+
+    def own_headers(self, ask):
+        return []
+
+    def ask(self, req):
+        return dialect.Ask("id", 5.0, "", 10, 10, "")
+
+
+class Answering:
+    """Keep what a caller gets."""
+
+    def __init__(self):
+        self.request = http_message.Request(
+            method=b"POST",
+            target=b"/",
+            headers=[(b"host", b"h")],
+            body=b"",
+            keep_alive=True,
+        )
+        self.on_gone = lambda: None
+        self.done = False
+        self.starts = 0
+        self.body = b""
+        self.whole = False
+
+    def start(self, status, headers, length):
+        self.starts += 1
+
+    def send(self, data):
+        self.body += data
+
+    def end(self):
+        self.whole = True
+
+    def abort(self):
+        self.done = True
+
+    def reply(self, status, headers, body):
+        self.done = True
+
+    def ids(self):
+        return [int(x[4:]) for x in self.body.split(b"\n") if x[:3] == b"id:"]
+
+
+def route(*, resumable=True, attempts=2):
+    return model.Route(
+        name="r",
+        host="h",
+        prefix="/",
+        kind=model.Kind.STREAM,
+        timeout_s=5.0,
+        target_s=0.4,
+        gap_s=0.12,
+        priority=1,
+        backends=(model.Backend("s", 1.0),),
+        max_attempts=attempts,
+        public=True,
+        resumable=resumable,
+    )
+
+
+class Hop:
+    """One forwarder, a target that stands still, and another one."""
+
+    def __init__(self, *, route, retries=50.0):
+        self.slow = Target(stops_after=3)
+        self.other = Target(stops_after=EVENTS)
+        self.answering = Answering()
+        self._route = route
+        self._retries = retries
+
+    async def start(self):
+        self.directory = directory.Directory()
+        bounds = budget.BudgetBounds(
+            ratio=0.0, burst=self._retries, window_s=10.0
+        )
+        self.forwarder = forwarder.Forwarder(
+            clock=core.SystemClock(),
+            rng=random.Random(1),
+            dialect=Dialect(),
+            directory=self.directory,
+            neighbours=neighbours.Neighbours(name="e1", place="p"),
+            bounds=bounds,
+            times=http_client.ClientTimes(),
+            metrics=metrics.Metrics(labels={}),
+        )
+        self.forwarder.index = index.Index(
+            deployment=model.Deployment(
+                version=1,
+                routes=(self._route,),
+                services=(),
+                limits=model.Limits(16384, 65536, 3.0, 15.0),
+                customers=(),
+            )
+        )
+        await self.slow.start()
+        await self.other.start()
+        self.announce("slow", self.slow)
+        self.forwarder.handle(self.answering)
+        await asyncio.sleep(SETTLE_SECONDS)
+        self.announce("other", self.other)
+
+    def announce(self, name, target):
+        found = site.target(target_id=name, address=target.address)
+        self.directory.merge(found, self.forwarder.now())
+
+    async def turn_slow(self, pace):
+        now = self.forwarder.now()
+        self.forwarder.on_paces({self.slow.address: pace}, now)
+        await asyncio.sleep(SETTLE_SECONDS)
+
+    def fill(self, name):
+        """Let another entry have taken every place at a target."""
+        for _ in range(100):
+            self.forwarder.balancer.begin(name)
+
+    def close(self):
+        self.slow.close()
+        self.other.close()
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -34,14 +34,14 @@
 }
 
 
-def life_of(kind, resume_after="", used_s=0.0, patience_s=8.0):
+def route_of(kind, timeout_s=8.0):
     what, attempts, resumable = KINDS[kind]
-    route = model.Route(
+    return model.Route(
         name="r",
         host="h",
         prefix="/",
         kind=what,
-        timeout_s=8.0,
+        timeout_s=timeout_s,
         target_s=0.4,
         gap_s=0.12,
         priority=1,
@@ -50,6 +50,10 @@
         public=True,
         resumable=resumable,
     )
+
+
+def life_of(kind, resume_after="", used_s=0.0, patience_s=8.0):
+    route = route_of(kind)
     ask = dialect.Ask("id", patience_s, "", 10, 10, resume_after)
     match = index.Match(route=route, customer=None)
     return life_lib.Life(match=match, ask=ask, now=100.0, used_s=used_s)
@@ -339,7 +343,7 @@
 def step_patience(context, timeout_s, stated):
     context.patience = patience.UsualPatience()
     context.timeout_s = timeout_s
-    context.patience.used("r", stated, timeout_s)
+    context.patience.used(route_of("safe", timeout_s), stated)
 
 
 @when("its time-out is changed to {timeout_s:g} s")
@@ -373,7 +377,7 @@
 
 @then("a caller that states {stated:g} s has used {used:g} s")
 def step_used(context, stated, used):
-    got = context.patience.used("r", stated, context.timeout_s)
+    got = context.patience.used(route_of("safe", context.timeout_s), stated)
     assert round(got, 3) == used, got
 
 
--- a/jasperweir/components/balance/const.py
+++ b/jasperweir/components/balance/const.py
@@ -24,6 +24,9 @@
 PACE_SECONDS = 2.0
 # Places at a target that is this many times slower do not count.
 PACE_MAX = 2.0
+# Streams leave a target from this pace on. A group waits in each pass for what
+# its slowest rank runs, and six streams take as long there as its fixed part.
+MOVE_PACE = 3.0
 
 # Failures in a row after which a target is left out, and for how long.
 EJECT_FAILURES = 2
--- a/jasperweir/components/deployment/model.py
+++ b/jasperweir/components/deployment/model.py
@@ -1,6 +1,7 @@
 """Typed content of one configuration version."""
 
 import enum
+import random
 from typing import NamedTuple
 
 
@@ -58,6 +59,11 @@
             return self.resumable
         return self.kind is Kind.SAFE
 
+    def draw_service(self, rng: random.Random) -> str:
+        """Return the service of one request, drawn by the weights."""
+        weights = [backend.weight for backend in self.backends]
+        return rng.choices(self.backends, weights)[0].service
+
 
 class Engine(NamedTuple):
     """Speed and sizes of a service's model engines.
--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -255,13 +255,27 @@
             self._owner.pool.drop(_pool_key(target))
         if fault in (Fault.UNSENT, Fault.UNKNOWN):
             self._owner.balancer.failed(target.target_id, now, hard=hard)
+        self._detach()
+        self._owner.note_fault(self, target, fault, reason)
+        self._act(self.life.on_fault(target.target_id, fault, now))
+
+    def _detach(self) -> None:
+        """Let go of the target; whole events that came from it stay."""
         self._drop_conn()
         self._release()
         self._head = self._head if self.life.started else None
         self._held, self._held_bytes = [], 0
         self._splitter = events_lib.EventSplitter(last_id=self.life.last_event)
-        self._owner.note_fault(self, target, fault, reason)
-        self._act(self.life.on_fault(target.target_id, fault, now))
+
+    @property
+    def may_move(self) -> bool:
+        """Whether it is at a target now and may go on at another."""
+        return self._conn is not None and self.life.may_move
+
+    def leave_target(self) -> None:
+        """Stop the work at the target, to go on with it at another."""
+        self._detach()
+        self.life.moved()
 
     def _act(self, verdict: life_lib.Verdict) -> None:
         match verdict:
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -14,7 +14,6 @@
 from jasperweir.components.balance import outage as outage_lib
 from jasperweir.components.balance import patience as patience_lib
 from jasperweir.components.deployment import index as index_lib
-from jasperweir.components.deployment import model
 from jasperweir.components.directory import directory as directory_lib
 from jasperweir.components.directory import records
 from jasperweir.components.forward import dialect as dialect_lib
@@ -24,6 +23,7 @@
 from jasperweir.components.forward import places as places_lib
 from jasperweir.components.forward import record as record_lib
 from jasperweir.components.forward import refusals as refusals_lib
+from jasperweir.components.forward import stragglers
 from jasperweir.helpers import http_client
 from jasperweir.helpers import http_server
 from jasperweir.helpers import metrics as metrics_lib
@@ -141,10 +141,9 @@
             self._turn_away(answering, ask, Code.DRAINING, "stopping")
             return
         now = self.now()
-        service = self._service(match.route)
-        life = life_lib.Life(
-            match=match, ask=ask, now=now, used_s=self._used_s(ask, match.route)
-        )
+        service = match.route.draw_service(self._rng)
+        used_s = self._patience.used(match.route, ask.patience_s)
+        life = life_lib.Life(match=match, ask=ask, now=now, used_s=used_s)
         exchange = exchange_lib.Exchange(
             number=next(self._numbers),
             owner=self,
@@ -156,12 +155,6 @@
         self._budget.count_first(service, now)
         self._admit(exchange, now)
 
-    def _used_s(self, ask: dialect_lib.Ask, route: model.Route) -> float:
-        """Return the seconds that a caller has spent on earlier tries."""
-        if ask.patience_s is None:
-            return 0.0
-        return self._patience.used(route.name, ask.patience_s, route.timeout_s)
-
     def _match(
         self,
         answering: http_server.Answering,
@@ -192,11 +185,6 @@
             code = Code.NOT_READY
         self._turn_away(answering, ask, code, detail)
 
-    def _service(self, route: model.Route) -> str:
-        weights = [backend.weight for backend in route.backends]
-        chosen = self._rng.choices(route.backends, weights)[0]
-        return chosen.service
-
     # Places.
 
     def _admit(self, exchange: exchange_lib.Exchange, now: float) -> None:
@@ -329,6 +317,23 @@
         self._record.retry(taken=taken)
         return taken
 
+    def on_paces(self, paces: dict[str, float], now: float) -> None:
+        """Take in which targets, by address, are slow; streams leave them."""
+        self.balancer.on_paces(paces, now)
+        for exchange in stragglers.leaving(
+            self._open.values(), self.balancer, self._directory, now
+        ):
+            self._move(exchange, now)
+
+    def _move(self, exchange: exchange_lib.Exchange, now: float) -> None:
+        targets = self._directory.serving(exchange.service, now)
+        reach = self.places.reach(targets, now)
+        if reach.places < 1 or not self._take_retry(exchange.service, now):
+            return
+        self._record.moved(exchange)
+        exchange.leave_target()
+        self._send(exchange, reach, now)
+
     # Ends.
 
     def closed(self, exchange: exchange_lib.Exchange, outcome: str) -> None:
--- a/jasperweir/components/forward/life.py
+++ b/jasperweir/components/forward/life.py
@@ -115,6 +115,14 @@
         """Whether its caller is not likely to ask once more if refused."""
         return self.is_resumed or self.asked_at < self.arrived
 
+    @property
+    def may_move(self) -> bool:
+        """Whether it may be stopped and go on at another target."""
+        route = self.match.route
+        if not self.is_stream or not route.resumable:
+            return False
+        return 0 < self.sends < route.max_attempts
+
     @property
     def waits_until(self) -> float:
         """When a request without a place is refused, monotonic seconds."""
@@ -141,6 +149,10 @@
         self.arrivals += 1
         self.tried.add(target_id)
 
+    def moved(self) -> None:
+        """Note that its target was told to stop."""
+        self.may_have_run = True
+
     def on_fault(self, target_id: str, fault: Fault, now: float) -> Verdict:
         """Judge a send that brought no whole answer."""
         self.tried.add(target_id)
--- a/jasperweir/components/forward/record.py
+++ b/jasperweir/components/forward/record.py
@@ -134,6 +134,19 @@
             open=at_target,
         )
 
+    def moved(
+        self,
+        exchange: exchange_lib.Exchange,
+    ) -> None:
+        """Record a stream that leaves a slow target."""
+        self._metrics.inc("moves")
+        _log.info(
+            "stream leaves target",
+            id=exchange.life.ask.request_id,
+            target=exchange.target_id,
+            last_event=exchange.life.last_event,
+        )
+
     def time_up(self, exchange: exchange_lib.Exchange) -> None:
         """Record a request whose time is up."""
         _log.info(
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -34,7 +34,9 @@
 DISK_RETRY_SECONDS = 0.5
 # Soft state is written down this often if it has changed, seconds.
 NOTE_SECONDS = 0.5
-# Entries are told of slow targets this often, seconds.
+# Entries are told at once which targets are slow, as far as a look this often
+# shows it, and again while nothing changes, seconds.
+LOOK_SLOW_SECONDS = 0.1
 TELL_SLOW_SECONDS = 0.5
 # A stopping control VM stays this long after it has handed over the lead, so
 # that calls under way get their answers, seconds.
@@ -73,7 +75,8 @@
         self._groups: Any = None
         self._engines: dict[str, model.Engine] = {}
         self._direct: dict[str, engine_client.RemoteEngine] = {}
-        self._told_slow = False
+        self._told_slow = mapswitch_messages.SlowTargets(targets=())
+        self._told_slow_at = float("-inf")
         # Commit index and directory digest that are written down.
         self._noted = (0, 0)
 
@@ -86,7 +89,7 @@
         loop.call_later(LOAD_GROUPS_SECONDS, self._load_groups)
         self._host.every(const.TICK_SECONDS, self._tick)
         self._host.every(NOTE_SECONDS, self._note)
-        self._host.every(TELL_SLOW_SECONDS, self._tell_slow)
+        self._host.every(LOOK_SLOW_SECONDS, self._tell_slow)
         await self._stopping.wait()
         await asyncio.sleep(LINGER_SECONDS)
         self._host.stop()
@@ -184,8 +187,17 @@
         self._coordinator.lead(node.voter.term if leads else 0)
         for agent in node.roster.nodes(directory_const.KIND_AGENT, now):
             self._coordinator.on_agent(agent.name, agent.place, now)
+        self._coordinator.on_entries(self._hold_givers(node, now))
+        self._perform(self._coordinator.tick(now))
+
+    def _hold_givers(self, node: node_lib.ConfigNode, now: float) -> list[str]:
+        """Return the entries that may give holds.
+
+        None that is stopping, and none on a VM of control, where there are
+        others.
+        """
         entries = node.roster.nodes(directory_const.KIND_ENTRY, now)
-        # An entry on a VM without a disk, where there is one.
+        entries = [entry for entry in entries if entry.open] or entries
         controls = {name.rpartition(":")[0] for name in node.roster.controls}
         controls.add(self._cfg.address)
         apart = [
@@ -193,8 +205,7 @@
             for entry in entries
             if entry.name.rpartition(":")[0] not in controls
         ]
-        self._coordinator.on_entries(apart or [e.name for e in entries])
-        self._perform(self._coordinator.tick(now))
+        return apart or [entry.name for entry in entries]
 
     def _load_groups(self) -> None:
         """Load the groups' module beside the event loop.
@@ -294,10 +305,13 @@
         if node is None or not self._coordinator.leads:
             return
         slow = self._coordinator.slow_targets()
-        if not slow.targets and not self._told_slow:
-            return
-        self._told_slow = bool(slow.targets)
         now = self._host.now()
+        if slow == self._told_slow:
+            rests = now - self._told_slow_at < TELL_SLOW_SECONDS
+            if rests or not slow.targets:
+                return
+        self._told_slow = slow
+        self._told_slow_at = now
         for entry in node.roster.nodes(directory_const.KIND_ENTRY, now):
             self._host.send(core.Send(dst=entry.name, msg=slow))
 
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -155,7 +155,7 @@
                 return
             case mapswitch_messages.SlowTargets():
                 paces = {t.address: t.pace for t in msg.targets}
-                self._forwarder.balancer.on_paces(paces, now)
+                self._forwarder.on_paces(paces, now)
                 return
         self._perform(self._follower.receive(src, msg, now))
 
--- a/script/guards.py
+++ b/script/guards.py
@@ -201,7 +201,7 @@
     Guard("who asked first goes first", C + "forward/life.py",
           "self.asked_at = now - used_s", "self.asked_at = now", "forward"),
     Guard("a shorter time-out is no return", C + "balance/patience.py",
-          "min(longest_s, timeout_s)", "longest_s", "forward"),
+          "min(longest_s, route.timeout_s)", "longest_s", "forward"),
     Guard("an outage needs several refusals", C + "balance/outage.py",
           "return self._refusals >= const.OUTAGE_REFUSALS",
           "return self._refusals > 0", "forward"),
@@ -214,6 +214,22 @@
           "if self._outages.of(exchange.service).lasts(now):\n"
           "            # Another",
           "if False:\n            # Another", "platform"),
+    Guard("streams leave very slow targets only",
+          C + "forward/stragglers.py", ">= const.MOVE_PACE", ">= 1.0",
+          "stragglers"),
+    Guard("a stream moves only to a free place", C + "forward/forwarder.py",
+          "if reach.places < 1 or not self._take_retry",
+          "if not self._take_retry",
+          "stragglers"),
+    Guard("a stream moves within its attempts", C + "forward/life.py",
+          "return 0 < self.sends < route.max_attempts", "return True",
+          "stragglers"),
+    Guard("a hold is given once", C + "mapswitch/group.py",
+          "if self.phase is not Phase.HOLDING:", "if True:", "mapswitch"),
+    Guard("a late hold is found at once", C + "mapswitch/group.py",
+          "due = due or self.members.any_held()", "pass", "mapswitch"),
+    Guard("another node gives the next holds", C + "mapswitch/group.py",
+          "self._givers.pass_over()", "pass", "mapswitch"),
 )  # fmt: skip
 
 
