--- a/script/run_tests.py
+++ b/script/run_tests.py
@@ -67,7 +67,7 @@
         report = pathlib.Path(folder) / "report.json"
         command = [
             str(BIN / "behave"),
-            *("--format", "progress", "--outfile", "/dev/stdout"),
+            *("--format", "progress", "--outfile", "-"),
             *("--format", "json", "--outfile", str(report)),
             *args,
         ]
