--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -347,6 +347,7 @@
         "    return real(name, *rest, **more)\n"
         "builtins.__import__ = hooked\n"
         "sys.argv = ['platform/run.py', 'entry']\n"
+        "sys.path.insert(0, 'platform')\n"
         "runpy.run_path('platform/run.py', run_name='__main__')"
     )
     env = {**os.environ, "PYTHONPATH": ""}
