--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -340,6 +340,8 @@
 def step_reload_while_loading(context):
     code = (
         "import builtins, os, runpy, signal, sys\n"
+        # Under nohup it would be ignored from the start.
+        "signal.signal(signal.SIGHUP, signal.SIG_DFL)\n"
         "real = builtins.__import__\n"
         "def hooked(name, *rest, **more):\n"
         "    if name == 'adapter':\n"
