--- a/features/harness/hop.py
+++ b/features/harness/hop.py
@@ -105,13 +105,14 @@
         return [int(x[4:]) for x in self.body.split(b"\n") if x[:3] == b"id:"]
 
 
-def route(*, resumable=True, attempts=2):
+def route(*, kind=model.Kind.STREAM, timeout_s=5.0, resumable=True, attempts=2):
+    """Return a route to one service."""
     return model.Route(
         name="r",
         host="h",
         prefix="/",
-        kind=model.Kind.STREAM,
-        timeout_s=5.0,
+        kind=kind,
+        timeout_s=timeout_s,
         target_s=0.4,
         gap_s=0.12,
         priority=1,
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -7,6 +7,7 @@
 from behave import then
 from behave import when
 
+from features.harness import hop
 from features.harness import site
 from jasperweir import result_codes
 from jasperweir.components.balance import advice
@@ -36,19 +37,8 @@
 
 def route_of(kind, timeout_s=8.0):
     what, attempts, resumable = KINDS[kind]
-    return model.Route(
-        name="r",
-        host="h",
-        prefix="/",
-        kind=what,
-        timeout_s=timeout_s,
-        target_s=0.4,
-        gap_s=0.12,
-        priority=1,
-        backends=(model.Backend("s", 1.0),),
-        max_attempts=attempts,
-        public=True,
-        resumable=resumable,
+    return hop.route(
+        kind=what, timeout_s=timeout_s, resumable=resumable, attempts=attempts
     )
 
 
