--- a/features/harness/engines.py
+++ b/features/harness/engines.py
@@ -6,6 +6,7 @@
 from jasperweir.components.deployment import model
 from jasperweir.components.mapswitch import actions
 from jasperweir.components.mapswitch import coordinator as coordinator_lib
+from jasperweir.components.mapswitch import counter as counter_lib
 from jasperweir.components.mapswitch import group as group_lib
 from jasperweir.components.mapswitch import messages
 from jasperweir.components.mapswitch import plan
@@ -205,6 +206,7 @@
         self.group = Group(ranks, seed)
         self.now = 0.0
         self.agents = {f"a{i}": runner_lib.Runner() for i in range(ranks)}
+        self.counters = {name: counter_lib.Counter() for name in self.agents}
         self.leaders = {}
         self.direct = {}
         self.down = {}
@@ -263,12 +265,17 @@
                 address=name,
                 term=runner.term,
                 state=self.group.state(rank),
-                counts=tuple(rank.counts) if name in self.counted else (),
+                choices=self.choices(name, rank),
                 experts=rank.held_map,
             )
             for leader in self.leaders:
                 self.send(name, leader, beat)
 
+    def choices(self, name, rank):
+        if name not in self.counted:
+            return counter_lib.NO_CHOICES
+        return self.counters[name].take(tuple(rank.counts), self.now)
+
     def send(self, src, dst, msg):
         if self.tap is not None and self.tap(self, src, dst, msg):
             return
--- a/features/steps/mapswitch_steps.py
+++ b/features/steps/mapswitch_steps.py
@@ -9,6 +9,7 @@
 
 from features.harness import engines
 from jasperweir.components.mapswitch import coordinator as coordinator_lib
+from jasperweir.components.mapswitch import counter as counter_lib
 from jasperweir.components.mapswitch import group as group_lib
 from jasperweir.components.mapswitch import messages
 from jasperweir.components.mapswitch import pacer as pacer_lib
@@ -165,7 +166,7 @@
             address=name,
             term=1,
             state=state._replace(size=size),
-            counts=(),
+            choices=counter_lib.NO_CHOICES,
             experts=rank.held_map,
         )
         if beats:
--- a/jasperweir/components/deployment/model.py
+++ b/jasperweir/components/deployment/model.py
@@ -85,6 +85,8 @@
         places: Experts that one rank may hold in a set.
         spare: Experts that one change may add to a rank in a set.
         form_s: Time a group takes to form again, seconds.
+        copy_s: Time in which a rank copies one expert, seconds; 0 if that is
+            not known.
     """
 
     slots: int
@@ -102,6 +104,7 @@
     places: int = 0
     spare: int = 0
     form_s: float = 0.0
+    copy_s: float = 0.0
 
 
 class Service(NamedTuple):
--- a/jasperweir/components/mapswitch/const.py
+++ b/jasperweir/components/mapswitch/const.py
@@ -3,39 +3,75 @@
 # The agent reads its engine this often while nothing goes on, seconds. The
 # read is free on the engine's own VM.
 READ_SECONDS = 0.3
-# And this often while a switch is under way.
-BUSY_READ_SECONDS = 0.1
+# And this often while a switch is under way: each step of it waits for a read.
+BUSY_READ_SECONDS = 0.05
+# Agents in the leader's data centre, whose beats cost nothing between data
+# centres, tell their counts this often, so that a jump in demand is seen
+# within two or three reads, seconds.
+NEAR_READ_SECONDS = 0.1
 # An agent whose counts are not wanted beats this often if nothing changes.
 QUIET_BEAT_SECONDS = 0.6
 # A change of pace of this much is told at once.
 PACE_STEP = 0.1
+# The time of a pass is measured over at least this long, seconds.
+PACE_SECONDS = 0.25
 # A beat older than this does not count, seconds.
 FRESH_SECONDS = 1.6
-# Time constant of the demand average, seconds: the length of a stream, since
-# most of the counts are prompt tokens, which tell what the streams that have
-# just begun will choose.
+# Time constant of the demand average between two jumps, seconds: the length
+# of a stream, since most of the counts are prompt tokens, which tell what the
+# streams that have just begun will choose.
 DEMAND_SECONDS = 1.2
-# Tokens that must have been counted before a plan is made.
+# Counts of this last time are compared with those before them, seconds: two
+# reads of the agents that tell most often.
+FRESH_COUNT_SECONDS = 0.2
+# Counts that began this long before a jump was seen may hold older choices.
+JUMP_MARGIN_SECONDS = 0.05
+# No plan is made for so long after that, seconds: until each agent that tells
+# most often has counted once. Two prompts alone would look like the demand.
+JUMP_SETTLE_SECONDS = 0.2
+# Choices that must have been counted before a plan is made.
 DEMAND_LEAST = 20_000.0
+# A distance (half the sum of differences of shares) below this is no jump: one
+# of 0.1 is what a few prompts more or less of one topic make.
+JUMP_LEAST = 0.18
+# And it must be this many usual deviations above the usual distance.
+JUMP_DEVIATIONS = 4.0
+# After a jump the counts are too few for another comparison for this long,
+# seconds.
+JUMP_REST_SECONDS = 0.6
+# How far one reading moves the usual distance and its deviation.
+NOISE_SMOOTHING = 0.05
+# The usual distance before any has been measured, and its deviation.
+NOISE_FIRST = (0.1, 0.03)
+# Demand is expected to last this long before a jump has been seen, and no
+# longer than this in any case, seconds.
+CALM_SECONDS = 10.0
+# Gaps between jumps, of which the expected one is the mean.
+JUMPS_KEPT = 5
 # Least time between two plans of a group, seconds.
-PLAN_SECONDS = 0.4
-# A switch must shorten the expert part of a pass by this share: below, the
-# copies cost more than they bring.
+PLAN_SECONDS = 0.2
+# A switch takes this long besides its copies until it has been measured,
+# seconds.
+SWITCH_SECONDS = 0.4
+# A switch must lower the peak by this share: below, it is within what few
+# prompts more or less of one topic make.
 LEAST_GAIN = 0.06
+# What a second of copying costs, in seconds of a peak of 1: passes take 0.15
+# longer meanwhile, and a pass is some four times its expert part at peak 1.
+COPY_COST = 0.6
 # A plan is good enough at this load of the slowest rank over the mean: what
 # further copies would bring is below what they cost.
 GOOD_PEAK = 1.2
 # Targets from this pace on are named to the entries as slow.
 SLOW_PACE = 1.15
-# Moves that one plan may make in a set, for each rank.
-MOVES_PER_RANK = 2
 # A copy goes to one of this many of the least loaded ranks; more make a plan
 # of 72 ranks four times as long and no better (docs/MEASUREMENTS.md).
 CANDIDATE_RANKS = 9
-# Ranks times experts that are planned at a time: two sets of 72 ranks and 144
-# experts, some 30 ms of work on a control VM, while heartbeats of the log are
-# 150 ms apart.
-CELLS_PER_TICK = 21_000
+# And is one of this many of the slowest rank's most chosen experts.
+CANDIDATE_EXPERTS = 6
+# Ranks times experts times moves that are planned at a time, some 30 ms of work
+# on a control VM, while heartbeats of the log are 150 ms apart.
+CELLS_PER_TICK = 120_000
 # Ranks of a group whose counts are read; requests are spread over the ranks,
 # so that these tell the demand of all. Counts are most of a beat's bytes.
 COUNTED_RANKS = 16
@@ -43,15 +79,21 @@
 # Time in which all ranks must have copied their new experts, seconds: eight
 # experts of 880 MB take some 0.3 s at the platform's usual link.
 PREPARE_SECONDS = 6.0
-# The held pass lies this long ahead of the newest known one, seconds: the
-# orders of a switch take some 50 ms, so that nothing waits for it.
-HOLD_AHEAD_SECONDS = 0.45
-# And this long after a switch that was called off, when orders get lost.
+# The held pass lies ahead of the newest one by what the orders of the last
+# switches took, times this, so that nothing waits for them.
+HOLD_AHEAD_FACTOR = 2.0
+# And by no less and no more than this, seconds; the first is what the orders
+# of a switch take on a sound network (25 ms, 30 ms at most in 18 switches),
+# twice.
+HOLD_AHEAD_SECONDS = (0.06, 0.45)
+# Until orders have been timed they are expected to take this long, seconds.
+ORDERS_SECONDS = 0.05
+# And after a switch that was called off, when orders get lost.
 HOLD_AHEAD_CAREFUL_SECONDS = 1.2
 # Switches that must go well before the shorter time is used again.
 CAREFUL_SWITCHES = 4
-# Besides, in passes, since what is known of them is a read old.
-HOLD_AHEAD_PASSES = 3
+# Besides, in passes: one that is begun while the hold is on its way.
+HOLD_AHEAD_PASSES = 1
 # A state that follows from an order's answer is not replaced by a beat for
 # this long: the beat may have been read before the order. Seconds.
 STATE_HOLDS_SECONDS = 0.2
--- a/jasperweir/components/mapswitch/coordinator.py
+++ b/jasperweir/components/mapswitch/coordinator.py
@@ -86,7 +86,7 @@
             return []
         match msg:
             case messages.EngineBeat():
-                self._on_beat(src, msg, engines, now)
+                return self._on_beat(src, msg, engines, now)
             case messages.OrderDone():
                 out: Actions = []
                 for group in self._groups.values():
@@ -128,7 +128,10 @@
             if now - agent.at >= const.FRESH_SECONDS * 4:
                 continue
             ask = messages.PaceAsk(
-                term=self._term, busy=busy, counted=name in counted
+                term=self._term,
+                busy=busy,
+                counted=name in counted,
+                near=agent.place == self._place,
             )
             out.append(core.Send(dst=name, msg=ask))
         return out
@@ -156,10 +159,10 @@
         msg: messages.EngineBeat,
         engines: dict[str, model.Engine],
         now: float,
-    ) -> None:
+    ) -> Actions:
         engine = engines.get(msg.service)
         if engine is None or not engine.sets or not msg.state.group:
-            return
+            return []
         name = f"{msg.service}/{msg.state.group}"
         group = self._groups.get(name)
         if group is None:
@@ -171,4 +174,4 @@
                 givers=self._givers,
             )
             self._groups[name] = group
-        group.on_beat(src, msg, now)
+        return group.on_beat(src, msg, now)
--- a/jasperweir/components/mapswitch/demand.py
+++ b/jasperweir/components/mapswitch/demand.py
@@ -1,52 +1,156 @@
-"""Demand for experts, averaged over time, from counts of all ranks."""
+"""Demand for experts: an average over time that starts anew at a jump.
 
+What requests choose changes slowly for seconds and then all at once. An
+average alone mixes both sides of a jump for as long as it remembers, and a
+plan made meanwhile fits neither. So the choices of the last reads are compared
+with those before them; where they differ by more than they usually do, the
+older ones are dropped. Sans-I/O.
+"""
+
+import collections
 import math
+from typing import NamedTuple
 
 import numpy as np
 import numpy.typing as npt
 
 from jasperweir.components.mapswitch import const
+from jasperweir.components.mapswitch import counter
 
 Floats = npt.NDArray[np.float64]
 
 
+class _Piece(NamedTuple):
+    """Choices counted from one time to another."""
+
+    begin: float
+    end: float
+    counts: Floats
+
+
+class Jump(NamedTuple):
+    """A jump in demand.
+
+    Attributes:
+        distance: Half the sum of the differences of shares, mean of sets.
+        usual: Usual distance of that many choices.
+        gap_s: Seconds since the jump before, or since the start.
+    """
+
+    distance: float
+    usual: float
+    gap_s: float
+
+
 class Demand:
-    """Exponential average of how often each expert is chosen.
+    """Shares of experts since the last jump.
 
     Attributes:
-        tokens: Decayed number of choices seen.
+        dropped: Counts that do not fit the engine and were not used.
     """
 
     def __init__(self, *, sets: int, experts: int) -> None:
-        self._sum: Floats = np.zeros((sets, experts))
-        self._last: dict[str, Floats] = {}
-        self._at = 0.0
+        self.dropped = 0
+        self._shape = (sets, experts)
+        self._older: Floats = np.zeros(self._shape)
+        self._older_at = 0.0
+        self._fresh: collections.deque[_Piece] = collections.deque()
+        self._usual, self._deviation = const.NOISE_FIRST
+        # Choices that began earlier are from before the last jump.
+        self._since = float("-inf")
+        self._jumped_at: float | None = None
+        self._gaps: collections.deque[float] = collections.deque(
+            maxlen=const.JUMPS_KEPT
+        )
+        self._compared_at = 0.0
 
     @property
     def tokens(self) -> float:
-        """Return the decayed number of choices."""
-        return float(self._sum.sum())
-
-    def observe(self, rank: str, counts: tuple[int, ...], now: float) -> None:
-        """Take in the counts of a rank, which only grow until it restarts."""
-        if len(counts) != self._sum.size:
-            return
-        new = np.array(counts, dtype=np.float64).reshape(self._sum.shape)
-        old = self._last.get(rank)
-        self._last[rank] = new
-        if old is None or (new < old).any():
-            return
-        self._decay(now)
-        self._sum += new - old
+        """Number of choices that the shares are made from."""
+        return float(self._older.sum() + self._fresh_sum().sum())
+
+    @property
+    def lasts_s(self) -> float:
+        """Seconds that demand is expected to stay as it is."""
+        if not self._gaps:
+            return const.CALM_SECONDS
+        mean = sum(self._gaps) / len(self._gaps)
+        return min(mean, const.CALM_SECONDS)
+
+    def settled(self, now: float) -> bool:
+        """Tell whether enough has been counted since the last jump."""
+        if now - self._since < const.JUMP_SETTLE_SECONDS:
+            return False
+        return self.tokens >= const.DEMAND_LEAST
+
+    def observe(self, choices: counter.Choices, now: float) -> Jump | None:
+        """Take in the choices of one rank; return a jump if they show one."""
+        if not choices.counts:
+            return None
+        if len(choices.counts) != self._older.size or choices.seconds <= 0:
+            self.dropped += 1
+            return None
+        begin = now - choices.seconds
+        if begin < self._since:
+            return None
+        counts = np.array(choices.counts, dtype=np.float64)
+        self._fresh.append(_Piece(begin, now, counts.reshape(self._shape)))
+        self._age(now)
+        if now - self._compared_at < const.BUSY_READ_SECONDS:
+            return None
+        self._compared_at = now
+        return self._compare(now)
 
     def shares(self) -> Floats:
         """Return each expert's share of its set, rows that sum to 1."""
-        total = self._sum.sum(axis=1, keepdims=True)
-        even = np.full_like(self._sum, 1.0 / self._sum.shape[1])
-        return np.where(total > 0, self._sum / np.maximum(total, 1e-9), even)
-
-    def _decay(self, now: float) -> None:
-        if self._at:
-            passed = max(now - self._at, 0.0)
-            self._sum *= math.exp(-passed / const.DEMAND_SECONDS)
-        self._at = now
+        return _shares(self._older + self._fresh_sum())
+
+    def _fresh_sum(self) -> Floats:
+        total: Floats = np.zeros(self._shape)
+        for piece in self._fresh:
+            total += piece.counts
+        return total
+
+    def _age(self, now: float) -> None:
+        """Let time pass; what is fresh no more goes into the average."""
+        passed = max(now - self._older_at, 0.0)
+        self._older *= math.exp(-passed / const.DEMAND_SECONDS)
+        self._older_at = now
+        while self._fresh[0].end < now - const.FRESH_COUNT_SECONDS:
+            self._older += self._fresh.popleft().counts
+
+    def _compare(self, now: float) -> Jump | None:
+        """Compare the last reads with those before them."""
+        fresh = self._fresh_sum()
+        least = const.DEMAND_LEAST
+        if fresh.sum() < least or self._older.sum() < least:
+            return None
+        if now - self._since < const.JUMP_REST_SECONDS:
+            return None
+        apart = np.abs(_shares(fresh) - _shares(self._older)).sum(axis=1) / 2
+        distance = float(apart.mean())
+        limit = self._usual + const.JUMP_DEVIATIONS * self._deviation
+        if distance > max(limit, const.JUMP_LEAST):
+            return self._jump(distance, now)
+        step = const.NOISE_SMOOTHING
+        off = abs(distance - self._usual)
+        self._usual += step * (distance - self._usual)
+        self._deviation += step * (off - self._deviation)
+        return None
+
+    def _jump(self, distance: float, now: float) -> Jump:
+        """Forget what was counted before a jump."""
+        self._since = now - const.JUMP_MARGIN_SECONDS
+        self._older = np.zeros(self._shape)
+        self._fresh.clear()
+        gap_s = now - self._jumped_at if self._jumped_at is not None else 0.0
+        if gap_s:
+            self._gaps.append(gap_s)
+        self._jumped_at = now
+        return Jump(distance=distance, usual=self._usual, gap_s=gap_s)
+
+
+def _shares(counts: Floats) -> Floats:
+    total = counts.sum(axis=1, keepdims=True)
+    even = np.full_like(counts, 1.0 / counts.shape[1])
+    return np.where(total > 0, counts / np.maximum(total, 1e-9), even)
--- a/jasperweir/components/mapswitch/group.py
+++ b/jasperweir/components/mapswitch/group.py
@@ -11,6 +11,7 @@
 
 import enum
 import itertools
+import math
 from typing import Any
 
 from jasperweir.components.deployment import model
@@ -24,6 +25,7 @@
 from jasperweir.components.mapswitch import plan as plan_lib
 from jasperweir.components.mapswitch import planner as planner_lib
 from jasperweir.components.mapswitch import runner as runner_lib
+from jasperweir.components.mapswitch import times as times_lib
 
 Actions = list[Any]
 # Versions of two terms never meet: each term has this many bits to count.
@@ -78,15 +80,31 @@
         self._plan_at = 0.0
         # Switches left in which orders are given more time.
         self._careful = 0
+        self._jumped_at = float("-inf")
+        self._times = times_lib.SwitchTimes()
         self._orders = orders_lib.OrderBook(term=term, numbers=numbers)
         self._notes: Actions = []
 
     # Inputs.
 
-    def on_beat(self, src: str, beat: messages.EngineBeat, now: float) -> None:
-        """Take in what an agent tells."""
+    def on_beat(
+        self, src: str, beat: messages.EngineBeat, now: float
+    ) -> Actions:
+        """Take in what an agent tells; a step that waited for it is taken."""
+        old = self.members.of(src)
         self.members.on_beat(src, beat, now)
-        self.demand.observe(src, beat.counts, now)
+        jump = self.demand.observe(beat.choices, now)
+        if jump is not None:
+            self._jumped_at = now
+            # What is being planned is for a demand that is gone.
+            self._planner.drop()
+            self._plan_at = now
+            self._notes.append(actions.DemandJumped(self.name, *jump))
+        if not self.busy or old is None:
+            return []
+        if members_lib.same_step(old.state, beat.state):
+            return []
+        return self.tick(now)
 
     def on_done(self, msg: messages.OrderDone, now: float) -> Actions:
         """Take in what became of an order."""
@@ -149,6 +167,9 @@
     # Steps.
 
     def _step(self, now: float) -> Actions:
+        if self.phase is Phase.PREPARING and self.members.any_held():
+            # The late copy of a hold that was taken back.
+            return self._resolve(now, "a pass is held while ranks copy")
         if self._orders.open and self.phase is not Phase.ARMING:
             return self._waiting(now)
         match self.phase:
@@ -194,7 +215,7 @@
             return []
         states = [m.state for m in self.members.all()]
         self._epoch = states[0].epoch
-        if any(s.held or s.armed for s in states):
+        if self.members.any_held() or any(s.armed for s in states):
             self._planner.drop()
             return self._resolve(now, "found half done")
         # Arms are only ever sent under a hold, and none is left.
@@ -206,7 +227,7 @@
             return []
         shares = self.demand.shares()
         current = self.members.placement()
-        if self.demand.tokens < const.DEMAND_LEAST:
+        if not self.demand.settled(now):
             return []
         if len(current) != len(shares):
             return []
@@ -216,6 +237,8 @@
             current=current,
             shares=shares,
             paces=plan_lib.paces([s.pace for s in states]),
+            lasts_s=self.demand.lasts_s,
+            switch_s=self._times.switch_s,
         )
         self._planner.begin(question)
         return self._planning(states, now)
@@ -225,48 +248,80 @@
     ) -> Actions:
         """Go on with a plan, and prepare it once it is made."""
         match self._planner.go_on():
-            case planner_lib.Better(question, placement):
-                return self._prepare(states, question, placement, now)
+            case planner_lib.Better() as better:
+                return self._prepare(states, better, now)
             case planner_lib.Unfinished() | planner_lib.GoodEnough():
                 return []
 
     def _prepare(
         self,
         states: list[messages.EngineState],
-        question: planner_lib.Question,
-        placement: messages.Placement,
+        better: planner_lib.Better,
         now: float,
     ) -> Actions:
+        question = better.question
         as_asked = (question.epoch, question.map_version)
         if any((s.epoch, s.map_version) != as_asked for s in states):
             # The group has formed anew while the plan was made.
             return []
         used = max(max(s.map_version, s.prepared) for s in states)
         self._version = max(self._version, used) + 1
+        self._note_plan(better, now)
+        self._times.begin(now)
         self._enter(Phase.PREPARING, now, "better placement found")
-        order = messages.Prepare(version=self._version, placement=placement)
+        order = messages.Prepare(
+            version=self._version, placement=better.placement
+        )
         return self._order_all(order, now)
 
+    def _note_plan(self, better: planner_lib.Better, now: float) -> None:
+        jumped = self._jumped_at > 0
+        self._notes.append(
+            actions.Planned(
+                group=self.name,
+                before=better.before,
+                after=better.after,
+                copies=better.copies,
+                lasts_s=better.question.lasts_s,
+                since_jump_s=now - self._jumped_at if jumped else 0.0,
+            )
+        )
+
     def _preparing(self, now: float) -> Actions:
         if not self.members.in_epoch(self._epoch):
             return self._rest(now, "group formed anew")
+        if self._jumped_at > self._since:
+            return self._outdated(now)
         states = [m.state for m in self.members.all()]
         if all(s.prepared == self._version for s in states):
             if not self.members.complete(self._term, now):
                 return self._late(now, const.PREPARE_SECONDS)
+            self._times.copied(now)
             self._enter(Phase.HOLDING, now, "all ranks prepared")
             return self._hold(now)
         return self._late(now, const.PREPARE_SECONDS)
 
+    def _outdated(self, now: float) -> Actions:
+        """Leave a map that fits no more as soon as its copies have ended.
+
+        It was armed nowhere, and the next map has a higher version.
+        """
+        states = [m.state for m in self.members.all()]
+        if any(s.prepared != self._version for s in states):
+            return self._late(now, const.PREPARE_SECONDS)
+        self._enter(Phase.IDLE, now, "demand has jumped meanwhile")
+        self._plan_at = now
+        return []
+
     def _hold(self, now: float) -> Actions:
         seconds = self.members.pass_seconds()
-        ahead_s = const.HOLD_AHEAD_SECONDS
+        ahead_s = self._times.hold_ahead_s
         if self._careful:
             self._careful -= 1
             ahead_s = const.HOLD_AHEAD_CAREFUL_SECONDS
-        passes = int(ahead_s / seconds) if seconds else 0
+        passes = math.ceil(ahead_s / seconds) if seconds else 0
         passes += const.HOLD_AHEAD_PASSES
-        self._at_pass = self.members.newest_pass() + passes
+        self._at_pass = self.members.newest_pass(now) + passes
         holder = self.members.all()[0]
         order = messages.Hold(at_pass=self._at_pass)
         return self._order(holder, order, now, giver=self._givers.current)
@@ -290,16 +345,20 @@
             return []
         if not armed:
             return self._resolve(now, "a rank is not armed")
+        self._times.armed(now)
         return self._release(now, "all ranks armed")
 
-    def _resolve(self, now: float, reason: str) -> Actions:
+    def _resolve(
+        self, now: float, reason: str, *, careful: bool = True
+    ) -> Actions:
         """End what is half done: go through with it, or take it back.
 
         Every rank is asked, armed or not, so that its state is known after
         all earlier orders.
         """
         self._orders.clear()
-        self._careful = const.CAREFUL_SWITCHES
+        if careful:
+            self._careful = const.CAREFUL_SWITCHES
         states = [m.state for m in self.members.all()]
         used = max(max(s.map_version, s.prepared, s.armed) for s in states)
         self._version = max(self._version, used) + 1
@@ -346,7 +405,7 @@
         self._enter(Phase.RELEASING, now, reason)
         out: Actions = []
         for i, m in enumerate(self.members.all()):
-            held = m.state.held or (self._at_pass if i == 0 else 0)
+            held = m.told_held or (self._at_pass if i == 0 else 0)
             if held:
                 release = messages.Release(at_pass=held)
                 out += self._order(m, release, now)
@@ -360,7 +419,10 @@
             return self._resolve(now, "a pass is still held")
         if not any(m.state.armed for m in members):
             self._enter(Phase.IDLE, now, "at rest")
-            self._plan_at = now + const.PLAN_SECONDS
+            self._plan_at = now
+            took = self._times.settled(now)
+            if took is not None:
+                self._notes.append(actions.Switched(self.name, *took))
             return []
         if self.phase is Phase.RELEASING:
             self._enter(Phase.SWITCHING, now, "released")
@@ -407,7 +469,9 @@
             case messages.Prepare() if self.phase is Phase.PREPARING:
                 return self._rest(now, "prepare refused")
             case messages.Hold() if self.phase is Phase.HOLDING:
-                return self._resolve(now, "hold refused")
+                # Nothing is armed yet; the next one is held further ahead.
+                self._times.came_late()
+                return self._resolve(now, "hold refused", careful=False)
             case messages.Arm() if self.phase is Phase.ARMING:
                 return self._resolve(now, "arm refused")
         return []
--- a/jasperweir/components/mapswitch/members.py
+++ b/jasperweir/components/mapswitch/members.py
@@ -1,12 +1,41 @@
 """What the leader knows of the ranks of one group."""
 
 import dataclasses
+import math
 import statistics
+from typing import NamedTuple
 
 from jasperweir.components.mapswitch import const
 from jasperweir.components.mapswitch import messages
 
 
+class PassPace(NamedTuple):
+    """How fast passes follow each other.
+
+    Attributes:
+        seconds: Time of a pass, 0 while it is not known.
+        passes: Pass from which the next measurement runs.
+        since: When that one was told, monotonic seconds.
+    """
+
+    seconds: float = 0.0
+    passes: int = 0
+    since: float = float("-inf")
+
+    def told(self, passes: int, now: float) -> "PassPace":
+        """Return the pace after a rank has told of a pass.
+
+        It is measured over some passes: of two beats that follow closely, one
+        may show no pass at all.
+        """
+        if passes < self.passes or self.since == float("-inf"):
+            return PassPace(self.seconds, passes, now)
+        if now - self.since < const.PACE_SECONDS or passes == self.passes:
+            return self
+        seconds = (now - self.since) / (passes - self.passes)
+        return PassPace(seconds, passes, now)
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Member:
     """One rank, as its agent last told.
@@ -16,20 +45,31 @@
         beat: Newest beat.
         heard_at: When the beat arrived.
         holds_until: Until when beats do not replace the state.
-        pass_seconds: Smoothed time of a pass, 0 while it is not known.
+        passes_at: When its newest pass was told.
+        told_held: Pass that it holds by its last beat or answer, also while
+            beats do not replace the state.
+        pace: How fast its passes follow each other.
     """
 
     agent: str
     beat: messages.EngineBeat
     heard_at: float
     holds_until: float = 0.0
-    pass_seconds: float = 0.0
+    passes_at: float = 0.0
+    told_held: int = 0
+    pace: PassPace = PassPace()
 
     @property
     def state(self) -> messages.EngineState:
         """The engine's state."""
         return self.beat.state
 
+    def passes_since(self, now: float, pass_seconds: float) -> int:
+        """Return how many passes may have begun since the last beat."""
+        if pass_seconds <= 0:
+            return 0
+        return math.ceil((now - self.passes_at) / pass_seconds)
+
 
 class Members:
     """The ranks of one group."""
@@ -41,17 +81,22 @@
         """Take in a beat."""
         rank = beat.state.rank
         old = self._by_rank.get(rank)
-        pass_seconds = _pass_seconds(old, beat, now)
+        pace = old.pace if old is not None else PassPace()
         holds_until = 0.0
+        passes_at = now
+        told_held = beat.state.held
         if old is not None and now < old.holds_until:
             holds_until = old.holds_until
+            passes_at = old.passes_at
             beat = beat._replace(state=old.state)
         self._by_rank[rank] = Member(
             agent=src,
             beat=beat,
             heard_at=now,
             holds_until=holds_until,
-            pass_seconds=pass_seconds,
+            passes_at=passes_at,
+            told_held=told_held,
+            pace=pace.told(beat.state.passes, now),
         )
 
     def on_state(
@@ -60,7 +105,10 @@
         """Take in the state that an order left behind."""
         for member in self._by_rank.values():
             if member.agent == agent and state.rank == member.state.rank:
+                if state.passes > member.state.passes:
+                    member.passes_at = now
                 member.beat = member.beat._replace(state=state)
+                member.told_held = state.held
                 member.holds_until = now + const.STATE_HOLDS_SECONDS
 
     def of(self, agent: str) -> Member | None:
@@ -93,7 +141,7 @@
 
     def any_held(self) -> bool:
         """Tell whether any rank holds a pass."""
-        return any(m.state.held for m in self._by_rank.values())
+        return any(m.told_held for m in self._by_rank.values())
 
     def uniform(self) -> bool:
         """Tell whether every rank is armed for one map and pass."""
@@ -113,22 +161,28 @@
             tuple(rank[number] for rank in ranks) for number in range(sets)
         )
 
-    def newest_pass(self) -> int:
-        """Return the newest pass that any rank has begun."""
-        return max((m.state.passes for m in self.all()), default=0)
+    def newest_pass(self, now: float) -> int:
+        """Return the newest pass that any rank has begun by now.
+
+        What was told is as old as its beat; passes go on meanwhile.
+        """
+        seconds = self.pass_seconds()
+        return max(
+            (m.state.passes + m.passes_since(now, seconds) for m in self.all()),
+            default=0,
+        )
 
     def pass_seconds(self) -> float:
         """Return the usual time of a pass by what the ranks showed."""
-        times = [m.pass_seconds for m in self.all() if m.pass_seconds > 0]
+        times = [m.pace.seconds for m in self.all() if m.pace.seconds > 0]
         return statistics.median(times) if times else 0.0
 
 
-def _pass_seconds(
-    old: Member | None, beat: messages.EngineBeat, now: float
-) -> float:
-    if old is None:
-        return 0.0
-    passed = beat.state.passes - old.state.passes
-    if passed <= 0 or now <= old.heard_at:
-        return old.pass_seconds
-    return (now - old.heard_at) / passed
+def same_step(state: messages.EngineState, other: messages.EngineState) -> bool:
+    """Tell whether what the steps of a switch follow from is the same."""
+    return _steps(state) == _steps(other)
+
+
+def _steps(state: messages.EngineState) -> messages.EngineState:
+    """Return the part of a state that the steps of a switch follow from."""
+    return state._replace(passes=0, sequence=0, pace=0.0, running=0, queued=0)
--- a/jasperweir/components/mapswitch/messages.py
+++ b/jasperweir/components/mapswitch/messages.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from jasperweir.components.mapswitch import counter
 from jasperweir.helpers import codec
 
 # Experts by set and rank: ``placement[set][rank]`` holds expert numbers.
@@ -132,8 +133,8 @@
         term: Highest term that the agent has seen; it takes no order of a
             lower one.
         state: What the engine reports.
-        counts: How often each expert was chosen since the engine started,
-            set after set; empty if the leader did not ask for them.
+        choices: What its requests chose since its counts were told last; empty
+            if the leader did not ask for them.
         experts: Experts that the engine holds, by set.
     """
 
@@ -141,7 +142,7 @@
     address: str
     term: int
     state: EngineState
-    counts: tuple[int, ...]
+    choices: counter.Choices
     experts: tuple[tuple[int, ...], ...]
 
 
@@ -166,9 +167,11 @@
     Attributes:
         term: Term of the leader.
         busy: Whether a switch is under way.
-        counted: Whether the beats are to hold the counts of experts.
+        counted: Whether the beats are to hold what requests choose.
+        near: Whether beats cost little, so that there may be more of them.
     """
 
     term: int
     busy: bool
     counted: bool
+    near: bool = False
--- a/jasperweir/components/mapswitch/pacer.py
+++ b/jasperweir/components/mapswitch/pacer.py
@@ -5,8 +5,13 @@
 """
 
 from jasperweir.components.mapswitch import const
+from jasperweir.components.mapswitch import members
 from jasperweir.components.mapswitch import messages
 
+# A tick that comes this much too early still counts, so that what is due every
+# other tick is not put off to the third. Seconds.
+_EARLY_SECONDS = 0.005
+
 
 class Pacer:
     """Beats of one agent.
@@ -14,11 +19,13 @@
     Attributes:
         busy: Whether the leader has a switch under way.
         counted: Whether the leader wants the counts of this engine.
+        near: Whether the leader is in the same data centre.
     """
 
     def __init__(self) -> None:
         self.busy = False
         self.counted = False
+        self.near = False
         self._read_at = float("-inf")
         self._told_at = float("-inf")
         self._told: messages.EngineState | None = None
@@ -31,11 +38,16 @@
             self._told = None
         self.busy = ask.busy
         self.counted = ask.counted
+        self.near = ask.near
 
     def read_due(self, now: float) -> bool:
         """Tell whether the engine is to be read now."""
-        pause = const.BUSY_READ_SECONDS if self.busy else const.READ_SECONDS
-        if now - self._read_at < pause:
+        pause = const.READ_SECONDS
+        if self.counted and self.near:
+            pause = const.NEAR_READ_SECONDS
+        if self.busy:
+            pause = const.BUSY_READ_SECONDS
+        if now - self._read_at < pause - _EARLY_SECONDS:
             return False
         self._read_at = now
         return True
@@ -46,9 +58,9 @@
         silent = now - self._told_at
         due = (
             old is None
-            or _steps(state) != _steps(old)
+            or not members.same_step(state, old)
             or abs(state.pace - old.pace) >= const.PACE_STEP
-            or silent >= self._pause(state)
+            or silent >= self._pause(state) - _EARLY_SECONDS
         )
         if due:
             self._told = state
@@ -57,11 +69,8 @@
 
     def _pause(self, state: messages.EngineState) -> float:
         """Return how long the leader may go without a beat."""
+        if self.counted and self.near:
+            return const.NEAR_READ_SECONDS
         if self.counted or state.size <= const.COUNTED_RANKS:
-            return const.BUSY_READ_SECONDS if self.busy else const.READ_SECONDS
+            return const.READ_SECONDS
         return const.QUIET_BEAT_SECONDS
-
-
-def _steps(state: messages.EngineState) -> messages.EngineState:
-    """Return the part of a state that the steps of a switch follow from."""
-    return state._replace(passes=0, sequence=0, pace=0.0, running=0, queued=0)
--- a/jasperweir/components/mapswitch/plan.py
+++ b/jasperweir/components/mapswitch/plan.py
@@ -1,7 +1,10 @@
-"""Search for a placement whose most loaded rank has less to do.
+"""Search for a placement whose most loaded ranks have less to do.
 
 Ranks that hold an expert share its tokens evenly. A pass lasts, set by set,
-as long as the most loaded rank's part.
+as long as the most loaded rank's part. Ranks copy at the same time, each one
+expert after the other, so a change takes as long as the rank with the most
+copies: the search looks for what the first copy of each rank brings, then the
+second, and so on. Sans-I/O.
 """
 
 from typing import NamedTuple
@@ -13,22 +16,23 @@
 
 Floats = npt.NDArray[np.float64]
 Bools = npt.NDArray[np.bool_]
+Ints = npt.NDArray[np.int64]
+# Power of the times whose sum is to become small.
+_POWER = 8
 
 
-class SetPlan(NamedTuple):
-    """Result for one set of layers.
+class Stage(NamedTuple):
+    """What a change with so many copies a rank would bring.
 
     Attributes:
-        held: Which rank holds which expert, shape (ranks, experts).
-        before: Load of the most loaded rank, as a multiple of the mean.
-        after: The same under the plan.
-        copies: Experts that ranks must copy.
+        copies: Copies of the rank that makes the most.
+        peak: Load of the most loaded rank over the mean, as a mean of sets.
+        held: Which rank holds which expert, by set.
     """
 
-    held: Bools
-    before: float
-    after: float
     copies: int
+    peak: float
+    held: tuple[Bools, ...]
 
 
 def table(ranks: tuple[tuple[int, ...], ...], experts: int) -> Bools:
@@ -60,43 +64,6 @@
     return float(loads.max() * len(loads))
 
 
-def improve(
-    start: Bools,
-    shares: Floats,
-    pace: Floats,
-    *,
-    places: int,
-    spare: int,
-) -> SetPlan:
-    """Return a better placement of one set.
-
-    Args:
-        start: Placement in use.
-        shares: Share of each expert; they sum to 1.
-        pace: How much longer each rank takes for the same work.
-        places: Experts that a rank may hold.
-        spare: Experts that a rank may add in one change.
-    """
-    held = start.copy()
-    before = peak(held, shares, pace)
-    best, best_peak = held.copy(), before
-    for _ in range(const.MOVES_PER_RANK * len(start)):
-        if best_peak <= const.GOOD_PEAK:
-            break
-        move = _best_move(held, start, shares, pace, places, spare)
-        if move is None:
-            break
-        if move.add >= 0:
-            held[move.rank, move.add] = True
-        if move.drop >= 0:
-            held[move.rank, move.drop] = False
-        reached = peak(held, shares, pace)
-        if reached < best_peak - 1e-9:
-            best, best_peak = held.copy(), reached
-    copies = int((best & ~start).sum())
-    return SetPlan(best, before, best_peak, copies)
-
-
 class _Move(NamedTuple):
     """Experts that a rank adds and drops; below 0 for none."""
 
@@ -105,93 +72,235 @@
     drop: int
 
 
+class _Set:
+    """Search in one set of layers.
+
+    Attributes:
+        best: Best placement found.
+        best_peak: Its peak.
+    """
+
+    def __init__(
+        self,
+        *,
+        start: Bools,
+        shares: Floats,
+        pace: Floats,
+        places: int,
+        spare: int,
+    ) -> None:
+        self.best = start.copy()
+        self.best_peak = peak(start, shares, pace)
+        self._start = start
+        self._held = start.copy()
+        self._shares = shares
+        self._pace = pace
+        self._places = places
+        self._spare = spare
+        self._added = np.zeros(len(start), dtype=np.int64)
+
+    @property
+    def copies(self) -> Ints:
+        """Copies that each rank makes for the best placement."""
+        made: Ints = (self.best & ~self._start).sum(axis=1)
+        return made
+
+    def improve(self, made: Ints, most: int) -> bool:
+        """Make the move that helps most; False if none helps.
+
+        Args:
+            made: Copies of each rank so far, in all sets; it is kept up.
+            most: Copies that a rank may make.
+        """
+        move = self._best_move((made < most) & (self._added < self._spare))
+        if move is None:
+            return False
+        for expert, holds in ((move.add, True), (move.drop, False)):
+            if expert < 0:
+                continue
+            self._held[move.rank, expert] = holds
+            if not self._start[move.rank, expert]:
+                self._added[move.rank] += 1 if holds else -1
+                made[move.rank] += 1 if holds else -1
+        reached = peak(self._held, self._shares, self._pace)
+        if reached < self.best_peak - 1e-9:
+            self.best, self.best_peak = self._held.copy(), reached
+        return True
+
+    def _best_move(self, may_copy: Bools) -> _Move | None:
+        """Return the move that helps most.
+
+        A copy of one of the slowest rank's experts goes to another rank, in a
+        free place or in that of an expert with further copies; or the slowest
+        rank drops an expert that others hold. The measure is the sum of a
+        high power of the times: it falls when any rank near the peak is
+        relieved, so plateaus of the peak alone do not end the search.
+        """
+        loads = _loads(self._held, self._shares)
+        times = loads * self._pace
+        slowest = int(times.argmax())
+        copies = self._held.sum(axis=0)
+        parts = self._shares / np.maximum(copies, 1)
+        order = np.argsort(times)
+        order = order[: min(len(order) // 2 + 1, const.CANDIDATE_RANKS)]
+        best: _Move | None = None
+        best_value = _measure(times) * (1 - 1e-6)
+        for drop in np.flatnonzero(self._held[slowest] & (copies > 1)):
+            after = loads + self._held[:, drop] * (
+                self._shares[drop] / (copies[drop] - 1) - parts[drop]
+            )
+            after[slowest] = loads[slowest] - parts[drop]
+            value = _measure(after * self._pace)
+            if value < best_value:
+                best_value, best = value, _Move(slowest, -1, int(drop))
+        swaps = [
+            (int(rank), drop)
+            for rank in order
+            for drop in self._drops(int(rank), copies, parts)
+        ]
+        adds = np.flatnonzero(self._held[slowest])
+        adds = adds[np.argsort(-parts[adds])][: const.CANDIDATE_EXPERTS]
+        for add in adds:
+            found = self._best_swap(
+                int(add), swaps, loads, copies, parts, may_copy
+            )
+            if found is not None and found[0] < best_value:
+                best_value, best = found
+        return best
+
+    def _best_swap(
+        self,
+        add: int,
+        swaps: list[tuple[int, int]],
+        loads: Floats,
+        copies: Ints,
+        parts: Floats,
+        may_copy: Bools,
+    ) -> tuple[float, _Move] | None:
+        """Return the best rank for a further copy, and what it drops."""
+        allowed = ~self._held[:, add] & (may_copy | self._start[:, add])
+        fit = [s for s in swaps if allowed[s[0]] and s[1] != add]
+        if not fit:
+            return None
+        ranks = np.array([rank for rank, _ in fit])
+        drops = np.array([drop for _, drop in fit])
+        part = self._shares[add] / (copies[add] + 1)
+        base = loads - self._held[:, add] * (parts[add] - part)
+        dropping = drops >= 0
+        # What the other holders take over, and what the rank itself loses.
+        shared = np.where(
+            dropping,
+            self._shares[drops] / np.maximum(copies[drops] - 1, 1)
+            - parts[drops],
+            0.0,
+        )
+        lost = np.where(dropping, parts[drops], 0.0)
+        after = base + self._held[:, drops].T * shared[:, None]
+        after[np.arange(len(fit)), ranks] = base[ranks] + part - lost
+        values = ((after * self._pace) ** _POWER).sum(axis=1)
+        least = int(values.argmin())
+        rank, drop = fit[least]
+        return float(values[least]), _Move(rank, add, drop)
+
+    def _drops(self, rank: int, copies: Ints, parts: Floats) -> list[int]:
+        """Return what a rank may drop for a further expert."""
+        row = self._held[rank]
+        if row.sum() < self._places:
+            return [-1]
+        others = np.flatnonzero(row & (copies > 1))
+        others = others[np.argsort(parts[others])]
+        return [int(expert) for expert in others[:2]]
+
+
+class Search:
+    """Search in all sets of a group, some moves at a time.
+
+    Attributes:
+        before: Peak of the placement in use, as a mean of the sets.
+        stages: What was found, with more and more copies a rank.
+    """
+
+    def __init__(
+        self,
+        *,
+        start: tuple[Bools, ...],
+        shares: Floats,
+        pace: Floats,
+        places: int,
+        spare: int,
+    ) -> None:
+        """Begin a search.
+
+        Args:
+            start: Placement in use, by set.
+            shares: Share of each expert in its set; rows sum to 1.
+            pace: How much longer each rank takes for the same work.
+            places: Experts that a rank may hold in a set.
+            spare: Experts that a rank may add in a set in one change.
+        """
+        self._sets = [
+            _Set(
+                start=held,
+                shares=row,
+                pace=pace,
+                places=places,
+                spare=spare,
+            )
+            for held, row in zip(start, shares, strict=True)
+        ]
+        self.before = self._peak()
+        self.stages: list[Stage] = []
+        self._made = np.zeros(len(pace), dtype=np.int64)
+        self._most = 1
+        self._most_ever = spare * len(self._sets)
+        self._stuck: set[int] = set()
+
+    def go_on(self, moves: int) -> bool:
+        """Make up to so many moves; return whether the search has ended."""
+        for _ in range(moves):
+            number = self._next_set()
+            if number is None:
+                if self._end_stage():
+                    return True
+                continue
+            if not self._sets[number].improve(self._made, self._most):
+                self._stuck.add(number)
+        return False
+
+    def _next_set(self) -> int | None:
+        """Return the set that needs a move most, None if no move is left."""
+        left = [
+            (found.best_peak, number)
+            for number, found in enumerate(self._sets)
+            if number not in self._stuck and found.best_peak > const.GOOD_PEAK
+        ]
+        return max(left)[1] if left else None
+
+    def _end_stage(self) -> bool:
+        """Note what was found; return whether more copies are of no use."""
+        copies = sum(found.copies for found in self._sets)
+        stage = Stage(
+            copies=int(np.max(copies)),
+            peak=self._peak(),
+            held=tuple(found.best for found in self._sets),
+        )
+        if not self.stages or stage.peak < self.stages[-1].peak:
+            self.stages.append(stage)
+        if not self._stuck or self._most >= self._most_ever:
+            return True
+        self._stuck.clear()
+        self._most += max(1, self._most // 2)
+        return False
+
+    def _peak(self) -> float:
+        return sum(found.best_peak for found in self._sets) / len(self._sets)
+
+
 def _loads(held: Bools, shares: Floats) -> Floats:
     copies = np.maximum(held.sum(axis=0), 1)
     loads: Floats = held @ (shares / copies)
     return loads
 
 
-def _best_move(
-    held: Bools,
-    start: Bools,
-    shares: Floats,
-    pace: Floats,
-    places: int,
-    spare: int,
-) -> _Move | None:
-    """Return the move that helps most.
-
-    A copy of one of the slowest rank's experts goes to another rank, in a
-    free place or in that of an expert with further copies; or the slowest
-    rank drops an expert that others hold. The measure is the sum of a high
-    power of the times: it falls when any rank near the peak is relieved, so
-    plateaus of the peak alone do not end the search.
-    """
-    loads = _loads(held, shares)
-    copies = held.sum(axis=0)
-    added = (held & ~start).sum(axis=1)
-    free = held.sum(axis=1) < places
-    slowest = int((loads * pace).argmax())
-    moves = [
-        _Move(slowest, -1, int(e))
-        for e in np.flatnonzero(held[slowest])
-        if copies[e] > 1
-    ]
-    order = np.argsort(loads * pace)
-    candidates = min(len(order) // 2 + 1, const.CANDIDATE_RANKS)
-    for add in np.flatnonzero(held[slowest]):
-        for rank in order[:candidates]:
-            if held[rank, add]:
-                continue
-            grows = 0 if start[rank, add] else 1
-            if added[rank] + grows > spare:
-                continue
-            drops = _drops(held, copies, shares, int(rank), bool(free[rank]))
-            moves += [_Move(int(rank), int(add), drop) for drop in drops]
-    best: _Move | None = None
-    best_value = _measure(loads * pace) * (1 - 1e-6)
-    for move in moves:
-        after = _after(held, shares, copies, loads, move)
-        value = _measure(after * pace)
-        if value < best_value:
-            best_value, best = value, move
-    return best
-
-
-def _drops(
-    held: Bools,
-    copies: npt.NDArray[np.int64],
-    shares: Floats,
-    rank: int,
-    has_room: bool,
-) -> list[int]:
-    if has_room:
-        return [-1]
-    others = [int(e) for e in np.flatnonzero(held[rank]) if copies[e] > 1]
-    return sorted(others, key=lambda e: float(shares[e] / copies[e]))[:2]
-
-
-def _after(
-    held: Bools,
-    shares: Floats,
-    copies: npt.NDArray[np.int64],
-    loads: Floats,
-    move: _Move,
-) -> Floats:
-    after = loads.copy()
-    rank, add, drop = move
-    if add >= 0:
-        share, count = shares[add], copies[add]
-        after[held[:, add]] -= share / count - share / (count + 1)
-        after[rank] += share / (count + 1)
-    if drop >= 0:
-        share, count = shares[drop], copies[drop]
-        after[rank] -= share / count
-        others = held[:, drop].copy()
-        others[rank] = False
-        after[others] += share / (count - 1) - share / count
-    return after
-
-
-def _measure(loads: Floats) -> float:
-    return float((loads**8).sum())
+def _measure(times: Floats) -> float:
+    return float((times**_POWER).sum())
--- a/jasperweir/components/mapswitch/planner.py
+++ b/jasperweir/components/mapswitch/planner.py
@@ -1,4 +1,4 @@
-"""Plans of one group's placement, made a few sets at a time; sans-I/O.
+"""Plans of one group's placement, made some moves at a time; sans-I/O.
 
 A leader has a fraction of a core and must answer heartbeats within tenths of
 a second: a large group's plan takes longer than that as a whole.
@@ -21,6 +21,8 @@
         current: Placement in use.
         shares: Share of each expert in its set, rows that sum to 1.
         paces: How much longer each rank takes for the same work.
+        lasts_s: How long the demand is expected to stay as it is, seconds.
+        switch_s: How long a switch takes besides its copies, seconds.
     """
 
     epoch: int
@@ -28,13 +30,26 @@
     current: messages.Placement
     shares: plan_lib.Floats
     paces: plan_lib.Floats
+    lasts_s: float = const.CALM_SECONDS
+    switch_s: float = const.SWITCH_SECONDS
 
 
 class Better(NamedTuple):
-    """Outcome: a placement that is worth its copies."""
+    """Outcome: a placement that is worth its copies.
+
+    Attributes:
+        question: What it answers.
+        placement: The placement.
+        before: Peak of the placement in use, as a mean of the sets.
+        after: The same of this one.
+        copies: Copies of the rank that makes the most.
+    """
 
     question: Question
     placement: messages.Placement
+    before: float
+    after: float
+    copies: int
 
 
 class GoodEnough(NamedTuple):
@@ -42,7 +57,7 @@
 
 
 class Unfinished(NamedTuple):
-    """Outcome: some sets have not been looked at yet."""
+    """Outcome: the search has not ended yet."""
 
 
 Outcome = Better | GoodEnough | Unfinished
@@ -54,7 +69,7 @@
     def __init__(self, *, engine: model.Engine) -> None:
         self._engine = engine
         self._question: Question | None = None
-        self._done: list[plan_lib.SetPlan] = []
+        self._search: plan_lib.Search | None = None
 
     @property
     def active(self) -> bool:
@@ -63,42 +78,88 @@
 
     def begin(self, question: Question) -> None:
         """Take up a question; an older one is dropped."""
+        experts = self._engine.experts
         self._question = question
-        self._done = []
+        self._search = plan_lib.Search(
+            start=tuple(
+                plan_lib.table(ranks, experts) for ranks in question.current
+            ),
+            shares=question.shares,
+            pace=question.paces,
+            places=self._engine.places,
+            spare=self._engine.spare,
+        )
 
     def drop(self) -> None:
         """Give up the question."""
         self._question = None
+        self._search = None
 
     def go_on(self) -> Outcome:
-        """Look at a few more sets."""
-        question = self._question
-        if question is None:
+        """Search a little further."""
+        question, search = self._question, self._search
+        if question is None or search is None:
             return GoodEnough()
-        first = len(self._done)
-        last = min(first + self._sets_at_once(question), len(question.shares))
-        for number in range(first, last):
-            self._done.append(self._improve(question, number))
-        if last < len(question.shares):
+        cells = len(question.current[0]) * self._engine.experts
+        if not search.go_on(max(1, const.CELLS_PER_TICK // cells)):
             return Unfinished()
-        self._question = None
-        before = sum(found.before for found in self._done)
-        after = sum(found.after for found in self._done)
-        if after > before * (1 - const.LEAST_GAIN):
+        self.drop()
+        stage = choose(
+            search.before,
+            search.stages,
+            copy_s=self._engine.copy_s,
+            switch_s=question.switch_s,
+            lasts_s=question.lasts_s,
+        )
+        if stage is None:
             return GoodEnough()
-        placement = tuple(plan_lib.rows(found.held) for found in self._done)
-        return Better(question=question, placement=placement)
-
-    def _sets_at_once(self, question: Question) -> int:
-        cells = len(question.current[0]) * self._engine.experts
-        return max(1, const.CELLS_PER_TICK // cells)
-
-    def _improve(self, question: Question, number: int) -> plan_lib.SetPlan:
-        start = plan_lib.table(question.current[number], self._engine.experts)
-        return plan_lib.improve(
-            start,
-            question.shares[number],
-            question.paces,
-            places=self._engine.places,
-            spare=self._engine.spare,
+        return Better(
+            question=question,
+            placement=tuple(plan_lib.rows(held) for held in stage.held),
+            before=search.before,
+            after=stage.peak,
+            copies=stage.copies,
         )
+
+
+def choose(
+    before: float,
+    stages: list[plan_lib.Stage],
+    *,
+    copy_s: float,
+    switch_s: float,
+    lasts_s: float,
+) -> plan_lib.Stage | None:
+    """Return the change that saves most time until the demand moves on.
+
+    A change with few copies helps sooner; the rest can follow with a second
+    one. Compared is the peak summed over time.
+
+    Args:
+        before: Peak of the placement in use.
+        stages: Changes with more and more copies a rank.
+        copy_s: Time in which a rank copies one expert, seconds.
+        switch_s: Time that a switch takes besides, seconds.
+        lasts_s: How long the demand is expected to stay as it is, seconds.
+
+    Returns:
+        The best change, None if none is worth its copies.
+    """
+    if not stages:
+        return None
+    final = stages[-1]
+    best: plan_lib.Stage | None = None
+    least = before * lasts_s
+    for stage in stages:
+        gain = before - stage.peak
+        if gain < const.LEAST_GAIN * before:
+            continue
+        first_s = switch_s + stage.copies * copy_s
+        rest = final.copies - stage.copies
+        second_s = switch_s + rest * copy_s if rest > 0 else 0.0
+        left_s = max(0.0, lasts_s - first_s - second_s)
+        cost = before * first_s + stage.peak * second_s + final.peak * left_s
+        cost += const.COPY_COST * final.copies * copy_s
+        if cost < least:
+            least, best = cost, stage
+    return best
--- a/jasperweir/daemons/site_agent.py
+++ b/jasperweir/daemons/site_agent.py
@@ -8,6 +8,7 @@
 from jasperweir.components.directory import records
 from jasperweir.components.follow import follower as follower_lib
 from jasperweir.components.mapswitch import const
+from jasperweir.components.mapswitch import counter as counter_lib
 from jasperweir.components.mapswitch import messages
 from jasperweir.components.mapswitch import pacer as pacer_lib
 from jasperweir.components.mapswitch import runner as runner_lib
@@ -57,6 +58,7 @@
         )
         self._runner = runner_lib.Runner()
         self._pacer = pacer_lib.Pacer()
+        self._counter = counter_lib.Counter()
         self._reading = False
         self._leader = ""
         self._experts: tuple[tuple[int, ...], ...] = ()
@@ -131,19 +133,35 @@
                 return
             self._experts = self._dialect.placement(raw)
             self._experts_of = (state.epoch, state.map_version)
-        raw = None
-        if self._pacer.counted:
-            raw = await self._engine.get(self._dialect.COUNTS_TARGET)
         beat = messages.EngineBeat(
             service=self._cfg.service,
             address=self._cfg.engine,
             term=term,
             state=state,
-            counts=self._dialect.counts(raw) if raw is not None else (),
+            choices=await self._choices(),
             experts=self._experts,
         )
         self._host.send(core.Send(dst=self._leader, msg=beat))
 
+    async def _choices(self) -> counter_lib.Choices:
+        """Return what the engine's requests chose since the last beat."""
+        if not self._pacer.counted:
+            return counter_lib.NO_CHOICES
+        raw = await self._engine.get(self._dialect.COUNTS_TARGET)
+        if raw is None:
+            return counter_lib.NO_CHOICES
+        try:
+            counts = self._dialect.counts(raw)
+        except ValueError as exc:
+            _log.warning("counts cannot be read", reason=str(exc))
+            return counter_lib.NO_CHOICES
+        before = self._counter.dropped
+        choices = self._counter.take(counts, self._host.now())
+        if self._counter.dropped > before:
+            self._host.metrics.inc("counts_dropped")
+            _log.warning("counts make no sense", dropped=self._counter.dropped)
+        return choices
+
 
 def _no_reload() -> None:
     _log.info("reload asked for: seeds are read at the start only")
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -271,6 +271,16 @@
                 self._give_directly(act)
             case mapswitch_actions.PhaseChanged():
                 _log.info("expert map", **act._asdict())
+            case mapswitch_actions.DemandJumped():
+                self._host.metrics.inc("demand_jumps", group=act.group)
+                _log.info("demand jumped", **act._asdict())
+            case mapswitch_actions.Planned():
+                self._host.metrics.observe(
+                    "plan_after_jump_seconds", act.since_jump_s
+                )
+                _log.info("expert map planned", **act._asdict())
+            case mapswitch_actions.Switched():
+                self._note_switch(act)
             case (
                 node_lib.Replaced()
                 | node_lib.Described()
@@ -279,6 +289,14 @@
             ):
                 self._calls.answer(act)
 
+    def _note_switch(self, act: mapswitch_actions.Switched) -> None:
+        """Record how long the parts of a switch took."""
+        metrics = self._host.metrics
+        metrics.observe("map_copying_seconds", act.copying_s)
+        metrics.observe("map_ordering_seconds", act.ordering_s)
+        metrics.observe("map_settling_seconds", act.settling_s)
+        _log.info("expert map switched", **act._asdict())
+
     def _give_directly(self, act: mapswitch_actions.Direct) -> None:
         """Give an order to an engine whose agent does not answer."""
         self._host.metrics.inc("orders_given_directly")
