--- a/features/demand.feature
+++ b/features/demand.feature
@@ -20,6 +20,19 @@
     When requests choose alike for 20 seconds, each read of one topic of 9
     Then no jump is seen
 
+  Scenario: A rank that tells late of choices from before a jump
+    Given the demand of 12 ranks with 96 experts, told 10 times a second
+    When requests choose alike for 4 seconds
+    And they choose other experts from then on
+    And a rank tells at once what it chose in the 3 seconds before
+    Then half a second after the jump nine tenths of the shares are new
+
+  Scenario: The first prompts after a jump differ, and are no further jump
+    Given the demand of 2 ranks with 96 experts, told 10 times a second
+    When requests choose alike for 8 seconds, each read of one topic of 9
+    And they choose other experts from then on, each read of one topic of 9
+    Then one jump is seen
+
   Scenario: A jump is seen once
     Given the demand of 12 ranks with 96 experts, told 10 times a second
     When requests choose alike for 4 seconds
--- a/features/steps/demand_steps.py
+++ b/features/steps/demand_steps.py
@@ -40,8 +40,9 @@
     return shares / shares.sum(axis=1, keepdims=True)
 
 
-@given("the demand of 12 ranks with 96 experts, told 10 times a second")
-def step_demand(context):
+@given("the demand of {ranks:d} ranks with 96 experts, told 10 times a second")
+def step_demand(context, ranks):
+    context.ranks = ranks
     context.demand = demand_lib.Demand(sets=SETS, experts=EXPERTS)
     context.rng = np.random.default_rng(3)
     context.shares = popular(1)
@@ -53,8 +54,8 @@
     """Let all ranks tell what they chose, each at its own moment."""
     end = context.now + seconds
     while context.now < end:
-        for rank in range(RANKS):
-            at = context.now + READ_SECONDS * rank / RANKS
+        for rank in range(context.ranks):
+            at = context.now + READ_SECONDS * rank / context.ranks
             shares = context.shares
             if topic_share:
                 topic = popular(100 + int(context.rng.integers(9)))
@@ -90,6 +91,22 @@
     tell(context, 0.5)
 
 
+@when("they choose other experts from then on, each read of one topic of 9")
+def step_jump_topics(context):
+    context.jumped_at = context.now
+    context.shares = popular(2)
+    tell(context, 0.9, topic_share=0.3)
+
+
+@when("a rank tells at once what it chose in the 3 seconds before")
+def step_tells_late(context):
+    counts = (popular(1) * 30 * CHOICES).astype(int).ravel()
+    choices = counter_lib.Choices(
+        seconds=3.0, counts=tuple(int(c) for c in counts)
+    )
+    context.demand.observe(choices, context.now)
+
+
 @when("they go on so for {seconds:g} seconds")
 def step_go_on(context, seconds):
     tell(context, seconds)
