Scenarios in which a late hold still comes in time to do harm

Cause: with the pass held nearer, the scenario of a hold 0.35 s late stays green with either guard removed: the hold is refused, since its pass has begun. Change: a late hold to a group that has no work, and holds that nobody remembers; the old scenario stays as it is.

--- a/features/mapswitch.feature
+++ b/features/mapswitch.feature
@@ -88,6 +88,29 @@
     Then no pass has begun on two maps
     And no pass has waited longer than 0.1 seconds
 
+  Scenario: A hold that comes after it was taken back, to a group without work
+    Given a group of 4 engines under a leader
+    When a hold reaches its engine 0.35 seconds late, while nothing is to do
+    And 5 seconds pass at the group
+    Then no pass has begun on two maps
+    And no pass has waited longer than 0.1 seconds
+
+  Scenario Outline: A hold that nobody remembers is found while nothing is planned
+    Given a group of 4 engines under a leader
+    When 5 seconds pass at the group
+    And <seconds> seconds pass at the group
+    And the first rank holds the pass after the next <ahead>
+    And 2 seconds pass at the group
+    Then no pass has begun on two maps
+    And no pass has waited longer than 0.1 seconds
+
+    Examples:
+      | seconds | ahead |
+      | 0.05    | 2     |
+      | 0.1     | 2     |
+      | 0.15    | 2     |
+      | 0.2     | 2     |
+
   Scenario: A leader that takes over resolves a hold
     Given a group of 4 engines under a leader
     When the first rank holds a pass and the leader freezes
--- a/features/steps/mapswitch_steps.py
+++ b/features/steps/mapswitch_steps.py
@@ -295,6 +295,25 @@
     raise AssertionError("no hold was sent")
 
 
+@when(
+    "a hold reaches its engine {seconds:g} seconds late, while nothing is to do"
+)
+def step_late_hold_idle(context, seconds):
+    dep = context.dep
+    step_late_hold(context, seconds)
+    dep.group.idle = True
+    while not dep.group.ranks[0].held:
+        dep.run(engines.STEP)
+    dep.group.idle = False
+
+
+@when("the first rank holds the pass after the next {ahead:d}")
+def step_stray_hold(context, ahead):
+    group = context.dep.group
+    hold = messages.Hold(at_pass=group.passes + ahead + 1)
+    assert group.carry_out(0, hold, group.epoch) == 200
+
+
 @when("another leader takes over")
 def step_take_over(context):
     context.dep.lead()
