--- a/jasperweir/components/balance/const.py
+++ b/jasperweir/components/balance/const.py
@@ -53,8 +53,9 @@
 # anything, and says little of what a stream costs.
 PASS_CALM = 0.8
 # While passes take longer than this share of the pause that callers allow,
-# nothing new is let in: single passes take some longer than most. Worth 0.055
-# of 1 (mean worth of eight days with trouble, 0.597 without).
+# nothing new is let in: single passes take some longer than most. Together with
+# WAIT_LEAST_SECONDS worth 0.055 of 1: mean worth of eight days with
+# trouble, 0.597 without.
 PASS_SHARE = 0.88
 # Whatever passes take, each target may run streams in this share of its slots:
 # with a slow rank they stay long. And an entry that is cut off from others sees
