--- a/features/steps/declared_steps.py
+++ b/features/steps/declared_steps.py
@@ -428,5 +428,5 @@
 def step_knows_agent(context):
     site = context.site
     for name, node in site.nodes.items():
-        found = node.roster.nodes("agent", site.now)
+        found = node.roster.nodes.fresh("agent", site.now)
         assert [agent.name for agent in found] == ["a1"], name
--- a/jasperweir/components/configctl/node.py
+++ b/jasperweir/components/configctl/node.py
@@ -393,7 +393,8 @@
         news = messages.VersionNews(version=version)
         out: Actions = [NewVersion(version=version)]
         out += [
-            core.Send(dst=name, msg=news) for name in self.roster.entry_names()
+            core.Send(dst=name, msg=news)
+            for name in self.roster.nodes.entry_names()
         ]
         return out
 
--- a/jasperweir/components/configctl/roster.py
+++ b/jasperweir/components/configctl/roster.py
@@ -11,6 +11,7 @@
 from jasperweir import core
 from jasperweir.components.configctl import const
 from jasperweir.components.configctl import digests as digests_lib
+from jasperweir.components.configctl import nodes as nodes_lib
 from jasperweir.components.directory import const as directory_const
 from jasperweir.components.directory import directory as directory_lib
 from jasperweir.components.directory import records
@@ -33,13 +34,6 @@
     number: int
 
 
-class Heard(NamedTuple):
-    """A node's record and when it last beat."""
-
-    node: records.Node
-    at: float
-
-
 class Asked(NamedTuple):
     """A question's number and what is to be done for it now."""
 
@@ -78,6 +72,7 @@
     Attributes:
         directory: Targets, as announced here and at other control VMs.
         controls: Names of all control VMs known, with when they were heard.
+        nodes: Entries and agents that beat here.
     """
 
     def __init__(
@@ -100,6 +95,7 @@
         """
         self.directory = directory_lib.Directory()
         self.controls: dict[str, float] = {}
+        self.nodes = nodes_lib.Nodes()
         self._name = name
         self._place = place
         self._seeds = seeds
@@ -109,12 +105,6 @@
         # What each other control VM told last.
         self._beats_of: dict[str, records.ControlBeat] = {}
         self._news: dict[int, float] = {}
-        self._nodes: dict[str, Heard] = {}
-        self._open_nodes: dict[str, records.Node] = {}
-        self._nodes_digest = 0
-        # Whether the list of entries may have changed since it was told.
-        self._nodes_due = False
-        self._nodes_told = digests_lib.Told()
         self._targets_told = digests_lib.Told()
         # Targets that announced themselves here since the last refresh.
         self._heard_here: set[str] = set()
@@ -149,8 +139,8 @@
         self._seats = facts.seats
         self.directory.tick(now)
         out = self._expire_news(now)
-        if self._nodes_due:
-            out += self._tell_nodes(now)
+        if self.nodes.is_due:
+            out += self.nodes.tell(now)
         if now >= self._beat_at:
             self._beat_at = now + const.BEAT_SECONDS
             out += self._beats(facts, now)
@@ -213,30 +203,11 @@
         ]
         return max(told, key=lambda leader: leader.term, default=Leader("", 0))
 
-    def entry_names(self) -> list[str]:
-        """Return the entries that beat here; agents route nothing."""
-        return [
-            name
-            for name, heard in self._nodes.items()
-            if heard.node.kind == directory_const.KIND_ENTRY
-        ]
-
-    def nodes(self, kind: str, now: float) -> list[records.Node]:
-        """Return the nodes of a kind that beat here."""
-        silent_s = directory_const.NODE_SILENT_SECONDS
-        if kind == directory_const.KIND_AGENT:
-            silent_s = directory_const.AGENT_SILENT_SECONDS
-        return [
-            heard.node
-            for heard in self._nodes.values()
-            if heard.node.kind == kind and now - heard.at < silent_s
-        ]
-
     # Other control VMs and nodes.
 
     def _beats(self, facts: Facts, now: float) -> Actions:
-        self._forget_nodes(now)
-        out = self._tell_nodes(now)
+        self.nodes.forget_silent(now)
+        out = self.nodes.tell(now)
         peers = self.peers()
         beat = self._beat(facts, now)
         out += [core.Send(dst=name, msg=beat) for name in peers]
@@ -267,8 +238,8 @@
         every = self._all_targets(now)
         out += [
             core.Send(dst=name, msg=every)
-            for name in self.entry_names()
-            if self._nodes[name].node.place not in covered
+            for name in self.nodes.entry_names()
+            if self.nodes.place_of(name) not in covered
         ]
         return out
 
@@ -282,7 +253,7 @@
             digest=self.directory.digest,
             controls=controls,
             controls_digest=hashing.checksum(codec.pack(controls)) >> 1,
-            nodes_digest=self._nodes_digest,
+            nodes_digest=self.nodes.digest,
             leader=facts.leader,
             term=facts.term,
         )
@@ -307,12 +278,8 @@
     def _on_node_beat(
         self, src: str, msg: records.NodeBeat, facts: Facts, now: float
     ) -> Actions:
-        known = self._nodes.get(src)
-        if known is not None and _older(msg.node, known.node):
+        if not self.nodes.on_beat(src, msg.node, now):
             return []
-        self._nodes[src] = Heard(node=msg.node, at=now)
-        if known is None or known.node.open != msg.node.open:
-            self._nodes_due = True
         beat = self._beat(facts, now)
         if msg.controls_digest == beat.controls_digest:
             # The names would be a third of all bytes between control and nodes.
@@ -323,55 +290,10 @@
         self._targets_told.note(self.directory.digest, now)
         if self._targets_told.lacks(src, msg.digest, now):
             out.append(core.Send(dst=src, msg=self._all_targets(now)))
-        if msg.node.open and self._nodes_told.lacks(src, msg.nodes_digest, now):
-            out.append(core.Send(dst=src, msg=self._node_list()))
+        if msg.node.open:
+            out += self.nodes.missed_by(src, msg.nodes_digest, now)
         return out
 
-    def _forget_nodes(self, now: float) -> None:
-        for name, heard in list(self._nodes.items()):
-            if now - heard.at > directory_const.NODE_FORGET_SECONDS:
-                del self._nodes[name]
-
-    def _tell_nodes(self, now: float) -> Actions:
-        """Tell the entries which of them callers may use, where it changed.
-
-        The whole list went to all with each change: of 103 entries that start
-        together, 8 KB to each for each.
-        """
-        self._nodes_due = False
-        before = self._open_nodes
-        entries = self.nodes(directory_const.KIND_ENTRY, now)
-        self._open_nodes = {
-            node.name: node._replace(sequence=0, incarnation=0)
-            for node in entries
-            if node.open
-        }
-        changed = [
-            node
-            for name, node in self._open_nodes.items()
-            if before.get(name) != node
-        ]
-        changed += [
-            node._replace(open=False)
-            for name, node in before.items()
-            if name not in self._open_nodes
-        ]
-        if not changed:
-            return []
-        old_digest = self._nodes_digest
-        rows = sorted(self._open_nodes.values())
-        self._nodes_digest = hashing.checksum(codec.pack(rows)) >> 1
-        self._nodes_told.note(self._nodes_digest, now)
-        news = records.NodeNews(
-            before=old_digest, after=self._nodes_digest, nodes=tuple(changed)
-        )
-        return [core.Send(dst=name, msg=news) for name in self.entry_names()]
-
-    def _node_list(self) -> records.Nodes:
-        return records.Nodes(
-            digest=self._nodes_digest, nodes=tuple(self._open_nodes.values())
-        )
-
     def _all_targets(
         self, now: float, only: set[str] | None = None
     ) -> records.Targets:
@@ -421,7 +343,9 @@
         after = self.directory.digest
         self._targets_told.note(after, now)
         news = records.News(target=target, before=before, after=after)
-        return [core.Send(dst=name, msg=news) for name in self.entry_names()]
+        return [
+            core.Send(dst=name, msg=news) for name in self.nodes.entry_names()
+        ]
 
     def _spread(
         self, target: records.Target, before: int, now: float, *, wait: bool
@@ -442,8 +366,3 @@
         for number in late:
             del self._news[number]
         return [Unconfirmed(number=number) for number in late]
-
-
-def _older(new: records.Node, known: records.Node) -> bool:
-    same = new.incarnation == known.incarnation
-    return same and new.sequence < known.sequence
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -195,7 +195,9 @@
         """Drive the switch of expert maps while this VM surely leads."""
         if self._term_at(now) and now >= self._nodes_at:
             self._nodes_at = now + NODES_SECONDS
-            for agent in node.roster.nodes(directory_const.KIND_AGENT, now):
+            for agent in node.roster.nodes.fresh(
+                directory_const.KIND_AGENT, now
+            ):
                 self._coordinator.on_agent(agent.name, agent.place, now)
             self._coordinator.on_entries(self._hold_givers(node, now))
         self._perform(self._coordinator.tick(now))
@@ -229,7 +231,7 @@
         None that is stopping, and none on a VM of control, where there are
         others.
         """
-        entries = node.roster.nodes(directory_const.KIND_ENTRY, now)
+        entries = node.roster.nodes.fresh(directory_const.KIND_ENTRY, now)
         entries = [entry for entry in entries if entry.open] or entries
         controls = {name.rpartition(":")[0] for name in node.roster.controls}
         controls.add(self._cfg.address)
@@ -364,7 +366,7 @@
                 return
         self._told_slow = slow
         self._told_slow_at = now
-        for entry in node.roster.nodes(directory_const.KIND_ENTRY, now):
+        for entry in node.roster.nodes.fresh(directory_const.KIND_ENTRY, now):
             self._host.send(core.Send(dst=entry.name, msg=slow))
 
     def _on_version(self, version: int) -> None:
