When entries are told of slow targets: a decision of its own, out of the daemon

Cause: site_control.py mixed this decision with sockets. Change: SlowNews, sans-I/O, as it was; its scenario is new.

--- a/features/large.feature
+++ b/features/large.feature
@@ -81,3 +81,7 @@
   Scenario: An alarm keeps the earliest time and outlives an error
     When an alarm is set for 0.2 s, then for 0.05 s, and its function fails once
     Then the function has been called again after the error
+
+  Scenario: Entries are told of slow targets at once, and again while any is
+    When a target turns slow at 1.0 s, gets slower at 1.2 s and is well at 3.0 s
+    Then the entries are told at 1.0, 1.2, 1.7, 2.2, 2.7 and 3.0 s
--- a/features/steps/large_steps.py
+++ b/features/steps/large_steps.py
@@ -22,6 +22,7 @@
 from jasperweir.components.mapswitch import counter as counter_lib
 from jasperweir.components.mapswitch import group as group_lib
 from jasperweir.components.mapswitch import messages as mapswitch_messages
+from jasperweir.components.mapswitch import slow_news
 from jasperweir.daemons import loop_host
 from jasperweir.helpers import loop_link
 
@@ -525,3 +526,22 @@
 def step_called_again(context):
     assert context.errors == 1
     assert len(context.called) == 2, context.called
+
+
+@when("a target turns slow at 1.0 s, gets slower at 1.2 s and is well at 3.0 s")
+def step_turns_slow(context):
+    news = slow_news.SlowNews()
+    context.told = []
+    for tenth in range(50):
+        now = tenth / 10
+        pace = 2.0 if now < 1.2 else 3.0
+        slow = mapswitch_messages.SlowTarget("10.0.0.1:80", pace)
+        is_slow = 1.0 <= now < 3.0
+        found = mapswitch_messages.SlowTargets((slow,) if is_slow else ())
+        if news.is_due(found, now):
+            context.told.append(now)
+
+
+@then("the entries are told at 1.0, 1.2, 1.7, 2.2, 2.7 and 3.0 s")
+def step_told_slow(context):
+    assert context.told == [1.0, 1.2, 1.7, 2.2, 2.7, 3.0], context.told
--- a/jasperweir/components/mapswitch/const.py
+++ b/jasperweir/components/mapswitch/const.py
@@ -69,6 +69,9 @@
 # A plan is good enough at this load of the slowest rank over the mean: what
 # further copies would bring is below what they cost.
 GOOD_PEAK = 1.2
+# Entries are told again which targets are slow after this long, seconds; they
+# believe it for four times as long.
+TELL_SLOW_SECONDS = 0.5
 # Targets from this pace on are named to the entries as slow.
 SLOW_PACE = 1.15
 # A copy goes to one of this many of the least loaded ranks; more make a plan
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -18,6 +18,7 @@
 from jasperweir.components.mapswitch import const as mapswitch_const
 from jasperweir.components.mapswitch import coordinator as coordinator_lib
 from jasperweir.components.mapswitch import messages as mapswitch_messages
+from jasperweir.components.mapswitch import slow_news as slow_news_lib
 from jasperweir.components.quorum import actions
 from jasperweir.components.quorum import no_storage
 from jasperweir.components.quorum import storage as storage_lib
@@ -39,9 +40,8 @@
 # beat no more often. Seconds.
 NODES_SECONDS = 0.1
 # Entries are told at once which targets are slow, as far as a look this often
-# shows it, and again while nothing changes, seconds.
+# shows it, seconds.
 LOOK_SLOW_SECONDS = 0.1
-TELL_SLOW_SECONDS = 0.5
 # A stopping control VM stays this long after it has handed over the lead, so
 # that calls under way get their answers, seconds.
 LINGER_SECONDS = 1.5
@@ -85,8 +85,7 @@
         self._nodes_at = 0.0
         # Whether a plan is to be gone on with before the next tick.
         self._plan_due = False
-        self._told_slow = mapswitch_messages.SlowTargets(targets=())
-        self._told_slow_at = float("-inf")
+        self._slow_news = slow_news_lib.SlowNews()
         # Commit index and directory digest that are written down.
         self._noted = (0, 0)
 
@@ -360,12 +359,8 @@
             return
         slow = self._coordinator.slow_targets()
         now = self._host.now()
-        if slow == self._told_slow:
-            rests = now - self._told_slow_at < TELL_SLOW_SECONDS
-            if rests or not slow.targets:
-                return
-        self._told_slow = slow
-        self._told_slow_at = now
+        if not self._slow_news.is_due(slow, now):
+            return
         for entry in node.roster.nodes.fresh(directory_const.KIND_ENTRY, now):
             self._host.send(core.Send(dst=entry.name, msg=slow))
 
