--- a/jasperweir/components/follow/follower.py
+++ b/jasperweir/components/follow/follower.py
@@ -314,12 +314,10 @@
         for target, age in zip(msg.targets, msg.ages, strict=False):
             self.directory.merge(target, now, age)
             held = self.directory.get(target.target_id)
-            if held is None or held.target_id != target.target_id:
+            if held is None or held.presence <= target.presence:
                 continue
-            is_same = incarnation.compare(target.born, held.born)
-            if is_same is not incarnation.Start.SAME:
-                continue
-            if held.presence > target.presence:
+            told = incarnation.compare(target.born, held.born)
+            if told is incarnation.Start.SAME:
                 # It has forgotten that this target leaves.
                 out.append(core.Send(dst=src, msg=records.News(target=held)))
         return out
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -164,6 +164,7 @@
         is_open = is_open and self._follower.ready(now)
         if is_open and not self._follower.node.open:
             _log.info("ready", version=self._follower.version)
+            self._share_all()
         self._perform(self._follower.update(is_open=is_open, now=now))
 
     def _on_frame(self, src: str, msg: Any) -> None:
