--- a/features/large.feature
+++ b/features/large.feature
@@ -29,6 +29,16 @@
     When entry "e3" closes, unheard by entry "e7", and 3 seconds pass
     Then no entry names "e3" to callers
 
+  Scenario Outline: A change is taken in only after the one before it
+    Given an entry that holds a list of entries with digest 5
+    When it hears of a change from digest <before> to <after>
+    Then its beats state digest <digest> and it names <names>
+
+    Examples:
+      | before | after | digest | names      |
+      | 5      | 6     | 6      | e1, e3     |
+      | 6      | 7     | 5      | e1, e3, e5 |
+
   Scenario: Nodes do not beat to control VMs without a disk
     Given a calm site with 5 control VMs of which 2 have no disk, and 20 entries
     When 2 seconds of beats are counted
--- a/features/steps/large_steps.py
+++ b/features/steps/large_steps.py
@@ -84,7 +84,7 @@
 )
 def step_relays(context, controls, entries):
     calm_site(
-        context, entries=entries, controls=controls, diskless=("c4", "c5")
+        context, entries=entries, controls=controls, diskless=("c3", "c5")
     )
     context.site.announce("c1", target(1, 1))
     context.site.run(2.0)
@@ -165,6 +165,30 @@
     context.site.run(3.0)
 
 
+@given("an entry that holds a list of entries with digest {digest:d}")
+def step_holds_list(context, digest):
+    node = records.Node("e1", "entry", "p", "e1:80", True, 1, 0)
+    context.follower = follower_lib.Follower(node=node, seeds=("c1",), now=0.0)
+    nodes = tuple(node._replace(name=name) for name in ("e1", "e3", "e5"))
+    held = records.Nodes(digest=digest, nodes=nodes)
+    context.follower.receive("c1", held, 0.0)
+
+
+@when("it hears of a change from digest {before:d} to {after:d}")
+def step_hears_change(context, before, after):
+    gone = context.follower.node._replace(name="e5", open=False)
+    news = records.NodeNews(before=before, after=after, nodes=(gone,))
+    context.follower.receive("c1", news, 0.1)
+
+
+@then("its beats state digest {digest:d} and it names {names}")
+def step_states(context, digest, names):
+    beats = context.follower.tick(10.0)
+    assert [act.msg.nodes_digest for act in beats] == [digest], beats
+    held = context.follower._controls["c1"].nodes
+    assert sorted(held) == names.split(", "), held
+
+
 def close(context, name):
     """Close an entry as one that stops does; it goes on beating."""
     site = context.site
@@ -219,7 +243,7 @@
 def step_leaves_relay(context):
     context.left.add("t1")
     context.ask = context.site.announce(
-        "c4", target(1, 2, records.Presence.LEAVING)
+        "c5", target(1, 2, records.Presence.LEAVING)
     )
     context.site.run(1.0)
 
