Keep cells of 16 entries

Change: 16 again. Ruled out: the tests being too narrow; a cell of five entries and as many targets does spread worse.

--- a/jasperweir/components/balance/const.py
+++ b/jasperweir/components/balance/const.py
@@ -13,7 +13,7 @@
 # centres, docs/MEASUREMENTS.md).
 MESH_ENTRIES = 24
 # A data centre with twice as many entries or more is split into cells.
-CELL_ENTRIES = 8
+CELL_ENTRIES = 16
 # A cell of fewer targets than this is no home: sent to first, it would make
 # the fault of one target that of many requests.
 HOME_TARGETS = 6
