Figures in comments: measured ones in place of estimates

Measured by packing the messages themselves: an order to prepare for 192 ranks 13.5 KB, 9.0 compressed (random placement); 197 targets 15.9 KB; 103 entries 5.4 KB; a control VM's beat 211 bytes, 136 without names; a look at 197 targets 174 us, the kept list 0.25 us. What has no measurement says so.

--- a/jasperweir/components/address/near.py
+++ b/jasperweir/components/address/near.py
@@ -18,7 +18,7 @@
     """Return the addresses for a caller.
 
     Callers draw one for each connection. Told the first 64 of 103 entries, they
-    left two of five data centres idle, and four of five connections crossed
+    could leave whole data centres idle, and most connections would cross
     between data centres, whose bytes are priced.
 
     Args:
--- a/jasperweir/components/configctl/digests.py
+++ b/jasperweir/components/configctl/digests.py
@@ -7,7 +7,7 @@
     """Digests of one list that others are told of, change by change.
 
     A change goes to all at once, so a node that states the digest of a moment
-    ago has the change under way to it. The whole list, 19 KB at 197 targets,
+    ago has the change under way to it. The whole list, 16 KB at 197 targets,
     went to each node with each beat that crossed a change; it goes to those
     whose digest stays behind.
     """
--- a/jasperweir/components/configctl/nodes.py
+++ b/jasperweir/components/configctl/nodes.py
@@ -83,7 +83,7 @@
         """Tell the entries which of them callers may use, where it changed.
 
         The whole list went to all with each change: of 103 entries that start
-        together, 8 KB to each for each.
+        together, 5 KB to each for each.
         """
         self.is_due = False
         before = self._open
--- a/jasperweir/components/configctl/roster.py
+++ b/jasperweir/components/configctl/roster.py
@@ -297,7 +297,7 @@
             return []
         beat = self._beat(facts, now)
         if msg.controls_digest == beat.controls_digest:
-            # The names would be a third of all bytes between control and nodes.
+            # The names are a third of a beat: 75 of 211 bytes for five.
             beat = beat._replace(controls=())
         out: Actions = [core.Send(dst=src, msg=beat)]
         if msg.node.kind != directory_const.KIND_ENTRY:
--- a/jasperweir/components/directory/directory.py
+++ b/jasperweir/components/directory/directory.py
@@ -58,7 +58,7 @@
         """Return the targets of a service that may get new requests.
 
         The list is kept until it changes, since it is asked for with each
-        request: 0.1 ms a look instead of 0.3 us at 192 targets.
+        request: a look takes 174 us, the kept list 0.25 us (197 targets).
         """
         known = self._serving.get(service)
         if known is None or now >= known.until:
--- a/jasperweir/components/follow/follower.py
+++ b/jasperweir/components/follow/follower.py
@@ -246,8 +246,8 @@
     def _partners(self, now: float) -> list[tuple[str, Control]]:
         """Return the control VMs to talk to: those that keep the log.
 
-        Beats to 13 control VMs of which 5 had a disk were most of the frames
-        of a site with 295 nodes. While none that keeps it is heard, the others
+        Where 5 of 13 control VMs have a disk this is 5 beats in place of 13.
+        While none that keeps it is heard, the others
         may know where they are.
         """
         known = list(self._controls.items())
--- a/jasperweir/components/mapswitch/const.py
+++ b/jasperweir/components/mapswitch/const.py
@@ -129,7 +129,8 @@
 # A control VM that was not heard for longer passes nothing on: it beats four
 # times a second. Seconds.
 RELAY_FRESH_SECONDS = 0.6
-# 1 is the fastest; a placement of 192 ranks shrinks to half.
+# 1 is the fastest; a placement of 192 ranks drawn at random shrinks
+# to two thirds (13.5 to 9.0 KB).
 RELAY_COMPRESS_LEVEL = 1
 
 # An engine on the same VM answers within milliseconds; later means lost.
--- a/jasperweir/components/mapswitch/group.py
+++ b/jasperweir/components/mapswitch/group.py
@@ -130,7 +130,7 @@
         """Tell whether a plan may begin; one that is made has its ticks.
 
         Looking at all ranks with each beat of one would be work with the square
-        of the ranks: of 192, half of what the leader did.
+        of the ranks: with 192, 116 of 252 profiler samples in its frames.
         """
         if now - self._looked_at < const.LOOK_SECONDS:
             return False
--- a/jasperweir/components/mapswitch/relays.py
+++ b/jasperweir/components/mapswitch/relays.py
@@ -1,7 +1,7 @@
 """Large orders go once to each data centre and are passed on there; sans-I/O.
 
-An order to prepare names the experts of all ranks: 17 KB for 192 ranks, so
-that one to each is 3.3 MB from the leader's own link, most of it between data
+An order to prepare names the experts of all ranks: 13.5 KB packed for 192, so
+that one to each is 2.6 MB from the leader's own link, most of it between data
 centres. A control VM of each data centre passes them on instead. Agents answer
 the leader itself; what is not answered is sent again, by the leader itself.
 """
