Log which requests ran on a target that ended

Cause: logs named tries by their ids, which are new each time, and no line told that a target had ended; so the three hypotheses of the incident could not be told from each other.

The line 'target checked' bears the sign and a digest (BLAKE2b) of host, path, customer and body of each request that ran there; metric broken_targets by sign. No decision depends on it yet.

Ruled out: a hash of every request as it arrives; only those whose connection broke are hashed. Headers but the host are no part of the digest: a caller may give them new values.

Conclusion: with this the content in common can be seen.

--- a/features/harness/platform.py
+++ b/features/harness/platform.py
@@ -89,17 +89,19 @@
             )
 
     def start_target(
-        self, number, service, events=10, announced="", controls=""
-    ):
+        self, number, service, events=10, announced="", controls="",
+        target_id="", extra=(),
+    ):  # fmt: skip
         address = f"{target_ip(number)}:{TARGET}"
         direct = ",".join(f"{control_ip(n)}:{CONTROL}" for n in (1, 2, 3))
         self.procs[f"target-{number}"] = subprocess.Popen(
             [
                 sys.executable, "-m", "standins.platform_target",
                 "--address", address, "--service", service,
-                "--id", f"i-{number}", "--controls", controls or direct,
+                "--id", target_id or f"i-{number}",
+                "--controls", controls or direct,
                 "--events", str(events),
-                "--announced", announced or address,
+                "--announced", announced or address, *extra,
             ],
             cwd=ROOT,
         )  # fmt: skip
--- /dev/null
+++ b/features/harness/respawn.py
@@ -0,0 +1,61 @@
+"""Stand-in targets that end under some requests and come back later."""
+
+import threading
+import time
+
+POLL_SECONDS = 0.02
+
+
+class Respawner:
+    """Keep targets running, each start with an id of its own.
+
+    Attributes:
+        ended: When targets ended, monotonic seconds.
+    """
+
+    def __init__(self, plat, numbers, *, ends_on, back_s):
+        self._plat = plat
+        self._ends_on = ends_on
+        self._back_s = back_s
+        self._file = plat.folder / "ends"
+        self._starts = dict.fromkeys(numbers, 0)
+        self._back_at = {}
+        self._stop = threading.Event()
+        self.ended = []
+        for number in numbers:
+            self._start(number)
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def _start(self, number):
+        self._starts[number] += 1
+        self._plat.start_target(
+            number,
+            "m",
+            target_id=f"i-{number}-{self._starts[number]}",
+            extra=("--ends-on", self._ends_on, "--ends-file", str(self._file)),
+        )
+
+    def _run(self):
+        while not self._stop.wait(POLL_SECONDS):
+            now = time.monotonic()
+            for number in self._starts:
+                proc = self._plat.procs[f"target-{number}"]
+                if proc.poll() is None:
+                    continue
+                if number not in self._back_at:
+                    self.ended.append(now)
+                    self._back_at[number] = now + self._back_s
+                elif now >= self._back_at[number]:
+                    del self._back_at[number]
+                    self._start(number)
+
+    def bodies(self):
+        """Return the bodies under which targets ended, in order."""
+        if not self._file.exists():
+            return []
+        return self._file.read_bytes().splitlines()
+
+    def stop(self):
+        self._stop.set()
+        self._thread.join()
--- /dev/null
+++ b/features/quarantine.feature
@@ -0,0 +1,14 @@
+Feature: A request under which targets end is kept from the others
+
+  Targets of one service ended one after the other, some four seconds apart,
+  and the whole group of ranks stood still each time. The logs named nothing
+  that the ends had in common, since each try of a request has an id of its
+  own. With the content of what ran at each target they do: of 16 ends under
+  8 tries each line "target checked" with "sign":"ended" bears one and the
+  same content, and two targets ended in each try, since an entry sends it
+  once more by itself and nobody remembers it beyond one try.
+
+  Scenario: The log names what ran on each target that ended
+    Given three VMs with control and entry, and six targets that end under "x"
+    When a safe request that ends targets comes 2 times, in turn
+    Then the log of the entries names one content for each target that ended
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -17,6 +17,7 @@
 from jasperweir.components.directory import records
 from jasperweir.components.forward import dialect as dialect_lib
 from jasperweir.components.forward import early as early_lib
+from jasperweir.components.forward import end_watch
 from jasperweir.components.forward import exchange as exchange_lib
 from jasperweir.components.forward import life as life_lib
 from jasperweir.components.forward import pass_watch
@@ -40,6 +41,7 @@
         neighbours: Entries and targets that this one deals with first.
         places: Where a request may go now.
         passes: Passes of groups of engines, and the limits from them.
+        ends: Targets that end, and the requests that ran there.
         pool: Connections to targets.
         dialect: Protocol of callers and targets.
         index: Configuration in force, None before the first.
@@ -78,6 +80,9 @@
         self._directory = directory
         self._budget = budget_lib.RetryBudget(bounds=bounds)
         self._record = record_lib.Recorder(metrics=metrics)
+        self.ends = end_watch.EndWatch(
+            pool=self.pool, directory=directory, record=self._record
+        )
         self._refusals = refusals_lib.Refusals(dialect=dialect, rng=rng)
         self._patience = patience_lib.UsualPatience()
         self._outages = outage_lib.Outages()
--- a/jasperweir/components/forward/record.py
+++ b/jasperweir/components/forward/record.py
@@ -7,6 +7,7 @@
 from jasperweir.components.forward import dialect as dialect_lib
 from jasperweir.components.forward import exchange as exchange_lib
 from jasperweir.components.forward import life as life_lib
+from jasperweir.components.quarantine import suspects as suspects_lib
 from jasperweir.helpers import logs
 from jasperweir.helpers import metrics as metrics_lib
 
@@ -170,6 +171,25 @@
             open=at_target,
         )
 
+    def checked(self, case: suspects_lib.Case, sign: str) -> None:
+        """Record whether a target whose connections broke still listens.
+
+        Args:
+            case: The target, and the requests that it had.
+            sign: What a new connection showed.
+        """
+        self._metrics.inc("broken_targets", sign=sign)
+        _log.info(
+            "target checked",
+            target=case.target.target_id,
+            address=case.target.address,
+            sign=sign,
+            requests={
+                found.label: request_id
+                for found, request_id in case.suspects.items()
+            },
+        )
+
     def moved(
         self,
         exchange: exchange_lib.Exchange,
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -1,13 +1,14 @@
 """A target that speaks the users' platform, for tests without their kit.
 
 It announces itself, runs plain requests and streams of events, can break a
-stream off midway or refuse, and records what ran.
+stream off midway, refuse, or end under a request, and records what ran.
 """
 
 import argparse
 import contextlib
 import http.server
 import json
+import os
 import threading
 import time
 import urllib.error
@@ -15,14 +16,33 @@
 
 BEAT_SECONDS = 0.5
 EVENT_SECONDS = 0.03
+# It ends this long after it has begun to run a request that ends it.
+END_SECONDS = 0.04
 
 
 class State:
     """What the stand-in is told to do, and what it has seen."""
 
-    def __init__(self, *, target_id: str, events: int) -> None:
+    def __init__(
+        self,
+        *,
+        target_id: str,
+        events: int,
+        ends_on: bytes = b"",
+        ends_file: str = "",
+    ) -> None:
+        """Begin with nothing seen.
+
+        Args:
+            target_id: Its id.
+            events: Events of a stream.
+            ends_on: It ends when it runs a request whose body holds this.
+            ends_file: Where it then writes which body that was.
+        """
         self.target_id = target_id
         self.events = events
+        self.ends_on = ends_on
+        self.ends_file = ends_file
         self.break_after = 0
         self.refuse = False
         # Plain requests that still run and whose answers get lost.
@@ -77,6 +97,8 @@
         with state.lock:
             state.runs.append(self.headers.get("Attempt-Id", ""))
             state.seen.append({k.lower(): v for k, v in self.headers.items()})
+        if state.ends_on and state.ends_on in body:
+            self._end(body)
         if "/stream/" in self.path:
             self._stream()
             return
@@ -86,6 +108,18 @@
             return
         self._plain(200, b"ran " + body, signed=True)
 
+    def _end(self, body: bytes) -> None:
+        """End the whole process, as one that crashes does."""
+        if "/stream/" in self.path:
+            self.send_response(200)
+            self._marks(True)
+            self.send_header("Transfer-Encoding", "chunked")
+            self.end_headers()
+        time.sleep(END_SECONDS)
+        with open(self.state.ends_file, "ab", buffering=0) as file:
+            file.write(body + b"\n")
+        os._exit(1)
+
     def _plain(
         self, status: int, body: bytes, *, signed: bool, not_run: bool = False
     ) -> None:
@@ -173,8 +207,15 @@
     parser.add_argument("--id", required=True)
     parser.add_argument("--controls", required=True)
     parser.add_argument("--events", type=int, default=10)
+    parser.add_argument("--ends-on", default="")
+    parser.add_argument("--ends-file", default="")
     args = parser.parse_args()
-    state = State(target_id=args.id, events=args.events)
+    state = State(
+        target_id=args.id,
+        events=args.events,
+        ends_on=args.ends_on.encode(),
+        ends_file=args.ends_file,
+    )
     host, _, port = args.address.rpartition(":")
     handler = type("BoundHandler", (Handler,), {"state": state})
     server = http.server.ThreadingHTTPServer((host, int(port)), handler)
