Failing tests: a request that ends its targets comes back at any entry

Reproduces the incident: three real entries, six stand-in targets that end 40 ms after they begin to run one body and are back 1.5 s later under a new identity, and a caller that sends it eight times, 0.8 s apart, at entries in turn, with a new id each time.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -12,3 +12,21 @@
     Given three VMs with control and entry, and six targets that end under "x"
     When a safe request that ends targets comes 2 times, in turn
     Then the log of the entries names one content for each target that ended
+
+  Scenario: A stream that ends its targets is kept from the others
+    Given three VMs with control and entry, and six targets that end under "x"
+    When a stream request that ends targets comes 8 times, in turn
+    Then it has ended no more than 3 targets
+    And other requests are answered whole through every entry
+
+  Scenario: A safe request that ends its targets is kept from the others
+    Given three VMs with control and entry, and six targets that end under "x"
+    When a safe request that ends targets comes 8 times, in turn
+    Then it has ended no more than 3 targets
+    And other requests are answered whole through every entry
+
+  Scenario: A booking that ends its targets is kept from the others
+    Given three VMs with control and entry, and six targets that end under "x"
+    When a book request that ends targets comes 8 times, in turn
+    Then it has ended no more than 3 targets
+    And other requests are answered whole through every entry
