Keep a request under which targets end from the others

Cause: the fate of a request was known to one exchange at one entry. A caller that comes again begins a new one with a new id, at any entry, so nothing counted how many targets had ended under the same content; the retry budget counts our own second sends only. Class: harm done by a request was state of a single try.

Change: when a connection breaks and a new one is refused, the target ended (not if it was leaving). Each request that ran there gets a mark: its content and the incarnation that ended. Marks are a set that only grows (a mark may turn void), told at once to the entries of the cell, to the control VMs and by these to the entries of their data centre, and compared each second with one control VM, so that lost messages and restarts heal. From two marks on the request is refused on arrival, while it waits, and before any send: 503 with code 2009 and the time for which it is held (600 s, doubled with each further end), or 502 where this try may have run. A whole answer to the same content, or an answer of that incarnation, voids marks: a well request is not blamed for a network, nor a second time for a crash beside it.

Ruled out: counting broken connections without a check (networks, cut answers and resets would blame well requests); a hash of every body on arrival (only those with the outline of a remembered request are hashed); control VMs in the path of a request; three marks before it is held (the first try ends two targets by our own second send; each further end stops the group once more).

Also: served_entries out of the roster's refresh, and one RemoteEngines for the two daemons that each kept a table of engines.

--- a/jasperweir/components/balance/gate.py
+++ b/jasperweir/components/balance/gate.py
@@ -40,6 +40,10 @@
         """Return how many requests wait."""
         return len(self._waiting)
 
+    def numbers(self) -> list[int]:
+        """Return the requests that wait."""
+        return list(self._waiting)
+
     def timely(self, now: float) -> int:
         """Return how many of those who wait can still be in time."""
         return sum(now <= w.timely_until for w in self._waiting.values())
--- a/jasperweir/components/configctl/roster.py
+++ b/jasperweir/components/configctl/roster.py
@@ -244,19 +244,28 @@
         out: Actions = []
         if fresh.targets:
             out += [core.Send(dst=name, msg=fresh) for name in peers]
+        every = self._all_targets(now)
+        out += [
+            core.Send(dst=name, msg=every) for name in self.served_entries(now)
+        ]
+        return out
+
+    def served_entries(self, now: float) -> list[str]:
+        """Return the entries that no control VM of their own place serves.
+
+        Or that this one serves, being of their data centre.
+        """
         covered = {
             beat.place
             for name, beat in self._beats_of.items()
             if beat.keeps_log and self._is_heard(name, now)
         }
         covered.discard(self._place)
-        every = self._all_targets(now)
-        out += [
-            core.Send(dst=name, msg=every)
+        return [
+            name
             for name in self.nodes.entry_names()
             if self.nodes.place_of(name) not in covered
         ]
-        return out
 
     def _beat(self, facts: Facts, now: float) -> records.ControlBeat:
         controls = self._keepers(facts, now)
--- a/jasperweir/components/follow/follower.py
+++ b/jasperweir/components/follow/follower.py
@@ -144,6 +144,14 @@
             self._nodes = tuple(found.values())
         return self._nodes
 
+    def heard_controls(self, now: float) -> list[str]:
+        """Return the control VMs that this node talks to and hears."""
+        return [
+            name
+            for name, control in self._partners(now)
+            if now - control.heard_at < CONTROL_FRESH_SECONDS
+        ]
+
     def leader(self, now: float) -> tuple[str, int]:
         """Return the newest leader heard of, and its term."""
         best = ("", 0)
--- a/jasperweir/components/forward/end_watch.py
+++ b/jasperweir/components/forward/end_watch.py
@@ -1,14 +1,18 @@
 """Find out which targets end, and which requests ran there when they did."""
 
 import asyncio
+from collections.abc import Callable
 import enum
 from typing import TYPE_CHECKING
 
+from jasperweir import core
 from jasperweir.components.directory import directory as directory_lib
 from jasperweir.components.directory import records
 from jasperweir.components.forward import record as record_lib
 from jasperweir.components.quarantine import const
 from jasperweir.components.quarantine import fingerprint
+from jasperweir.components.quarantine import ledger as ledger_lib
+from jasperweir.components.quarantine import messages
 from jasperweir.components.quarantine import suspects as suspects_lib
 from jasperweir.helpers import http_client
 
@@ -16,6 +20,9 @@
     from jasperweir.components.forward import exchange as exchange_lib
 
 
+Marks = tuple[messages.Mark, ...]
+
+
 class Sign(enum.Enum):
     """What a new connection to a target showed."""
 
@@ -28,21 +35,39 @@
 
 
 class EndWatch:
-    """Check targets whose connections break."""
+    """Check targets whose connections break, and remember who ran there.
+
+    Attributes:
+        ledger: Requests under which targets ended.
+        on_marks: Called with what other processes are to be told.
+    """
 
     def __init__(
         self,
         *,
+        clock: core.Clock,
         pool: http_client.Pool,
         directory: directory_lib.Directory,
         record: record_lib.Recorder,
     ) -> None:
+        self.ledger = ledger_lib.Ledger()
+        self.on_marks: Callable[[Marks], None] = lambda _: None
+        self._clock = clock
         self._pool = pool
         self._directory = directory
         self._record = record
         self._suspects = suspects_lib.Suspects()
         self._checks: set[asyncio.Task[None]] = set()
 
+    def verdict(
+        self, exchange: "exchange_lib.Exchange", now: float
+    ) -> ledger_lib.Verdict:
+        """Tell whether a request is kept from targets."""
+        found = self._known(exchange)
+        if found is None:
+            return ledger_lib.Verdict(0, 0.0)
+        return self.ledger.verdict(found, now)
+
     def on_broken(
         self, exchange: "exchange_lib.Exchange", target: records.Target
     ) -> None:
@@ -51,10 +76,7 @@
         if known is None or known.presence is not records.Presence.READY:
             # It leaves, which is no request's doing.
             return
-        customer = exchange.life.match.customer
-        found = fingerprint.of(
-            exchange.request, customer.name if customer else ""
-        )
+        found = fingerprint.of(exchange.request, exchange.life.customer_name)
         request_id = exchange.life.ask.request_id
         if not self._suspects.on_broken(target, found, request_id):
             return
@@ -62,12 +84,50 @@
         self._checks.add(check)
         check.add_done_callback(self._checks.discard)
 
+    def on_answer(self, target: records.Target, sent_at: float) -> None:
+        """Note that a target answers what it was sent at a time."""
+        if len(self.ledger):
+            now = self._clock.monotonic()
+            self._tell(self.ledger.lives(target, sent_at, now))
+
+    def on_whole(self, exchange: "exchange_lib.Exchange") -> None:
+        """Note that a request was answered whole, and well."""
+        found = self._known(exchange)
+        if found is not None:
+            self._tell(self.ledger.absolve(found, self._clock.monotonic()))
+
+    def _known(
+        self, exchange: "exchange_lib.Exchange"
+    ) -> fingerprint.Fingerprint | None:
+        """Return a request's fingerprint if it may be remembered.
+
+        Bodies are hashed of those only that look like one: of some thousand
+        requests that ran on no target that ended, none is.
+        """
+        if not len(self.ledger):
+            return None
+        customer = exchange.life.customer_name
+        if not self.ledger.knows(
+            fingerprint.outline(exchange.request, customer)
+        ):
+            return None
+        return fingerprint.of(exchange.request, customer)
+
     async def _check(self, target: records.Target) -> None:
         await asyncio.sleep(const.CHECK_SECONDS)
         sign = await self._sign(target)
         case = self._suspects.on_checked(target)
-        if case is not None:
-            self._record.checked(case, sign.value)
+        if case is None:
+            return
+        self._record.checked(case, sign.value)
+        if sign is Sign.ENDED:
+            now = self._clock.monotonic()
+            for found in case.suspects:
+                self._tell(self.ledger.add(found, target, now))
+
+    def _tell(self, marks: Marks) -> None:
+        if marks:
+            self.on_marks(marks)
 
     async def _sign(self, target: records.Target) -> Sign:
         try:
--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -122,12 +122,11 @@
             self._release()
             self._act(life.on_time_up(at_target=False))
             return
-        customer = life.match.customer
         sent = dialect_lib.Dispatch(
             target_id=self._target.target_id,
             patience_s=patience,
             priority=min(life.match.priority, 9),
-            customer=customer.name if customer else "",
+            customer=life.customer_name,
             resume_after=life.last_event,
         )
         req = self.request
@@ -156,6 +155,8 @@
             self._on_fault(fault, f"status {head.status}", hard=hard)
             return True
         self._owner.note_taken(self)
+        if self._target is not None:
+            self._owner.ends.on_answer(self._target, self._sent_at)
         if head.status < 500:
             self._owner.balancer.succeeded(self.target_id, now - self._sent_at)
         else:
@@ -206,6 +207,8 @@
             return
         self._owner.pool.give(_pool_key(self._target), conn)
         self._owner.note_whole(self, self._sent_at)
+        if self._head is not None and self._head.status < 300:
+            self._owner.ends.on_whole(self)
         self._conn = None
         self._release()
         if self._passes_events:
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -81,7 +81,10 @@
         self._budget = budget_lib.RetryBudget(bounds=bounds)
         self._record = record_lib.Recorder(metrics=metrics)
         self.ends = end_watch.EndWatch(
-            pool=self.pool, directory=directory, record=self._record
+            clock=clock,
+            pool=self.pool,
+            directory=directory,
+            record=self._record,
         )
         self._refusals = refusals_lib.Refusals(dialect=dialect, rng=rng)
         self._patience = patience_lib.UsualPatience()
@@ -206,6 +209,8 @@
     # Places.
 
     def _admit(self, exchange: exchange_lib.Exchange, now: float) -> None:
+        if self._hold_back(exchange, now):
+            return
         targets = self._directory.serving(exchange.service, now)
         if not targets:
             if not self.may_wait(exchange):
@@ -257,6 +262,8 @@
         reach: places_lib.Reach,
         now: float,
     ) -> None:
+        if self._hold_back(exchange, now):
+            return
         tried = exchange.life.tried
         target = self.balancer.choose(reach.targets, tried, now)
         if target is None:
@@ -278,6 +285,27 @@
         )
         exchange.send_to(target)
 
+    def _hold_back(self, exchange: exchange_lib.Exchange, now: float) -> bool:
+        """Refuse a request under which targets have ended.
+
+        Without it one request that came back every four seconds ended eight
+        targets, and its group of ranks stood still for 18 s.
+        """
+        verdict = self.ends.verdict(exchange, now)
+        if not verdict.held_s:
+            return False
+        self._record.held_back(exchange, verdict)
+        exchange.give_up(Code.ENDS_TARGETS)
+        return True
+
+    def on_marks(self, now: float) -> None:
+        """Refuse those who wait and are now known to end targets."""
+        for service in self._queues.services():
+            for number in self._queues.of(service).gate.numbers():
+                exchange = self._open.get(number)
+                if exchange is not None:
+                    self._hold_back(exchange, now)
+
     def send_again(self, exchange: exchange_lib.Exchange) -> None:
         """Send a request to another target if the budget allows."""
         now = self.now()
@@ -425,6 +453,7 @@
             now,
             outage=self._outages.of(exchange.service).lasts(now),
             foreseen_s=exchange.life.foreseen_s,
+            held_s=self.ends.verdict(exchange, now).held_s,
         )
 
     def _turn_away(
--- a/jasperweir/components/forward/life.py
+++ b/jasperweir/components/forward/life.py
@@ -107,6 +107,12 @@
         """Whether the answer is passed on event by event."""
         return self.match.route.kind is model.Kind.STREAM
 
+    @property
+    def customer_name(self) -> str:
+        """Name of the customer whose key it bears, or empty."""
+        customer = self.match.customer
+        return customer.name if customer else ""
+
     @property
     def is_resumed(self) -> bool:
         """Whether the caller goes on with an answer that broke off."""
--- a/jasperweir/components/forward/record.py
+++ b/jasperweir/components/forward/record.py
@@ -7,6 +7,7 @@
 from jasperweir.components.forward import dialect as dialect_lib
 from jasperweir.components.forward import exchange as exchange_lib
 from jasperweir.components.forward import life as life_lib
+from jasperweir.components.quarantine import ledger as ledger_lib
 from jasperweir.components.quarantine import suspects as suspects_lib
 from jasperweir.helpers import logs
 from jasperweir.helpers import metrics as metrics_lib
@@ -132,12 +133,11 @@
         self._metrics.observe("request_seconds", now - life.arrived)
         if first:
             self._metrics.observe("first_byte_seconds", first - life.arrived)
-        customer = life.match.customer
         _log.info(
             "request ended",
             id=life.ask.request_id,
             route=life.match.route.name,
-            customer=customer.name if customer else "",
+            customer=life.customer_name,
             service=exchange.service,
             target=exchange.target_id,
             sends=life.sends,
@@ -190,6 +190,19 @@
             },
         )
 
+    def held_back(
+        self, exchange: exchange_lib.Exchange, verdict: ledger_lib.Verdict
+    ) -> None:
+        """Record a request that is kept from targets."""
+        self._metrics.inc("held_back")
+        _log.info(
+            "request held back",
+            id=exchange.life.ask.request_id,
+            ends=verdict.ends,
+            held_s=round(verdict.held_s),
+            sends=exchange.life.sends,
+        )
+
     def moved(
         self,
         exchange: exchange_lib.Exchange,
--- a/jasperweir/components/forward/refusals.py
+++ b/jasperweir/components/forward/refusals.py
@@ -28,6 +28,7 @@
         *,
         outage: bool = False,
         foreseen_s: float = 0.0,
+        held_s: float = 0.0,
     ) -> None:
         """Give a caller the answer that a result code stands for.
 
@@ -38,12 +39,13 @@
             now: Monotonic seconds.
             outage: Whether all targets of its service refuse at present.
             foreseen_s: Seconds after which a place was foreseen.
+            held_s: Seconds for which the request is kept from targets.
         """
         row = result_codes.TABLE[code]
         headers = self._dialect.own_headers(ask)
         headers.append((b"jasperweir-code", b"%d" % int(code)))
         if row.http == 503:
-            back_s = self._back_after(
+            back_s = held_s or self._back_after(
                 code, now, outage=outage, foreseen_s=foreseen_s
             )
             headers.append((b"retry-after", b"%.3f" % back_s))
--- a/jasperweir/components/quarantine/const.py
+++ b/jasperweir/components/quarantine/const.py
@@ -10,3 +10,29 @@
 # Bytes of the digest of a request's content. It has to be collision-resistant:
 # a caller must not be able to name another request as its own.
 CONTENT_BYTES = 16
+
+# A request is kept from targets once this many have ended under it, none of
+# which answered again, without a whole answer in between. One end says little:
+# some five requests run beside the cause, on a target that may end by itself.
+# Each further one stops a whole group of ranks for some 3.5 s.
+ENDS_MAX = 2
+# For how long it is kept from them, seconds; twice as long with each further
+# end. A caller that sends it every few seconds would end one more target each
+# time; after ten minutes an operator may have mended what it ends.
+HOLD_SECONDS = 600.0
+HOLD_MAX_SECONDS = 86400.0
+# A request under which one target has ended is forgotten after this long.
+FORGET_SECONDS = 600.0
+# Requests that are remembered; those with the fewest ends go first. At six for
+# each end, and one end of a target each four seconds, five minutes' worth.
+RECORDS_MAX = 512
+# Ends that are remembered of one request; more cannot make its hold longer.
+MARKS_MAX = 16
+
+# An entry compares what it remembers with one control VM this often, seconds:
+# what a lost message or a restart has cost comes back within some of them.
+COMPARE_SECONDS = 1.0
+# Where a whole exchange has left a difference, the next one waits this long,
+# doubled each time, seconds.
+EXCHANGE_LEAST_SECONDS = 0.5
+EXCHANGE_MOST_SECONDS = 30.0
--- a/jasperweir/daemons/engine_client.py
+++ b/jasperweir/daemons/engine_client.py
@@ -171,3 +171,24 @@
 
     async def _carry_out(self, act: runner_lib.Read | runner_lib.Post) -> None:
         self._run(await self._client.carry_out(self._runner, act))
+
+
+class RemoteEngines:
+    """Engines on other VMs, by address, each from its first order on."""
+
+    def __init__(
+        self, *, dialect: EngineDialect, send: Callable[[core.Send], None]
+    ) -> None:
+        self._dialect = dialect
+        self._send = send
+        self._engines: dict[str, RemoteEngine] = {}
+
+    def give(self, src: str, ask: messages.OrderAsk) -> None:
+        """Give an order; its result is sent to who asked for it."""
+        engine = self._engines.get(ask.engine)
+        if engine is None:
+            engine = RemoteEngine(
+                address=ask.engine, dialect=self._dialect, send=self._send
+            )
+            self._engines[ask.engine] = engine
+        engine.give(src, ask)
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -20,6 +20,8 @@
 from jasperweir.components.mapswitch import messages as mapswitch_messages
 from jasperweir.components.mapswitch import relays as relays_lib
 from jasperweir.components.mapswitch import slow_news as slow_news_lib
+from jasperweir.components.quarantine import messages as quarantine_messages
+from jasperweir.components.quarantine import spread as spread_lib
 from jasperweir.components.quorum import actions
 from jasperweir.components.quorum import no_storage
 from jasperweir.components.quorum import storage as storage_lib
@@ -64,7 +66,6 @@
         dialect: door_lib.ControlDialect,
         engines: engine_client.EngineDialect,
     ) -> None:
-        self._engine_dialect = engines
         self._cfg = cfg
         self._dialect = dialect
         self._host = loop_host.LoopHost(cfg=cfg, on_frame=self._on_frame)
@@ -79,10 +80,14 @@
             make_group=self._make_group,
             term_at=self._term_at,
         )
+        self._spread = spread_lib.ControlSpread()
         # Module of the groups, None until it is loaded.
         self._groups: Any = None
         self._engines: dict[str, model.Engine] = {}
-        self._direct: dict[str, engine_client.RemoteEngine] = {}
+        # Engines whose agents do not answer.
+        self._direct = engine_client.RemoteEngines(
+            dialect=engines, send=self._on_direct_result
+        )
         # When the groups are told again which agents and entries there are.
         self._nodes_at = 0.0
         # Whether a plan is to be gone on with before the next tick.
@@ -177,6 +182,7 @@
 
     def _note(self) -> None:
         """Write down soft state, for a quicker restart."""
+        self._spread.tick(self._host.now())
         node = self._node
         if node is None:
             return
@@ -275,6 +281,17 @@
                 acts = self._coordinator.receive(src, msg, self._engines, now)
             case relays_lib.OrderRelay():
                 acts = list(relays_lib.expand(msg))
+            case quarantine_messages.Marks() | quarantine_messages.Compare():
+                roster = self._node.roster
+                acts = list(
+                    self._spread.receive(
+                        src,
+                        msg,
+                        entries=roster.served_entries(now),
+                        controls=roster.peers(),
+                        now=now,
+                    )
+                )
             case _:
                 acts = self._node.receive(src, msg, now)
         self._perform(acts)
@@ -310,7 +327,8 @@
             case node_lib.NewVersion():
                 self._on_version(act.version)
             case mapswitch_actions.Direct():
-                self._give_directly(act)
+                self._host.metrics.inc("orders_given_directly")
+                self._direct.give(act.agent, act.ask)
             case mapswitch_actions.PhaseChanged():
                 _log.info("expert map", **act._asdict())
             case mapswitch_actions.DemandJumped():
@@ -339,19 +357,6 @@
         metrics.observe("map_settling_seconds", act.settling_s)
         _log.info("expert map switched", **act._asdict())
 
-    def _give_directly(self, act: mapswitch_actions.Direct) -> None:
-        """Give an order to an engine whose agent does not answer."""
-        self._host.metrics.inc("orders_given_directly")
-        engine = self._direct.get(act.ask.engine)
-        if engine is None:
-            engine = engine_client.RemoteEngine(
-                address=act.ask.engine,
-                dialect=self._engine_dialect,
-                send=self._on_direct_result,
-            )
-            self._direct[act.ask.engine] = engine
-        engine.give(act.agent, act.ask)
-
     def _on_direct_result(self, act: core.Send) -> None:
         """Take in a result as if the engine's agent had told it."""
         now = self._host.now()
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -18,8 +18,12 @@
 from jasperweir.components.directory import records
 from jasperweir.components.follow import follower as follower_lib
 from jasperweir.components.forward import dialect as dialect_lib
+from jasperweir.components.forward import end_watch
 from jasperweir.components.forward import forwarder as forwarder_lib
 from jasperweir.components.mapswitch import messages as mapswitch_messages
+from jasperweir.components.quarantine import const as quarantine_const
+from jasperweir.components.quarantine import messages as quarantine_messages
+from jasperweir.components.quarantine import spread as spread_lib
 from jasperweir.daemons import deployed
 from jasperweir.daemons import engine_client
 from jasperweir.daemons import loop_host
@@ -74,10 +78,11 @@
         engines: engine_client.EngineDialect,
     ) -> None:
         self._cfg = cfg
-        self._engine_dialect = engines
-        self._engines: dict[str, engine_client.RemoteEngine] = {}
         self._dialect = dialect
         self._host = loop_host.LoopHost(cfg=cfg, on_frame=self._on_frame)
+        self._engines = engine_client.RemoteEngines(
+            dialect=engines, send=self._host.send
+        )
         node = records.Node(
             name=cfg.internal,
             kind=directory_const.KIND_ENTRY,
@@ -112,6 +117,10 @@
         self._forwarder.is_certain = self._is_certain
         self._forwarder.on_replaced = self._on_replaced
         self._forwarder.on_work = self._tick_soon
+        self._forwarder.ends.on_marks = self._on_marks
+        self._spread = spread_lib.EntrySpread(
+            ledger=self._forwarder.ends.ledger
+        )
         self._tick_due = False
         self._follow_alarm = self._host.alarm(self._follow)
         self._server: http_server.Server | None = None
@@ -128,6 +137,7 @@
         await self._host.serve(self._cfg.lookup, self._on_lookup)
         self._follow()
         self._host.every(balance_const.SHARE_SECONDS, self._share_all)
+        self._host.every(quarantine_const.COMPARE_SECONDS, self._compare_marks)
         self._host.every(POOL_TIDY_SECONDS, self._forwarder.pool.tidy)
         await self._ended.wait()
         await asyncio.sleep(0.05)
@@ -174,7 +184,11 @@
                 self._forwarder.balancer.on_share(src, msg, now)
                 return
             case mapswitch_messages.OrderAsk():
-                self._on_order(src, msg)
+                self._engines.give(src, msg)
+                return
+            case quarantine_messages.Marks():
+                self._send_all(self._spread.receive(src, msg, now))
+                self._forwarder.on_marks(now)
                 return
             case mapswitch_messages.SlowTargets():
                 paces = {t.address: t.pace for t in msg.targets}
@@ -186,17 +200,22 @@
             self._follow()
         self._follow_alarm.set(self._follower.next_tick(now))
 
-    def _on_order(self, src: str, ask: mapswitch_messages.OrderAsk) -> None:
-        """Give an order to an engine on behalf of the leader."""
-        engine = self._engines.get(ask.engine)
-        if engine is None:
-            engine = engine_client.RemoteEngine(
-                address=ask.engine,
-                dialect=self._engine_dialect,
-                send=self._host.send,
-            )
-            self._engines[ask.engine] = engine
-        engine.give(src, ask)
+    def _on_marks(self, marks: end_watch.Marks) -> None:
+        """Tell the other processes under which requests targets ended."""
+        now = self._host.now()
+        names = [node.name for node in self._forwarder.neighbours.peers]
+        names += self._follower.heard_controls(now)
+        self._send_all(spread_lib.tell(marks, names))
+        self._forwarder.on_marks(now)
+
+    def _compare_marks(self) -> None:
+        now = self._host.now()
+        self._forwarder.ends.ledger.tick(now)
+        self._send_all(self._spread.compare(self._follower.heard_controls(now)))
+
+    def _send_all(self, sends: list[core.Send]) -> None:
+        for act in sends:
+            self._host.send(act)
 
     def _perform(self, acts: follower_lib.Actions) -> None:
         for act in acts:
--- a/jasperweir/result_codes.py
+++ b/jasperweir/result_codes.py
@@ -28,6 +28,7 @@
     CUSTOMER_LIMIT = 2006
     NOT_READY = 2007
     REVOKED = 2008
+    ENDS_TARGETS = 2009
 
     BROKEN_OFF = 3001
     DEADLINE_PASSED = 3002
@@ -111,6 +112,12 @@
     Code.REVOKED: Row(
         503, _NOT_RUN, True, "The target confirmed that it never started."
     ),
+    Code.ENDS_TARGETS: Row(
+        503,
+        _NOT_RUN,
+        True,
+        "Targets ended under it before; kept from them until Retry-After.",
+    ),
     Code.BROKEN_OFF: Row(
         502, _UNKNOWN, False, "The target broke off after the request left."
     ),
