--- a/features/harness/platform.py
+++ b/features/harness/platform.py
@@ -61,7 +61,7 @@
             self.start("control", number)
             self.start("entry", number)
 
-    def start(self, role, number, bootstrap=True):
+    def start(self, role, number, bootstrap=True, program=None):
         path = self.folder / f"{role}-{number}.toml"
         ip = control_ip(number)
         seeds = ", ".join(f'"{control_ip(n)}:{CONTROL}"' for n in (1, 2, 3))
@@ -82,7 +82,8 @@
         )
         env = {**os.environ, "JASPERWEIR_CONFIG": str(path)}
         env["PYTHONPATH"] = ""
-        command = [sys.executable, str(ROOT / "platform/run.py"), role]
+        program = program or [str(ROOT / "platform/run.py")]
+        command = [sys.executable, *program, role]
         with (self.folder / f"{role}-{number}.log").open("ab") as log:
             self.procs[f"{role}-{number}"] = subprocess.Popen(
                 command, env=env, cwd=ROOT, stdout=log, stderr=log
