Measure time by the clock that counts suspensions

Cause: time.monotonic, and asyncio's loop on it, stand still while a VM is suspended.

The deadline of a request is a duration to its loop, not a point of another clock.

Ruled out: the time of day, which jumps.

Waits inside the kernel and of threads (own interface: waitress, urllib3) still stop with the VM; what follows them reads the new clock.

--- a/jasperweir/cli/operate.py
+++ b/jasperweir/cli/operate.py
@@ -13,6 +13,7 @@
 
 from jasperweir import result_codes
 from jasperweir.components.bundle import model
+from jasperweir.helpers import clocks
 
 Code = result_codes.Code
 EXIT_REFUSED = 1
@@ -58,8 +59,8 @@
 
     def post(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
         """Resend an order until its final answer."""
-        deadline = time.monotonic() + TRY_SECONDS
-        while time.monotonic() < deadline:
+        deadline = clocks.elapsed() + TRY_SECONDS
+        while clocks.elapsed() < deadline:
             for address in self._addresses:
                 answer = self._post_once(address, path, body)
                 if answer is not None:
--- a/jasperweir/client.py
+++ b/jasperweir/client.py
@@ -9,6 +9,8 @@
 
 import urllib3
 
+from jasperweir.helpers import clocks
+
 CONNECT_SECONDS = 1.0
 MAX_TRIES = 4
 DONE_MARK = b"[DONE]"
@@ -114,7 +116,7 @@
         deadline_s: float = 30.0,
     ) -> Answer:
         """Send a request, to another entry if one cannot be reached."""
-        deadline = time.monotonic() + deadline_s
+        deadline = clocks.elapsed() + deadline_s
         answer = Answer(0, "unknown", 0, b"", 0)
         avoid: set[str] = set()
         # Tries that may have run; only the first such try may be called the
@@ -122,7 +124,7 @@
         exposed = 0
         earlier: list[str] = []
         for attempt in range(1, MAX_TRIES + 1):
-            remaining = deadline - time.monotonic()
+            remaining = deadline - clocks.elapsed()
             if remaining <= 0:
                 break
             address = self._address(avoid)
@@ -136,7 +138,7 @@
             earlier.append(f"{address}: {seen}")
             exposed += answer.outcome != "not_run"
             avoid.add(address)
-            pause = min(wait, max(deadline - time.monotonic(), 0))
+            pause = min(wait, max(deadline - clocks.elapsed(), 0))
             time.sleep(pause)
         return answer
 
@@ -159,7 +161,7 @@
         }
         if key:
             headers["Idempotency-Key"] = key
-        started = time.monotonic()
+        started = clocks.elapsed()
         times: list[float] = []
         run = ""
         received = b""
@@ -176,7 +178,7 @@
             )
             run = resp.headers.get(RUN_HEADER, "")
             for chunk in resp.stream(65536):
-                times.append(time.monotonic())
+                times.append(clocks.elapsed())
                 received += chunk
             resp.release_conn()
         except urllib3.exceptions.HTTPError as exc:
@@ -219,7 +221,7 @@
         return None
 
     def _address(self, avoid: set[str]) -> str:
-        if time.monotonic() >= self._kept_until:
+        if clocks.elapsed() >= self._kept_until:
             self._refresh()
         usable = [(a, w) for a, w in self._kept if a not in avoid]
         if not usable:
@@ -249,7 +251,7 @@
                 self._kept = [
                     (a["http"], a["weight"]) for a in answer["addresses"]
                 ]
-                self._kept_until = time.monotonic() + answer["ttl_s"]
+                self._kept_until = clocks.elapsed() + answer["ttl_s"]
                 return
 
 
--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -67,7 +67,8 @@
         self.first_byte_at = 0.0
         self.longest_gap = 0.0
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_at(life.ends, self._on_time_up)
+        left_s = life.remaining(owner.now())
+        self._timer = loop.call_later(left_s, self._on_time_up)
         answering.on_gone = self._on_gone
 
     @property
--- a/jasperweir/core.py
+++ b/jasperweir/core.py
@@ -10,6 +10,7 @@
 from typing import cast
 
 from jasperweir import exceptions
+from jasperweir.helpers import clocks
 
 T = TypeVar("T")
 
@@ -18,7 +19,10 @@
     """Source of time; decisions never read the system clock themselves."""
 
     def monotonic(self) -> float:
-        """Return seconds that never go back, for timeouts and leases."""
+        """Return seconds that never go back, for timeouts and leases.
+
+        They count suspensions of the VM as well.
+        """
 
     def wall(self) -> float:
         """Return seconds since the Unix epoch, for records only."""
@@ -28,8 +32,8 @@
     """Read the clocks of the operating system."""
 
     def monotonic(self) -> float:
-        """Return the monotonic clock in seconds."""
-        return time.monotonic()
+        """Return seconds since boot, suspensions of the VM included."""
+        return clocks.elapsed()
 
     def wall(self) -> float:
         """Return the wall clock in seconds since the Unix epoch."""
--- a/jasperweir/daemons/agent.py
+++ b/jasperweir/daemons/agent.py
@@ -20,6 +20,7 @@
 from jasperweir.daemons import base
 from jasperweir.daemons import config
 from jasperweir.helpers import actors
+from jasperweir.helpers import clocks
 from jasperweir.helpers import link as link_lib
 from jasperweir.helpers import settings
 from jasperweir.helpers import web
@@ -134,9 +135,9 @@
         ).start()
 
     def _wait_for_runs(self) -> None:
-        deadline = time.monotonic() + self._drain_s
+        deadline = clocks.elapsed() + self._drain_s
         time.sleep(LEAVE_SETTLE_SECONDS)
-        while self.executor.active() and time.monotonic() < deadline:
+        while self.executor.active() and clocks.elapsed() < deadline:
             time.sleep(0.1)
         self.host.runner.call(
             lambda: self._perform(self.agent.announcer.left())
--- a/jasperweir/daemons/control.py
+++ b/jasperweir/daemons/control.py
@@ -20,6 +20,7 @@
 from jasperweir.daemons import base
 from jasperweir.daemons import config
 from jasperweir.daemons import door as door_lib
+from jasperweir.helpers import clocks
 from jasperweir.helpers import link as link_lib
 from jasperweir.helpers import settings
 from jasperweir.helpers import web
@@ -98,9 +99,9 @@
 
     def drain(self) -> None:
         """Hand over the lead and stop taking part."""
-        deadline = time.monotonic() + HAND_OVER_SECONDS
+        deadline = clocks.elapsed() + HAND_OVER_SECONDS
         self.host.runner.call(self._hand_over)
-        while time.monotonic() < deadline and self._leads():
+        while clocks.elapsed() < deadline and self._leads():
             time.sleep(0.05)
         self.host.runner.call(
             lambda: self._perform(self.controller.gossip.left())
--- a/jasperweir/daemons/entry.py
+++ b/jasperweir/daemons/entry.py
@@ -18,6 +18,7 @@
 from jasperweir.daemons import base
 from jasperweir.daemons import config
 from jasperweir.helpers import actors
+from jasperweir.helpers import clocks
 from jasperweir.helpers import link as link_lib
 from jasperweir.helpers import settings
 from jasperweir.helpers import web
@@ -91,8 +92,8 @@
         kept = bundle.callers.address_ttl_s if bundle else 0.0
         # Whoever asked just before the leave keeps the answer this long.
         time.sleep(kept + const.EXTRA_DRAIN_SECONDS)
-        deadline = time.monotonic() + self._drain_s
-        while self.entry.active() and time.monotonic() < deadline:
+        deadline = clocks.elapsed() + self._drain_s
+        while self.entry.active() and clocks.elapsed() < deadline:
             time.sleep(0.1)
         self.host.runner.call(lambda: self._perform(self.entry.gossip.left()))
         time.sleep(0.2)
--- a/jasperweir/daemons/loop_host.py
+++ b/jasperweir/daemons/loop_host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
 import math
 import os
 import random
@@ -10,6 +11,7 @@
 
 from jasperweir import core
 from jasperweir.daemons import deployed
+from jasperweir.helpers import clocks
 from jasperweir.helpers import http_server
 from jasperweir.helpers import link as link_lib
 from jasperweir.helpers import logs
@@ -248,3 +250,21 @@
         self._note_traffic()
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
         answering.reply(200, headers, self.metrics.render())
+
+
+class ElapsedLoop(asyncio.SelectorEventLoop):
+    """Event loop whose timers count suspensions of the VM.
+
+    The kernel's own waits do not: a timer that came due meanwhile runs when
+    the loop wakes next, which the shortest running timer decides.
+    """
+
+    def time(self) -> float:
+        """Return the time by which timers are due, in seconds."""
+        return clocks.elapsed()
+
+
+def run(main: Callable[[], Coroutine[Any, Any, Any]]) -> Any:
+    """Run a process's coroutine on a loop that counts suspensions."""
+    with asyncio.Runner(loop_factory=ElapsedLoop) as runner:
+        return runner.run(main())
--- a/jasperweir/daemons/site_agent.py
+++ b/jasperweir/daemons/site_agent.py
@@ -181,4 +181,4 @@
     async def main() -> None:
         await SiteAgent(cfg=cfg, dialect=dialect).run()
 
-    asyncio.run(main())
+    loop_host.run(main)
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -414,4 +414,4 @@
     async def main() -> None:
         await SiteControl(cfg=cfg, dialect=dialect, engines=engines).run()
 
-    asyncio.run(main())
+    loop_host.run(main)
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -327,4 +327,4 @@
     async def main() -> None:
         await SiteEntry(cfg=cfg, dialect=dialect, engines=engines).run()
 
-    asyncio.run(main())
+    loop_host.run(main)
--- a/jasperweir/daemons/solo.py
+++ b/jasperweir/daemons/solo.py
@@ -17,6 +17,7 @@
 from jasperweir.daemons import config
 from jasperweir.daemons import control as control_daemon
 from jasperweir.daemons import entry as entry_daemon
+from jasperweir.helpers import clocks
 from jasperweir.helpers import settings
 from jasperweir.helpers import web
 
@@ -149,8 +150,8 @@
         }
         self._until("/ops/sign_off", order)
         self._until("/ops/roll", {"op_id": "roll", "version": 1})
-        deadline = time.monotonic() + READY_SECONDS
-        while time.monotonic() < deadline:
+        deadline = clocks.elapsed() + READY_SECONDS
+        while clocks.elapsed() < deadline:
             resp = self._http.request(
                 "GET", f"http://{self._entry_http}/readyz"
             )
@@ -160,8 +161,8 @@
         raise TimeoutError("solo did not become ready")
 
     def _until(self, path: str, body: dict[str, Any]) -> None:
-        deadline = time.monotonic() + READY_SECONDS
-        while time.monotonic() < deadline:
+        deadline = clocks.elapsed() + READY_SECONDS
+        while clocks.elapsed() < deadline:
             resp = self._http.request(
                 "POST",
                 f"http://{self._control_http}{path}",
--- a/jasperweir/helpers/http_client.py
+++ b/jasperweir/helpers/http_client.py
@@ -3,12 +3,12 @@
 import asyncio
 import math
 import socket
-import time
 from typing import NamedTuple
 from typing import Protocol
 
 import httptools
 
+from jasperweir.helpers import clocks
 from jasperweir.helpers import http_message
 from jasperweir.helpers import logs
 
@@ -88,7 +88,7 @@
         """Whether a request may be sent now."""
         if self.closed or self._listener is not None:
             return False
-        return time.monotonic() < self.usable_until
+        return clocks.elapsed() < self.usable_until
 
     def send(self, data: bytes, listener: Listener) -> None:
         """Send one request and tell a listener what comes of it."""
@@ -234,7 +234,7 @@
             listener.on_end()
 
     def _rest(self, seconds: float) -> None:
-        self.idle_since = time.monotonic()
+        self.idle_since = clocks.elapsed()
         self.usable_until = self.idle_since + seconds
 
     def _break(self, reason: str) -> None:
@@ -271,7 +271,7 @@
             if not conn.idle:
                 conn.close()
                 continue
-            if time.monotonic() - conn.idle_since <= longest_rest:
+            if clocks.elapsed() - conn.idle_since <= longest_rest:
                 return conn
             conns.append(conn)
             return None
--- a/jasperweir/helpers/http_server.py
+++ b/jasperweir/helpers/http_server.py
@@ -9,11 +9,11 @@
 import collections
 from collections.abc import Callable
 import socket
-import time
 from typing import NamedTuple
 
 import httptools
 
+from jasperweir.helpers import clocks
 from jasperweir.helpers import http_message
 
 # Unread requests of one caller that wait for the answer before them.
@@ -132,7 +132,7 @@
         )
         self._current: Answering | None = None
         self._closing = False
-        self._idle_since = time.monotonic()
+        self._idle_since = clocks.elapsed()
         self._reading_since = 0.0
         self._head_bytes = 0
         self._body_bytes = 0
@@ -175,7 +175,7 @@
         if self._closing:
             return
         if not self._reading_since:
-            self._reading_since = time.monotonic()
+            self._reading_since = clocks.elapsed()
         if self._in_head or not self._body_bytes:
             self._head_bytes += len(data)
         try:
@@ -271,7 +271,7 @@
         if self._current is not answering:
             return
         self._current = None
-        self._idle_since = time.monotonic()
+        self._idle_since = clocks.elapsed()
         if not self.will_keep(answering.request):
             self.close()
             return
@@ -378,7 +378,7 @@
 
     def check_ages(self) -> None:
         """Close connections that are idle or slow beyond the limits."""
-        now = time.monotonic()
+        now = clocks.elapsed()
         for conn in list(self.connections):
             conn.check_age(now)
 
--- a/jasperweir/helpers/logs.py
+++ b/jasperweir/helpers/logs.py
@@ -5,12 +5,13 @@
 import json
 import os
 import sys
-import time
 from typing import Any
 
 import logbook
 import msgspec
 
+from jasperweir.helpers import clocks
+
 
 class JsonFormatter:
     """Format a record as one JSON object a line."""
@@ -56,7 +57,7 @@
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Queue a line, or count it as left out."""
-        now = time.monotonic()
+        now = clocks.elapsed()
         if int(now) != self._second:
             self._second = int(now)
             self._written = 0
