--- a/features/harness/platform.py
+++ b/features/harness/platform.py
@@ -13,6 +13,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 INTERNAL_PORT = 21340
 CALLERS, READY, LOOKUP, CONTROL, TARGET = 21227, 21220, 21224, 21229, 21080
+ENTRY_METRICS = 9101
 HOST = "caller.example"
 KEY = "key-of-one"
 
--- a/features/harness/quarantine.py
+++ b/features/harness/quarantine.py
@@ -3,7 +3,6 @@
 import collections
 import random
 
-from features.harness import site as site_lib
 from jasperweir.components.quarantine import const
 from jasperweir.components.quarantine import fingerprint
 from jasperweir.components.quarantine import ledger as ledger_lib
@@ -29,7 +28,11 @@
 
 def content(name):
     """Return the fingerprint of a request whose body is a name."""
-    return fingerprint.of(request(body=str(name).encode()), "one")
+    return of(request(body=str(name).encode()), "one")
+
+
+def of(req, customer):
+    return fingerprint.of(fingerprint.subject(req, customer))
 
 
 class EntryNode:
@@ -182,7 +185,7 @@
             return True
         self.ends[what].append(self.now)
         self._targets += 1
-        target = site_lib.target(target_id=f"t{self._targets}", address="t:1")
+        target = ledger_lib.Incarnation(f"t{self._targets}", 0)
         at = self.now + const.CHECK_SECONDS
         node.checks.append((at, what, target))
         return True
--- a/features/harness/respawn.py
+++ b/features/harness/respawn.py
@@ -3,6 +3,8 @@
 import threading
 import time
 
+from standins import deployment
+
 POLL_SECONDS = 0.02
 
 
@@ -13,10 +15,11 @@
         ended: When targets ended, monotonic seconds.
     """
 
-    def __init__(self, plat, numbers, *, ends_on, back_s):
+    def __init__(self, plat, numbers, *, ends_on, back_s, events=0):
         self._plat = plat
         self._ends_on = ends_on
         self._back_s = back_s
+        self.events = events
         self._file = plat.folder / "ends"
         self._starts = dict.fromkeys(numbers, 0)
         self._back_at = {}
@@ -33,7 +36,11 @@
             number,
             "m",
             target_id=f"i-{number}-{self._starts[number]}",
-            extra=("--ends-on", self._ends_on, "--ends-file", str(self._file)),
+            extra=(
+                *("--ends-on", self._ends_on),
+                *("--ends-file", str(self._file)),
+                *("--events-before-end", str(self.events)),
+            ),
         )
 
     def _run(self):
@@ -59,3 +66,45 @@
     def stop(self):
         self._stop.set()
         self._thread.join()
+
+
+class Engines:
+    """Engines of the own interface, each a process that is started again.
+
+    Attributes:
+        ended: When engines ended, monotonic seconds.
+    """
+
+    def __init__(self, local, *, ends_on, back_s=0.6):
+        self._local = local
+        self._ends_on = ends_on
+        self._back_s = back_s
+        self._stop = threading.Event()
+        self.ended = []
+        for number in range(len(deployment.MODELS)):
+            self._start(number)
+        local.start_standins("plain", "--plain", deployment.PLAIN)
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def _start(self, number):
+        self._local.start_standins(
+            f"engine-{number}",
+            *("--model", deployment.MODELS[number], "--slots", "64"),
+            *("--ends-on", self._ends_on),
+        )
+
+    def _run(self):
+        while not self._stop.wait(POLL_SECONDS):
+            for number in range(len(deployment.MODELS)):
+                proc = self._local.procs.get(f"engine-{number}")
+                if proc is None or proc.poll() is None:
+                    continue
+                self.ended.append(time.monotonic())
+                if self._stop.wait(self._back_s):
+                    return
+                self._start(number)
+
+    def stop(self):
+        self._stop.set()
+        self._thread.join()
--- a/features/steps/quarantine_ledger_steps.py
+++ b/features/steps/quarantine_ledger_steps.py
@@ -10,7 +10,6 @@
 
 from features.harness import hop
 from features.harness import quarantine
-from features.harness import site as site_lib
 from jasperweir.components.quarantine import const
 from jasperweir.components.quarantine import fingerprint
 from jasperweir.components.quarantine import ledger as ledger_lib
@@ -170,7 +169,7 @@
 
 
 def target(number):
-    return site_lib.target(target_id=f"t{number}", address=f"t{number}:1")
+    return ledger_lib.Incarnation(f"t{number}", 0)
 
 
 @given("a ledger with {count:d} ends of a request {ago:g} s ago")
@@ -244,8 +243,8 @@
         "header": {"headers": [(b"x-any", b"1")]},
         "customer": {},
     }[part]
-    first = fingerprint.of(quarantine.request(), "one")
-    second = fingerprint.of(quarantine.request(**other), customer)
+    first = quarantine.of(quarantine.request(), "one")
+    second = quarantine.of(quarantine.request(**other), customer)
     assert (first == second) == (same == "the same")
 
 
@@ -265,7 +264,7 @@
 
 
 def remember(forwarder, req, count=const.ENDS_MAX):
-    what = fingerprint.of(req, "")
+    what = quarantine.of(req, "")
     for number in range(count):
         forwarder.ends.ledger.add(what, target(number), forwarder.now())
 
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -1,6 +1,11 @@
 """Steps on requests under which targets end."""
 
+import contextlib
+import http.client
 import json
+import signal
+import subprocess
+import sys
 import time
 
 from behave import given
@@ -10,6 +15,9 @@
 from features.harness import platform as platform_lib
 from features.harness import respawn
 from features.steps import platform_steps
+from features.steps import process_steps
+from standins import deployment
+from standins import local as local_lib
 
 BACK_SECONDS = 1.5
 # Between two tries of a request that ends targets.
@@ -45,7 +53,7 @@
         path = f"/{kind}/x"
         try:
             answer = context.plat.request(entry, path, f"try-{number}", BODY)
-        except OSError as exc:
+        except (OSError, http.client.HTTPException) as exc:
             # Its answer was broken off.
             answer = (0, {}, str(exc).encode())
         context.answers.append(answer)
@@ -82,3 +90,128 @@
     assert {line["sign"] for line in lines} == {"ended"}, lines
     contents = {label for line in lines for label in line["requests"]}
     assert len(contents) == 1, contents
+
+
+@given("they end after some events")
+def step_midway(context):
+    context.targets.events = 3
+    for number in range(1, 7):
+        # The next start has it.
+        context.plat.signal(f"target-{number}", signal.SIGKILL)
+    time.sleep(BACK_SECONDS + 1.0)
+    platform_steps.settle(context.plat)
+
+
+@when("the third entry is killed and starts again")
+def step_restart(context):
+    plat = context.plat
+    time.sleep(0.5)
+    plat.signal("entry-3", signal.SIGKILL)
+    plat.procs["entry-3"].wait(timeout=5)
+    plat.start("entry", 3)
+    platform_steps.settle(plat)
+
+
+@then("a {kind} request that ends targets is refused there")
+def step_refused_there(context, kind):
+    status, headers, _ = context.plat.request(3, f"/{kind}/x", "there", BODY)
+    assert (status, headers["jasperweir-code"]) == (503, "2009"), status
+    assert float(headers["retry-after"]) > 500
+
+
+def command(*args):
+    done = subprocess.run(
+        [sys.executable, "-m", "jasperweir", "held", *args],
+        capture_output=True,
+        timeout=20,
+        check=True,
+    )
+    return [json.loads(line) for line in done.stdout.splitlines()]
+
+
+def metrics_of(number):
+    ip = platform_lib.control_ip(number)
+    return f"{ip}:{platform_lib.ENTRY_METRICS}"
+
+
+@then("the command line lists it at each entry")
+def step_listed(context):
+    for number in platform_steps.VMS:
+        (row,) = command("list", "--entry", metrics_of(number))
+        assert row["ends"] == 2 and row["held_s"] > 500, row
+
+
+@when("an operator lifts it by the command line at the first entry")
+def step_lifted(context):
+    (row,) = command("list", "--entry", metrics_of(1))
+    lifted = command(
+        "lift", "--entry", metrics_of(1), "--content", row["content"]
+    )
+    assert lifted == [row["content"]], lifted
+    time.sleep(0.5)
+
+
+@then("a {kind} request that ends targets ends more targets at the third")
+def step_ends_more(context, kind):
+    before = len(context.targets.bodies())
+    with contextlib.suppress(OSError, http.client.HTTPException):
+        context.plat.request(3, f"/{kind}/x", "after", BODY)
+    assert len(context.targets.bodies()) > before
+
+
+# The own interface.
+
+
+@given('a running deployment whose engines end under "{text}" and come back')
+def step_own(context, text):
+    context.local = local_lib.Local(folder=context.folder)
+    process_steps.write_bundle(context, 60)
+    context.engines = respawn.Engines(context.local, ends_on=text)
+    context.add_cleanup(context.engines.stop)
+    deployment.bring_up_nodes(context.local, context.bundle, group=False)
+    for address in context.local.entry_http():
+        context.local.wait_for(
+            "an answer", lambda address=address: ask(context, address) == 200
+        )
+
+
+def ask(context, address, text="hello"):
+    body = {
+        "model": "m",
+        "max_tokens": 5,
+        "messages": [{"role": "user", "content": text}],
+    }
+    resp = context.local.http.request(
+        "POST",
+        f"http://{address}/v1/chat/completions",
+        body=json.dumps(body),
+        headers={"Jasperweir-Deadline": "5"},
+        timeout=10.0,
+    )
+    context.code = resp.headers.get("Jasperweir-Code")
+    return resp.status
+
+
+@when("a request that ends engines comes {count:d} times, at entries in turn")
+def step_own_comes(context, count):
+    context.answers = []
+    addresses = context.local.entry_http()
+    for number in range(count):
+        status = ask(context, addresses[number % 3], "x ends what runs it")
+        context.answers.append((status, context.code))
+        time.sleep(AGAIN_SECONDS)
+
+
+@then("it has ended no more than {count:d} engines")
+def step_own_few(context, count):
+    ended = len(context.engines.ended)
+    assert 0 < ended <= count, (ended, context.answers)
+
+
+@then("the last try was told that it has not run, and another is answered")
+def step_own_told(context):
+    assert context.answers[-1] == (503, "2009"), context.answers
+    for address in context.local.entry_http():
+        context.local.wait_for(
+            "an answer", lambda address=address: ask(context, address) == 200
+        )
--- a/jasperweir/cli/main.py
+++ b/jasperweir/cli/main.py
@@ -6,6 +6,7 @@
 from jasperweir import __version__
 from jasperweir import exceptions
 from jasperweir.cli import daemons
+from jasperweir.cli import held
 from jasperweir.cli import operate
 from jasperweir.cli import report
 from jasperweir.cli import solo
@@ -20,6 +21,8 @@
   jasperweir bundle roll --version 3 --control 127.0.0.1:7101
   jasperweir bundle status --control 127.0.0.1:7101 --json
   jasperweir report burn --entries 127.0.0.1:8080 --page burn.html
+  jasperweir held list --entry 10.1.0.40:9101
+  jasperweir held lift --entry 10.1.0.40:9101 --all
   jasperweir solo
 
 exit codes: 0 done, 1 refused or failed, 2 wrong usage or settings,
@@ -40,6 +43,7 @@
     daemons.add_commands(commands)
     operate.add_commands(commands)
     report.add_commands(commands)
+    held.add_commands(commands)
     solo.add_commands(commands)
     return parser
 
--- a/jasperweir/components/agent/buffer.py
+++ b/jasperweir/components/agent/buffer.py
@@ -12,11 +12,13 @@
     Attributes:
         status: HTTP status of the target's answer.
         content_type: Content type of the target's answer.
+        engine_end: Number of the engine's end that broke it, or 0.
     """
 
     def __init__(self) -> None:
         self.status = 0
         self.content_type = ""
+        self.engine_end = 0
         self._chunks: list[bytes] = []
         self._ended = False
         self._whole = False
--- a/jasperweir/components/agent/executor.py
+++ b/jasperweir/components/agent/executor.py
@@ -8,6 +8,7 @@
 import urllib3
 
 from jasperweir.components.agent import buffer as buffer_lib
+from jasperweir.components.agent import ends as ends_lib
 from jasperweir.components.runs import const
 from jasperweir.components.runs import table as table_lib
 
@@ -53,6 +54,7 @@
         threads: int,
     ) -> None:
         self._url = url
+        self._ends = ends_lib.EngineEnds(listens=lambda: ends_lib.listens(url))
         self._now = now
         self._table = table
         self._lock = threading.Lock()
@@ -120,9 +122,15 @@
                     connect=CONNECT_SECONDS, read=READ_SECONDS
                 ),
             )
+        except urllib3.exceptions.NewConnectionError as exc:
+            # Nothing was sent: whatever the engine does, it is not to blame.
+            self._finish(rid, buf, whole=False)
+            raise BrokenAnswerError(type(exc).__name__) from exc
         except urllib3.exceptions.HTTPError as exc:
+            buf.engine_end = self._ends.after_break()
             self._finish(rid, buf, whole=False)
             raise BrokenAnswerError(type(exc).__name__) from exc
+        self._ends.answered()
         self._responses[rid] = resp
         buf.head(resp.status, resp.headers.get("Content-Type", ""))
         return self._pull(rid, buf, resp)
@@ -214,6 +222,8 @@
                 whole = not streamed or STREAM_END in tail
         except (urllib3.exceptions.HTTPError, OSError):
             whole = False
+            if rid not in self._cancelled:
+                buf.engine_end = self._ends.after_break()
         finally:
             if not buf.ended:
                 self._end_pull(rid, buf, resp, whole=whole, size=size)
--- a/jasperweir/components/entry/driver.py
+++ b/jasperweir/components/entry/driver.py
@@ -10,6 +10,7 @@
 from jasperweir.components.claims import const as claim_const
 from jasperweir.components.claims import messages as claim_messages
 from jasperweir.components.entry import dispatch
+from jasperweir.components.entry import held
 from jasperweir.components.entry import hop as hop_lib
 from jasperweir.components.entry import job as job_lib
 from jasperweir.components.entry import port as port_lib
@@ -55,6 +56,7 @@
             timing=self._timing,
             on_hedged=self._life.hedged,
         )
+        self._held = held.Holder(port=port, job=job)
         self._tail = b""
         self._kept: list[bytes] = []
         self._closed = False
@@ -80,6 +82,9 @@
     # Steps before the answer.
 
     def _admit(self) -> events.Event:
+        denied = self._held.denied()
+        if denied is not None:
+            return denied
         done = threading.Event()
         verdicts: list[admission_lib.Verdict] = []
 
@@ -116,7 +121,8 @@
             return events.Expired()
         match action:
             case actions.Pick():
-                return self._dispatch.pick(action.exclude)
+                denied = self._held.denied()
+                return denied or self._dispatch.pick(action.exclude)
             case actions.Reserve():
                 assert self._dispatch.target is not None
                 return self._event(
@@ -127,7 +133,11 @@
             case actions.Claim():
                 return self._claim(action, remaining)
             case actions.Run():
-                return self._event(self._dispatch.run(action.rid, remaining))
+                result = self._dispatch.run(action.rid, remaining)
+                target = self._dispatch.target
+                if target is not None:
+                    self._held.note(result, target.name, target.inc)
+                return self._event(result)
             case actions.Attach():
                 return self._attach(action, remaining)
             case actions.Revoke():
@@ -199,6 +209,7 @@
         result = self._port.hop.attach(
             action.rid, action.offset, target, remaining
         )
+        self._held.note(result, target.name, target.inc)
         return self._event(result)
 
     def _event(self, result: hop_lib.Result) -> events.Event:
@@ -360,6 +371,8 @@
         now = self._port.now()
         verdict = self._timing.verdict(code, streamed=job.streamed)
         finish = self._finish_record() if code == Code.OK else None
+        if code == Code.OK:
+            self._held.note_whole()
 
         def end() -> None:
             entry.release(job.spec.name, job.rid, now)
--- a/jasperweir/components/entry/hop.py
+++ b/jasperweir/components/entry/hop.py
@@ -203,5 +203,7 @@
         case status if status == HTTP_NOT_FOUND:
             return events.Unknown()
         case status if status in (HTTP_GONE, HTTP_BAD_GATEWAY):
-            return events.Broke(relayed=0, ended=True)
+            text = resp.headers.get(run_const.H_ENGINE_END, "")
+            end = int(text) if text.isdigit() else 0
+            return events.Broke(relayed=0, ended=True, engine_end=end)
     return events.Broke(relayed=0)
--- a/jasperweir/components/entry/job.py
+++ b/jasperweir/components/entry/job.py
@@ -10,6 +10,7 @@
 from jasperweir import result_codes
 from jasperweir.components.bundle import const as bundle_const
 from jasperweir.components.bundle import specs
+from jasperweir.components.quarantine import fingerprint
 from jasperweir.components.routing import router as router_lib
 from jasperweir.helpers import hashing
 from jasperweir.helpers import web
@@ -56,6 +57,17 @@
     body: bytes
     digest: int
 
+    @property
+    def subject(self) -> fingerprint.Subject:
+        """What identifies the request, whatever its id and key."""
+        return fingerprint.Subject(
+            method=self.method.encode(),
+            host=self.spec.name.encode(),
+            target=self.path.encode(),
+            customer=self.customer.name,
+            body=self.body,
+        )
+
 
 class Rejected(NamedTuple):
     """The request is wrong and has not been run."""
--- a/jasperweir/components/entry/node.py
+++ b/jasperweir/components/entry/node.py
@@ -21,6 +21,11 @@
 from jasperweir.components.membership import const as member_const
 from jasperweir.components.membership import gossip as gossip_lib
 from jasperweir.components.membership import messages as member_messages
+from jasperweir.components.quarantine import const as quarantine_const
+from jasperweir.components.quarantine import fingerprint as fingerprint_lib
+from jasperweir.components.quarantine import ledger as ledger_lib
+from jasperweir.components.quarantine import messages as quarantine_messages
+from jasperweir.components.quarantine import spread as spread_lib
 from jasperweir.components.routing import router as router_lib
 
 Actions = list[Any]
@@ -49,6 +54,7 @@
         control: Conversation with the control VMs.
         budget: Retry budget of all requests.
         burn: Counts for the service-level report.
+        ledger: Requests under which targets ended.
         rng: Seeded random source.
     """
 
@@ -91,6 +97,9 @@
         self.control = control_client.Client(voters=voters, rng=rng)
         self.budget = retry.Budget()
         self.burn = windows_lib.Windows()
+        self.ledger = ledger_lib.Ledger()
+        self._spread = spread_lib.EntrySpread(ledger=self.ledger)
+        self._compare_at = 0.0
         self.draining = False
         self._burn = 0.0
         self._burned_at = float("-inf")
@@ -115,6 +124,7 @@
         if self.serving and self.gossip.roster.own.status == Status.JOINING:
             self.gossip.touch(status=Status.ALIVE)
         out += self._beat(now)
+        out += self._compare(now)
         self._follow_targets()
         for admission in self._admissions.values():
             self._tell(admission.poll(now))
@@ -136,6 +146,8 @@
                 self.control.on_floor(msg, now)
                 self.replica.floor = self.control.floor
                 return []
+            case quarantine_messages.Marks() | quarantine_messages.Compare():
+                return list(self._spread.receive(src, msg, now))
             case claim_messages.Reply():
                 return self.claims.receive(msg, now)
         if type(msg).__module__ == claim_messages.__name__:
@@ -204,6 +216,23 @@
         )
         return self._loop_back(out, now)
 
+    def note_end(
+        self,
+        fingerprint: fingerprint_lib.Fingerprint,
+        incarnation: ledger_lib.Incarnation,
+        now: float,
+    ) -> Actions:
+        """Note that an engine ended while it had a request; tell others."""
+        marks = self.ledger.add(fingerprint, incarnation, now)
+        return list(spread_lib.tell(marks, self._other_entries()))
+
+    def note_whole(
+        self, fingerprint: fingerprint_lib.Fingerprint, now: float
+    ) -> Actions:
+        """Note that a request was answered whole; tell others."""
+        marks = self.ledger.absolve(fingerprint, now)
+        return list(spread_lib.tell(marks, self._other_entries()))
+
     def addresses(
         self, *, service: str, place: str, salt: str
     ) -> address_lib.Answer | None:
@@ -237,6 +266,20 @@
 
     # Inner workings.
 
+    def _compare(self, now: float) -> Actions:
+        if now < self._compare_at:
+            return []
+        self._compare_at = now + quarantine_const.COMPARE_SECONDS
+        self.ledger.tick(now)
+        return list(self._spread.compare(self._other_entries()))
+
+    def _other_entries(self) -> list[str]:
+        return [
+            member.name
+            for member in self.gossip.roster.members(member_const.KIND_ENTRY)
+            if member.status == Status.ALIVE and member.name != self.name
+        ]
+
     def _beat(self, now: float) -> Actions:
         own = self.gossip.roster.own
         return self.control.beat(
--- a/jasperweir/components/forward/end_watch.py
+++ b/jasperweir/components/forward/end_watch.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from jasperweir import core
+from jasperweir import result_codes
 from jasperweir.components.directory import directory as directory_lib
 from jasperweir.components.directory import records
 from jasperweir.components.forward import record as record_lib
@@ -68,6 +69,19 @@
             return ledger_lib.Verdict(0, 0.0)
         return self.ledger.verdict(found, now)
 
+    def hold_back(self, exchange: "exchange_lib.Exchange", now: float) -> bool:
+        """Refuse a request under which targets have ended.
+
+        Without it one request that came back every four seconds ended eight
+        targets, and its group of ranks stood still for 18 s.
+        """
+        verdict = self.verdict(exchange, now)
+        if not verdict.held_s:
+            return False
+        self._record.held_back(exchange, verdict)
+        exchange.give_up(result_codes.Code.ENDS_TARGETS)
+        return True
+
     def on_broken(
         self, exchange: "exchange_lib.Exchange", target: records.Target
     ) -> None:
@@ -76,7 +90,7 @@
         if known is None or known.presence is not records.Presence.READY:
             # It leaves, which is no request's doing.
             return
-        found = fingerprint.of(exchange.request, exchange.life.customer_name)
+        found = fingerprint.of(_subject(exchange))
         request_id = exchange.life.ask.request_id
         if not self._suspects.on_broken(target, found, request_id):
             return
@@ -88,7 +102,8 @@
         """Note that a target answers what it was sent at a time."""
         if len(self.ledger):
             now = self._clock.monotonic()
-            self._tell(self.ledger.lives(target, sent_at, now))
+            marks = self.ledger.lives(_incarnation(target), sent_at, now)
+            self._tell(marks)
 
     def on_whole(self, exchange: "exchange_lib.Exchange") -> None:
         """Note that a request was answered whole, and well."""
@@ -99,19 +114,8 @@
     def _known(
         self, exchange: "exchange_lib.Exchange"
     ) -> fingerprint.Fingerprint | None:
-        """Return a request's fingerprint if it may be remembered.
-
-        Bodies are hashed of those only that look like one: of some thousand
-        requests that ran on no target that ended, none is.
-        """
-        if not len(self.ledger):
-            return None
-        customer = exchange.life.customer_name
-        if not self.ledger.knows(
-            fingerprint.outline(exchange.request, customer)
-        ):
-            return None
-        return fingerprint.of(exchange.request, customer)
+        """Return a request's fingerprint if it may be remembered."""
+        return self.ledger.find(_subject(exchange))
 
     async def _check(self, target: records.Target) -> None:
         await asyncio.sleep(const.CHECK_SECONDS)
@@ -123,7 +127,7 @@
         if sign is Sign.ENDED:
             now = self._clock.monotonic()
             for found in case.suspects:
-                self._tell(self.ledger.add(found, target, now))
+                self._tell(self.ledger.add(found, _incarnation(target), now))
 
     def _tell(self, marks: Marks) -> None:
         if marks:
@@ -138,3 +142,11 @@
             return Sign.NONE
         conn.close()
         return Sign.LISTENS
+
+
+def _subject(exchange: "exchange_lib.Exchange") -> fingerprint.Subject:
+    return fingerprint.subject(exchange.request, exchange.life.customer_name)
+
+
+def _incarnation(target: records.Target) -> ledger_lib.Incarnation:
+    return ledger_lib.Incarnation(target.target_id, target.born)
--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -155,7 +155,7 @@
             hard = fault is Fault.REPLACED
             self._on_fault(fault, f"status {head.status}", hard=hard)
             return True
-        self._owner.note_taken(self)
+        self._owner.notes.taken(self)
         if self._target is not None:
             self._owner.ends.on_answer(self._target, self._sent_at)
         if head.status < 500:
@@ -207,7 +207,7 @@
         if self.done or conn is None or self._target is None:
             return
         self._owner.pool.give(_pool_key(self._target), conn)
-        self._owner.note_whole(self, self._sent_at)
+        self._owner.notes.whole(self, self._sent_at)
         if self._head is not None and self._head.status < 300:
             self._owner.ends.on_whole(self)
         self._conn = None
@@ -265,7 +265,7 @@
         if fault in (Fault.UNSENT, Fault.UNKNOWN):
             self._owner.balancer.failed(target.target_id, now, hard=hard)
         self._detach()
-        self._owner.note_fault(self, target, fault, reason)
+        self._owner.notes.fault(self, target, fault, reason)
         self._act(self.life.on_fault(target.target_id, fault, now))
 
     def _detach(self) -> None:
@@ -318,7 +318,7 @@
     def _on_time_up(self) -> None:
         if self.done:
             return
-        self._owner.note_time_up(self)
+        self._owner.notes.time_up(self)
         at_target = self._conn is not None
         self._drop_conn()
         self._release()
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -20,6 +20,8 @@
 from jasperweir.components.forward import end_watch
 from jasperweir.components.forward import exchange as exchange_lib
 from jasperweir.components.forward import life as life_lib
+from jasperweir.components.forward import matching
+from jasperweir.components.forward import notes as notes_lib
 from jasperweir.components.forward import pass_watch
 from jasperweir.components.forward import places as places_lib
 from jasperweir.components.forward import queues as queues_lib
@@ -41,13 +43,13 @@
         neighbours: Entries and targets that this one deals with first.
         places: Where a request may go now.
         passes: Passes of groups of engines, and the limits from them.
+        notes: What is concluded from the answers of targets.
         ends: Targets that end, and the requests that ran there.
         pool: Connections to targets.
         dialect: Protocol of callers and targets.
         index: Configuration in force, None before the first.
         stopping: Whether new requests are refused.
         is_certain: Tells whether the configuration in force is the newest.
-        on_replaced: Called with a target whose address another one has.
         on_work: Called when ``tick`` has something to do soon.
     """
 
@@ -69,7 +71,6 @@
         self.index: index_lib.Index | None = None
         self.stopping = False
         self.is_certain: Callable[[], bool] = lambda: True
-        self.on_replaced: Callable[[records.Target], None] = lambda _: None
         self.on_work: Callable[[], None] = lambda: None
         self._clock = clock
         self._rng = rng
@@ -98,6 +99,13 @@
             outages=self._outages,
             rng=rng,
         )
+        self.notes = notes_lib.Notes(
+            clock=clock,
+            balancer=self.balancer,
+            outages=self._outages,
+            queues=self._queues,
+            record=self._record,
+        )
         self.passes = pass_watch.PassWatch(
             places=self.places, directory=directory, record=self._record
         )
@@ -155,8 +163,9 @@
         ask: dialect_lib.Ask,
         index: index_lib.Index,
     ) -> None:
-        match = self._match(answering, ask, index)
-        if match is None:
+        match = matching.find(index, answering.request, ask)
+        if isinstance(match, matching.Denial):
+            self._deny(answering, ask, match)
             return
         if self.stopping:
             self._turn_away(answering, ask, Code.DRAINING, "stopping")
@@ -176,40 +185,20 @@
         self._budget.count_first(service, now)
         self._admit(exchange, now)
 
-    def _match(
-        self,
-        answering: http_server.Answering,
-        ask: dialect_lib.Ask,
-        index: index_lib.Index,
-    ) -> index_lib.Match | None:
-        req = answering.request
-        host = (req.header(b"host") or b"").decode("latin-1")
-        route = index.route(host, req.path)
-        if route is None:
-            self._deny(answering, ask, Code.NO_ROUTE, host + req.path)
-            return None
-        customer = index.customer(ask.key) if ask.key else None
-        if customer is None and index.keyed and not route.public:
-            self._deny(answering, ask, Code.KEY_UNKNOWN, route.name)
-            return None
-        return index_lib.Match(route=route, customer=customer)
-
     def _deny(
         self,
         answering: http_server.Answering,
         ask: dialect_lib.Ask,
-        code: Code,
-        detail: str,
+        denial: matching.Denial,
     ) -> None:
         """Deny what the configuration does not hold, if it is the newest."""
-        if not self.is_certain():
-            code = Code.NOT_READY
-        self._turn_away(answering, ask, code, detail)
+        code = denial.code if self.is_certain() else Code.NOT_READY
+        self._turn_away(answering, ask, code, denial.detail)
 
     # Places.
 
     def _admit(self, exchange: exchange_lib.Exchange, now: float) -> None:
-        if self._hold_back(exchange, now):
+        if self.ends.hold_back(exchange, now):
             return
         targets = self._directory.serving(exchange.service, now)
         if not targets:
@@ -262,7 +251,7 @@
         reach: places_lib.Reach,
         now: float,
     ) -> None:
-        if self._hold_back(exchange, now):
+        if self.ends.hold_back(exchange, now):
             return
         tried = exchange.life.tried
         target = self.balancer.choose(reach.targets, tried, now)
@@ -285,26 +274,13 @@
         )
         exchange.send_to(target)
 
-    def _hold_back(self, exchange: exchange_lib.Exchange, now: float) -> bool:
-        """Refuse a request under which targets have ended.
-
-        Without it one request that came back every four seconds ended eight
-        targets, and its group of ranks stood still for 18 s.
-        """
-        verdict = self.ends.verdict(exchange, now)
-        if not verdict.held_s:
-            return False
-        self._record.held_back(exchange, verdict)
-        exchange.give_up(Code.ENDS_TARGETS)
-        return True
-
     def on_marks(self, now: float) -> None:
         """Refuse those who wait and are now known to end targets."""
         for service in self._queues.services():
             for number in self._queues.of(service).gate.numbers():
                 exchange = self._open.get(number)
                 if exchange is not None:
-                    self._hold_back(exchange, now)
+                    self.ends.hold_back(exchange, now)
 
     def send_again(self, exchange: exchange_lib.Exchange) -> None:
         """Send a request to another target if the budget allows."""
@@ -405,44 +381,11 @@
         """Configuration version in force, 0 before the first."""
         return self.index.deployment.version if self.index else 0
 
-    def note_fault(
-        self,
-        exchange: exchange_lib.Exchange,
-        target: records.Target,
-        fault: life_lib.Fault,
-        reason: str,
-    ) -> None:
-        """Record a send that brought no usable answer."""
-        if fault is life_lib.Fault.REPLACED:
-            self.on_replaced(target)
-        if fault is life_lib.Fault.NOT_RUN:
-            if self._outages.of(exchange.service).on_refusal(self.now()):
-                self._record.outage(exchange.service, begins=True)
-        at_target = self.balancer.count_at(target.target_id, self.now())
-        self._record.fault(exchange, target, fault, reason, at_target)
-
     def note_pause(self, service: str, seconds: float) -> None:
         """Note the pause between two events of a stream."""
         if self.passes.limits.on_pause(service, seconds):
             self.on_work()
 
-    def note_taken(self, exchange: exchange_lib.Exchange) -> None:
-        """Note that a target has taken a request."""
-        if self._outages.of(exchange.service).on_answer(self.now()):
-            self._record.outage(exchange.service, begins=False)
-
-    def note_whole(
-        self, exchange: exchange_lib.Exchange, sent_at: float
-    ) -> None:
-        """Note that a target has answered a request in full."""
-        self._queues.of(exchange.service).forecast.on_end(
-            self.now() - sent_at, max(exchange.first_byte_at - sent_at, 0.0)
-        )
-
-    def note_time_up(self, exchange: exchange_lib.Exchange) -> None:
-        """Record a request whose time is up."""
-        self._record.time_up(exchange)
-
     def refuse(self, exchange: exchange_lib.Exchange, code: Code) -> None:
         """Answer a request by a result code, with when to come back."""
         now = self.now()
--- /dev/null
+++ b/jasperweir/components/forward/matching.py
@@ -0,0 +1,31 @@
+"""Which route and customer of the configuration a request belongs to."""
+
+from typing import NamedTuple
+
+from jasperweir import result_codes
+from jasperweir.components.deployment import index as index_lib
+from jasperweir.components.forward import dialect as dialect_lib
+from jasperweir.helpers import http_message
+
+Code = result_codes.Code
+
+
+class Denial(NamedTuple):
+    """The configuration does not allow a request."""
+
+    code: Code
+    detail: str
+
+
+def find(
+    index: index_lib.Index, req: http_message.Request, ask: dialect_lib.Ask
+) -> index_lib.Match | Denial:
+    """Return the route and customer of a request, or why it has none."""
+    host = (req.header(b"host") or b"").decode("latin-1")
+    route = index.route(host, req.path)
+    if route is None:
+        return Denial(Code.NO_ROUTE, host + req.path)
+    customer = index.customer(ask.key) if ask.key else None
+    if customer is None and index.keyed and not route.public:
+        return Denial(Code.KEY_UNKNOWN, route.name)
+    return index_lib.Match(route=route, customer=customer)
--- /dev/null
+++ b/jasperweir/components/forward/notes.py
@@ -0,0 +1,69 @@
+"""What an entry concludes from what becomes of its sends."""
+
+from collections.abc import Callable
+
+from jasperweir import core
+from jasperweir.components.balance import balancer as balancer_lib
+from jasperweir.components.balance import outage as outage_lib
+from jasperweir.components.directory import records
+from jasperweir.components.forward import exchange as exchange_lib
+from jasperweir.components.forward import life as life_lib
+from jasperweir.components.forward import queues as queues_lib
+from jasperweir.components.forward import record as record_lib
+
+
+class Notes:
+    """Tell outages and forecasts of answers, and write them down.
+
+    Attributes:
+        on_replaced: Called with a target whose address another one has.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: core.Clock,
+        balancer: balancer_lib.Balancer,
+        outages: outage_lib.Outages,
+        queues: queues_lib.Queues,
+        record: record_lib.Recorder,
+    ) -> None:
+        self.on_replaced: Callable[[records.Target], None] = lambda _: None
+        self._clock = clock
+        self._balancer = balancer
+        self._outages = outages
+        self._queues = queues
+        self._record = record
+
+    def fault(
+        self,
+        exchange: exchange_lib.Exchange,
+        target: records.Target,
+        fault: life_lib.Fault,
+        reason: str,
+    ) -> None:
+        """Note a send that brought no usable answer."""
+        now = self._clock.monotonic()
+        if fault is life_lib.Fault.REPLACED:
+            self.on_replaced(target)
+        if fault is life_lib.Fault.NOT_RUN:
+            if self._outages.of(exchange.service).on_refusal(now):
+                self._record.outage(exchange.service, begins=True)
+        at_target = self._balancer.count_at(target.target_id, now)
+        self._record.fault(exchange, target, fault, reason, at_target)
+
+    def taken(self, exchange: exchange_lib.Exchange) -> None:
+        """Note that a target has taken a request."""
+        now = self._clock.monotonic()
+        if self._outages.of(exchange.service).on_answer(now):
+            self._record.outage(exchange.service, begins=False)
+
+    def whole(self, exchange: exchange_lib.Exchange, sent_at: float) -> None:
+        """Note that a target has answered a request in full."""
+        took_s = self._clock.monotonic() - sent_at
+        first_s = max(exchange.first_byte_at - sent_at, 0.0)
+        self._queues.of(exchange.service).forecast.on_end(took_s, first_s)
+
+    def time_up(self, exchange: exchange_lib.Exchange) -> None:
+        """Note a request whose time is up."""
+        self._record.time_up(exchange)
--- a/jasperweir/components/quarantine/fingerprint.py
+++ b/jasperweir/components/quarantine/fingerprint.py
@@ -27,34 +27,53 @@
         return self.content.hex()
 
 
-def outline(req: http_message.Request, customer: str) -> int:
-    """Hash all that identifies a request but its body.
+class Subject(NamedTuple):
+    """What identifies a request.
 
-    Args:
-        req: The caller's request.
+    Headers other than the host are left out: a caller that sends a request
+    again may give them new values.
+
+    Attributes:
+        method: Its method.
+        host: Host, or service, that it is meant for.
+        target: Its path and query.
         customer: Name of the customer whose key it bears, or empty.
+        body: Its body.
     """
-    return xxhash.xxh3_64_intdigest(_identity(req, customer))
 
+    method: bytes
+    host: bytes
+    target: bytes
+    customer: str
+    body: bytes
 
-def of(req: http_message.Request, customer: str) -> Fingerprint:
-    """Return the fingerprint of a request.
 
-    Headers other than the host are left out: a caller that sends a request
-    again may give them new values.
+def subject(req: http_message.Request, customer: str) -> Subject:
+    """Return what identifies a request that a caller sent over HTTP."""
+    return Subject(
+        method=req.method,
+        host=(req.header(b"host") or b"").lower(),
+        target=req.target,
+        customer=customer,
+        body=req.body,
+    )
 
-    Args:
-        req: The caller's request.
-        customer: Name of the customer whose key it bears, or empty.
-    """
+
+def outline(what: Subject) -> int:
+    """Hash all that identifies a request but its body."""
+    return xxhash.xxh3_64_intdigest(_frame(what))
+
+
+def of(what: Subject) -> Fingerprint:
+    """Return the fingerprint of a request."""
     digest = hashlib.blake2b(digest_size=const.CONTENT_BYTES)
-    digest.update(_identity(req, customer))
-    digest.update(req.body)
-    return Fingerprint(outline(req, customer), digest.digest())
+    digest.update(_frame(what))
+    digest.update(what.body)
+    return Fingerprint(outline(what), digest.digest())
 
 
-def _identity(req: http_message.Request, customer: str) -> bytes:
-    host = (req.header(b"host") or b"").lower()
-    size = b"%d" % len(req.body)
+def _frame(what: Subject) -> bytes:
+    size = b"%d" % len(what.body)
     # Neither a request line nor a header value may hold a line feed.
-    return b"\n".join((req.method, host, req.target, customer.encode(), size))
+    parts = (what.method, what.host, what.target, what.customer.encode(), size)
+    return b"\n".join(parts)
--- a/jasperweir/components/quarantine/ledger.py
+++ b/jasperweir/components/quarantine/ledger.py
@@ -11,7 +11,6 @@
 from typing import Any
 from typing import NamedTuple
 
-from jasperweir.components.directory import records
 from jasperweir.components.quarantine import const
 from jasperweir.components.quarantine import fingerprint as fingerprint_lib
 from jasperweir.components.quarantine import messages
@@ -78,6 +77,17 @@
         """Tell whether any request of that outline is remembered."""
         return outline in self._outlines
 
+    def find(self, what: fingerprint_lib.Subject) -> Fingerprint | None:
+        """Return a request's fingerprint if it may be remembered.
+
+        Bodies are hashed of those only that look like a remembered one, so
+        that calm times cost nothing and others the hash of a few hundred
+        bytes, however large the bodies are.
+        """
+        if not self._ends or not self.knows(fingerprint_lib.outline(what)):
+            return None
+        return fingerprint_lib.of(what)
+
     def verdict(self, fingerprint: Fingerprint, now: float) -> Verdict:
         """Tell whether a request is kept from targets."""
         ends = self._ends.get(fingerprint)
@@ -116,10 +126,9 @@
     # Changes; each returns the marks that others are to be told.
 
     def add(
-        self, fingerprint: Fingerprint, target: records.Target, now: float
+        self, fingerprint: Fingerprint, incarnation: Incarnation, now: float
     ) -> tuple[messages.Mark, ...]:
         """Note that a target ended while it had a request."""
-        incarnation = Incarnation(target.target_id, target.born)
         return self._put(fingerprint, incarnation, End(at=now, void=False), now)
 
     def absolve(
@@ -134,18 +143,17 @@
         return out
 
     def lives(
-        self, target: records.Target, since: float, now: float
+        self, incarnation: Incarnation, since: float, now: float
     ) -> tuple[messages.Mark, ...]:
         """Note that a target has answered a request.
 
         Args:
-            target: The target.
+            incarnation: The target.
             since: When it was sent that request, monotonic seconds. What it
                 had begun to answer before its presumed end proves nothing.
             now: Monotonic seconds.
         """
         out: tuple[messages.Mark, ...] = ()
-        incarnation = Incarnation(target.target_id, target.born)
         if incarnation not in self._suspected:
             return out
         for fingerprint, ends in list(self._ends.items()):
--- a/jasperweir/components/quarantine/spread.py
+++ b/jasperweir/components/quarantine/spread.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Iterable
 import dataclasses
-from typing import Any
 
 from jasperweir import core
 from jasperweir.components.quarantine import const
@@ -16,6 +15,7 @@
 from jasperweir.components.quarantine import messages
 
 Sends = list[core.Send]
+Message = messages.Marks | messages.Compare
 
 
 def tell(marks: tuple[messages.Mark, ...], names: Iterable[str]) -> Sends:
@@ -26,45 +26,77 @@
     return [core.Send(dst=name, msg=msg) for name in dict.fromkeys(names)]
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Exchange:
+    """All marks were told to an entry.
+
+    Attributes:
+        pause_s: For how long they are not told again, seconds.
+        at: When they were told, monotonic seconds.
+    """
+
+    pause_s: float
+    at: float
+
+
+class Comparer:
+    """Answer those whose digest differs with all marks, not too often."""
+
+    def __init__(self, *, ledger: ledger_lib.Ledger) -> None:
+        self._ledger = ledger
+        self._exchanges: dict[str, Exchange] = {}
+
+    def receive(self, src: str, msg: messages.Compare, now: float) -> Sends:
+        """Handle the question of another process."""
+        if msg.digest == self._ledger.digest:
+            self._exchanges.pop(src, None)
+            return []
+        last = self._exchanges.get(src)
+        if last is None:
+            last = Exchange(pause_s=const.EXCHANGE_LEAST_SECONDS, at=now)
+            self._exchanges[src] = last
+        elif now - last.at < last.pause_s:
+            return []
+        else:
+            last.at = now
+            longer = const.EXCHANGE_GROWTH * last.pause_s
+            last.pause_s = min(longer, const.EXCHANGE_MOST_SECONDS)
+        marks = messages.Marks(marks=self._ledger.marks(now), whole=True)
+        return [core.Send(dst=src, msg=marks)]
+
+
 class EntrySpread:
     """What an entry tells and is told."""
 
     def __init__(self, *, ledger: ledger_lib.Ledger) -> None:
         self._ledger = ledger
+        self._comparer = Comparer(ledger=ledger)
         self._asked = 0
 
-    def compare(self, controls: list[str]) -> Sends:
-        """Compare with the next control VM in turn.
+    def compare(self, others: list[str]) -> Sends:
+        """Compare with the next of other processes, in turn.
 
         Args:
-            controls: Names of those that answer at present.
+            others: Names of those that answer at present.
         """
-        if not controls:
+        if not others:
             return []
         self._asked += 1
-        name = controls[self._asked % len(controls)]
+        name = others[self._asked % len(others)]
         msg = messages.Compare(digest=self._ledger.digest)
         return [core.Send(dst=name, msg=msg)]
 
-    def receive(self, src: str, msg: messages.Marks, now: float) -> Sends:
+    def receive(self, src: str, msg: Message, now: float) -> Sends:
         """Take in marks; tell the sender of all its marks what it lacks."""
-        self._ledger.merge(msg.marks, now)
-        if not msg.whole:
-            return []
-        return tell(self._ledger.lacking(msg.marks, now), [src])
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Exchange:
-    """All marks were told to an entry.
-
-    Attributes:
-        pause_s: For how long they are not told again, seconds.
-        at: When they were told, monotonic seconds.
-    """
-
-    pause_s: float
-    at: float
+        match msg:
+            case messages.Compare():
+                return self._comparer.receive(src, msg, now)
+            case messages.Marks():
+                self._ledger.merge(msg.marks, now)
+                if not msg.whole:
+                    return []
+                return tell(self._ledger.lacking(msg.marks, now), [src])
+        return []
 
 
 class ControlSpread:
@@ -72,7 +104,7 @@
 
     def __init__(self) -> None:
         self._ledger = ledger_lib.Ledger()
-        self._exchanges: dict[str, Exchange] = {}
+        self._comparer = Comparer(ledger=self._ledger)
 
     def tick(self, now: float) -> None:
         """Forget what is old."""
@@ -81,7 +113,7 @@
     def receive(
         self,
         src: str,
-        msg: Any,
+        msg: Message,
         *,
         entries: list[str],
         controls: list[str],
@@ -104,22 +136,5 @@
                     others += controls
                 return tell(news, [name for name in others if name != src])
             case messages.Compare():
-                return self._on_compare(src, msg, now)
+                return self._comparer.receive(src, msg, now)
         return []
-
-    def _on_compare(self, src: str, msg: messages.Compare, now: float) -> Sends:
-        if msg.digest == self._ledger.digest:
-            self._exchanges.pop(src, None)
-            return []
-        last = self._exchanges.get(src)
-        if last is None:
-            last = Exchange(pause_s=const.EXCHANGE_LEAST_SECONDS, at=now)
-            self._exchanges[src] = last
-        elif now - last.at < last.pause_s:
-            return []
-        else:
-            last.at = now
-            longer = const.EXCHANGE_GROWTH * last.pause_s
-            last.pause_s = min(longer, const.EXCHANGE_MOST_SECONDS)
-        marks = messages.Marks(marks=self._ledger.marks(now), whole=True)
-        return [core.Send(dst=src, msg=marks)]
--- a/jasperweir/components/request/events.py
+++ b/jasperweir/components/request/events.py
@@ -80,10 +80,13 @@
     Attributes:
         relayed: Bytes that the caller has been given.
         ended: Whether the agent itself says that the run broke.
+        engine_end: Number of the engine's end that broke it, 0 if the engine
+            still listens or nothing is known.
     """
 
     relayed: int
     ended: bool = False
+    engine_end: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/jasperweir/components/request/life.py
+++ b/jasperweir/components/request/life.py
@@ -92,6 +92,8 @@
                 return self._expired()
             case events.CallerLeft():
                 return self._end(actions.Answer(code=Code.CANCELLED))
+            case events.Denied() if self._exposed:
+                return self._broken_off()
             case events.Denied():
                 return self._end(
                     actions.Answer(
--- a/jasperweir/components/runs/const.py
+++ b/jasperweir/components/runs/const.py
@@ -18,6 +18,8 @@
 CACHED_NAMED = 4
 H_RUN_STATE = "Jasperweir-Run"
 H_REASON = "Jasperweir-Reason"
+# With a run that broke because the engine ended: the number of that end.
+H_ENGINE_END = "Jasperweir-Engine-End"
 
 REFUSED_LEAVING = "leaving"
 REFUSED_FULL = "full"
--- a/jasperweir/daemons/agent.py
+++ b/jasperweir/daemons/agent.py
@@ -6,6 +6,7 @@
 
 from jasperweir import core
 from jasperweir import result_codes
+from jasperweir.components.agent import buffer as buffer_lib
 from jasperweir.components.agent import engine as engine_lib
 from jasperweir.components.agent import executor as executor_lib
 from jasperweir.components.agent import node as node_lib
@@ -318,7 +319,8 @@
             pull = self.executor.open(rid, call)
         except executor_lib.BrokenAnswerError as exc:
             self.host.metrics.inc("runs_broken")
-            return self._small(502, str(exc))
+            broken = self.executor.buffer(rid)
+            return self._broken(502, str(exc), broken)
         self.host.metrics.inc("runs_started")
         return self._answer(rid, self.executor.lead(rid, pull))
 
@@ -340,9 +342,9 @@
             reason = state.value if state else "unknown"
             return self._small(404, reason)
         if not buf.wait_head(executor_lib.HEAD_WAIT_SECONDS):
-            return self._small(410, "broken")
+            return self._broken(410, "broken", buf)
         if buf.ended and not buf.whole:
-            return self._small(410, "broken")
+            return self._broken(410, "broken", buf)
         self.host.metrics.inc("runs_attached")
         return self._answer(rid, self.executor.read(rid, offset))
 
@@ -366,6 +368,15 @@
                 return self._small(200, verdict.state.value)
         return self._small(200, "start")
 
+    def _broken(
+        self, status: int, reason: str, buf: buffer_lib.Buffer | None
+    ) -> web.Resp:
+        """Say that a run broke, and whether that was the engine's end."""
+        resp = self._small(status, reason)
+        if buf is not None and buf.engine_end:
+            resp.headers.append((run_const.H_ENGINE_END, str(buf.engine_end)))
+        return resp
+
     def _small(self, status: int, reason: str) -> web.Resp:
         return web.json_resp(
             status,
--- a/jasperweir/daemons/loop_host.py
+++ b/jasperweir/daemons/loop_host.py
@@ -81,6 +81,7 @@
         rng: Random source.
         link: Frames to and from our other processes.
         metrics: Counters and histograms.
+        pages: Further pages at the address of the metrics, by path.
     """
 
     def __init__(
@@ -95,6 +96,7 @@
         seed = int.from_bytes(os.urandom(8), "little")
         self.rng = random.Random(seed)
         self.incarnation = self.rng.getrandbits(31) | 1
+        self.pages: dict[str, http_server.Handler] = {}
         self.metrics = metrics_lib.Metrics(labels={"node": cfg.machine})
         self._logs = logs.setup_bounded(level=level, node=cfg.machine)
         self._on_frame = on_frame
@@ -247,6 +249,10 @@
             self.metrics.gauge("link_kind_bytes", seen.size, **labels)
 
     def _on_metrics(self, answering: http_server.Answering) -> None:
+        page = self.pages.get(answering.request.path)
+        if page is not None:
+            page(answering)
+            return
         self._note_traffic()
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
         answering.reply(200, headers, self.metrics.render())
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -1,7 +1,6 @@
 """Deployed control VM: one voter with a disk, operators and targets."""
 
 import asyncio
-import importlib
 import pathlib
 from typing import Any
 import zlib
@@ -29,6 +28,7 @@
 from jasperweir.daemons import control_calls
 from jasperweir.daemons import deployed
 from jasperweir.daemons import engine_client
+from jasperweir.daemons import group_loader
 from jasperweir.daemons import loop_host
 from jasperweir.helpers import http_server
 from jasperweir.helpers import logs
@@ -53,7 +53,6 @@
 # The planner is loaded this long after the start, when entries have their
 # configuration and before an election ends, seconds.
 LOAD_GROUPS_SECONDS = 0.3
-GROUPS_MODULE = "jasperweir.components.mapswitch.group"
 
 
 class SiteControl:
@@ -74,15 +73,14 @@
         self._stopping = asyncio.Event()
         self._broken_until = 0.0
         self._node: node_lib.ConfigNode | None = None
+        self._groups = group_loader.GroupLoader()
         self._coordinator = coordinator_lib.Coordinator(
             place=cfg.place,
             name=cfg.internal,
-            make_group=self._make_group,
+            make_group=self._groups.make,
             term_at=self._term_at,
         )
         self._spread = spread_lib.ControlSpread()
-        # Module of the groups, None until it is loaded.
-        self._groups: Any = None
         self._engines: dict[str, model.Engine] = {}
         # Engines whose agents do not answer.
         self._direct = engine_client.RemoteEngines(
@@ -103,7 +101,7 @@
         await self._host.serve(self._cfg.control, self._handle)
         if self._cfg.data_folder:
             # One without a disk never leads, and saves the memory.
-            self._host.after(LOAD_GROUPS_SECONDS, self._load_groups)
+            self._host.after(LOAD_GROUPS_SECONDS, self._groups.load)
         self._host.every(const.TICK_SECONDS, self._tick)
         self._host.every(NOTE_SECONDS, self._note)
         self._host.every(LOOK_SLOW_SECONDS, self._tell_slow)
@@ -215,7 +213,7 @@
 
     def _term_at(self, now: float) -> int:
         """Return the term in which this VM surely leads, 0 if it doesn't."""
-        if self._node is None or self._groups is None:
+        if self._node is None or not self._groups.loaded:
             return 0
         leads = self._node.voter.read_index(now) is not None
         return self._node.voter.term if leads else 0
@@ -252,24 +250,6 @@
         ]
         return apart or [entry.name for entry in entries]
 
-    def _load_groups(self) -> None:
-        """Load the groups' module beside the event loop.
-
-        Its numeric library takes a tenth of a second of a whole core, which
-        callers would wait for after a loss of power if it came first.
-        """
-        loop = asyncio.get_running_loop()
-        loading = loop.run_in_executor(
-            None, importlib.import_module, GROUPS_MODULE
-        )
-        loading.add_done_callback(self._on_groups)
-
-    def _on_groups(self, loading: "asyncio.Future[Any]") -> None:
-        self._groups = loading.result()
-
-    def _make_group(self, **facts: Any) -> Any:
-        return self._groups.Group(**facts)
-
     def _on_frame(self, src: str, msg: Any) -> None:
         if self._node is None:
             return
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -26,6 +26,7 @@
 from jasperweir.components.quarantine import spread as spread_lib
 from jasperweir.daemons import deployed
 from jasperweir.daemons import engine_client
+from jasperweir.daemons import held_page
 from jasperweir.daemons import loop_host
 from jasperweir.helpers import http_client
 from jasperweir.helpers import http_message
@@ -115,12 +116,15 @@
         self._share_due = False
         self._forwarder.balancer.on_change = self._on_load_change
         self._forwarder.is_certain = self._is_certain
-        self._forwarder.on_replaced = self._on_replaced
+        self._forwarder.notes.on_replaced = self._on_replaced
         self._forwarder.on_work = self._tick_soon
         self._forwarder.ends.on_marks = self._on_marks
-        self._spread = spread_lib.EntrySpread(
-            ledger=self._forwarder.ends.ledger
+        ledger = self._forwarder.ends.ledger
+        self._spread = spread_lib.EntrySpread(ledger=ledger)
+        page = held_page.HeldPage(
+            ledger=ledger, now=self._host.now, on_lifted=self._on_marks
         )
+        self._host.pages[held_page.PATH] = page.handle
         self._tick_due = False
         self._follow_alarm = self._host.alarm(self._follow)
         self._server: http_server.Server | None = None
@@ -170,6 +174,9 @@
             self._follow_alarm.set(now + STOP_TICK_SECONDS)
             self._drive_stop(now)
             return
+        if not self._follower.node.open:
+            # What targets must be kept from is known before callers come.
+            self._compare_marks()
         is_open = self._forwarder.index is not None
         is_open = is_open and self._follower.ready(now)
         if is_open and not self._follower.node.open:
@@ -186,7 +193,7 @@
             case mapswitch_messages.OrderAsk():
                 self._engines.give(src, msg)
                 return
-            case quarantine_messages.Marks():
+            case quarantine_messages.Marks() | quarantine_messages.Compare():
                 self._send_all(self._spread.receive(src, msg, now))
                 self._forwarder.on_marks(now)
                 return
@@ -210,7 +217,9 @@
 
     def _compare_marks(self) -> None:
         now = self._host.now()
-        self._forwarder.ends.ledger.tick(now)
+        ledger = self._forwarder.ends.ledger
+        ledger.tick(now)
+        self._host.metrics.gauge("requests_held", float(len(ledger.held(now))))
         self._send_all(self._spread.compare(self._follower.heard_controls(now)))
 
     def _send_all(self, sends: list[core.Send]) -> None:
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -34,12 +34,15 @@
     parser.add_argument(
         "--token-seconds", type=float, default=const.DEFAULT_TOKEN_SECONDS
     )
+    parser.add_argument("--ends-on", default="")
     args = parser.parse_args()
     servers = []
     extra = _groups(args)
     for address in args.model:
         engine = engine_lib.Engine(
-            slots=args.slots, token_seconds=args.token_seconds
+            slots=args.slots,
+            token_seconds=args.token_seconds,
+            ends_on=args.ends_on.encode(),
         )
         servers.append(
             web.Server(
--- a/standins/const.py
+++ b/standins/const.py
@@ -8,3 +8,5 @@
 LOAD_LAG_SECONDS = 0.5
 EVENT_LAG_SECONDS = 1.0
 EVENT_LOSS = 0.2
+# A process ends this long after it began to run a request that ends it.
+END_SECONDS = 0.04
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -68,11 +68,18 @@
     local: local_lib.Local, bundle: pathlib.Path, *, group: bool
 ) -> None:
     """Start everything, roll the bundle, wait until claims are owned."""
-    describe(local, group=group)
     args = ["--model", MODELS[0], "--model", MODELS[1], "--slots", "64"]
     if group:
         args += ["--group", ",".join(MODELS), "--per-rank", "6"]
     local.start_standins("standins", *args, "--plain", PLAIN)
+    bring_up_nodes(local, bundle, group=group)
+
+
+def bring_up_nodes(
+    local: local_lib.Local, bundle: pathlib.Path, *, group: bool
+) -> None:
+    """Do the same where the stand-ins run already."""
+    describe(local, group=group)
     local.start(*CONTROLS)
     local.bootstrap()
     others = [name for name in local.specs if name not in CONTROLS]
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Iterator
 import json
+import os
 import random
 import threading
 import time
@@ -42,7 +43,18 @@
         token_seconds: float = const.DEFAULT_TOKEN_SECONDS,
         checks_fence: bool = True,
         seed: int = 0,
+        ends_on: bytes = b"",
     ) -> None:
+        """Begin with an empty cache.
+
+        Args:
+            slots: Places in the batch.
+            token_seconds: Time of a token.
+            checks_fence: Whether orders with an old fencing number are refused.
+            seed: Seed of the cache events that get lost.
+            ends_on: The whole process ends when it runs a request whose body
+                holds this.
+        """
         self.ledger = ledger_lib.Ledger()
         self.faults = faults_lib.Faults()
         self.fence = 0
@@ -50,6 +62,7 @@
         self._token_seconds = token_seconds
         self._checks_fence = checks_fence
         self._rng = random.Random(seed)
+        self._ends_on = ends_on
         self._slots = slots_lib.PrioritySlots(count=slots)
         self._active = 0
         self._reported = (0.0, 0)
@@ -86,6 +99,8 @@
         fault = self.faults.take()
         key = str(body.get("user", ""))
         self.ledger.started(key)
+        if self._ends_on and self._ends_on in req.body:
+            threading.Timer(const.END_SECONDS, os._exit, (1,)).start()
         priority = int(req.header("jasperweir-priority", "5"))
         if body.get("stream"):
             headers = [("Content-Type", "text/event-stream")]
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -14,10 +14,10 @@
 import urllib.error
 import urllib.request
 
+from standins import const
+
 BEAT_SECONDS = 0.5
 EVENT_SECONDS = 0.03
-# It ends this long after it has begun to run a request that ends it.
-END_SECONDS = 0.04
 
 
 class State:
@@ -45,6 +45,8 @@
         self.ends_file = ends_file
         self.break_after = 0
         self.refuse = False
+        # Events that a stream sends before it ends its target.
+        self.events_before_end = 0
         # Plain requests that still run and whose answers get lost.
         self.lose_answers = 0
         self.presence = "ready"
@@ -115,7 +117,10 @@
             self._marks(True)
             self.send_header("Transfer-Encoding", "chunked")
             self.end_headers()
-        time.sleep(END_SECONDS)
+            for number in range(1, self.state.events_before_end + 1):
+                self._chunk(f"id: {number}\ndata: piece {number}\n\n".encode())
+                time.sleep(EVENT_SECONDS)
+        time.sleep(const.END_SECONDS)
         with open(self.state.ends_file, "ab", buffering=0) as file:
             file.write(body + b"\n")
         os._exit(1)
@@ -209,6 +214,7 @@
     parser.add_argument("--events", type=int, default=10)
     parser.add_argument("--ends-on", default="")
     parser.add_argument("--ends-file", default="")
+    parser.add_argument("--events-before-end", type=int, default=0)
     args = parser.parse_args()
     state = State(
         target_id=args.id,
@@ -216,6 +222,7 @@
         ends_on=args.ends_on.encode(),
         ends_file=args.ends_file,
     )
+    state.events_before_end = args.events_before_end
     host, _, port = args.address.rpartition(":")
     handler = type("BoundHandler", (Handler,), {"state": state})
     server = http.server.ThreadingHTTPServer((host, int(port)), handler)
