--- a/features/quarantine_ledger.feature
+++ b/features/quarantine_ledger.feature
@@ -127,3 +127,15 @@
 
   Scenario: Drawn schedules of several such requests and of disturbances
     Then in 300 drawn schedules no request goes to targets more than 3 times late
+
+  Scenario: An agent counts an engine's end once for all runs that it broke
+    Given an agent whose engine ends, comes back and ends again
+    Then two runs that the first end broke are told number 1
+    And a run that the second end broke is told number 2
+    And a run whose answer was cut while the engine listens is told number 0
+
+  Scenario: A denial after a send does not say that nothing ran
+    Given a request of the own interface that an engine may have begun
+    When it is denied before its second send, since engines ended under it
+    Then its caller is told 3001
+    And one that is denied before its first send is told 2009
--- a/features/steps/quarantine_ledger_steps.py
+++ b/features/steps/quarantine_ledger_steps.py
@@ -10,9 +10,15 @@
 
 from features.harness import hop
 from features.harness import quarantine
+from jasperweir import result_codes
+from jasperweir.components.agent import ends as ends_lib
+from jasperweir.components.limits import retry
 from jasperweir.components.quarantine import const
 from jasperweir.components.quarantine import fingerprint
 from jasperweir.components.quarantine import ledger as ledger_lib
+from jasperweir.components.request import actions
+from jasperweir.components.request import events
+from jasperweir.components.request import life as request_life
 
 WHAT = "bad"
 
@@ -413,3 +419,68 @@
 @then("{count:d} ends are remembered after the check")
 def step_ends(context, count):
     assert len(context.marks) == count, context.marks
+
+
+# The own interface.
+
+
+@given("an agent whose engine ends, comes back and ends again")
+def step_agent(context):
+    context.listening = True
+    context.agent_ends = ends_lib.EngineEnds(listens=lambda: context.listening)
+
+
+@then("two runs that the first end broke are told number 1")
+def step_first_end(context):
+    context.listening = False
+    numbers = [context.agent_ends.after_break() for _ in range(2)]
+    assert numbers == [1, 1], numbers
+
+
+@then("a run that the second end broke is told number 2")
+def step_second_end(context):
+    context.listening = True
+    context.agent_ends.answered()
+    context.listening = False
+    assert context.agent_ends.after_break() == 2
+
+
+@then("a run whose answer was cut while the engine listens is told number 0")
+def step_listens(context):
+    context.listening = True
+    assert context.agent_ends.after_break() == 0
+
+
+def own_life():
+    return request_life.Life(
+        rid="r", keyed=False, first=True, budget=retry.Budget()
+    )
+
+
+DENIED = events.Denied(code=result_codes.Code.ENDS_TARGETS, retry_after=600.0)
+
+
+@given("a request of the own interface that an engine may have begun")
+def step_begun(context):
+    context.life = own_life()
+    context.life.on(events.Admitted())
+    context.life.on(events.Picked(name="t", inc=1, http="t:1"))
+    broke = events.Broke(relayed=0, ended=True, engine_end=1)
+    action = context.life.on(broke)
+    assert isinstance(action, actions.Pick), action
+
+
+@when("it is denied before its second send, since engines ended under it")
+def step_denied(context):
+    context.action = context.life.on(DENIED)
+
+
+@then("its caller is told 3001")
+def step_unknown(context):
+    assert context.action.code == 3001, context.action
+
+
+@then("one that is denied before its first send is told 2009")
+def step_not_run(context):
+    action = own_life().on(DENIED)
+    assert (action.code, action.retry_after) == (2009, 600.0), action
--- a/jasperweir/components/quarantine/const.py
+++ b/jasperweir/components/quarantine/const.py
@@ -14,7 +14,7 @@
 # A request is kept from targets once this many have ended under it, none of
 # which answered again, without a whole answer in between. One end says little:
 # some five requests run beside the cause, on a target that may end by itself.
-# Each further one stops a whole group of ranks for some 3.5 s.
+# Each further one stops a whole group of ranks for more than 3 s.
 ENDS_MAX = 2
 # For how long it is kept from them, seconds; twice as long with each further
 # end. A caller that sends it every few seconds would end one more target each
