Marks with a NaN age are forgotten; drawn marks and frames

Cause: max(age, 0.0) keeps a NaN, and a mark of that age is neither old nor new, so that it was never forgotten. Found by drawing marks with hypothesis (first red: a single mark with age NaN).

Change: the arguments in the other order.

--- a/features/harness/platform.py
+++ b/features/harness/platform.py
@@ -57,9 +57,9 @@
         self.folder = pathlib.Path(folder)
         self.procs = {}
 
-    def start_all(self, count=3):
+    def start_all(self, count=3, control_program=None):
         for number in range(1, count + 1):
-            self.start("control", number)
+            self.start("control", number, program=control_program)
             self.start("entry", number)
 
     def start(self, role, number, bootstrap=True, program=None):
--- a/features/quarantine_ledger.feature
+++ b/features/quarantine_ledger.feature
@@ -139,3 +139,9 @@
     When it is denied before its second send, since engines ended under it
     Then its caller is told 3001
     And one that is denied before its first send is told 2009
+
+  Scenario: Marks with figures of any kind harm no ledger
+    Then 300 drawn marks leave a ledger that forgets, agrees and is bounded
+
+  Scenario: Frames that another version or nobody wrote are dropped
+    Then 300 drawn frames of every kind are read or refused as frames
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -20,10 +20,14 @@
 
 @given("three VMs with control and entry, and two targets")
 def step_start(context):
+    start(context)
+
+
+def start(context, control_program=None):
     plat = platform_lib.Platform(context.folder)
     context.local = plat
     context.plat = plat
-    plat.start_all()
+    plat.start_all(control_program=control_program)
     for number in (1, 2):
         plat.start_target(number, "m")
     context.document = platform_lib.document(7)
--- a/features/steps/quarantine_ledger_steps.py
+++ b/features/steps/quarantine_ledger_steps.py
@@ -1,24 +1,31 @@
 """Steps on what processes remember of requests under which targets end."""
 
 import asyncio
+import contextlib
 import random
 from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
+import hypothesis
+from hypothesis import strategies as st
+import msgspec
 
 from features.harness import hop
 from features.harness import quarantine
+from jasperweir import exceptions
 from jasperweir import result_codes
 from jasperweir.components.agent import ends as ends_lib
 from jasperweir.components.limits import retry
 from jasperweir.components.quarantine import const
 from jasperweir.components.quarantine import fingerprint
 from jasperweir.components.quarantine import ledger as ledger_lib
+from jasperweir.components.quarantine import messages
 from jasperweir.components.request import actions
 from jasperweir.components.request import events
 from jasperweir.components.request import life as request_life
+from jasperweir.helpers import codec
 
 WHAT = "bad"
 
@@ -484,3 +491,85 @@
 def step_not_run(context):
     action = own_life().on(DENIED)
     assert (action.code, action.retry_after) == (2009, 600.0), action
+
+
+# What others write.
+
+VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**63), 2**64 - 1)
+    | st.floats()
+    | st.text(max_size=20)
+    | st.binary(max_size=20),
+    lambda inner: (
+        st.lists(inner, max_size=6)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=4)
+    ),
+    max_leaves=20,
+)
+MARKS = st.builds(
+    messages.Mark,
+    outline=st.integers(0, 3),
+    content=st.binary(max_size=1),
+    target_id=st.text(max_size=1),
+    born=st.integers(0, 2),
+    void=st.booleans(),
+    age_s=st.floats(),
+)
+
+
+def drawn(count, strategy, check):
+    """Run a check on drawn values; the same ones every time."""
+
+    @hypothesis.settings(
+        max_examples=count, deadline=None, derandomize=True, database=None
+    )
+    @hypothesis.given(strategy)
+    def run(value):
+        check(value)
+
+    run()
+
+
+@then(
+    "{count:d} drawn marks leave a ledger that forgets, agrees and is bounded"
+)
+def step_any_marks(context, count):
+    def check(marks):
+        first, second = ledger_lib.Ledger(), ledger_lib.Ledger()
+        first.merge(tuple(marks), 1000.0)
+        second.merge(first.marks(1000.0), 1000.0)
+        assert first.digest == second.digest
+        assert len(first) <= const.RECORDS_MAX
+        later = 1000.0 + 3 * const.HOLD_MAX_SECONDS
+        first.tick(later)
+        assert len(first) == 0, first.marks(later)
+        assert first.digest == 0
+
+    drawn(count, st.lists(MARKS, max_size=30), check)
+
+
+@then("{count:d} drawn frames of every kind are read or refused as frames")
+def step_any_frames(context, count):
+    def check(value):
+        kind, body, version = value
+        raw = msgspec.msgpack.encode(body)
+        env = codec.Envelope(
+            version=version,
+            kind=kind,
+            src="a",
+            src_inc=1,
+            src_addr="a",
+            dst="b",
+            dst_inc=0,
+            body=msgspec.Raw(raw),
+        )
+        data = msgspec.msgpack.encode(env)
+        for end in (len(data), len(data) // 2):
+            with contextlib.suppress(exceptions.FrameError):
+                codec.decode(data[:end])
+
+    kinds = st.sampled_from([*codec.kinds(), "no.such"])
+    versions = st.sampled_from([codec.FRAME_VERSION, 0, 2])
+    drawn(count, st.tuples(kinds, VALUES, versions), check)
--- a/features/steps/suspended_steps.py
+++ b/features/steps/suspended_steps.py
@@ -1,6 +1,7 @@
 """Steps on VMs that are suspended."""
 
 import asyncio
+import json
 import pathlib
 import re
 import signal
@@ -18,6 +19,7 @@
 from features.steps import platform_steps
 from jasperweir import core
 from jasperweir.daemons import loop_host
+from jasperweir.helpers import clocks
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 STEADY = re.compile(r"\btime\.(monotonic|perf_counter)(_ns)?\b|asyncio\.run\(")
@@ -175,3 +177,71 @@
     runs = sum((context.plat.told(n)["runs"] for n in (1, 2)), [])
     assert "suspended" not in runs, (status, runs)
     assert status in (503, 504), status
+
+
+# A real control VM.
+
+
+@given("three VMs whose control VMs can be suspended, and two targets")
+def step_controls(context):
+    platform_steps.start(context, control_program=["-m", suspend.__name__])
+
+
+def leader(plat):
+    """Return the number of the control VM that became leader last."""
+    terms = {}
+    for number in platform_steps.VMS:
+        log = plat.folder / f"control-{number}.log"
+        for line in log.read_text().splitlines():
+            if '"is_now":"leader"' in line:
+                terms[json.loads(line)["term"]] = number
+    return terms[max(terms)]
+
+
+@when("the leading one is suspended for {seconds:g} s")
+def step_suspend_leader(context, seconds):
+    assert seconds == suspend.SUSPEND_SECONDS
+    context.leader = leader(context.plat)
+    context.plat.signal(f"control-{context.leader}", signal.SIGUSR1)
+
+
+@when("version {version:d} is acknowledged elsewhere meanwhile")
+def step_elsewhere(context, version):
+    began = clocks.elapsed()
+    document = platform_lib.document(version)
+    others = [n for n in platform_steps.VMS if n != context.leader]
+    context.plat.wait(
+        "an acknowledgement",
+        lambda: any(
+            context.plat.replace(n, document, t=1.0) == 200 for n in others
+        ),
+        seconds=2.5,
+    )
+    assert clocks.elapsed() - began < suspend.SUSPEND_SECONDS
+
+
+@when("{count:d} reads wait for it when it wakes")
+def step_reads(context, count):
+    def read():
+        address = f"{platform_lib.control_ip(context.leader)}"
+        status, _, body = context.plat.call(
+            f"{address}:{platform_lib.CONTROL}",
+            "GET",
+            "/Configuration.Describe",
+            t=10,
+        )
+        context.read.append((status, body))
+
+    context.read = []
+    threads = [threading.Thread(target=read) for _ in range(count)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+@then("none of them is answered with version {version:d}")
+def step_none_older(context, version):
+    found = [json.loads(b)["version"] for s, b in context.read if s == 200]
+    assert len(context.read) == 20, len(context.read)
+    assert version not in found, found
--- a/features/suspended.feature
+++ b/features/suspended.feature
@@ -18,6 +18,13 @@
     And the VM is suspended for 3 s, while both targets serve again
     Then the caller is refused, and no target has run its request
 
+  Scenario: A leading control VM that was suspended tells of no older version
+    Given three VMs whose control VMs can be suspended, and two targets
+    When the leading one is suspended for 3 s
+    And version 8 is acknowledged elsewhere meanwhile
+    And 20 reads wait for it when it wakes
+    Then none of them is answered with version 7
+
   Scenario: Timers of an event loop count the suspension
     Given the event loop of a role
     When its VM is suspended for 5 s while a timer of 4 s runs
--- a/jasperweir/components/quarantine/ledger.py
+++ b/jasperweir/components/quarantine/ledger.py
@@ -180,7 +180,8 @@
         for mark in told:
             fingerprint = _of(mark)
             incarnation = Incarnation(mark.target_id, mark.born)
-            at = now - max(mark.age_s, 0.0)
+            # In this order a NaN counts as 0: it would never be forgotten.
+            at = now - max(0.0, mark.age_s)
             end = End(at=at, void=mark.void)
             out += self._put(fingerprint, incarnation, end, now)
         self.tick(now)
