A target that gives no sign has ended once it is replaced

Cause: a target whose VM fails with it refuses no connection; the request under which it ended left no mark.

Change: where a check gets no answer the case is kept for 10 s; if by then another incarnation is at the target's address (as the directory tells two at one address apart), it counts as an end. Sign 'replaced' in 'target checked'.

Ruled out: marks without a sign at once (a cut would blame what ran beside it); all records by address (found on reading: an older dead record at the address would have counted).

--- a/features/harness/hop.py
+++ b/features/harness/hop.py
@@ -156,12 +156,13 @@
 class Hop:
     """One forwarder, a target that stands still, and another one."""
 
-    def __init__(self, *, route, retries=50.0):
+    def __init__(self, *, route, retries=50.0, clock=None):
         self.slow = Target(stops_after=3)
         self.other = Target(stops_after=EVENTS)
         self.answering = Answering()
         self._route = route
         self._retries = retries
+        self._clock = clock or core.SystemClock()
 
     async def prepare(self):
         self.directory = directory.Directory()
@@ -169,7 +170,7 @@
             ratio=0.0, burst=self._retries, window_s=10.0
         )
         self.forwarder = forwarder.Forwarder(
-            clock=core.SystemClock(),
+            clock=self._clock,
             rng=random.Random(1),
             dialect=Dialect(),
             directory=self.directory,
--- a/features/quarantine_ledger.feature
+++ b/features/quarantine_ledger.feature
@@ -125,6 +125,18 @@
       | breaks off and listens  | 0     |
       | leaves and ends         | 0     |
 
+  Scenario Outline: A target that gives no sign has ended once it is replaced
+    Given a target that gives no sign after a request broke
+    When <what> <seconds> s later
+    Then <count> ends are remembered after the check
+
+    Examples:
+      | what                               | seconds | count |
+      | nothing has come                   | 2       | 0     |
+      | another start is at its address    | 2       | 1     |
+      | another service is at its address  | 2       | 0     |
+      | another start is at its address    | 11      | 0     |
+
   Scenario: Drawn schedules of several such requests and of disturbances
     Then in 300 drawn schedules no request goes to targets more than 3 times late
 
--- a/features/steps/quarantine_ledger_steps.py
+++ b/features/steps/quarantine_ledger_steps.py
@@ -14,6 +14,8 @@
 
 from features.harness import hop
 from features.harness import quarantine
+from features.harness import site as site_lib
+from jasperweir import core
 from jasperweir import exceptions
 from jasperweir import result_codes
 from jasperweir.components.agent import ends as ends_lib
@@ -423,6 +425,45 @@
     run(play())
 
 
+@given("a target that gives no sign after a request broke")
+def step_no_sign(context):
+    clock = core.ManualClock(start=1000.0)
+
+    async def play():
+        hop_ = hop.Hop(route=hop.route(resumable=False), clock=clock)
+        await hop_.prepare()
+        target_ = hop.Ending(listens=True)
+        await target_.start()
+        hop_.announce("ending", target_)
+        hop_.forwarder.handle(hop_.answering)
+        await asyncio.sleep(hop.SETTLE_SECONDS / 2)
+        silent = mock.patch.object(
+            hop_.forwarder.pool, "open", side_effect=OSError("no answer")
+        )
+        with silent:
+            await asyncio.sleep(const.CHECK_SECONDS + hop.SETTLE_SECONDS)
+        context.address = target_.address
+        target_.close()
+        hop_.close()
+        return hop_
+
+    context.clock = clock
+    context.hop = asyncio.run(play())
+
+
+@when("{what} {seconds:g} s later")
+def step_later(context, what, seconds):
+    forwarder = context.hop.forwarder
+    context.clock.advance(seconds)
+    now = context.clock.monotonic()
+    if what != "nothing has come":
+        service = "other" if "service" in what else "s"
+        new = site_lib.target(target_id="new", address=context.address)
+        context.hop.directory.merge(new._replace(service=service), now)
+    forwarder.ends.tick(now)
+    context.marks = forwarder.ends.ledger.marks(now)
+
+
 @then("{count:d} ends are remembered after the check")
 def step_ends(context, count):
     assert len(context.marks) == count, context.marks
--- a/jasperweir/components/forward/end_watch.py
+++ b/jasperweir/components/forward/end_watch.py
@@ -33,6 +33,8 @@
     LISTENS = "listens"
     # There was no answer in time: a cut, or a lost machine.
     NONE = "none"
+    # There was none, and then another incarnation came to its address.
+    REPLACED = "replaced"
 
 
 class EndWatch:
@@ -125,9 +127,25 @@
             return
         self._record.checked(case, sign.value)
         if sign is Sign.ENDED:
-            now = self._clock.monotonic()
-            for found in case.suspects:
-                self._tell(self.ledger.add(found, _incarnation(target), now))
+            self._mark(case)
+        elif sign is Sign.NONE:
+            self._suspects.keep(case, self._clock.monotonic())
+
+    def tick(self, now: float) -> None:
+        """Forget what is old; mark what has become clear since."""
+        self.ledger.tick(now)
+        cases = self._suspects.cleared(
+            lambda service: self._directory.serving(service, now), now
+        )
+        for case in cases:
+            self._record.checked(case, Sign.REPLACED.value)
+            self._mark(case)
+
+    def _mark(self, case: suspects_lib.Case) -> None:
+        now = self._clock.monotonic()
+        for found in case.suspects:
+            marks = self.ledger.add(found, _incarnation(case.target), now)
+            self._tell(marks)
 
     def _tell(self, marks: Marks) -> None:
         if marks:
--- a/jasperweir/components/quarantine/const.py
+++ b/jasperweir/components/quarantine/const.py
@@ -4,6 +4,10 @@
 # whether the target still listens: a process that ends closes its connections
 # one after the other, its listener among them.
 CHECK_SECONDS = 0.1
+# A target that gave no sign at all may have ended with its VM. If another
+# incarnation is at its address within this time it has, seconds; an end by
+# which a VM restarts takes longer than one of a process alone.
+UNCLEAR_SECONDS = 10.0
 # Requests that are remembered for one target that may have ended. It runs some
 # six at once; more than these are lost with it only if its queue is long.
 SUSPECTS_MAX = 32
--- a/jasperweir/components/quarantine/suspects.py
+++ b/jasperweir/components/quarantine/suspects.py
@@ -6,8 +6,10 @@
 the others: where nothing listens any more it is refused.
 """
 
+from collections.abc import Callable
 import dataclasses
 
+from jasperweir.components.directory import incarnation
 from jasperweir.components.directory import records
 from jasperweir.components.quarantine import const
 from jasperweir.components.quarantine import fingerprint as fingerprint_lib
@@ -31,6 +33,8 @@
 
     def __init__(self) -> None:
         self._cases: dict[tuple[str, int], Case] = {}
+        # Until when each case is kept whose target gave no sign.
+        self._unclear: list[tuple[float, Case]] = []
 
     def on_broken(
         self,
@@ -53,6 +57,40 @@
             case.suspects.setdefault(fingerprint, request_id)
         return is_first
 
+    def keep(self, case: Case, now: float) -> None:
+        """Keep a case whose target gave no sign, until it is clear."""
+        self._unclear.append((now + const.UNCLEAR_SECONDS, case))
+
+    def cleared(
+        self, serving: Callable[[str], list[records.Target]], now: float
+    ) -> list[Case]:
+        """Return the cases whose targets have been replaced at their address.
+
+        Args:
+            serving: Returns the targets that serve a service; of two at one
+                address the newer only.
+            now: Monotonic seconds.
+        """
+        ended = []
+        kept = []
+        for until, case in self._unclear:
+            targets = serving(case.target.service)
+            if now < until and any(_replaces(t, case.target) for t in targets):
+                ended.append(case)
+            elif now < until:
+                kept.append((until, case))
+        self._unclear = kept
+        return ended
+
     def on_checked(self, target: records.Target) -> Case | None:
         """Close the case of a target that has been checked."""
         return self._cases.pop((target.target_id, target.born), None)
+
+
+def _replaces(new: records.Target, old: records.Target) -> bool:
+    if new.address != old.address:
+        return False
+    if new.target_id != old.target_id:
+        return True
+    told = incarnation.compare(new.born, old.born)
+    return told is incarnation.Start.LATER
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -217,8 +217,8 @@
 
     def _compare_marks(self) -> None:
         now = self._host.now()
+        self._forwarder.ends.tick(now)
         ledger = self._forwarder.ends.ledger
-        ledger.tick(now)
         self._host.metrics.gauge("requests_held", float(len(ledger.held(now))))
         self._send_all(self._spread.compare(self._follower.heard_controls(now)))
 
