Void marks make room for those that count

Cause: a request keeps 16 marks; one that was blamed and answered whole 16 times could never be held again. Found on reading the diff.

Change: the oldest void mark goes for a new one that counts, never for a void one. Class Exchange of spread.py is called Told; a comment names what was measured where.

--- a/features/quarantine_ledger.feature
+++ b/features/quarantine_ledger.feature
@@ -73,6 +73,13 @@
     When 2401 s pass
     Then nothing is remembered
 
+  Scenario: A request that was answered whole after many ends can still be held
+    Given a ledger with 2 ends of a request 1 s ago
+    When 20 more targets end under it, with a whole answer after each
+    Then the request is not kept from targets
+    When 2 further targets end under it
+    Then the request is kept from targets
+
   Scenario: An operator lifts it
     Given 6 entries in 3 data centres with 3 control VMs
     When two targets end under a request at two entries
--- a/features/steps/quarantine_ledger_steps.py
+++ b/features/steps/quarantine_ledger_steps.py
@@ -206,6 +206,21 @@
     context.ledger.add(context.what, target(77), context.now)
 
 
+@when("{count:d} more targets end under it, with a whole answer after each")
+def step_absolved(context, count):
+    for number in range(count):
+        context.now += 1.0
+        context.ledger.add(context.what, target(200 + number), context.now)
+        context.ledger.absolve(context.what, context.now)
+
+
+@when("{count:d} further targets end under it")
+def step_more(context, count):
+    for number in range(count):
+        context.now += 1.0
+        context.ledger.add(context.what, target(300 + number), context.now)
+
+
 @when("{seconds:g} s pass")
 def step_pass(context, seconds):
     context.now += seconds
--- a/jasperweir/components/forward/end_watch.py
+++ b/jasperweir/components/forward/end_watch.py
@@ -75,7 +75,8 @@
         """Refuse a request under which targets have ended.
 
         Without it one request that came back every four seconds ended eight
-        targets, and its group of ranks stood still for 18 s.
+        targets, each of which was away for more than 3 s and stopped its group
+        of ranks (recorded days).
         """
         verdict = self.verdict(exchange, now)
         if not verdict.held_s:
--- a/jasperweir/components/quarantine/ledger.py
+++ b/jasperweir/components/quarantine/ledger.py
@@ -216,7 +216,9 @@
             return (_mark(fingerprint, incarnation, known, now),)
         if ends is None:
             ends = self._begin(fingerprint)
-        if len(ends) >= const.MARKS_MAX:
+        if len(ends) >= const.MARKS_MAX and not self._make_room(
+            fingerprint, ends, end
+        ):
             return ()
         ends[incarnation] = end
         self._put_in(fingerprint, incarnation, end)
@@ -232,6 +234,24 @@
         self._outlines[fingerprint.outline] += 1
         return ends
 
+    def _make_room(
+        self,
+        fingerprint: Fingerprint,
+        ends: dict[Incarnation, End],
+        new: End,
+    ) -> bool:
+        """Forget the oldest void mark for one that counts, if there is one.
+
+        Without it a request that was blamed wrongly often enough could never
+        be held.
+        """
+        void = [incarnation for incarnation, end in ends.items() if end.void]
+        if new.void or not void:
+            return False
+        oldest = min(void, key=lambda incarnation: ends[incarnation].at)
+        self._take_out(fingerprint, oldest, ends.pop(oldest))
+        return True
+
     def _evict(self) -> None:
         """Forget the request with the fewest ends, the oldest of them."""
         self._drop(min(self._ends, key=self._rank))
--- a/jasperweir/components/quarantine/spread.py
+++ b/jasperweir/components/quarantine/spread.py
@@ -27,8 +27,8 @@
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
-class Exchange:
-    """All marks were told to an entry.
+class Told:
+    """All marks were told to another process.
 
     Attributes:
         pause_s: For how long they are not told again, seconds.
@@ -44,17 +44,17 @@
 
     def __init__(self, *, ledger: ledger_lib.Ledger) -> None:
         self._ledger = ledger
-        self._exchanges: dict[str, Exchange] = {}
+        self._told: dict[str, Told] = {}
 
     def receive(self, src: str, msg: messages.Compare, now: float) -> Sends:
         """Handle the question of another process."""
         if msg.digest == self._ledger.digest:
-            self._exchanges.pop(src, None)
+            self._told.pop(src, None)
             return []
-        last = self._exchanges.get(src)
+        last = self._told.get(src)
         if last is None:
-            last = Exchange(pause_s=const.EXCHANGE_LEAST_SECONDS, at=now)
-            self._exchanges[src] = last
+            last = Told(pause_s=const.EXCHANGE_LEAST_SECONDS, at=now)
+            self._told[src] = last
         elif now - last.at < last.pause_s:
             return []
         else:
