Keep first requests at an entry that has just started

Cause: between the first entry up and the configuration in force, and until the first targets announce themselves, callers were refused with a Retry-After of 0.8 or 1.6 to 2.6 s. All of them were late for good, and had used their only retry. Change: for 3 s after its start an entry keeps what comes, 1.2 s at most and no longer than a third of what its caller waits, 512 requests at most; the time counts against the request's deadline (before, that of a resumed one did not). Ruled out: that refused callers return to a group that is better off: they came as one crowd.

--- a/features/recovery.feature
+++ b/features/recovery.feature
@@ -5,6 +5,55 @@
     When they are looked for as by default, and without opening anew
     Then by default they are found in less than 0.6 of the time
 
+  Scenario Outline: What comes before the configuration is kept by an entry that has just started
+    Given an entry that has run for <age> s and has no configuration
+    When a request comes, and 0.5 s later the configuration
+    Then the request is <outcome>
+
+    Examples:
+      | age | outcome         |
+      | 0.2 | sent            |
+      | 2.9 | sent            |
+      | 4   | refused at once |
+
+  Scenario Outline: What comes before any target is known is kept by an entry that has just started
+    Given an entry that has run for <age> s and knows no targets
+    When a request comes, and 0.5 s later a target
+    Then the request is <outcome>
+
+    Examples:
+      | age | outcome         |
+      | 0.2 | sent            |
+      | 2.9 | sent            |
+      | 4   | refused at once |
+
+  Scenario Outline: The time for which a request was kept is not handed to its target
+    Given an entry that has run for 0.2 s and <lacks>
+    When a request comes, and 0.5 s later <what>
+    Then its target is told of 0.5 s less than its caller waits
+
+    Examples:
+      | lacks                | what              |
+      | has no configuration | the configuration |
+      | knows no targets     | a target          |
+
+  Scenario Outline: Nothing is kept for longer than its caller can use
+    Given an entry that has run for 0.2 s and <lacks>
+    When a request comes, and nothing else for <seconds> s
+    Then the request is <outcome>
+
+    Examples:
+      | lacks                | seconds | outcome      |
+      | has no configuration | 1.1     | still kept   |
+      | has no configuration | 1.3     | refused late |
+      | knows no targets     | 1.1     | still kept   |
+      | knows no targets     | 1.3     | refused late |
+
+  Scenario: Kept requests are bounded in number
+    Given an entry that has run for 0.2 s and has no configuration
+    When 600 requests come
+    Then 512 of them are kept and the others are refused at once
+
   Scenario Outline: The lead is taken soon after all voters have started again
     Given <count> voters that lose power and start again within 0.15 s, 60 times
     Then at the median one leads within 0.65 s of the last start
--- a/jasperweir/components/balance/const.py
+++ b/jasperweir/components/balance/const.py
@@ -92,6 +92,16 @@
 # A caller that has used up this much of its route's usual time has come back;
 # the earliest that a refusal asks anybody back, less the spread of networks.
 RETURN_LEAST_SECONDS = 0.15
+# An entry that started no longer ago than this expects its configuration and
+# its targets any moment; they come within 1.0 s after a loss of all power. One
+# that still lacks them is cut off. Seconds.
+START_SECONDS = 3.0
+# So long it keeps a request meanwhile: a caller without a first event leaves
+# after 2 s, some 0.3 s of which its answer takes. Seconds.
+START_WAIT_SECONDS = 1.2
+# No more requests than this are kept without a configuration: what callers of a
+# large site send to one entry in a second is some tens, each of some KB.
+START_KEPT_MOST = 512
 # Time until a waiting request is tried again where targets refused it.
 PAUSE_SECONDS = 0.15
 
--- a/jasperweir/components/forward/early.py
+++ b/jasperweir/components/forward/early.py
@@ -8,15 +8,23 @@
 
 
 class Early(NamedTuple):
-    """A request that waits for a configuration, until a monotonic time."""
+    """A request that waits for a configuration.
+
+    Attributes:
+        answering: Way back to its caller.
+        ask: What its caller stated.
+        arrived: When it arrived, monotonic seconds.
+        until: When it is refused, monotonic seconds.
+    """
 
     answering: http_server.Answering
     ask: dialect_lib.Ask
+    arrived: float
     until: float
 
 
 class EarlyRequests:
-    """Keep resumed requests for a moment until there are routes."""
+    """Keep requests for a moment until there are routes."""
 
     def __init__(self) -> None:
         self._kept: list[Early] = []
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -27,6 +27,7 @@
 from jasperweir.components.forward import queues as queues_lib
 from jasperweir.components.forward import record as record_lib
 from jasperweir.components.forward import refusals as refusals_lib
+from jasperweir.components.forward import starting as starting_lib
 from jasperweir.components.forward import stragglers
 from jasperweir.helpers import http_client
 from jasperweir.helpers import http_server
@@ -91,6 +92,7 @@
         self._patience = patience_lib.UsualPatience()
         self._outages = outage_lib.Outages()
         self._early = early_lib.EarlyRequests()
+        self._starting = starting_lib.Starting(started_at=clock.monotonic())
         self._numbers = itertools.count(1)
         self._open: dict[int, exchange_lib.Exchange] = {}
         self._queues = queues_lib.Queues(
@@ -133,23 +135,28 @@
         if index is None:
             self._keep_early(answering, ask)
             return
-        self._accept(answering, ask, index)
+        self._accept(answering, ask, index, self.now())
 
     def _keep_early(
         self, answering: http_server.Answering, ask: dialect_lib.Ask
     ) -> None:
-        """Keep a resumed request for a moment until there are routes."""
-        if not ask.resume_after or self.stopping:
+        """Keep a request for a moment until there are routes."""
+        now = self.now()
+        until = self._starting.kept_until(now, ask.patience_s)
+        if ask.resume_after:
+            until = now + balance_const.RESUMED_WAIT_SECONDS
+        many = len(self._early) >= balance_const.START_KEPT_MOST
+        if self.stopping or many or until <= now:
             self._turn_away(answering, ask, Code.NOT_READY, "no configuration")
             return
-        until = self.now() + balance_const.RESUMED_WAIT_SECONDS
-        self._early.keep(early_lib.Early(answering, ask, until))
+        self._early.keep(early_lib.Early(answering, ask, now, until))
+        self._record.kept(ask, until - now)
         self.on_work()
 
     def _accept_early(self, early: early_lib.Early) -> bool:
         if self.index is None:
             return False
-        self._accept(early.answering, early.ask, self.index)
+        self._accept(early.answering, early.ask, self.index, early.arrived)
         return True
 
     def _refuse_early(self, early: early_lib.Early) -> None:
@@ -162,6 +169,7 @@
         answering: http_server.Answering,
         ask: dialect_lib.Ask,
         index: index_lib.Index,
+        arrived: float,
     ) -> None:
         match = matching.find(index, answering.request, ask)
         if isinstance(match, matching.Denial):
@@ -173,7 +181,7 @@
         now = self.now()
         service = match.route.draw_service(self._rng)
         used_s = self._patience.used(match.route, ask.patience_s)
-        life = life_lib.Life(match=match, ask=ask, now=now, used_s=used_s)
+        life = life_lib.Life(match=match, ask=ask, now=arrived, used_s=used_s)
         exchange = exchange_lib.Exchange(
             number=next(self._numbers),
             owner=self,
@@ -202,7 +210,9 @@
             return
         targets = self._directory.serving(exchange.service, now)
         if not targets:
-            if not self.may_wait(exchange):
+            if not self._wait_at_start(exchange) and not self.may_wait(
+                exchange
+            ):
                 exchange.give_up(Code.NO_TARGET)
             return
         reach = self._reach(exchange.service, targets, now)
@@ -232,6 +242,18 @@
         self._record.waits(exchange, now)
         self.on_work()
 
+    def _wait_at_start(self, exchange: exchange_lib.Exchange) -> bool:
+        """Let a request wait for targets that are about to be known."""
+        now = self.now()
+        life = exchange.life
+        patience_s = life.remaining(life.arrived)
+        until = self._starting.kept_until(life.arrived, patience_s)
+        if self.stopping or until <= now:
+            return False
+        life.kept_until = until
+        self._wait(exchange, now, now)
+        return True
+
     def may_wait(self, exchange: exchange_lib.Exchange) -> bool:
         """Let a request wait that targets refused, if it has the time."""
         now = self.now()
--- a/jasperweir/components/forward/life.py
+++ b/jasperweir/components/forward/life.py
@@ -66,6 +66,8 @@
         started: Whether the caller has received a part of the answer.
         last_event: Id of the last event that the caller holds, or empty.
         foreseen_s: Seconds after its arrival when a place was foreseen.
+        kept_until: Until when it waits in any case, since its entry has just
+            started, monotonic seconds.
     """
 
     def __init__(
@@ -101,6 +103,7 @@
         self.started = False
         self.last_event = ask.resume_after
         self.foreseen_s = 0.0
+        self.kept_until = float("-inf")
 
     @property
     def is_stream(self) -> bool:
@@ -160,7 +163,7 @@
         else:
             usual_s = balance_const.FORECAST_FACTOR * self.foreseen_s
             wait = min(self.most_wait_s, max(usual_s, least_s))
-        return self.arrived + wait
+        return max(self.arrived + wait, self.kept_until)
 
     def remaining(self, now: float) -> float:
         """Return the seconds that are left for an answer."""
--- a/jasperweir/components/forward/record.py
+++ b/jasperweir/components/forward/record.py
@@ -70,6 +70,15 @@
             until_ms=round((life.waits_until - now) * 1000),
         )
 
+    def kept(self, ask: dialect_lib.Ask, seconds: float) -> None:
+        """Record that a request waits for a configuration."""
+        self._metrics.inc("kept_without_configuration")
+        _log.info(
+            "request kept without configuration",
+            id=ask.request_id,
+            until_ms=round(seconds * 1000),
+        )
+
     def full(
         self,
         service: str,
