Leave room for those who can be in time

Cause: everybody whom an outage hit comes back at once and is late whatever is done. They took all places of groups that had just begun anew with a map that does not fit; passes exceeded the pause that callers allow, and for two to four seconds those who came were late as well. Change: who is late, with nothing of its answer, gets a place only while fewer than 0.85 of all are taken; of a group that has shown no pass 0.6 count as all. Who can be in time passes those who are late in the queue. Who resumes an answer counts as in time: the rest is lost if it does not come.

--- a/features/harness/waves.py
+++ b/features/harness/waves.py
@@ -9,6 +9,7 @@
 import random
 
 from jasperweir.components.balance import gate as gate_lib
+from jasperweir.components.balance import late as late_lib
 from jasperweir.components.balance import passes as passes_lib
 
 ENGINES = 12
@@ -20,6 +21,12 @@
 BAD_SECONDS = 0.8
 
 
+# Who is late already leaves after this long without a first event.
+CROWD_STAYS = 1.7
+# Who is refused comes back once more after this long.
+COMES_BACK = (0.7, 2.2)
+
+
 class Stream:
     """One request that runs."""
 
@@ -62,6 +69,63 @@
     return good / (len(ended) + lost)
 
 
+def come_back(rate, seconds, crowd, *, leaves_room, seed=1):
+    """Let a crowd that is late meet a group that begins anew with others.
+
+    Returns:
+        Share of those who come meanwhile that are in time, and share of the
+        crowd that is served at all.
+    """
+    rng = random.Random(seed)
+    bounds = passes_lib.PassBounds(pause_s=PAUSE, fixed_s=0.027, slots=SLOTS)
+    limit = passes_lib.PassLimit(bounds=bounds)
+    gate = gate_lib.Gate()
+    came, number, again = {}, 0, set()
+    for _ in range(crowd):
+        gate.wait(gate_lib.Waiting(1, -1.5, number, CROWD_STAYS, 0.0, -1.0))
+        came[number] = -1.5
+        number += 1
+    now, next_at = 0.0, rng.expovariate(rate)
+    running, ended = [], []
+    while now < seconds + 6.0:
+        while next_at <= now and next_at < seconds:
+            timely = next_at + TARGET - 0.2
+            gate.wait(
+                gate_lib.Waiting(
+                    1, next_at, number, next_at + 1.0, next_at, timely
+                )
+            )
+            came[number] = next_at
+            number += 1
+            next_at += rng.expovariate(rate)
+        for refused in gate.expire(now):
+            if refused < crowd and refused not in again:
+                again.add(refused)
+                back_at = now + rng.uniform(*COMES_BACK)
+                until = back_at + CROWD_STAYS
+                gate.wait(
+                    gate_lib.Waiting(1, -1.5, refused, until, back_at, -1.0)
+                )
+        most = min(ENGINES * SLOTS, limit.streams(now) * ENGINES)
+        late = None
+        if leaves_room:
+            late = late_lib.most_open(
+                slots=ENGINES * SLOTS, targets=ENGINES, limit=limit, now=now
+            ) - len(running)
+        places = int(most) - len(running)
+        for admitted in gate.admit(places, now, yielding=late):
+            running.append(Stream(came[admitted]))
+        now += one_pass(running, now, float("inf"), limit)
+        ended += [s for s in running if not s.left]
+        running = [s for s in running if s.left]
+    fresh = [s for s in ended if s.asked_at >= 0]
+    others = len(came) - crowd
+    return (
+        sum(s.in_time for s in fresh) / others,
+        (len(ended) - len(fresh)) / crowd,
+    )
+
+
 def one_pass(running, now, gap, limit):
     """Let a pass run; return how long it took."""
     is_bad = now % gap < BAD_SECONDS
--- a/features/recovery.feature
+++ b/features/recovery.feature
@@ -73,3 +73,48 @@
   Scenario: A voter that has just started deposes no leader whom it promised a lease
     Given 3 voters of which one does not hear the leader, and the other starts anew, 200 times
     Then no two of them held a lease at the same time
+
+  Scenario Outline: A crowd that is late already leaves room for those who come
+    Given a group that begins anew, and <crowd> requests that are late already
+    When <rate> requests a second come meanwhile for 3 s, over 20 seeds
+    Then at least a quarter of them more are in time than without room for them
+    And at least 0.98 of the crowd are served, at their second try at the latest
+
+    Examples:
+      | crowd | rate |
+      | 60    | 20   |
+      | 60    | 28   |
+      | 90    | 20   |
+      | 90    | 28   |
+
+  Scenario: A few that are late already are all served
+    Given a group that begins anew, and 30 requests that are late already
+    When 20 requests a second come meanwhile for 3 s, over 20 seeds
+    Then at least 0.99 of the crowd are served, at their second try at the latest
+
+  Scenario Outline: Up to how many open requests one that is late gets a place
+    Given 12 targets with 6 slots each, <group>
+    Then one that is late gets a place while fewer than <most> are open
+
+    Examples:
+      | group                                     | most |
+      | that make no passes together              | 61   |
+      | whose passes are short                    | 61   |
+      | whose passes allow 4 streams a target     | 40   |
+      | that have shown no pass                   | 36   |
+
+  Scenario Outline: Only those leave room who are late with nothing of their answer
+    Given a queue with a request that is <state>
+    When 2 places are free, of which none is for those who leave room
+    Then the request that waits <goes>
+
+    Examples:
+      | state             | goes            |
+      | late              | goes on waiting |
+      | in time           | gets a place    |
+      | late and resumed  | gets a place    |
+
+  Scenario: The last free place goes to who resumes an answer, not to who is late
+    Given an entry whose targets are all busy, where a first try waits until it is late
+    When a request waits there that resumes an answer, and one place becomes free
+    Then the one that resumes gets it
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -462,7 +462,7 @@
     others = messages.Queue("s", context.own.timely * (context.entries - 1), 0)
     context.given = [
         sum(
-            forecast.part(places, context.own, others, rng)
+            forecast.part(places, context.own, others, rng).total
             for _ in range(context.entries)
         )
         for _ in range(400)
@@ -486,8 +486,8 @@
 def step_both_see(context):
     rng = random.Random(5)
     context.given = (
-        forecast.part(3, context.late, context.timely, rng),
-        forecast.part(3, context.timely, context.late, rng),
+        forecast.part(3, context.late, context.timely, rng).total,
+        forecast.part(3, context.timely, context.late, rng).total,
     )
 
 
--- a/jasperweir/components/balance/const.py
+++ b/jasperweir/components/balance/const.py
@@ -62,6 +62,14 @@
 # few of the streams, and would take each for dearer than it is.
 PASS_LEAST_SHARE = 0.25
 
+# Who is late already, with nothing of its answer yet, gets a place only while
+# fewer than this share of all are taken: those who come meanwhile are in time.
+LATE_SHARE = 0.85
+# A group that has shown no pass of late may have begun anew, with a map that
+# does not fit: it passed the pause that callers allow with 2.7 to 4.6 streams
+# for 6 slots, and with 2.1 to 2.6 for 5 (two sites after a loss of all power).
+COLD_SHARE = 0.6
+
 # Share of the retry budget that the entries use in all, so that figures
 # that have not arrived yet cannot exceed it.
 BUDGET_SHARE = 0.6
--- a/jasperweir/components/balance/forecast.py
+++ b/jasperweir/components/balance/forecast.py
@@ -1,6 +1,8 @@
 """When a request that finds no place is likely to get one; sans-I/O."""
 
+import math
 import random
+from typing import NamedTuple
 
 from jasperweir.components.balance import const
 from jasperweir.components.balance import messages
@@ -37,12 +39,32 @@
         return (ahead + 1) * self.whole_s / max(running, 1)
 
 
+class Part(NamedTuple):
+    """Free places that one entry gives away.
+
+    Attributes:
+        timely: To those who can be in time.
+        late: To the others.
+        yielding: How many of these to those who leave room.
+    """
+
+    timely: int
+    late: int
+    yielding: int
+
+    @property
+    def total(self) -> int:
+        """To all of them."""
+        return self.timely + self.late
+
+
 def part(
     places: float,
     own: messages.Queue,
     others: messages.Queue,
     rng: random.Random,
-) -> int:
+    late_places: float = math.inf,
+) -> Part:
     """Return how many free places this entry gives away.
 
     Entries see the same places; each takes the part that those who wait there
@@ -54,11 +76,18 @@
         own: Requests that wait at this entry.
         others: Requests that wait at the others.
         rng: Random source.
+        late_places: How many of the places are for those who are late and
+            leave room for others.
     """
     places = max(places, 0.0)
     for_timely = min(places, own.timely + others.timely)
-    given = _drawn(for_timely, own.timely, others.timely, rng)
-    return given + _drawn(places - for_timely, own.late, others.late, rng)
+    for_late = places - for_timely
+    yielding = min(for_late, late_places)
+    return Part(
+        timely=_drawn(for_timely, own.timely, others.timely, rng),
+        late=_drawn(for_late, own.late, others.late, rng),
+        yielding=_drawn(yielding, own.late, others.late, rng),
+    )
 
 
 def _drawn(places: float, own: int, others: int, rng: random.Random) -> int:
--- a/jasperweir/components/balance/gate.py
+++ b/jasperweir/components/balance/gate.py
@@ -19,7 +19,7 @@
         until: When it is refused, monotonic seconds.
         not_before: When it may be sent at the earliest, monotonic seconds.
         timely_until: Until when a place lets it be answered within its target
-            time, monotonic seconds.
+            time, monotonic seconds; for ever if it resumes an answer.
     """
 
     priority: int
@@ -29,6 +29,10 @@
     not_before: float
     timely_until: float = float("-inf")
 
+    def is_late(self, now: float) -> bool:
+        """Tell whether it leaves room for those who can still be in time."""
+        return now > self.timely_until
+
 
 class Gate:
     """Requests of one service that wait for a place at this entry."""
@@ -46,7 +50,7 @@
 
     def timely(self, now: float) -> int:
         """Return how many of those who wait can still be in time."""
-        return sum(now <= w.timely_until for w in self._waiting.values())
+        return sum(not w.is_late(now) for w in self._waiting.values())
 
     def wait(self, waiting: Waiting) -> None:
         """Queue a request."""
@@ -56,14 +60,25 @@
         """Take out a request whose caller has gone; tell if it waited."""
         return self._waiting.pop(number, None) is not None
 
-    def admit(self, places: int, now: float) -> list[int]:
-        """Return the requests that get the free places, in their order."""
+    def admit(
+        self, places: int, now: float, *, yielding: int | None = None
+    ) -> list[int]:
+        """Return the requests that get the free places, in their order.
+
+        Args:
+            places: Free places.
+            now: Monotonic seconds.
+            yielding: How many of them those may get who leave room for others;
+                None for all.
+        """
         if places < 1:
             return []
         due = [w for w in self._waiting.values() if w.not_before <= now]
-        due.sort(
-            key=lambda w: (w.priority, now > w.timely_until, w.since, w.number)
-        )
+        due.sort(key=lambda w: (w.priority, w.is_late(now), w.since, w.number))
+        if yielding is not None:
+            are_late = [w for w in due if w.is_late(now)]
+            left_out = {w.number for w in are_late[max(yielding, 0) :]}
+            due = [w for w in due if w.number not in left_out]
         chosen = [w.number for w in due[:places]]
         for number in chosen:
             del self._waiting[number]
--- a/jasperweir/components/balance/passes.py
+++ b/jasperweir/components/balance/passes.py
@@ -82,9 +82,13 @@
         if self.pass_s >= const.PASS_CALM * self.bounds.pause_s and streams > 0:
             self._cost_s = (self.pass_s - self.bounds.fixed_s) / streams
 
+    def is_cold(self, now: float) -> bool:
+        """Tell whether no pass has been seen of late."""
+        return now - self._heard_at > const.PASS_FRESH_SECONDS
+
     def streams(self, now: float) -> float:
         """Return how many streams each target may run on average."""
-        if now - self._heard_at > const.PASS_FRESH_SECONDS:
+        if self.is_cold(now):
             return math.inf
         if self._cost_s <= 0:
             return math.inf
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -156,7 +156,13 @@
     def _accept_early(self, early: early_lib.Early) -> bool:
         if self.index is None:
             return False
-        self._accept(early.answering, early.ask, self.index, early.arrived)
+        self._accept(
+            early.answering,
+            early.ask,
+            self.index,
+            early.arrived,
+            kept_until=early.until,
+        )
         return True
 
     def _refuse_early(self, early: early_lib.Early) -> None:
@@ -170,6 +176,7 @@
         ask: dialect_lib.Ask,
         index: index_lib.Index,
         arrived: float,
+        kept_until: float = float("-inf"),
     ) -> None:
         match = matching.find(index, answering.request, ask)
         if isinstance(match, matching.Denial):
@@ -182,6 +189,7 @@
         service = match.route.draw_service(self._rng)
         used_s = self._patience.used(match.route, ask.patience_s)
         life = life_lib.Life(match=match, ask=ask, now=arrived, used_s=used_s)
+        life.kept_until = kept_until
         exchange = exchange_lib.Exchange(
             number=next(self._numbers),
             owner=self,
@@ -216,11 +224,7 @@
                 exchange.give_up(Code.NO_TARGET)
             return
         reach = self._reach(exchange.service, targets, now)
-        # During an outage those who come first show whether it has ended.
-        first = not len(self._queues.of(exchange.service).gate)
-        if reach.places >= 1 and (
-            first or self._outages.of(exchange.service).lasts(now)
-        ):
+        if self._may_go(exchange, reach, now):
             self._send(exchange, reach, now)
             return
         running = self.places.open_at(targets, now)
@@ -230,6 +234,23 @@
             return
         self._wait(exchange, now, now)
 
+    def _may_go(
+        self,
+        exchange: exchange_lib.Exchange,
+        reach: places_lib.Reach,
+        now: float,
+    ) -> bool:
+        """Tell whether a request that has just come passes those who wait."""
+        if reach.places < 1:
+            return False
+        if self._outages.of(exchange.service).lasts(now):
+            # Those who come first show whether it has ended.
+            return True
+        gate = self._queues.of(exchange.service).gate
+        if self._queues.is_timely(exchange, now):
+            return not gate.timely(now)
+        return reach.late >= 1 and not len(gate)
+
     def _reach(
         self, service: str, targets: list[records.Target], now: float
     ) -> places_lib.Reach:
@@ -343,7 +364,7 @@
         targets = self._directory.serving(service, now)
         reach = self._reach(service, targets, now)
         given = self._queues.given(service, reach, now)
-        for number in gate.admit(given, now):
+        for number in gate.admit(given.total, now, yielding=given.yielding):
             exchange = self._open.get(number)
             if exchange is not None:
                 self._send_once_more(exchange, reach, now)
--- a/jasperweir/components/forward/places.py
+++ b/jasperweir/components/forward/places.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from jasperweir.components.balance import balancer as balancer_lib
+from jasperweir.components.balance import late as late_lib
 from jasperweir.components.balance import neighbours as neighbours_lib
 from jasperweir.components.balance import passes as passes_lib
 from jasperweir.components.directory import records
@@ -16,11 +17,14 @@
     Attributes:
         targets: The targets.
         places: Free places there.
+        late: How many of them are for requests that are late already and leave
+            room for others.
         entries: How many entries, this one included, see those places.
     """
 
     targets: list[records.Target]
     places: int
+    late: int
     entries: int
 
 
@@ -59,11 +63,14 @@
         near = self._neighbours.home(targets, self._rng.random())
         places = self._free(near, limit, now)
         if len(near) == len(targets):
-            return Reach(near, places, self.entries)
+            late = self._late(near, limit, places, now)
+            return Reach(near, places, late, self.entries)
         if places >= 1:
-            return Reach(near, places, 1 + len(self._neighbours.peers))
+            late = self._late(near, limit, places, now)
+            return Reach(near, places, late, 1 + len(self._neighbours.peers))
         places = self._free(targets, limit, now)
-        return Reach(targets, places, self.entries)
+        late = self._late(targets, limit, places, now)
+        return Reach(targets, places, late, self.entries)
 
     def learn(
         self,
@@ -96,6 +103,22 @@
             return places
         return min(places, int(most) - self.open_at(targets, now))
 
+    def _late(
+        self,
+        targets: list[records.Target],
+        limit: passes_lib.PassLimit | None,
+        places: int,
+        now: float,
+    ) -> int:
+        """Return how many free places are for requests that are late."""
+        most = late_lib.most_open(
+            slots=sum(target.slots for target in targets),
+            targets=len(targets),
+            limit=limit,
+            now=now,
+        )
+        return min(places, most - self.open_at(targets, now))
+
     def open_at(self, targets: list[records.Target], now: float) -> int:
         """Return the open requests of all entries at targets."""
         return sum(self._balancer.count_at(t.target_id, now) for t in targets)
--- a/jasperweir/components/forward/queues.py
+++ b/jasperweir/components/forward/queues.py
@@ -1,5 +1,6 @@
 """Requests that wait for a place, by service, at one entry; sans-I/O."""
 
+import math
 import random
 
 from jasperweir.components.balance import balancer as balancer_lib
@@ -72,7 +73,6 @@
         """Queue a request."""
         life = exchange.life
         queue = self.of(exchange.service)
-        ends_in_time = life.asked_at + life.match.route.target_s
         queue.gate.wait(
             gate_lib.Waiting(
                 priority=life.match.priority,
@@ -80,7 +80,7 @@
                 number=exchange.number,
                 until=life.waits_until,
                 not_before=not_before,
-                timely_until=ends_in_time - queue.forecast.first_s,
+                timely_until=self._timely_until(exchange),
             )
         )
 
@@ -88,17 +88,39 @@
         """Take out a request that has ended; return whether it waited."""
         return self.of(exchange.service).gate.withdraw(exchange.number)
 
-    def given(self, service: str, reach: places_lib.Reach, now: float) -> int:
+    def is_timely(self, exchange: exchange_lib.Exchange, now: float) -> bool:
+        """Tell whether a request that is sent now can be in time."""
+        return now <= self._timely_until(exchange)
+
+    def _timely_until(self, exchange: exchange_lib.Exchange) -> float:
+        life = exchange.life
+        if life.is_resumed:
+            # Its caller holds a part of the answer and has no further try: the
+            # rest is late whenever it comes, and lost if it does not.
+            return math.inf
+        ends_in_time = life.asked_at + life.match.route.target_s
+        return ends_in_time - self.of(exchange.service).forecast.first_s
+
+    def given(
+        self, service: str, reach: places_lib.Reach, now: float
+    ) -> forecast_lib.Part:
         """Return how many of those who wait are sent now."""
         outage = self._outages.of(service)
         if outage.lasts(now):
-            return int(reach.places >= 1 and outage.take_probe(now))
+            probes = int(reach.places >= 1 and outage.take_probe(now))
+            return forecast_lib.Part(timely=0, late=probes, yielding=probes)
         others = self._balancer.queue_elsewhere(service, now)
         # Of entries beyond the own cell nothing is known but their number.
         known = 1 + len(self._neighbours.peers)
-        places = reach.places * min(1.0, known / max(reach.entries, 1))
+        seen = min(1.0, known / max(reach.entries, 1))
         own = self._own(service, now)
-        return forecast_lib.part(places, own, others, self._rng)
+        return forecast_lib.part(
+            reach.places * seen,
+            own,
+            others,
+            self._rng,
+            late_places=reach.late * seen,
+        )
 
     def tell(self, now: float) -> None:
         """Let the other entries be told who waits here."""
