The first frame for a node waits until its connection is up

Cause: a frame for a connection that is being opened was dropped. Test: eight nodes get their first frame; none did before.

--- a/features/recovery.feature
+++ b/features/recovery.feature
@@ -140,3 +140,13 @@
       | 0.07    | not refused | seems to be over |
       | 0.03    | refused     | still lasts   |
       | 0.07    | refused     | still lasts   |
+
+  Scenario: The first frame for a node waits until its connection is up
+    Given 8 nodes that have not been talked to yet
+    When each of them is sent one frame
+    Then each of them has got it
+
+  Scenario: A frame for a node that is away is not kept
+    Given 8 nodes that have not been talked to yet
+    When each of them is sent one frame 0.5 s before it comes up
+    Then none of them has got it
--- a/features/steps/recovery_steps.py
+++ b/features/steps/recovery_steps.py
@@ -1,5 +1,6 @@
 """Steps of recovery from the loss of everything."""
 
+import asyncio
 import socket
 import statistics
 import time
@@ -11,6 +12,7 @@
 
 from jasperweir.components.configctl import messages as config_messages
 from jasperweir.helpers import link
+from jasperweir.helpers import loop_link
 
 # Frames are sent this often until one arrives, seconds.
 SEND_SECONDS = 0.1
@@ -106,3 +108,61 @@
 def step_sooner(context, share):
     seen = (context.usual_s, context.patient_s)
     assert context.usual_s < share * context.patient_s, seen
+
+
+async def talk(listeners, away_s):
+    """Send each listener one frame; return how many have got theirs."""
+    made = loop_link.LoopLink(
+        name="talking",
+        address="127.0.0.1:0",
+        incarnation=lambda: 1,
+        deliver=lambda received: None,
+        liveness=link.Liveness(),
+    )
+    made.start()
+    if not away_s:
+        for listener in listeners:
+            listener.begin()
+    for number, listener in enumerate(listeners):
+        made.learn(f"n{number}", f"127.0.0.1:{listener.port}")
+        made.send(f"n{number}", config_messages.Pull(held=0))
+    await asyncio.sleep(away_s)
+    if away_s:
+        for listener in listeners:
+            listener.begin()
+    await asyncio.sleep(0.5)
+    made.stop()
+    return sum(bool(listener.sock.poll(0)) for listener in listeners)
+
+
+@given("{count:d} nodes that have not been talked to yet")
+def step_nodes(context, count):
+    context.count = count
+
+
+def send_each(context, away_s):
+    with zmq.Context() as sockets:
+        listeners = [DarkListener(sockets) for _ in range(context.count)]
+        context.got = asyncio.run(talk(listeners, away_s))
+        for listener in listeners:
+            listener.sock.close(0)
+
+
+@when("each of them is sent one frame")
+def step_one_frame(context):
+    send_each(context, 0.0)
+
+
+@when("each of them is sent one frame {seconds:g} s before it comes up")
+def step_one_frame_early(context, seconds):
+    send_each(context, seconds)
+
+
+@then("each of them has got it")
+def step_each_got(context):
+    assert context.got == context.count, context.got
+
+
+@then("none of them has got it")
+def step_none_got(context):
+    assert context.got == 0, context.got
--- a/jasperweir/helpers/link.py
+++ b/jasperweir/helpers/link.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Callable
 import dataclasses
+import math
 import queue
 import threading
 from typing import Any
@@ -251,22 +252,24 @@
                 return
             self._transmit(dst, data)
 
-    def _transmit(self, dst: str, data: bytes) -> None:
+    def _transmit(self, dst: str, data: bytes) -> bool:
+        """Send a frame; return whether it has gone out."""
         if dst in self.cut:
             self.counters["cut"] += 1
-            return
+            return False
         address = self._addresses.get(dst)
         if address is None:
             self.counters["no_address"] += 1
-            return
+            return False
         try:
             self._peer(address).send(data, zmq.NOBLOCK)
         except zmq.ZMQError:
             self.counters["send_failed"] += 1
             self._reopen(address)
-            return
+            return False
         self.counters["frames_out"] += 1
         self.counters["bytes_out"] += len(data)
+        return True
 
     def _peer(self, address: str) -> zmq.Socket:
         sock = self._peers.get(address)
@@ -292,6 +295,13 @@
             oldest.close(linger=LINGER_MILLISECONDS)
         return sock
 
+    def _opened_since(self, dst: str) -> float:
+        """Return how long a node's connection is open or opening, seconds."""
+        opened_at = self._opened_at.get(self._addresses.get(dst, ""))
+        if opened_at is None:
+            return math.inf
+        return clocks.elapsed() - opened_at
+
     def _reopen(self, address: str) -> None:
         """Open a connection anew that has not come up, soon after the start."""
         if self._liveness is None:
