Sight: what a target asks with an answer is read and logged

Logs could not tell whether a send falls into a rest that the target had asked for. The adapter reads it into the type of an answer's head; a component keeps it by incarnation, so far for log lines only. No decision uses it yet. Values that are no number of 0 or more are left out and logged.

Ruled out: that the entry's lines can be told apart without a new field.

--- /dev/null
+++ b/jasperweir/components/backpressure/const.py
@@ -0,0 +1,11 @@
+"""Constants of backpressure."""
+
+# A longer rest is taken for this one, seconds: a target that was misread, or
+# that has stated nonsense, is asked again within minutes.
+REST_MOST_SECONDS = 300.0
+# Values of one header of one answer that are read; more are nonsense.
+VALUES_MAX = 4
+# Targets of which it is remembered what they ask; the oldest goes first.
+TARGETS_MAX = 4096
+# Bytes of a value that could not be read which are logged.
+SHOWN_BYTES = 32
--- a/jasperweir/components/forward/dialect.py
+++ b/jasperweir/components/forward/dialect.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 from typing import Protocol
 
+from jasperweir.components.backpressure import signals as signals_lib
 from jasperweir.components.balance import balancer as balancer_lib
 from jasperweir.helpers import http_message
 
@@ -55,6 +56,7 @@
         other_target: Whether another incarnation answered at the address.
         encoded: Whether the body is not the target's own bytes.
         load: Load that the target states, if any.
+        signals: What the target asks of its callers.
     """
 
     request_id: str
@@ -63,6 +65,7 @@
     other_target: bool
     encoded: bool
     load: balancer_lib.Report | None
+    signals: signals_lib.Signals = signals_lib.NONE
 
 
 class Dialect(Protocol):
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -6,6 +6,7 @@
 
 from jasperweir import core
 from jasperweir import result_codes
+from jasperweir.components.backpressure import asked as asked_lib
 from jasperweir.components.balance import balancer as balancer_lib
 from jasperweir.components.balance import budget as budget_lib
 from jasperweir.components.balance import const as balance_const
@@ -46,6 +47,7 @@
         passes: Passes of groups of engines, and the limits from them.
         notes: What is concluded from the answers of targets.
         ends: Targets that end, and the requests that ran there.
+        asked: What targets have asked of this entry.
         pool: Connections to targets.
         dialect: Protocol of callers and targets.
         index: Configuration in force, None before the first.
@@ -101,8 +103,10 @@
             outages=self._outages,
             rng=rng,
         )
+        self.asked = asked_lib.Backpressure()
         self.notes = notes_lib.Notes(
             clock=clock,
+            asked=self.asked,
             balancer=self.balancer,
             outages=self._outages,
             queues=self._queues,
@@ -323,6 +327,7 @@
             unknown=self.balancer.unknown_at(target_id, now),
             free=reach.places,
             targets=len(reach.targets),
+            rest_left_s=self.asked.rest_left_s(target, now),
             now=now,
         )
         exchange.send_to(target)
--- a/jasperweir/components/forward/notes.py
+++ b/jasperweir/components/forward/notes.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 
 from jasperweir import core
+from jasperweir.components.backpressure import asked as asked_lib
+from jasperweir.components.backpressure import signals as signals_lib
 from jasperweir.components.balance import balancer as balancer_lib
 from jasperweir.components.balance import const
 from jasperweir.components.balance import outage as outage_lib
@@ -25,6 +27,7 @@
         self,
         *,
         clock: core.Clock,
+        asked: asked_lib.Backpressure,
         balancer: balancer_lib.Balancer,
         outages: outage_lib.Outages,
         queues: queues_lib.Queues,
@@ -33,12 +36,23 @@
     ) -> None:
         self.on_replaced: Callable[[records.Target], None] = lambda _: None
         self._clock = clock
+        self._asked = asked
         self._balancer = balancer
         self._outages = outages
         self._queues = queues
         self._record = record
         self._starting = starting
 
+    def signals(
+        self, target: records.Target, told: signals_lib.Signals
+    ) -> None:
+        """Note what a target asks with the head of an answer."""
+        if told is signals_lib.NONE:
+            return
+        now = self._clock.monotonic()
+        changes = self._asked.on_answer(target, told, now)
+        self._record.asks(target, told, changes)
+
     def fault(
         self,
         exchange: exchange_lib.Exchange,
--- a/jasperweir/components/forward/record.py
+++ b/jasperweir/components/forward/record.py
@@ -3,6 +3,8 @@
 import math
 
 from jasperweir import result_codes
+from jasperweir.components.backpressure import asked as asked_lib
+from jasperweir.components.backpressure import signals as signals_lib
 from jasperweir.components.directory import records
 from jasperweir.components.forward import dialect as dialect_lib
 from jasperweir.components.forward import exchange as exchange_lib
@@ -30,6 +32,7 @@
         unknown: int,
         free: int,
         targets: int,
+        rest_left_s: float,
         now: float,
     ) -> None:
         """Record the choice of a target.
@@ -41,6 +44,7 @@
             unknown: Those of them that no entry has told of.
             free: Free places at the targets that came into question.
             targets: Number of these.
+            rest_left_s: For how long it still wants no request, seconds.
             now: Monotonic seconds.
         """
         life = exchange.life
@@ -52,6 +56,7 @@
             unknown=unknown,
             free=free,
             targets=targets,
+            rest_left_ms=round(rest_left_s * 1000),
             waited_ms=round((now - life.arrived) * 1000),
             sends=life.sends,
         )
@@ -180,6 +185,30 @@
             open=at_target,
         )
 
+    def asks(
+        self,
+        target: records.Target,
+        told: signals_lib.Signals,
+        changes: list[asked_lib.Change],
+    ) -> None:
+        """Record what a target asks of this entry, when that is new."""
+        for change in changes:
+            self._metrics.inc("target_signals", signal=change.value)
+            _log.info(
+                f"target {change.value}",
+                target=target.target_id,
+                address=target.address,
+                rest_s=told.rest_s,
+            )
+        if told.unreadable:
+            self._metrics.inc("target_signals", signal="unreadable")
+            _log.warn(
+                "unreadable signal",
+                target=target.target_id,
+                address=target.address,
+                values=list(told.unreadable),
+            )
+
     def checked(self, case: suspects_lib.Case, sign: str) -> None:
         """Record whether a target whose connections broke still listens.
 
--- a/jasperweir/helpers/http_message.py
+++ b/jasperweir/helpers/http_message.py
@@ -70,6 +70,11 @@
     return None
 
 
+def find_all(headers: Headers, name: bytes) -> list[bytes]:
+    """Return all values of a header by its lower-case name."""
+    return [value for key, value in headers if key == name]
+
+
 def end_to_end(headers: Headers) -> Headers:
     """Return the headers that are passed on by an intermediary."""
     named: set[bytes] = set()
