Rest that a target asks for is kept by every send of an entry

Callers saw 503 while most targets were well, and targets that had asked for 3 s of rest got up to five requests from one entry within it. Cause: the answer's Retry-After was read nowhere, and the choice goes by open requests: whoever refuses at once has none, so a target that turned requests away was the next choice for each of them. Three refusals in a row, soon had that way, then passed for an outage of the whole service, in which no second target is tried.

Now one component keeps the rest by incarnation. Each choice (first and second sends, those who wait, probes of an outage, streams that leave a slow target) begins with the targets it leaves; a send whose connection took so long to open that a rest began asks it again. After a rest a target gets one request and others once that one is taken. A refusal with a rest says nothing of the service. If all rest, who can't wait for the end is refused at once with it (2010).

Why it holds: there is no way to a target but by forward/targets.py, and the last look is in the same step as the write. Other than by avoiding targets for a request only, what is kept outlives the request.

Ruled out: that second sends alone did it (73 of 103 sends within a rest were first ones), and outages alone (56 of 103 outside one).

--- a/jasperweir/components/backpressure/asked.py
+++ b/jasperweir/components/backpressure/asked.py
@@ -1,14 +1,23 @@
-"""What targets have asked of this entry, by incarnation; sans-I/O."""
+"""What targets have asked of this entry, by incarnation; sans-I/O.
+
+Whoever turns requests away has none open, and by load alone would be chosen
+first. A target that has asked for rest gets nothing until its end, and one
+request then: another follows once that one has been taken.
+"""
 
 import collections
+from collections.abc import Callable
 import dataclasses
 import enum
+import math
 
 from jasperweir.components.backpressure import const
 from jasperweir.components.backpressure import signals as signals_lib
 from jasperweir.components.directory import incarnation
 from jasperweir.components.directory import records
 
+_NEVER = float("-inf")
+
 
 class Change(enum.Enum):
     """What an answer has changed."""
@@ -24,13 +33,24 @@
     Attributes:
         born: Start that asked, Unix milliseconds, 0 if it does not say.
         rest_until: Until when it wants no request, monotonic seconds.
+        trial_at: When the first request after its rest was chosen for it,
+            monotonic seconds; before all times if none was.
         leaves: Whether it wants none any more.
     """
 
     born: int
-    rest_until: float = float("-inf")
+    rest_until: float = _NEVER
+    trial_at: float = _NEVER
     leaves: bool = False
 
+    def bars(self, now: float) -> bool:
+        """Tell whether no request may reach it."""
+        return now < self.rest_until
+
+    def is_tried(self, now: float) -> bool:
+        """Tell whether a first request after its rest is on its way."""
+        return now - self.trial_at < const.TRIAL_SECONDS
+
 
 class Backpressure:
     """Rest that targets ask for, and which of them leave."""
@@ -43,18 +63,15 @@
     def __len__(self) -> int:
         return len(self._asked)
 
+    # What targets say and do.
+
     def on_answer(
         self, target: records.Target, told: signals_lib.Signals, now: float
     ) -> list[Change]:
         """Take in what a target asks with an answer; return what is new."""
         if told.rest_s is None and not told.leaves:
             return []
-        asked = self._of(target)
-        if asked is None:
-            asked = Asked(born=target.born)
-            self._asked[target.target_id] = asked
-            if len(self._asked) > const.TARGETS_MAX:
-                self._asked.popitem(last=False)
+        asked = self._of(target) or self._add(target)
         changes = []
         if told.leaves and not asked.leaves:
             asked.leaves = True
@@ -64,13 +81,93 @@
                 changes.append(Change.RESTS)
             # A later answer does not take back what an earlier one has asked.
             asked.rest_until = max(asked.rest_until, now + told.rest_s)
+            asked.trial_at = _NEVER
         return changes
 
+    def on_chosen(self, target: records.Target, now: float) -> None:
+        """Note that a target is chosen for a request."""
+        asked = self._of(target)
+        if asked is not None:
+            asked.trial_at = now
+
+    def on_taken(self, target: records.Target, now: float) -> bool:
+        """Note that a target takes a request; return whether a rest is over."""
+        asked = self._of(target)
+        if asked is None or asked.bars(now):
+            return False
+        del self._asked[target.target_id]
+        return True
+
+    # Queries.
+
+    def bars(self, target: records.Target, now: float) -> bool:
+        """Tell whether no request may reach a target now."""
+        asked = self._of(target)
+        return asked is not None and asked.bars(now)
+
+    def open_to(
+        self, targets: list[records.Target], now: float
+    ) -> list[records.Target]:
+        """Return those of some targets that want requests."""
+        if not self._asked:
+            return targets
+        return [target for target in targets if self._is_open(target, now)]
+
+    def opens_in_s(self, targets: list[records.Target], now: float) -> float:
+        """Return the seconds until the first of some targets wants requests.
+
+        Returns:
+            Infinity if none of them will.
+        """
+        found = [self._of(target) for target in targets]
+        return min(
+            (
+                max(asked.rest_until - now, 0.0) if asked else 0.0
+                for asked in found
+                if asked is None or not asked.leaves
+            ),
+            default=math.inf,
+        )
+
+    def resting(self, now: float) -> int:
+        """Return how many targets want no requests now."""
+        return sum(asked.bars(now) for asked in self._asked.values())
+
     def rest_left_s(self, target: records.Target, now: float) -> float:
         """Return for how long a target still wants no request, seconds."""
         asked = self._of(target)
         return max(asked.rest_until - now, 0.0) if asked is not None else 0.0
 
+    # Keeping.
+
+    def tidy(
+        self, known: Callable[[str], records.Target | None], now: float
+    ) -> None:
+        """Forget targets that nobody knows any more, and rests long over."""
+        gone = [
+            target_id
+            for target_id, asked in self._asked.items()
+            if known(target_id) is None
+            or (
+                not asked.leaves and now > asked.rest_until + const.KEPT_SECONDS
+            )
+        ]
+        for target_id in gone:
+            del self._asked[target_id]
+
+    def _is_open(self, target: records.Target, now: float) -> bool:
+        asked = self._of(target)
+        if asked is None:
+            return True
+        return not asked.bars(now) and not asked.is_tried(now)
+
+    def _add(self, target: records.Target) -> Asked:
+        asked = Asked(born=target.born)
+        self._asked[target.target_id] = asked
+        if len(self._asked) > const.TARGETS_MAX:
+            self._asked.popitem(last=False)
+        return asked
+
     def _of(self, target: records.Target) -> Asked | None:
         """Return what this incarnation has asked; forget an earlier one's."""
         asked = self._asked.get(target.target_id)
--- a/jasperweir/components/backpressure/const.py
+++ b/jasperweir/components/backpressure/const.py
@@ -3,6 +3,11 @@
 # A longer rest is taken for this one, seconds: a target that was misread, or
 # that has stated nonsense, is asked again within minutes.
 REST_MOST_SECONDS = 300.0
+# After a rest a target gets one request, and others once it has taken that one
+# or has not refused it for this long, seconds. Refusals come within some ms.
+TRIAL_SECONDS = 0.25
+# A rest is forgotten this long after its end, seconds.
+KEPT_SECONDS = 10.0
 # Values of one header of one answer that are read; more are nonsense.
 VALUES_MAX = 4
 # Targets of which it is remembered what they ask; the oldest goes first.
--- a/jasperweir/components/balance/advice.py
+++ b/jasperweir/components/balance/advice.py
@@ -14,6 +14,8 @@
 # that they do not all meet at its end. The longest is what a caller with 8 s
 # follows; together with its wait here it bridges some four seconds.
 OUTAGE_SECONDS = (1.6, 2.6)
+# After the end of a rest callers return within this time.
+AFTER_REST_SECONDS = (0.05, 0.6)
 # A process that has just started has its configuration within this time.
 STARTING_SECONDS = 0.8
 
@@ -47,6 +49,15 @@
         """Return the seconds after which an outage may have ended."""
         return self._rng.uniform(*OUTAGE_SECONDS)
 
+    def after_rest(self, rest_s: float) -> float:
+        """Return the seconds after which targets want requests again.
+
+        Args:
+            rest_s: Seconds until the first of them does.
+        """
+        # Spread past its end: at first each target gets one request.
+        return rest_s + self._rng.uniform(*AFTER_REST_SECONDS)
+
     def while_starting(self) -> float:
         """Return the seconds after which a starting process is ready."""
         return STARTING_SECONDS * self._rng.uniform(0.8, 1.4)
--- a/jasperweir/components/follow/follower.py
+++ b/jasperweir/components/follow/follower.py
@@ -181,7 +181,9 @@
         if gone.presence is not records.Presence.GONE:
             # It has started again since.
             return []
-        news = records.News(target=gone)
+        return self._tell(records.News(target=gone), now)
+
+    def _tell(self, news: records.News, now: float) -> Actions:
         return [
             core.Send(dst=name, msg=news) for name, _ in self._partners(now)
         ]
--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -117,6 +117,12 @@
         assert self._target is not None
         now = self._owner.now()
         life = self.life
+        if self._owner.targets.asked.bars(self._target, now):
+            # It has asked for rest while the connection was opened.
+            self._owner.pool.give(_pool_key(self._target), conn)
+            self._release()
+            self._act(life.on_barred(self._target.target_id))
+            return
         patience = life.remaining(now) - const.ANSWER_MARGIN_SECONDS
         if patience < const.RETRY_LEAST_SECONDS:
             self._owner.pool.give(_pool_key(self._target), conn)
@@ -157,8 +163,8 @@
             hard = fault is Fault.REPLACED
             self._on_fault(fault, f"status {head.status}", hard=hard)
             return True
-        self._owner.notes.taken(self)
         if self._target is not None:
+            self._owner.notes.taken(self, self._target)
             self._owner.ends.on_answer(self._target, self._sent_at)
         if head.status < 500:
             self._owner.balancer.succeeded(self.target_id, now - self._sent_at)
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Callable
 import itertools
+import math
 import random
 
 from jasperweir import core
 from jasperweir import result_codes
-from jasperweir.components.backpressure import asked as asked_lib
 from jasperweir.components.balance import balancer as balancer_lib
 from jasperweir.components.balance import budget as budget_lib
 from jasperweir.components.balance import const as balance_const
@@ -30,6 +30,7 @@
 from jasperweir.components.forward import refusals as refusals_lib
 from jasperweir.components.forward import starting as starting_lib
 from jasperweir.components.forward import stragglers
+from jasperweir.components.forward import targets as targets_lib
 from jasperweir.helpers import http_client
 from jasperweir.helpers import http_server
 from jasperweir.helpers import metrics as metrics_lib
@@ -47,7 +48,7 @@
         passes: Passes of groups of engines, and the limits from them.
         notes: What is concluded from the answers of targets.
         ends: Targets that end, and the requests that ran there.
-        asked: What targets have asked of this entry.
+        targets: Which targets want requests now.
         pool: Connections to targets.
         dialect: Protocol of callers and targets.
         index: Configuration in force, None before the first.
@@ -103,10 +104,10 @@
             outages=self._outages,
             rng=rng,
         )
-        self.asked = asked_lib.Backpressure()
+        self.targets = targets_lib.Targets(directory=directory)
         self.notes = notes_lib.Notes(
             clock=clock,
-            asked=self.asked,
+            asked=self.targets.asked,
             balancer=self.balancer,
             outages=self._outages,
             queues=self._queues,
@@ -221,10 +222,9 @@
     def _admit(self, exchange: exchange_lib.Exchange, now: float) -> None:
         if self.ends.hold_back(exchange, now):
             return
-        targets = self._directory.serving(exchange.service, now)
+        targets = self.targets.of(exchange.service, now)
         if not targets:
-            if not self.may_wait(exchange):
-                exchange.give_up(Code.NO_TARGET)
+            self._without_target(exchange, now)
             return
         reach = self._reach(exchange.service, targets, now)
         if self._may_go(exchange, reach, now):
@@ -310,13 +310,15 @@
         if self.ends.hold_back(exchange, now):
             return
         tried = exchange.life.tried
-        target = self.balancer.choose(reach.targets, tried, now)
+        # Others may have been sent there since the places were counted.
+        near = self.targets.asked.open_to(reach.targets, now)
+        target = self.balancer.choose(near, tried, now)
         if target is None:
             # All near ones have been tried.
-            targets = self._directory.serving(exchange.service, now)
+            targets = self.targets.of(exchange.service, now)
             target = self.balancer.choose(targets, tried, now)
         if target is None:
-            exchange.give_up(Code.TARGETS_REFUSED)
+            self._without_target(exchange, now)
             return
         target_id = target.target_id
         self._outages.of(exchange.service).on_sent(now)
@@ -327,11 +329,31 @@
             unknown=self.balancer.unknown_at(target_id, now),
             free=reach.places,
             targets=len(reach.targets),
-            rest_left_s=self.asked.rest_left_s(target, now),
+            rest_left_s=self.targets.asked.rest_left_s(target, now),
             now=now,
         )
+        self.targets.asked.on_chosen(target, now)
         exchange.send_to(target)
 
+    def _without_target(
+        self, exchange: exchange_lib.Exchange, now: float
+    ) -> None:
+        """Let a request wait for the end of a rest, or refuse it at once."""
+        life = exchange.life
+        opens_s = self.targets.opens_in_s(exchange.service, life.tried, now)
+        if life.tried and math.isinf(opens_s):
+            exchange.give_up(Code.TARGETS_REFUSED)
+            return
+        if math.isinf(opens_s):
+            if not self.may_wait(exchange):
+                exchange.give_up(Code.NO_TARGET)
+            return
+        in_time = life.expect_wait(opens_s)
+        if self.stopping or not in_time or now + opens_s >= life.waits_until:
+            exchange.give_up(Code.TARGETS_REST)
+            return
+        self._wait(exchange, now, now + opens_s)
+
     def on_marks(self, now: float) -> None:
         """Refuse those who wait and are now known to end targets."""
         for service in self._queues.services():
@@ -347,7 +369,7 @@
             # Another target would refuse it as well.
             exchange.give_up(Code.TARGETS_REFUSED)
             return
-        targets = self._directory.serving(exchange.service, now)
+        targets = self.targets.of(exchange.service, now)
         reach = self._reach(exchange.service, targets, now)
         self._send_once_more(exchange, reach, now)
 
@@ -376,7 +398,7 @@
     def _serve_queue(self, service: str, now: float) -> None:
         """Send those who get a place, refuse those who have waited enough."""
         gate = self._queues.of(service).gate
-        targets = self._directory.serving(service, now)
+        targets = self.targets.of(service, now)
         reach = self._reach(service, targets, now)
         starts = self._starting.lasts(now)
         given = self._queues.given(service, reach, now, starts=starts)
@@ -419,7 +441,7 @@
             self._move(exchange, now)
 
     def _move(self, exchange: exchange_lib.Exchange, now: float) -> None:
-        targets = self._directory.serving(exchange.service, now)
+        targets = self.targets.of(exchange.service, now)
         reach = self._reach(exchange.service, targets, now)
         if reach.places < 1 or not self._take_retry(exchange.service, now):
             return
@@ -427,6 +449,13 @@
         exchange.leave_target()
         self._send(exchange, reach, now)
 
+    def tidy(self) -> None:
+        """Drop what is not used any more: connections, and rests long over."""
+        now = self.now()
+        self.pool.tidy()
+        self.targets.tidy(now)
+        self._record.resting(self.targets.asked.resting(now))
+
     # Ends.
 
     def closed(self, exchange: exchange_lib.Exchange, outcome: str) -> None:
--- a/jasperweir/components/forward/life.py
+++ b/jasperweir/components/forward/life.py
@@ -179,6 +179,11 @@
         """Note that its target was told to stop."""
         self.may_have_run = True
 
+    def on_barred(self, target_id: str) -> Verdict:
+        """Judge a request whose target wants no more before it was sent."""
+        self.tried.add(target_id)
+        return SendAgain(resume_after=self.last_event)
+
     def on_fault(self, target_id: str, fault: Fault, now: float) -> Verdict:
         """Judge a send that brought no whole answer."""
         self.tried.add(target_id)
--- a/jasperweir/components/forward/notes.py
+++ b/jasperweir/components/forward/notes.py
@@ -21,6 +21,7 @@
 
     Attributes:
         on_replaced: Called with a target whose address another one has.
+        on_leaving: Called with a target that says it leaves.
     """
 
     def __init__(
@@ -35,6 +36,7 @@
         starting: starting_lib.Starting,
     ) -> None:
         self.on_replaced: Callable[[records.Target], None] = lambda _: None
+        self.on_leaving: Callable[[records.Target], None] = lambda _: None
         self._clock = clock
         self._asked = asked
         self._balancer = balancer
@@ -52,6 +54,8 @@
         now = self._clock.monotonic()
         changes = self._asked.on_answer(target, told, now)
         self._record.asks(target, told, changes)
+        if asked_lib.Change.LEAVES in changes:
+            self.on_leaving(target)
 
     def fault(
         self,
@@ -64,7 +68,9 @@
         now = self._clock.monotonic()
         if fault is life_lib.Fault.REPLACED:
             self.on_replaced(target)
-        if fault is life_lib.Fault.NOT_RUN:
+        # One that asks for rest speaks for itself, not for its service.
+        rests = self._asked.bars(target, now)
+        if fault is life_lib.Fault.NOT_RUN and not rests:
             needed = const.OUTAGE_REFUSALS
             if self._starting.lasts(now):
                 needed = const.START_REFUSALS
@@ -73,9 +79,13 @@
         at_target = self._balancer.count_at(target.target_id, now)
         self._record.fault(exchange, target, fault, reason, at_target)
 
-    def taken(self, exchange: exchange_lib.Exchange) -> None:
+    def taken(
+        self, exchange: exchange_lib.Exchange, target: records.Target
+    ) -> None:
         """Note that a target has taken a request."""
         now = self._clock.monotonic()
+        if self._asked.on_taken(target, now):
+            self._record.takes_again(target)
         if self._outages.of(exchange.service).on_answer(now):
             self._record.outage(exchange.service, begins=False)
 
--- a/jasperweir/components/forward/record.py
+++ b/jasperweir/components/forward/record.py
@@ -209,6 +209,18 @@
                 values=list(told.unreadable),
             )
 
+    def takes_again(self, target: records.Target) -> None:
+        """Record that a target takes requests after a rest."""
+        _log.info(
+            "target takes requests again",
+            target=target.target_id,
+            address=target.address,
+        )
+
+    def resting(self, count: int) -> None:
+        """Show how many targets want no requests of this entry."""
+        self._metrics.gauge("targets_resting", float(count))
+
     def checked(self, case: suspects_lib.Case, sign: str) -> None:
         """Record whether a target whose connections broke still listens.
 
--- /dev/null
+++ b/jasperweir/components/forward/targets.py
@@ -0,0 +1,39 @@
+"""Which targets of a service want requests now."""
+
+from jasperweir.components.backpressure import asked as asked_lib
+from jasperweir.components.directory import directory as directory_lib
+from jasperweir.components.directory import records
+
+
+class Targets:
+    """Targets that are announced, less those that want nothing.
+
+    Each choice begins here: of first requests, second ones, waiting ones and
+    streams that leave a slow target.
+
+    Attributes:
+        asked: What targets have asked of this entry.
+    """
+
+    def __init__(self, *, directory: directory_lib.Directory) -> None:
+        self.asked = asked_lib.Backpressure()
+        self._directory = directory
+
+    def of(self, service: str, now: float) -> list[records.Target]:
+        """Return the targets of a service that want requests."""
+        announced = self._directory.serving(service, now)
+        return self.asked.open_to(announced, now)
+
+    def opens_in_s(self, service: str, tried: set[str], now: float) -> float:
+        """Return the seconds until one that was not tried wants requests.
+
+        Returns:
+            Infinity if none of them is announced.
+        """
+        announced = self._directory.serving(service, now)
+        untried = [t for t in announced if t.target_id not in tried]
+        return self.asked.opens_in_s(untried, now)
+
+    def tidy(self, now: float) -> None:
+        """Forget what nobody needs any more."""
+        self.asked.tidy(self._directory.get, now)
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -38,7 +38,7 @@
 TICK_SECONDS = 0.02
 # While it stops, what is still open is looked at this often, seconds.
 STOP_TICK_SECONDS = 0.1
-POOL_TIDY_SECONDS = 0.5
+TIDY_SECONDS = 0.5
 # Callers keep an address answer for this long, and some three times as long.
 ANSWER_KEPT_SECONDS = 0.5
 # An entry that stops serves those who still come for longer than any caller
@@ -142,7 +142,7 @@
         self._follow()
         self._host.every(balance_const.SHARE_SECONDS, self._share_all)
         self._host.every(quarantine_const.COMPARE_SECONDS, self._compare_marks)
-        self._host.every(POOL_TIDY_SECONDS, self._forwarder.pool.tidy)
+        self._host.every(TIDY_SECONDS, self._forwarder.tidy)
         await self._ended.wait()
         await asyncio.sleep(0.05)
         self._host.stop()
