A target that says it leaves gets nothing more, from any entry

What callers saw: nothing yet; the target saw up to 210 requests an entry later than 2 s after it had said in its answers that it leaves, and callers whom it had when it ended would have been cut off. Cause: an entry knew of leaving only by the target's heartbeat, which may come late, be lost or say otherwise.

Now the word in an answer bars the target at that entry at once, for as long as that incarnation lives, whatever its heartbeat says; and the entry tells control, which tells the other entries as it does of a heartbeat that says so.

--- a/jasperweir/components/backpressure/asked.py
+++ b/jasperweir/components/backpressure/asked.py
@@ -45,7 +45,7 @@
 
     def bars(self, now: float) -> bool:
         """Tell whether no request may reach it."""
-        return now < self.rest_until
+        return self.leaves or now < self.rest_until
 
     def is_tried(self, now: float) -> bool:
         """Tell whether a first request after its rest is on its way."""
--- a/jasperweir/components/follow/follower.py
+++ b/jasperweir/components/follow/follower.py
@@ -183,6 +183,13 @@
             return []
         return self._tell(records.News(target=gone), now)
 
+    def leaves(self, target: records.Target, now: float) -> Actions:
+        """Note, and tell, that a target says with its answers it leaves."""
+        leaving = target._replace(presence=records.Presence.LEAVING)
+        if not self.directory.merge(leaving, now):
+            return []
+        return self._tell(records.News(target=leaving), now)
+
     def _tell(self, news: records.News, now: float) -> Actions:
         return [
             core.Send(dst=name, msg=news) for name, _ in self._partners(now)
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -117,6 +117,7 @@
         self._forwarder.balancer.on_change = self._on_load_change
         self._forwarder.is_certain = self._is_certain
         self._forwarder.notes.on_replaced = self._on_replaced
+        self._forwarder.notes.on_leaving = self._on_leaving
         self._forwarder.on_work = self._tick_soon
         self._forwarder.ends.on_marks = self._on_marks
         ledger = self._forwarder.ends.ledger
@@ -252,6 +253,10 @@
         now = self._host.now()
         self._perform(self._follower.retire(target, now))
 
+    def _on_leaving(self, target: records.Target) -> None:
+        """Tell the other entries of a target that says it leaves."""
+        self._perform(self._follower.leaves(target, self._host.now()))
+
     def _on_load_change(self) -> None:
         if self._share_due:
             return
