A target that refuses is avoided, also without a word on how long

Now a target that refuses gets requests only if no other target wants them, for 0.25 s and twice as long each time, 8 s at most; then one request first. Refusals that were on their way together count once. If all refuse (a group that forms), all are tried as before, and what is held against them is dropped with the first answer after such an outage.

Test: 31 of 120 requests reached one such target of four before, 8 at most now.

--- a/features/backpressure.feature
+++ b/features/backpressure.feature
@@ -24,3 +24,19 @@
     When one of them says that it leaves, and requests come for 3 s
     Then it gets no request that came after its first such answer
     And every caller is answered 200
+
+  Scenario: A target that refuses without a word on how long is tried less and less
+    Given an entry with 4 targets
+    When one of them refuses, and requests come for 6 s
+    Then no more than 8 requests reach it
+    And every caller is answered 200
+
+  Scenario: A target that takes requests again has its part of them
+    Given an entry with 4 targets
+    When one of them refuses for 2 s, and requests come for 8 s
+    Then it gets at least 15 requests in the last 4 s
+
+  Scenario: Targets are tried though all of them have refused
+    Given an entry with 4 targets
+    When all of them refuse for 2 s, and requests come for 4 s
+    Then every caller of the last 0.5 s is answered 200
--- a/features/steps/backpressure_steps.py
+++ b/features/steps/backpressure_steps.py
@@ -64,3 +64,55 @@
 def step_none_after(context):
     arrivals = context.entry.targets[0].arrivals
     assert len(arrivals) == 1, len(arrivals)
+
+
+async def refuse(entry, count, refusing_s, seconds):
+    await entry.start()
+    for target in entry.targets[:count]:
+        target.rest = b""
+    await entry.run(refusing_s)
+    if seconds > refusing_s:
+        for target in entry.targets[:count]:
+            target.rest = None
+        await entry.run(seconds - refusing_s)
+    entry.close()
+
+
+@when("one of them refuses, and requests come for {seconds:g} s")
+def step_one_refuses(context, seconds):
+    asyncio.run(refuse(context.entry, 1, seconds, seconds))
+
+
+@when(
+    "one of them refuses for {refusing:g} s, and requests come for {seconds:g} s"
+)
+def step_refuses_for(context, refusing, seconds):
+    asyncio.run(refuse(context.entry, 1, refusing, seconds))
+
+
+@when(
+    "all of them refuse for {refusing:g} s, and requests come for {seconds:g} s"
+)
+def step_all_refuse(context, refusing, seconds):
+    count = len(context.entry.targets)
+    asyncio.run(refuse(context.entry, count, refusing, seconds))
+
+
+@then("no more than {most:d} requests reach it")
+def step_reach(context, most):
+    assert len(context.entry.targets[0].arrivals) <= most, len(
+        context.entry.targets[0].arrivals
+    )
+
+
+@then("it gets at least {least:d} requests in the last {seconds:g} s")
+def step_part(context, least, seconds):
+    since = context.entry.clock.now - seconds
+    got = sum(t >= since for t in context.entry.targets[0].arrivals)
+    assert got >= least, got
+
+
+@then("every caller of the last {seconds:g} s is answered {status:d}")
+def step_last_answered(context, seconds, status):
+    last = context.entry.statuses()[-round(seconds / asking.APART) :]
+    assert set(last) == {status}, last
--- a/jasperweir/components/backpressure/asked.py
+++ b/jasperweir/components/backpressure/asked.py
@@ -36,19 +36,36 @@
         trial_at: When the first request after its rest was chosen for it,
             monotonic seconds; before all times if none was.
         leaves: Whether it wants none any more.
+        service: Service that it serves.
+        refusals: How many requests in a row it has refused without saying for
+            how long; those that were on their way together count as one.
+        avoided_until: Until when it gets requests only if no other target
+            wants them, monotonic seconds.
     """
 
     born: int
+    service: str
     rest_until: float = _NEVER
     trial_at: float = _NEVER
     leaves: bool = False
+    refusals: int = 0
+    avoided_until: float = _NEVER
 
     def bars(self, now: float) -> bool:
         """Tell whether no request may reach it."""
         return self.leaves or now < self.rest_until
 
+    def is_over(self, now: float) -> bool:
+        """Tell whether it is long ago that it turned requests away."""
+        last = max(self.rest_until, self.avoided_until)
+        return now > last + const.KEPT_SECONDS
+
+    def is_avoided(self, now: float) -> bool:
+        """Tell whether requests go elsewhere if they can."""
+        return now < self.avoided_until or self.is_tried(now)
+
     def is_tried(self, now: float) -> bool:
-        """Tell whether a first request after its rest is on its way."""
+        """Tell whether a first request after a refusal is on its way."""
         return now - self.trial_at < const.TRIAL_SECONDS
 
 
@@ -84,6 +101,23 @@
             asked.trial_at = _NEVER
         return changes
 
+    def on_refused(self, target: records.Target, now: float) -> None:
+        """Note that a target refuses a request and asks for nothing."""
+        asked = self._of(target) or self._add(target)
+        asked.trial_at = _NEVER
+        if asked.bars(now) or now < asked.avoided_until:
+            return
+        pause_s = const.AVOID_SECONDS * 2**asked.refusals
+        asked.refusals += 1
+        asked.avoided_until = now + min(pause_s, const.AVOID_MOST_SECONDS)
+
+    def on_service_back(self, service: str) -> None:
+        """Note that a service that refused everything takes requests again."""
+        for asked in self._asked.values():
+            if asked.service == service:
+                asked.refusals = 0
+                asked.avoided_until = _NEVER
+
     def on_chosen(self, target: records.Target, now: float) -> None:
         """Note that a target is chosen for a request."""
         asked = self._of(target)
@@ -108,10 +142,19 @@
     def open_to(
         self, targets: list[records.Target], now: float
     ) -> list[records.Target]:
-        """Return those of some targets that want requests."""
+        """Return those of some targets that may get a request now.
+
+        Those that refuse without a word on how long are among them only if
+        there is no other.
+        """
         if not self._asked:
             return targets
-        return [target for target in targets if self._is_open(target, now)]
+        known = [(target, self._of(target)) for target in targets]
+        found = [item for item in known if not item[1] or not item[1].bars(now)]
+        fit = [
+            t for t, asked in found if not asked or not asked.is_avoided(now)
+        ]
+        return fit or [target for target, _ in found]
 
     def opens_in_s(self, targets: list[records.Target], now: float) -> float:
         """Return the seconds until the first of some targets wants requests.
@@ -147,22 +190,14 @@
         gone = [
             target_id
             for target_id, asked in self._asked.items()
-            if known(target_id) is None
-            or (
-                not asked.leaves and now > asked.rest_until + const.KEPT_SECONDS
-            )
+            if asked.is_over(now)
+            and not (asked.leaves and known(target_id) is not None)
         ]
         for target_id in gone:
             del self._asked[target_id]
 
-    def _is_open(self, target: records.Target, now: float) -> bool:
-        asked = self._of(target)
-        if asked is None:
-            return True
-        return not asked.bars(now) and not asked.is_tried(now)
-
     def _add(self, target: records.Target) -> Asked:
-        asked = Asked(born=target.born)
+        asked = Asked(born=target.born, service=target.service)
         self._asked[target.target_id] = asked
         if len(self._asked) > const.TARGETS_MAX:
             self._asked.popitem(last=False)
--- a/jasperweir/components/backpressure/const.py
+++ b/jasperweir/components/backpressure/const.py
@@ -3,6 +3,11 @@
 # A longer rest is taken for this one, seconds: a target that was misread, or
 # that has stated nonsense, is asked again within minutes.
 REST_MOST_SECONDS = 300.0
+# A target that refuses without a word on how long gets requests again after
+# this long, twice as long after each further refusal, and earlier only if all
+# others refuse as well, seconds.
+AVOID_SECONDS = 0.25
+AVOID_MOST_SECONDS = 8.0
 # After a rest a target gets one request, and others once it has taken that one
 # or has not refused it for this long, seconds. Refusals come within some ms.
 TRIAL_SECONDS = 0.25
--- a/jasperweir/components/forward/notes.py
+++ b/jasperweir/components/forward/notes.py
@@ -71,6 +71,7 @@
         # One that asks for rest speaks for itself, not for its service.
         rests = self._asked.bars(target, now)
         if fault is life_lib.Fault.NOT_RUN and not rests:
+            self._asked.on_refused(target, now)
             needed = const.OUTAGE_REFUSALS
             if self._starting.lasts(now):
                 needed = const.START_REFUSALS
@@ -87,6 +88,7 @@
         if self._asked.on_taken(target, now):
             self._record.takes_again(target)
         if self._outages.of(exchange.service).on_answer(now):
+            self._asked.on_service_back(exchange.service)
             self._record.outage(exchange.service, begins=False)
 
     def whole(self, exchange: exchange_lib.Exchange, sent_at: float) -> None:
