Entries tell each other which targets turn them away

What callers saw: 503 because each entry found out by itself, with its callers' requests, who refuses: ten entries, five such targets, some 5 tries each.

Shares between entries now name the targets that turn an entry away and for how long still. Another entry avoids those while others want requests; nothing is barred by hearsay, and it lapses within 1 s of not being told again. 4,096 targets at most are remembered, 1,024 of one message read.

Scenarios for every way to a target: first and second sends, one whose connection opens meanwhile, those who wait, streams that move, all targets at rest, the first request after a rest; values that can't be read; incarnations; bounds. Of these, rest, leaving and plain refusals were seen red before; the others were written with the code.

--- a/features/backpressure.feature
+++ b/features/backpressure.feature
@@ -40,3 +40,94 @@
     Given an entry with 4 targets
     When all of them refuse for 2 s, and requests come for 4 s
     Then every caller of the last 0.5 s is answered 200
+
+  Scenario: What one entry is refused the others hear of
+    Given an entry with 4 targets
+    When another entry tells for 3 s that one of them refuses, and requests come
+    Then no more than 0 requests reach it
+    And every caller is answered 200
+    When requests come for 2 s without a word of the other entry
+    Then it gets at least 5 requests in the last 1 s
+
+  Scenario: What another entry is refused bars nothing
+    Given an entry with 1 target
+    When another entry tells for 1 s that one of them refuses, and requests come
+    Then every caller is answered 200
+
+  Scenario: All targets ask for rest
+    Given an entry with 4 targets
+    When all of them ask for 3 s of rest, and requests come for 6 s
+    Then no more than 2 requests reach a target within a rest it asked for
+    And whoever is refused for that is told to come back after its end
+
+  Scenario: A rest that ends while a request may wait is waited for
+    Given an entry with 1 target
+    When all of them ask for 0.4 s of rest, and accept again after it
+    Then a request that comes 0.2 s before the end is answered 200
+
+  Scenario: After a rest a target gets one request first
+    Given an entry with 4 targets
+    When one of them asks for 3 s of rest, and 20 requests come at once after it
+    Then it gets 1 of them
+    And every caller is answered 200
+
+  Scenario: A connection that opens slowly does not carry a request into a rest
+    Given an entry with 1 target
+    When a connection opens while it asks another request for 3 s of rest
+    Then the request goes to a target that came meanwhile
+
+  Scenario: Who waits for a place does not get it at a target that rests
+    Given an entry with 2 targets
+    When one of them rests, the other is full, and requests come for 1 s
+    Then no more than 1 requests reach it
+    And nobody but the one that it refused has been sent to the other
+
+  Scenario: A stream does not leave a slow target for one that rests
+    Given a stream at a target that turns slow, and another one that rests
+    Then the stream stays where it is
+
+  Scenario Outline: What a target may say
+    When a target says "<rest>" of rest and "<leaving>" of leaving
+    Then it wants rest for "<seconds>" s, and it leaves: <leaves>
+    And <unreadable> values are shown as unreadable
+
+    Examples:
+      | rest        | leaving | seconds | leaves | unreadable |
+      | 3           |         | 3       | no     | 0          |
+      | 0.25        |         | 0.25    | no     | 0          |
+      | 0           |         | 0       | no     | 0          |
+      | -1          |         | none    | no     | 1          |
+      | nan         |         | none    | no     | 1          |
+      | inf         |         | none    | no     | 1          |
+      | soon        |         | none    | no     | 1          |
+      | 1000000000  |         | 300     | no     | 0          |
+      | 2,soon      |         | 2       | no     | 1          |
+      | 2,5         |         | 5       | no     | 0          |
+      |             | 1       | none    | yes    | 0          |
+      |             | 0       | none    | no     | 0          |
+      | 3           | 1       | 3       | yes    | 0          |
+
+  Scenario: Only the incarnation that asked is left alone
+    Given a target that has asked for 3 s of rest
+    When it starts again under its id
+    Then it may get requests
+
+  Scenario: A heartbeat of the incarnation that asked changes nothing
+    Given a target that has asked for 3 s of rest
+    When its next heartbeat comes
+    Then it may get no requests
+
+  Scenario: A shorter rest does not take back a longer one
+    Given a target that has asked for 3 s of rest
+    When it asks for 0 s of rest
+    Then it may get no requests
+
+  Scenario: A target that leaves is left alone for good
+    Given a target that has said that it leaves
+    When 400 s pass for that target
+    Then it may get no requests
+
+  Scenario: What is remembered is bounded
+    When 10000 targets ask for rest, and other entries tell of 10000 more
+    Then no more than 4096 are remembered
+    And none is once they are gone and their rests are over
--- a/features/harness/asking.py
+++ b/features/harness/asking.py
@@ -73,6 +73,20 @@
         self._server.close()
 
 
+class Answering(hop.Answering):
+    """Note when the answer comes; status 0 as long as there is none."""
+
+    def __init__(self, *, clock):
+        super().__init__()
+        self.replied = (0, [])
+        self.replied_at = 0.0
+        self._clock = clock
+
+    def reply(self, status, headers, body):
+        super().reply(status, headers, body)
+        self.replied_at = self._clock.now
+
+
 class Dialect(hop.Dialect):
     """Read the headers by which these targets ask."""
 
@@ -110,12 +124,16 @@
 
     async def call(self, count=1):
         """Let requests come at once; wait until they are answered or wait."""
-        answers = [hop.Answering() for _ in range(count)]
-        for answering in answers:
-            self.one.forwarder.handle(answering)
-        self.answers += answers
+        for _ in range(count):
+            self.one.forwarder.handle(self.answering())
         await asyncio.sleep(ANSWER_SECONDS)
 
+    def answering(self):
+        """Return the way back to a new caller."""
+        answering = Answering(clock=self.clock)
+        self.answers.append(answering)
+        return answering
+
     async def run(self, seconds, at_once=1):
         """Let requests come one after the other for a time."""
         for _ in range(round(seconds / APART)):
@@ -125,6 +143,13 @@
             self.one.forwarder.tick()
         await asyncio.sleep(ANSWER_SECONDS)
 
+    async def settle(self, seconds=0.2):
+        """Let time pass without new requests."""
+        for _ in range(round(seconds / APART)):
+            self.clock.now += APART
+            self.one.forwarder.tick()
+            await asyncio.sleep(ANSWER_SECONDS)
+
     def keep(self):
         """Let the targets announce themselves again."""
         for target in self.targets:
--- a/jasperweir/components/backpressure/asked.py
+++ b/jasperweir/components/backpressure/asked.py
@@ -13,6 +13,7 @@
 
 from jasperweir.components.backpressure import const
 from jasperweir.components.backpressure import signals as signals_lib
+from jasperweir.components.balance import messages
 from jasperweir.components.directory import incarnation
 from jasperweir.components.directory import records
 
@@ -36,20 +37,20 @@
         trial_at: When the first request after its rest was chosen for it,
             monotonic seconds; before all times if none was.
         leaves: Whether it wants none any more.
-        service: Service that it serves.
         refusals: How many requests in a row it has refused without saying for
             how long; those that were on their way together count as one.
         avoided_until: Until when it gets requests only if no other target
             wants them, monotonic seconds.
+        told_until: The same, as other entries have told.
     """
 
     born: int
-    service: str
     rest_until: float = _NEVER
     trial_at: float = _NEVER
     leaves: bool = False
     refusals: int = 0
     avoided_until: float = _NEVER
+    told_until: float = _NEVER
 
     def bars(self, now: float) -> bool:
         """Tell whether no request may reach it."""
@@ -57,12 +58,13 @@
 
     def is_over(self, now: float) -> bool:
         """Tell whether it is long ago that it turned requests away."""
-        last = max(self.rest_until, self.avoided_until)
+        last = max(self.rest_until, self.avoided_until, self.told_until)
         return now > last + const.KEPT_SECONDS
 
     def is_avoided(self, now: float) -> bool:
         """Tell whether requests go elsewhere if they can."""
-        return now < self.avoided_until or self.is_tried(now)
+        until = max(self.avoided_until, self.told_until)
+        return now < until or self.is_tried(now)
 
     def is_tried(self, now: float) -> bool:
         """Tell whether a first request after a refusal is on its way."""
@@ -88,7 +90,9 @@
         """Take in what a target asks with an answer; return what is new."""
         if told.rest_s is None and not told.leaves:
             return []
-        asked = self._of(target) or self._add(target)
+        asked = self._of(target.target_id, target.born) or self._add(
+            target.target_id, target.born
+        )
         changes = []
         if told.leaves and not asked.leaves:
             asked.leaves = True
@@ -103,7 +107,9 @@
 
     def on_refused(self, target: records.Target, now: float) -> None:
         """Note that a target refuses a request and asks for nothing."""
-        asked = self._of(target) or self._add(target)
+        asked = self._of(target.target_id, target.born) or self._add(
+            target.target_id, target.born
+        )
         asked.trial_at = _NEVER
         if asked.bars(now) or now < asked.avoided_until:
             return
@@ -111,32 +117,60 @@
         asked.refusals += 1
         asked.avoided_until = now + min(pause_s, const.AVOID_MOST_SECONDS)
 
-    def on_service_back(self, service: str) -> None:
-        """Note that a service that refused everything takes requests again."""
-        for asked in self._asked.values():
-            if asked.service == service:
-                asked.refusals = 0
-                asked.avoided_until = _NEVER
+    def forgive(self, targets: list[records.Target]) -> None:
+        """Drop what is held against targets that all refused for a while."""
+        for target in targets:
+            asked = self._asked.get(target.target_id)
+            if asked is None:
+                continue
+            asked.refusals = 0
+            asked.avoided_until = _NEVER
+            asked.told_until = _NEVER
 
     def on_chosen(self, target: records.Target, now: float) -> None:
         """Note that a target is chosen for a request."""
-        asked = self._of(target)
+        asked = self._of(target.target_id, target.born)
         if asked is not None:
             asked.trial_at = now
 
     def on_taken(self, target: records.Target, now: float) -> bool:
         """Note that a target takes a request; return whether a rest is over."""
-        asked = self._of(target)
+        asked = self._of(target.target_id, target.born)
         if asked is None or asked.bars(now):
             return False
         del self._asked[target.target_id]
         return True
 
+    # Other entries.
+
+    def refusing(self, now: float) -> tuple[messages.Refusing, ...]:
+        """Return what to tell the other entries."""
+        return tuple(
+            messages.Refusing(target_id, asked.born, until - now)
+            for target_id, asked in self._asked.items()
+            if (until := max(asked.rest_until, asked.avoided_until)) > now
+        )
+
+    def on_told(
+        self, refusing: tuple[messages.Refusing, ...], now: float
+    ) -> None:
+        """Take in which targets refuse the requests of another entry.
+
+        They may well take this one's, so that nothing is barred by it.
+        """
+        for told in refusing[: const.TOLD_MAX]:
+            if not told.for_s > 0:
+                continue
+            asked = self._of(told.target_id, told.born)
+            asked = asked or self._add(told.target_id, told.born)
+            until = now + min(told.for_s, const.TOLD_SECONDS)
+            asked.told_until = max(asked.told_until, until)
+
     # Queries.
 
     def bars(self, target: records.Target, now: float) -> bool:
         """Tell whether no request may reach a target now."""
-        asked = self._of(target)
+        asked = self._of(target.target_id, target.born)
         return asked is not None and asked.bars(now)
 
     def open_to(
@@ -149,7 +183,10 @@
         """
         if not self._asked:
             return targets
-        known = [(target, self._of(target)) for target in targets]
+        known = [
+            (target, self._of(target.target_id, target.born))
+            for target in targets
+        ]
         found = [item for item in known if not item[1] or not item[1].bars(now)]
         fit = [
             t for t, asked in found if not asked or not asked.is_avoided(now)
@@ -162,7 +199,7 @@
         Returns:
             Infinity if none of them will.
         """
-        found = [self._of(target) for target in targets]
+        found = [self._of(target.target_id, target.born) for target in targets]
         return min(
             (
                 max(asked.rest_until - now, 0.0) if asked else 0.0
@@ -178,7 +215,7 @@
 
     def rest_left_s(self, target: records.Target, now: float) -> float:
         """Return for how long a target still wants no request, seconds."""
-        asked = self._of(target)
+        asked = self._of(target.target_id, target.born)
         return max(asked.rest_until - now, 0.0) if asked is not None else 0.0
 
     # Keeping.
@@ -196,20 +233,20 @@
         for target_id in gone:
             del self._asked[target_id]
 
-    def _add(self, target: records.Target) -> Asked:
-        asked = Asked(born=target.born, service=target.service)
-        self._asked[target.target_id] = asked
+    def _add(self, target_id: str, born: int) -> Asked:
+        asked = Asked(born=born)
+        self._asked[target_id] = asked
         if len(self._asked) > const.TARGETS_MAX:
             self._asked.popitem(last=False)
         return asked
 
-    def _of(self, target: records.Target) -> Asked | None:
+    def _of(self, target_id: str, born: int) -> Asked | None:
         """Return what this incarnation has asked; forget an earlier one's."""
-        asked = self._asked.get(target.target_id)
+        asked = self._asked.get(target_id)
         if asked is None:
             return None
-        told = incarnation.compare(target.born, asked.born)
+        told = incarnation.compare(born, asked.born)
         if told is incarnation.Start.LATER:
-            del self._asked[target.target_id]
+            del self._asked[target_id]
             return None
         return asked
--- a/jasperweir/components/backpressure/const.py
+++ b/jasperweir/components/backpressure/const.py
@@ -19,3 +19,7 @@
 TARGETS_MAX = 4096
 # Bytes of a value that could not be read which are logged.
 SHOWN_BYTES = 32
+# What another entry tells holds this long without being told again, seconds.
+TOLD_SECONDS = 1.0
+# Targets of one message of another entry that are read.
+TOLD_MAX = 1024
--- a/jasperweir/components/balance/messages.py
+++ b/jasperweir/components/balance/messages.py
@@ -26,6 +26,20 @@
     late: int
 
 
+class Refusing(NamedTuple):
+    """A target that turns the requests of one entry away.
+
+    Attributes:
+        target_id: The target.
+        born: Which of its starts, Unix milliseconds, 0 if it does not say.
+        for_s: For how long the entry sends it nothing, seconds.
+    """
+
+    target_id: str
+    born: int
+    for_s: float
+
+
 @codec.message("balance.share")
 class Share(NamedTuple):
     """All open requests of an entry, by target, and those that wait.
@@ -34,8 +48,10 @@
         sequence: Counts the messages of this entry.
         loads: Requests at targets.
         queues: Requests that wait for a place, by service; none that is empty.
+        refusing: Targets that turn this entry's requests away.
     """
 
     sequence: int
     loads: tuple[OpenLoad, ...]
     queues: tuple[Queue, ...] = ()
+    refusing: tuple[Refusing, ...] = ()
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -10,6 +10,7 @@
 from jasperweir.components.balance import balancer as balancer_lib
 from jasperweir.components.balance import budget as budget_lib
 from jasperweir.components.balance import const as balance_const
+from jasperweir.components.balance import messages as balance_messages
 from jasperweir.components.balance import neighbours as neighbours_lib
 from jasperweir.components.balance import outage as outage_lib
 from jasperweir.components.balance import patience as patience_lib
@@ -107,7 +108,7 @@
         self.targets = targets_lib.Targets(directory=directory)
         self.notes = notes_lib.Notes(
             clock=clock,
-            asked=self.targets.asked,
+            targets=self.targets,
             balancer=self.balancer,
             outages=self._outages,
             queues=self._queues,
@@ -449,6 +450,19 @@
         exchange.leave_target()
         self._send(exchange, reach, now)
 
+    # Other entries.
+
+    def share(self) -> balance_messages.Share:
+        """Return what to tell the other entries."""
+        refusing = self.targets.asked.refusing(self.now())
+        return self.balancer.share()._replace(refusing=refusing)
+
+    def on_share(self, src: str, msg: balance_messages.Share) -> None:
+        """Take in what another entry tells."""
+        now = self.now()
+        self.balancer.on_share(src, msg, now)
+        self.targets.asked.on_told(msg.refusing, now)
+
     def tidy(self) -> None:
         """Drop what is not used any more: connections, and rests long over."""
         now = self.now()
--- a/jasperweir/components/forward/notes.py
+++ b/jasperweir/components/forward/notes.py
@@ -14,6 +14,7 @@
 from jasperweir.components.forward import queues as queues_lib
 from jasperweir.components.forward import record as record_lib
 from jasperweir.components.forward import starting as starting_lib
+from jasperweir.components.forward import targets as targets_lib
 
 
 class Notes:
@@ -28,7 +29,7 @@
         self,
         *,
         clock: core.Clock,
-        asked: asked_lib.Backpressure,
+        targets: targets_lib.Targets,
         balancer: balancer_lib.Balancer,
         outages: outage_lib.Outages,
         queues: queues_lib.Queues,
@@ -38,7 +39,7 @@
         self.on_replaced: Callable[[records.Target], None] = lambda _: None
         self.on_leaving: Callable[[records.Target], None] = lambda _: None
         self._clock = clock
-        self._asked = asked
+        self._targets = targets
         self._balancer = balancer
         self._outages = outages
         self._queues = queues
@@ -52,7 +53,7 @@
         if told is signals_lib.NONE:
             return
         now = self._clock.monotonic()
-        changes = self._asked.on_answer(target, told, now)
+        changes = self._targets.asked.on_answer(target, told, now)
         self._record.asks(target, told, changes)
         if asked_lib.Change.LEAVES in changes:
             self.on_leaving(target)
@@ -69,9 +70,9 @@
         if fault is life_lib.Fault.REPLACED:
             self.on_replaced(target)
         # One that asks for rest speaks for itself, not for its service.
-        rests = self._asked.bars(target, now)
+        rests = self._targets.asked.bars(target, now)
         if fault is life_lib.Fault.NOT_RUN and not rests:
-            self._asked.on_refused(target, now)
+            self._targets.asked.on_refused(target, now)
             needed = const.OUTAGE_REFUSALS
             if self._starting.lasts(now):
                 needed = const.START_REFUSALS
@@ -85,10 +86,10 @@
     ) -> None:
         """Note that a target has taken a request."""
         now = self._clock.monotonic()
-        if self._asked.on_taken(target, now):
+        if self._targets.asked.on_taken(target, now):
             self._record.takes_again(target)
         if self._outages.of(exchange.service).on_answer(now):
-            self._asked.on_service_back(exchange.service)
+            self._targets.on_service_back(exchange.service, now)
             self._record.outage(exchange.service, begins=False)
 
     def whole(self, exchange: exchange_lib.Exchange, sent_at: float) -> None:
--- a/jasperweir/components/forward/targets.py
+++ b/jasperweir/components/forward/targets.py
@@ -34,6 +34,10 @@
         untried = [t for t in announced if t.target_id not in tried]
         return self.asked.opens_in_s(untried, now)
 
+    def on_service_back(self, service: str, now: float) -> None:
+        """Note that a service that refused everything takes requests again."""
+        self.asked.forgive(self._directory.serving(service, now))
+
     def tidy(self, now: float) -> None:
         """Forget what nobody needs any more."""
         self.asked.tidy(self._directory.get, now)
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -189,7 +189,7 @@
         now = self._host.now()
         match msg:
             case balance_messages.Share():
-                self._forwarder.balancer.on_share(src, msg, now)
+                self._forwarder.on_share(src, msg)
                 return
             case mapswitch_messages.OrderAsk():
                 self._engines.give(src, msg)
@@ -273,7 +273,7 @@
 
     def _share(self) -> None:
         self._share_due = False
-        share = self._forwarder.balancer.share()
+        share = self._forwarder.share()
         for node in self._forwarder.neighbours.peers:
             self._host.send(core.Send(dst=node.name, msg=share))
 
