A limit that a target names holds for all entries together

What callers saw: nothing; the target, which takes 5 requests a second, got 218 in 4 s from three entries (35 allowed). Cause: nobody read the limit.

The adapter reads it; each entry keeps to its part. A limit is divided among as many entries as the target can bear at once (owners, by hash of the names); each spaces its requests evenly, half a request ahead at most. Who is no owner sends elsewhere, and looks after a time that grows with their number whether the limit still stands. An entry that is not heard of keeps its part for 60 s, so halves that don't see each other don't both take the whole. A limit ends with the first answer without one to a request sent after it was named. What can't go anywhere waits if it can be in time, else is refused at once with the time foreseen.

Not built: lending between entries, so with all callers at one entry its own part is what is used. Also: signals of a 421 are another target's and are left out.

--- a/features/harness/asking.py
+++ b/features/harness/asking.py
@@ -24,6 +24,7 @@
         rest: Value of the header with which it turns requests away, None if it
             answers them.
         leaves: Whether it says with its answers that it leaves.
+        limit: Limit that it names with its answers, None for none.
         arrivals: When requests came, by the entry's clock.
         refused_at: When it turned requests away.
     """
@@ -32,6 +33,7 @@
         self.name = name
         self.rest = None
         self.leaves = False
+        self.limit = None
         self.arrivals = []
         self.refused_at = []
         self._clock = clock
@@ -53,8 +55,10 @@
 
     def _answer(self):
         if self.rest is None:
-            leaving = b"Server-Leaving: 1\r\n" if self.leaves else b""
-            return b"HTTP/1.1 200 OK\r\n%bContent-Length: 2\r\n\r\nok" % leaving
+            said = b"Server-Leaving: 1\r\n" if self.leaves else b""
+            if self.limit is not None:
+                said += b"Server-Limit: %b\r\n" % self.limit
+            return b"HTTP/1.1 200 OK\r\n%bContent-Length: 2\r\n\r\nok" % said
         self.refused_at.append(self._clock.now)
         rest = b"Retry-After: %b\r\n" % self.rest if self.rest else b""
         return b"HTTP/1.1 503 Unavailable\r\n%bContent-Length: 0\r\n\r\n" % rest
@@ -95,6 +99,7 @@
         refuses = head.status == 503
         told = signals.read(
             rest=find_all(head.headers, b"retry-after") if refuses else [],
+            limit=find_all(head.headers, b"server-limit"),
             leaving=find_all(head.headers, b"server-leaving"),
         )
         found = super().target_head(head)
--- a/features/steps/asked_steps.py
+++ b/features/steps/asked_steps.py
@@ -18,6 +18,7 @@
 def step_says(context, said="", leaving=""):
     context.told = signals.read(
         rest=[v.encode() for v in said.split(",") if v],
+        limit=[],
         leaving=[leaving.encode()] if leaving else [],
     )
 
@@ -39,7 +40,7 @@
     context.asked = asked.Backpressure()
     context.target = site.target(target_id="t", address="10.1.0.1:80")
     context.target = context.target._replace(born=1000)
-    context.asked.on_answer(context.target, told, context.now)
+    context.asked.on_answer(context.target, told, context.now, context.now)
 
 
 @given("a target that has asked for 3 s of rest")
@@ -66,7 +67,7 @@
 @when("it asks for {seconds:g} s of rest")
 def step_asks_less(context, seconds):
     told = signals.Signals(rest_s=seconds)
-    context.asked.on_answer(context.target, told, context.now)
+    context.asked.on_answer(context.target, told, context.now, context.now)
 
 
 @when("{seconds:g} s pass for that target")
@@ -88,7 +89,7 @@
     told = signals.Signals(rest_s=REST)
     for number in range(count):
         target = site.target(target_id=f"t{number}", address="10.1.0.1:80")
-        context.asked.on_answer(target, told, 100.0)
+        context.asked.on_answer(target, told, 100.0, 100.0)
     refusing = tuple(
         messages.Refusing(f"o{number}", 0, 1.0) for number in range(more)
     )
--- a/features/steps/backpressure_steps.py
+++ b/features/steps/backpressure_steps.py
@@ -290,7 +290,7 @@
         other = one.directory.get("other")
         now = one.forwarder.now()
         asked = signals.Signals(rest_s=REST)
-        one.forwarder.targets.asked.on_answer(other, asked, now)
+        one.forwarder.targets.asked.on_answer(other, asked, now, now)
         await one.turn_slow(5.0)
         one.close()
         return one
--- a/jasperweir/components/backpressure/asked.py
+++ b/jasperweir/components/backpressure/asked.py
@@ -2,80 +2,48 @@
 
 Whoever turns requests away has none open, and by load alone would be chosen
 first. A target that has asked for rest gets nothing until its end, and one
-request then: another follows once that one has been taken.
+request then: another follows once that one has been taken. One that leaves gets
+nothing more, one with a limit no more than this entry's part of it.
 """
 
 import collections
 from collections.abc import Callable
-import dataclasses
 import enum
 import math
 
 from jasperweir.components.backpressure import const
+from jasperweir.components.backpressure import shares as shares_lib
 from jasperweir.components.backpressure import signals as signals_lib
+from jasperweir.components.backpressure import state as state_lib
 from jasperweir.components.balance import messages
 from jasperweir.components.directory import incarnation
 from jasperweir.components.directory import records
 
-_NEVER = float("-inf")
-
 
 class Change(enum.Enum):
     """What an answer has changed."""
 
     RESTS = "rests"
     LEAVES = "leaves"
+    LIMITED = "limited"
+    UNLIMITED = "limited no more"
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Asked:
-    """What one incarnation of a target has asked.
+class Backpressure:
+    """What targets have asked, and which may get a request now.
 
     Attributes:
-        born: Start that asked, Unix milliseconds, 0 if it does not say.
-        rest_until: Until when it wants no request, monotonic seconds.
-        trial_at: When the first request after its rest was chosen for it,
-            monotonic seconds; before all times if none was.
-        leaves: Whether it wants none any more.
-        refusals: How many requests in a row it has refused without saying for
-            how long; those that were on their way together count as one.
-        avoided_until: Until when it gets requests only if no other target
-            wants them, monotonic seconds.
-        told_until: The same, as other entries have told.
+        shares: This entry's parts of limits.
     """
 
-    born: int
-    rest_until: float = _NEVER
-    trial_at: float = _NEVER
-    leaves: bool = False
-    refusals: int = 0
-    avoided_until: float = _NEVER
-    told_until: float = _NEVER
-
-    def bars(self, now: float) -> bool:
-        """Tell whether no request may reach it."""
-        return self.leaves or now < self.rest_until
-
-    def is_over(self, now: float) -> bool:
-        """Tell whether it is long ago that it turned requests away."""
-        last = max(self.rest_until, self.avoided_until, self.told_until)
-        return now > last + const.KEPT_SECONDS
-
-    def is_avoided(self, now: float) -> bool:
-        """Tell whether requests go elsewhere if they can."""
-        until = max(self.avoided_until, self.told_until)
-        return now < until or self.is_tried(now)
-
-    def is_tried(self, now: float) -> bool:
-        """Tell whether a first request after a refusal is on its way."""
-        return now - self.trial_at < const.TRIAL_SECONDS
+    def __init__(self, *, name: str = "") -> None:
+        """Begin with nothing asked.
 
-
-class Backpressure:
-    """Rest that targets ask for, and which of them leave."""
-
-    def __init__(self) -> None:
-        self._asked: collections.OrderedDict[str, Asked] = (
+        Args:
+            name: Name of this entry.
+        """
+        self.shares = shares_lib.Shares(name=name)
+        self._asked: collections.OrderedDict[str, state_lib.Asked] = (
             collections.OrderedDict()
         )
 
@@ -85,61 +53,65 @@
     # What targets say and do.
 
     def on_answer(
-        self, target: records.Target, told: signals_lib.Signals, now: float
+        self,
+        target: records.Target,
+        told: signals_lib.Signals,
+        now: float,
+        sent_at: float,
     ) -> list[Change]:
-        """Take in what a target asks with an answer; return what is new."""
-        if told.rest_s is None and not told.leaves:
-            return []
-        asked = self._of(target.target_id, target.born) or self._add(
-            target.target_id, target.born
-        )
+        """Take in what a target asks with an answer; return what is new.
+
+        Args:
+            target: The target.
+            told: What it asks.
+            now: Monotonic seconds.
+            sent_at: When the request was sent, monotonic seconds.
+        """
+        asked = self._of(target.target_id, target.born)
+        if asked is None:
+            if told.asks_nothing:
+                return []
+            asked = self._add(target.target_id, target.born)
         changes = []
         if told.leaves and not asked.leaves:
             asked.leaves = True
             changes.append(Change.LEAVES)
-        if told.rest_s is not None:
-            if now >= asked.rest_until:
-                changes.append(Change.RESTS)
-            # A later answer does not take back what an earlier one has asked.
-            asked.rest_until = max(asked.rest_until, now + told.rest_s)
-            asked.trial_at = _NEVER
+        if told.rest_s is not None and asked.rest(told.rest_s, now):
+            changes.append(Change.RESTS)
+        if told.limit_per_s is not None:
+            if asked.limit(told.limit_per_s, now):
+                changes.append(Change.LIMITED)
+        elif asked.unlimit(sent_at):
+            changes.append(Change.UNLIMITED)
         return changes
 
     def on_refused(self, target: records.Target, now: float) -> None:
         """Note that a target refuses a request and asks for nothing."""
-        asked = self._of(target.target_id, target.born) or self._add(
-            target.target_id, target.born
-        )
-        asked.trial_at = _NEVER
-        if asked.bars(now) or now < asked.avoided_until:
-            return
-        pause_s = const.AVOID_SECONDS * 2**asked.refusals
-        asked.refusals += 1
-        asked.avoided_until = now + min(pause_s, const.AVOID_MOST_SECONDS)
-
-    def forgive(self, targets: list[records.Target]) -> None:
-        """Drop what is held against targets that all refused for a while."""
-        for target in targets:
-            asked = self._asked.get(target.target_id)
-            if asked is None:
-                continue
-            asked.refusals = 0
-            asked.avoided_until = _NEVER
-            asked.told_until = _NEVER
+        asked = self._of(target.target_id, target.born)
+        asked = asked or self._add(target.target_id, target.born)
+        asked.refuse(now)
 
     def on_chosen(self, target: records.Target, now: float) -> None:
         """Note that a target is chosen for a request."""
         asked = self._of(target.target_id, target.born)
         if asked is not None:
-            asked.trial_at = now
+            asked.chosen(now)
 
     def on_taken(self, target: records.Target, now: float) -> bool:
         """Note that a target takes a request; return whether a rest is over."""
         asked = self._of(target.target_id, target.born)
-        if asked is None or asked.bars(now):
+        if asked is None or asked.bars(now) or not asked.has_refused:
             return False
-        del self._asked[target.target_id]
-        return True
+        rested = asked.has_rested
+        asked.forgive()
+        return rested
+
+    def forgive(self, targets: list[records.Target]) -> None:
+        """Drop what is held against targets that all refused for a while."""
+        for target in targets:
+            asked = self._asked.get(target.target_id)
+            if asked is not None:
+                asked.forgive_refusals()
 
     # Other entries.
 
@@ -148,7 +120,7 @@
         return tuple(
             messages.Refusing(target_id, asked.born, until - now)
             for target_id, asked in self._asked.items()
-            if (until := max(asked.rest_until, asked.avoided_until)) > now
+            if (until := asked.refuses_until) > now
         )
 
     def on_told(
@@ -169,7 +141,7 @@
     # Queries.
 
     def bars(self, target: records.Target, now: float) -> bool:
-        """Tell whether no request may reach a target now."""
+        """Tell whether a target has asked that nothing reaches it now."""
         asked = self._of(target.target_id, target.born)
         return asked is not None and asked.bars(now)
 
@@ -183,35 +155,40 @@
         """
         if not self._asked:
             return targets
-        known = [
-            (target, self._of(target.target_id, target.born))
-            for target in targets
-        ]
-        found = [item for item in known if not item[1] or not item[1].bars(now)]
-        fit = [
-            t for t, asked in found if not asked or not asked.is_avoided(now)
-        ]
-        return fit or [target for target, _ in found]
+        found = [t for t in targets if self._opens_in_s(t, now) <= 0]
+        fit = [t for t in found if not self._is_avoided(t, now)]
+        return fit or found
+
+    def opens_in_s(
+        self, targets: list[records.Target], now: float, ahead: int = 0
+    ) -> float:
+        """Return the seconds until one of some targets may get a request.
 
-    def opens_in_s(self, targets: list[records.Target], now: float) -> float:
-        """Return the seconds until the first of some targets wants requests.
+        Args:
+            targets: The targets.
+            now: Monotonic seconds.
+            ahead: Requests that wait for the same. Those count only where all
+                targets are limited; others take many once they take any.
 
         Returns:
-            Infinity if none of them will.
+            Infinity if none of them may.
         """
-        found = [self._of(target.target_id, target.born) for target in targets]
-        return min(
-            (
-                max(asked.rest_until - now, 0.0) if asked else 0.0
-                for asked in found
-                if asked is None or not asked.leaves
-            ),
-            default=math.inf,
-        )
-
-    def resting(self, now: float) -> int:
-        """Return how many targets want no requests now."""
-        return sum(asked.bars(now) for asked in self._asked.values())
+        found = (self._opens_in_s(target, now) for target in targets)
+        first_s = min(found, default=math.inf)
+        flows = [self._flow_of(target) for target in targets]
+        per_s = sum(flow.per_s for flow in flows if flow is not None)
+        if None in flows or per_s <= 0:
+            return first_s
+        return first_s + ahead / per_s
+
+    def counts(self, now: float) -> dict[str, int]:
+        """Return how many targets rest, leave and are limited."""
+        asked = self._asked.values()
+        return {
+            "rests": sum(now < one.rest_until for one in asked),
+            "leaves": sum(one.leaves for one in asked),
+            "limited": sum(one.flow is not None for one in asked),
+        }
 
     def rest_left_s(self, target: records.Target, now: float) -> float:
         """Return for how long a target still wants no request, seconds."""
@@ -223,24 +200,52 @@
     def tidy(
         self, known: Callable[[str], records.Target | None], now: float
     ) -> None:
-        """Forget targets that nobody knows any more, and rests long over."""
+        """Forget refusals that are long over, and what targets that are gone.
+
+        Args:
+            known: Returns the target of an id, None if there is none.
+            now: Monotonic seconds.
+        """
         gone = [
             target_id
             for target_id, asked in self._asked.items()
             if asked.is_over(now)
-            and not (asked.leaves and known(target_id) is not None)
+            and not (asked.holds_on and known(target_id) is not None)
         ]
         for target_id in gone:
             del self._asked[target_id]
 
-    def _add(self, target_id: str, born: int) -> Asked:
-        asked = Asked(born=born)
+    def _opens_in_s(self, target: records.Target, now: float) -> float:
+        """Return the seconds until a target may get a request."""
+        asked = self._of(target.target_id, target.born)
+        if asked is None:
+            return 0.0
+        if asked.leaves:
+            return math.inf
+        flow = asked.flow
+        flow_s = 0.0
+        if flow is not None:
+            flow.per_s = self.shares.part(target.target_id, flow.limit_per_s)
+            look_s = self.shares.look_s(flow.limit_per_s)
+            flow_s = flow.opens_in_s(now, look_s)
+        return max(asked.rest_until - now, flow_s, 0.0)
+
+    def _flow_of(self, target: records.Target) -> state_lib.Flow | None:
+        asked = self._of(target.target_id, target.born)
+        return asked.flow if asked is not None else None
+
+    def _is_avoided(self, target: records.Target, now: float) -> bool:
+        asked = self._of(target.target_id, target.born)
+        return asked is not None and asked.is_avoided(now)
+
+    def _add(self, target_id: str, born: int) -> state_lib.Asked:
+        asked = state_lib.Asked(born=born)
         self._asked[target_id] = asked
         if len(self._asked) > const.TARGETS_MAX:
             self._asked.popitem(last=False)
         return asked
 
-    def _of(self, target_id: str, born: int) -> Asked | None:
+    def _of(self, target_id: str, born: int) -> state_lib.Asked | None:
         """Return what this incarnation has asked; forget an earlier one's."""
         asked = self._asked.get(target_id)
         if asked is None:
--- a/jasperweir/components/backpressure/const.py
+++ b/jasperweir/components/backpressure/const.py
@@ -23,3 +23,20 @@
 TOLD_SECONDS = 1.0
 # Targets of one message of another entry that are read.
 TOLD_MAX = 1024
+
+# A lower limit is taken for this one, requests a second: its end is heard of
+# only with an answer.
+LIMIT_LEAST = 0.25
+# A target bears this many requests beyond its limit at once: so many seconds'
+# worth of it, and so many besides.
+LIMIT_SPARE_SECONDS = 2.0
+LIMIT_SPARE = 4.0
+# Requests that an owner sends at once after a pause.
+OWNER_BURST = 1.5
+# An entry that is not heard of keeps its part of limits for this long, seconds.
+ENTRIES_KEPT_SECONDS = 60.0
+# Part of a limit that those take who look whether it still stands.
+LOOK_SHARE = 0.1
+# A limit that no answer names again is forgotten after this long, or later
+# where many look, seconds.
+LIMIT_KEPT_SECONDS = 10.0
--- a/jasperweir/components/backpressure/signals.py
+++ b/jasperweir/components/backpressure/signals.py
@@ -14,20 +14,28 @@
     Attributes:
         rest_s: It wants nothing from this entry for so long, seconds; None if
             it does not say.
+        limit_per_s: It takes so many requests a second of all entries
+            together; None if it does not say.
         leaves: Whether it ends soon and wants no new requests.
         unreadable: Values that could not be read, as they are logged.
     """
 
     rest_s: float | None = None
+    limit_per_s: float | None = None
     leaves: bool = False
     unreadable: tuple[str, ...] = ()
 
+    @property
+    def asks_nothing(self) -> bool:
+        """Whether the target takes whatever comes."""
+        return self.rest_s is self.limit_per_s is None and not self.leaves
+
 
 NONE = Signals()
 _FALSE = (b"", b"0", b"false")
 
 
-def read(*, rest: Values, leaving: Values) -> Signals:
+def read(*, rest: Values, limit: Values, leaving: Values) -> Signals:
     """Read the values of headers, whatever they hold.
 
     Of several values the one counts that asks for more; one that cannot be
@@ -35,15 +43,20 @@
 
     Args:
         rest: Seconds of rest.
+        limit: Requests a second.
         leaving: Whether the target leaves.
     """
-    if not rest and not leaving:
+    if not rest and not limit and not leaving:
         return NONE
     unreadable: list[str] = []
     times = _numbers(rest, unreadable)
-    leaves = any(value.strip().lower() not in _FALSE for value in leaving)
-    rest_s = min(max(times), const.REST_MOST_SECONDS) if times else None
-    return Signals(rest_s=rest_s, leaves=leaves, unreadable=tuple(unreadable))
+    limits = _numbers(limit, unreadable)
+    return Signals(
+        rest_s=min(max(times), const.REST_MOST_SECONDS) if times else None,
+        limit_per_s=min(limits) if limits else None,
+        leaves=any(v.strip().lower() not in _FALSE for v in leaving),
+        unreadable=tuple(unreadable),
+    )
 
 
 def _numbers(values: Values, unreadable: list[str]) -> list[float]:
--- a/jasperweir/components/balance/neighbours.py
+++ b/jasperweir/components/balance/neighbours.py
@@ -42,12 +42,13 @@
     """Cell of one entry.
 
     Attributes:
+        name: Name of the entry.
         peers: The entries to tell, this one left out.
     """
 
     def __init__(self, *, name: str, place: str) -> None:
         self.peers: tuple[records.Node, ...] = ()
-        self._name = name
+        self.name = name
         self._place = place
         # Entries by data centre; empty while all entries tell each other.
         self._entries: collections.Counter[str] = collections.Counter()
@@ -58,7 +59,7 @@
 
     def on_entries(self, entries: tuple[records.Node, ...]) -> None:
         """Take in which entries there are."""
-        others = [node for node in entries if node.name != self._name]
+        others = [node for node in entries if node.name != self.name]
         self._sorted = None
         self._entries.clear()
         if len(others) < const.MESH_ENTRIES:
@@ -67,7 +68,7 @@
         self._entries.update(node.place for node in others)
         self._entries[self._place] += 1
         self._cells = max(1, self._entries[self._place] // const.CELL_ENTRIES)
-        self._cell = self._cell_of(self._name)
+        self._cell = self._cell_of(self.name)
         self.peers = tuple(
             node
             for node in others
--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -156,8 +156,10 @@
         now = self._owner.now()
         if found.load is not None:
             self._owner.balancer.on_report(self.target_id, found.load, now)
-        if self._target is not None:
-            self._owner.notes.signals(self._target, found.signals)
+        if self._target is not None and not found.other_target:
+            self._owner.notes.signals(
+                self._target, found.signals, self._sent_at
+            )
         fault = self.life.judge_head(head.status, found)
         if fault is not None:
             hard = fault is Fault.REPLACED
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -105,7 +105,9 @@
             outages=self._outages,
             rng=rng,
         )
-        self.targets = targets_lib.Targets(directory=directory)
+        self.targets = targets_lib.Targets(
+            directory=directory, name=neighbours.name
+        )
         self.notes = notes_lib.Notes(
             clock=clock,
             targets=self.targets,
@@ -341,7 +343,10 @@
     ) -> None:
         """Let a request wait for the end of a rest, or refuse it at once."""
         life = exchange.life
-        opens_s = self.targets.opens_in_s(exchange.service, life.tried, now)
+        ahead = len(self._queues.of(exchange.service).gate)
+        opens_s = self.targets.opens_in_s(
+            exchange.service, life.tried, ahead, now
+        )
         if life.tried and math.isinf(opens_s):
             exchange.give_up(Code.TARGETS_REFUSED)
             return
@@ -351,7 +356,7 @@
             return
         in_time = life.expect_wait(opens_s)
         if self.stopping or not in_time or now + opens_s >= life.waits_until:
-            exchange.give_up(Code.TARGETS_REST)
+            exchange.give_up(Code.BACKPRESSURE)
             return
         self._wait(exchange, now, now + opens_s)
 
@@ -452,6 +457,13 @@
 
     # Other entries.
 
+    def on_entries(self, entries: tuple[records.Node, ...]) -> None:
+        """Take in the entries that there are, this one included."""
+        self.places.entries = max(len(entries), 1)
+        self.neighbours.on_entries(entries)
+        names = (entry.name for entry in entries)
+        self.targets.asked.shares.on_entries(names, self.now())
+
     def share(self) -> balance_messages.Share:
         """Return what to tell the other entries."""
         refusing = self.targets.asked.refusing(self.now())
@@ -468,7 +480,7 @@
         now = self.now()
         self.pool.tidy()
         self.targets.tidy(now)
-        self._record.resting(self.targets.asked.resting(now))
+        self._record.asking(self.targets.asked.counts(now))
 
     # Ends.
 
--- a/jasperweir/components/forward/notes.py
+++ b/jasperweir/components/forward/notes.py
@@ -47,13 +47,16 @@
         self._starting = starting
 
     def signals(
-        self, target: records.Target, told: signals_lib.Signals
+        self,
+        target: records.Target,
+        told: signals_lib.Signals,
+        sent_at: float,
     ) -> None:
         """Note what a target asks with the head of an answer."""
-        if told is signals_lib.NONE:
-            return
         now = self._clock.monotonic()
-        changes = self._targets.asked.on_answer(target, told, now)
+        changes = self._targets.asked.on_answer(target, told, now, sent_at)
+        if not changes and not told.unreadable:
+            return
         self._record.asks(target, told, changes)
         if asked_lib.Change.LEAVES in changes:
             self.on_leaving(target)
--- a/jasperweir/components/forward/record.py
+++ b/jasperweir/components/forward/record.py
@@ -199,6 +199,7 @@
                 target=target.target_id,
                 address=target.address,
                 rest_s=told.rest_s,
+                limit_per_s=told.limit_per_s,
             )
         if told.unreadable:
             self._metrics.inc("target_signals", signal="unreadable")
@@ -217,9 +218,10 @@
             address=target.address,
         )
 
-    def resting(self, count: int) -> None:
-        """Show how many targets want no requests of this entry."""
-        self._metrics.gauge("targets_resting", float(count))
+    def asking(self, counts: dict[str, int]) -> None:
+        """Show how many targets ask for what."""
+        for signal, count in counts.items():
+            self._metrics.gauge("targets_asking", float(count), signal=signal)
 
     def checked(self, case: suspects_lib.Case, sign: str) -> None:
         """Record whether a target whose connections broke still listens.
--- a/jasperweir/components/forward/refusals.py
+++ b/jasperweir/components/forward/refusals.py
@@ -56,7 +56,7 @@
     ) -> float:
         if code is Code.NOT_READY:
             return self._advice.while_starting()
-        if code is Code.TARGETS_REST:
+        if code is Code.BACKPRESSURE:
             return self._advice.after_rest(foreseen_s)
         if outage or code is Code.NO_TARGET:
             return self._advice.during_outage()
--- a/jasperweir/components/forward/targets.py
+++ b/jasperweir/components/forward/targets.py
@@ -15,8 +15,16 @@
         asked: What targets have asked of this entry.
     """
 
-    def __init__(self, *, directory: directory_lib.Directory) -> None:
-        self.asked = asked_lib.Backpressure()
+    def __init__(
+        self, *, directory: directory_lib.Directory, name: str
+    ) -> None:
+        """Begin with nothing asked.
+
+        Args:
+            directory: Targets that are announced.
+            name: Name of this entry.
+        """
+        self.asked = asked_lib.Backpressure(name=name)
         self._directory = directory
 
     def of(self, service: str, now: float) -> list[records.Target]:
@@ -24,15 +32,23 @@
         announced = self._directory.serving(service, now)
         return self.asked.open_to(announced, now)
 
-    def opens_in_s(self, service: str, tried: set[str], now: float) -> float:
+    def opens_in_s(
+        self, service: str, tried: set[str], ahead: int, now: float
+    ) -> float:
         """Return the seconds until one that was not tried wants requests.
 
+        Args:
+            service: Their service.
+            tried: Targets that are out of question.
+            ahead: Requests that wait for the same.
+            now: Monotonic seconds.
+
         Returns:
             Infinity if none of them is announced.
         """
         announced = self._directory.serving(service, now)
         untried = [t for t in announced if t.target_id not in tried]
-        return self.asked.opens_in_s(untried, now)
+        return self.asked.opens_in_s(untried, now, ahead)
 
     def on_service_back(self, service: str, now: float) -> None:
         """Note that a service that refused everything takes requests again."""
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -267,8 +267,7 @@
     def _share_all(self) -> None:
         """Look who the other entries are, and tell them in any case."""
         entries = self._follower.open_entries(self._host.now())
-        self._forwarder.places.entries = max(len(entries), 1)
-        self._forwarder.neighbours.on_entries(entries)
+        self._forwarder.on_entries(entries)
         self._share()
 
     def _share(self) -> None:
--- a/jasperweir/result_codes.py
+++ b/jasperweir/result_codes.py
@@ -29,7 +29,7 @@
     NOT_READY = 2007
     REVOKED = 2008
     ENDS_TARGETS = 2009
-    TARGETS_REST = 2010
+    BACKPRESSURE = 2010
 
     BROKEN_OFF = 3001
     DEADLINE_PASSED = 3002
@@ -119,8 +119,8 @@
         True,
         "Targets ended under it before; kept from them until Retry-After.",
     ),
-    Code.TARGETS_REST: Row(
-        503, _NOT_RUN, True, "All targets have asked for rest until then."
+    Code.BACKPRESSURE: Row(
+        503, _NOT_RUN, True, "Targets want nothing more before Retry-After."
     ),
     Code.BROKEN_OFF: Row(
         502, _UNKNOWN, False, "The target broke off after the request left."
