--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -45,6 +45,15 @@
         self.ends_file = ends_file
         self.break_after = 0
         self.refuse = False
+        # Headers that it adds: seconds of rest to refusals, requests a second,
+        # and whether it leaves.
+        self.rest = ""
+        self.limit = ""
+        self.leaving = ""
+        # Requests that came, and those that were refused: seconds of the
+        # machine's clock and ids.
+        self.arrivals: list[tuple[float, str]] = []
+        self.refused: list[tuple[float, str]] = []
         # Events that a stream sends before it ends its target.
         self.events_before_end = 0
         # Plain requests that still run and whose answers get lost.
@@ -65,7 +74,10 @@
     def do_GET(self) -> None:
         """Serve a request without a body."""
         if self.path == "/told":
-            self._json({"runs": self.state.runs, "seen": self.state.seen})
+            state = self.state
+            told = {"runs": state.runs, "seen": state.seen}
+            told |= {"arrivals": state.arrivals, "refused": state.refused}
+            self._json(told)
             return
         self._serve(b"")
 
@@ -93,7 +105,10 @@
         if meant and meant != state.target_id:
             self._plain(421, b"", signed=False)
             return
+        came = (time.monotonic(), self.headers.get("Attempt-Id", ""))
+        state.arrivals.append(came)
         if state.refuse:
+            state.refused.append(came)
             self._plain(503, b"", signed=False, not_run=True)
             return
         with state.lock:
@@ -132,6 +147,8 @@
         self._marks(signed)
         if not_run:
             self.send_header("Not-Executed", "1")
+            if self.state.rest:
+                self.send_header("Retry-After", self.state.rest)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
         self.wfile.write(body)
@@ -163,6 +180,10 @@
 
     def _marks(self, signed: bool) -> None:
         self.send_header("Attempt-Id", self.headers.get("Attempt-Id", ""))
+        if self.state.limit:
+            self.send_header("Server-Limit", self.state.limit)
+        if self.state.leaving:
+            self.send_header("Server-Leaving", self.state.leaving)
         if signed:
             self.send_header("Server-Signature", f"{self.state.target_id}.1")
 
