A well request whose targets lose power together is served again

What callers saw: six streams of one content, all six targets killed at once; that content got 503, code 2009, at all entries for ten minutes, though nothing was wrong with it. Cause: two ends of targets were two pieces of evidence, whatever they had in common.

A mark now tells for how long the run had lasted. A run that had begun before another ended with its target may share its cause and does not count beside it; of three ends or more within 0.25 s one counts, since streams that are sent on at once meet targets that are just about to end. A request that ends targets one after the other still counts each: 2 ends at most as before, where one is sent at a time. Marks whose runs are not known (own interface) count as before. Where one request has filled its marks, one that does not count makes room.

Ruled out: to count by times of ends alone (own second send of a request that ends targets comes 50 ms after the first); runs' begins alone (scenario still red: a stream that was sent on began after the first end and died with the rest). Measured: scenario with real processes red before (503 with 2009 three times), green after; the seven others of that feature green before and after.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -52,3 +52,8 @@
     When a request that ends engines comes 6 times, at entries in turn
     Then it has ended no more than 3 engines
     And the last try was told that it has not run, and another is answered
+
+  Scenario: A well request whose targets lose power together is served again
+    Given three VMs with control and entry, and six targets that end under "nothing"
+    When six streams of one content run and all targets are killed at once
+    Then that content is answered whole at every entry within 2 s of their return
--- a/features/quarantine_ledger.feature
+++ b/features/quarantine_ledger.feature
@@ -164,3 +164,37 @@
 
   Scenario: Frames that another version or nobody wrote are dropped
     Then 300 drawn frames of every kind are read or refused as frames
+
+  Scenario Outline: Runs that ended together are one piece of evidence
+    Given runs of a request that began <begun> s ago on 6 targets
+    When these end within 0.1 s of each other <ago> s ago
+    Then the request is not kept from targets
+    When a further target ends under a run that began <later> s ago
+    Then the request is <kept>
+
+    Examples:
+      | begun | ago | later | kept                  |
+      | 2     | 1   | 0.5   | kept from targets     |
+      | 2     | 1   | 1.5   | not kept from targets |
+      | 1.5   | 1   | 0.9   | kept from targets     |
+
+  Scenario: A second send that ends its target right after the first is evidence
+    Given runs of a request that began 1 s ago on 1 targets
+    When these end within 0.1 s of each other 0.9 s ago
+    And a further target ends under a run that began 0.8 s ago
+    Then the request is kept from targets
+
+  Scenario: What is sent on to a target that ends at the same moment is not blamed
+    Given runs of a request that began 1 s ago on 3 targets
+    When these end within 0.1 s of each other 0.6 s ago
+    And a further target ends under a run that began 0.58 s ago, 0.5 s ago
+    Then the request is not kept from targets
+    When a further target ends under a run that began 0.4 s ago
+    Then the request is kept from targets
+
+  Scenario: More ends at once than are remembered do not hide later ones
+    Given runs of a request that began 2 s ago on 40 targets
+    When these end within 0.1 s of each other 1 s ago
+    Then the request is not kept from targets
+    When a further target ends under a run that began 0.5 s ago
+    Then the request is kept from targets
--- a/features/steps/quarantine_ledger_steps.py
+++ b/features/steps/quarantine_ledger_steps.py
@@ -629,3 +629,37 @@
     kinds = st.sampled_from([*codec.kinds(), "no.such"])
     versions = st.sampled_from([codec.FRAME_VERSION, 0, 2])
     drawn(count, st.tuples(kinds, VALUES, versions), check)
+
+
+@given("runs of a request that began {begun:g} s ago on {count:d} targets")
+def step_runs(context, begun, count):
+    context.now = 100.0
+    context.ledger = ledger_lib.Ledger()
+    context.what = quarantine.content(WHAT)
+    context.begun = begun
+    context.count = count
+
+
+@when("these end within {spread:g} s of each other {ago:g} s ago")
+def step_runs_end(context, spread, ago):
+    for number in range(context.count):
+        after = spread * number / context.count
+        end_run(context, number, ended_ago_s=ago - after, begun=context.begun)
+
+
+def end_run(context, number, *, ended_ago_s, begun):
+    run = ledger_lib.Run(ended_s=ended_ago_s, took_s=begun - ended_ago_s)
+    context.ledger.add(context.what, target(number), context.now, run)
+
+
+@when(
+    "a further target ends under a run that began {begun:g} s ago,"
+    " {ago:g} s ago"
+)
+def step_earlier_run(context, begun, ago):
+    end_run(context, 400, ended_ago_s=ago, begun=begun)
+
+
+@when("a further target ends under a run that began {begun:g} s ago")
+def step_further_run(context, begun):
+    end_run(context, 500, ended_ago_s=0.0, begun=begun)
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import threading
 import time
 
 from behave import given
@@ -215,3 +216,48 @@
         context.local.wait_for(
             "an answer", lambda address=address: ask(context, address) == 200
         )
+
+
+@when("six streams of one content run and all targets are killed at once")
+def step_power(context):
+    plat = context.plat
+
+    def stream(number):
+        entry = platform_steps.VMS[number % 3]
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            plat.request(entry, "/stream/x", f"power-{number}", b"well")
+
+    threads = [
+        threading.Thread(target=stream, args=(number,)) for number in range(6)
+    ]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.15)
+    for number in range(1, 7):
+        plat.signal(f"target-{number}", signal.SIGKILL)
+    for thread in threads:
+        thread.join()
+
+
+@then(
+    "that content is answered whole at every entry"
+    " within {seconds:g} s of their return"
+)
+def step_served_again(context, seconds):
+    plat = context.plat
+
+    def announced():
+        return len(context.targets.ended) == 6 and all(
+            plat.procs[f"target-{number}"].poll() is None
+            for number in range(1, 7)
+        )
+
+    plat.wait("the targets' return", announced, 10.0)
+    time.sleep(seconds)
+    seen = []
+    for number in platform_steps.VMS:
+        status, headers, _ = plat.request(
+            number, "/stream/x", f"again-{number}", b"well"
+        )
+        seen.append((status, headers.get("jasperweir-code")))
+    assert seen == [(200, None)] * 3, seen
--- a/jasperweir/components/forward/end_watch.py
+++ b/jasperweir/components/forward/end_watch.py
@@ -86,7 +86,10 @@
         return True
 
     def on_broken(
-        self, exchange: "exchange_lib.Exchange", target: records.Target
+        self,
+        exchange: "exchange_lib.Exchange",
+        target: records.Target,
+        sent_at: float,
     ) -> None:
         """Note a request whose connection broke before its answer was whole."""
         known = self._directory.get(target.target_id)
@@ -94,8 +97,9 @@
             # It leaves, which is no request's doing.
             return
         found = fingerprint.of(_subject(exchange))
-        request_id = exchange.life.ask.request_id
-        if not self._suspects.on_broken(target, found, request_id):
+        now = self._clock.monotonic()
+        broken = suspects_lib.Try(exchange.life.ask.request_id, sent_at, now)
+        if not self._suspects.on_broken(target, found, broken):
             return
         check = asyncio.get_running_loop().create_task(self._check(target))
         self._checks.add(check)
@@ -144,9 +148,13 @@
 
     def _mark(self, case: suspects_lib.Case) -> None:
         now = self._clock.monotonic()
-        for found in case.suspects:
-            marks = self.ledger.add(found, _incarnation(case.target), now)
-            self._tell(marks)
+        incarnation = _incarnation(case.target)
+        for found, broken in case.suspects.items():
+            run = ledger_lib.Run(
+                ended_s=now - broken.broke_at,
+                took_s=broken.broke_at - broken.began_at,
+            )
+            self._tell(self.ledger.add(found, incarnation, now, run))
 
     def _tell(self, marks: Marks) -> None:
         if marks:
--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -241,7 +241,7 @@
     def on_broken(self, reason: str) -> None:
         """Judge a connection that ended before the answer was whole."""
         if not self.done and self._target is not None:
-            self._owner.ends.on_broken(self, self._target)
+            self._owner.ends.on_broken(self, self._target, self._sent_at)
         self._on_fault(Fault.UNKNOWN, reason, hard=False)
 
     @property
--- a/jasperweir/components/forward/record.py
+++ b/jasperweir/components/forward/record.py
@@ -237,8 +237,8 @@
             address=case.target.address,
             sign=sign,
             requests={
-                found.label: request_id
-                for found, request_id in case.suspects.items()
+                found.label: broken.request_id
+                for found, broken in case.suspects.items()
             },
         )
 
--- a/jasperweir/components/quarantine/const.py
+++ b/jasperweir/components/quarantine/const.py
@@ -20,6 +20,14 @@
 # some five requests run beside the cause, on a target that may end by itself.
 # Each further one stops a whole group of ranks for more than 3 s.
 ENDS_MAX = 2
+# A run that began no more than this before another one ended with its target is
+# taken for one that began after it: ages of marks lose as much on their way.
+APART_SECONDS = 0.05
+# This many targets that end within this time under one request have one cause,
+# be it the request or not, seconds. A request that ends its target and is sent
+# on once ends two.
+TOGETHER_LEAST = 3
+TOGETHER_SECONDS = 0.25
 # For how long it is kept from them, seconds; twice as long with each further
 # end. A caller that sends it every few seconds would end one more target each
 # time; after ten minutes an operator may have mended what it ends.
--- a/jasperweir/components/quarantine/ledger.py
+++ b/jasperweir/components/quarantine/ledger.py
@@ -18,6 +18,7 @@
 from jasperweir.helpers import hashing
 
 Fingerprint = fingerprint_lib.Fingerprint
+_UNKNOWN = -1.0
 
 
 class Incarnation(NamedTuple):
@@ -34,17 +35,33 @@
     Attributes:
         at: When, monotonic seconds.
         void: Whether it counts no more.
+        ran_s: For how long it had the request by then, seconds; less than none
+            if that is not known.
     """
 
     at: float
     void: bool
+    ran_s: float = _UNKNOWN
+
+
+class Run(NamedTuple):
+    """A run that ended with its target.
+
+    Attributes:
+        ended_s: Seconds since its end.
+        took_s: Seconds from its begin to its end.
+    """
+
+    ended_s: float
+    took_s: float
 
 
 class Verdict(NamedTuple):
     """What is known of a request.
 
     Attributes:
-        ends: Targets that ended under it and count.
+        ends: Ends of targets under it that count; those that one cause may
+            have brought about together count as one.
         held_s: Seconds for which it is still kept from targets, 0 if it isn't.
     """
 
@@ -93,11 +110,12 @@
         ends = self._ends.get(fingerprint)
         if not ends:
             return Verdict(0, 0.0)
-        times = [end.at for end in ends.values() if not end.void]
-        if len(times) < const.ENDS_MAX:
-            return Verdict(len(times), 0.0)
-        until = max(times) + _hold_s(len(times))
-        return Verdict(len(times), max(until - now, 0.0))
+        apart = _apart(ends)
+        if len(apart) < const.ENDS_MAX:
+            return Verdict(len(apart), 0.0)
+        last = max(end.at for end in ends.values() if not end.void)
+        until = last + _hold_s(len(apart))
+        return Verdict(len(apart), max(until - now, 0.0))
 
     def held(self, now: float) -> dict[Fingerprint, Verdict]:
         """Return the requests that are kept from targets."""
@@ -126,10 +144,24 @@
     # Changes; each returns the marks that others are to be told.
 
     def add(
-        self, fingerprint: Fingerprint, incarnation: Incarnation, now: float
+        self,
+        fingerprint: Fingerprint,
+        incarnation: Incarnation,
+        now: float,
+        run: Run | None = None,
     ) -> tuple[messages.Mark, ...]:
-        """Note that a target ended while it had a request."""
-        return self._put(fingerprint, incarnation, End(at=now, void=False), now)
+        """Note that a target ended while it had a request.
+
+        Args:
+            fingerprint: The request.
+            incarnation: The target.
+            now: Monotonic seconds.
+            run: Its run there, None if it is not known when it was.
+        """
+        end = End(at=now, void=False)
+        if run is not None:
+            end = End(at=now - run.ended_s, void=False, ran_s=run.took_s)
+        return self._put(fingerprint, incarnation, end, now)
 
     def absolve(
         self, fingerprint: Fingerprint, now: float
@@ -182,7 +214,8 @@
             incarnation = Incarnation(mark.target_id, mark.born)
             # In this order a NaN counts as 0: it would never be forgotten.
             at = now - max(0.0, mark.age_s)
-            end = End(at=at, void=mark.void)
+            ran_s = mark.ran_s if mark.ran_s >= 0 else _UNKNOWN
+            end = End(at=at, void=mark.void, ran_s=ran_s)
             out += self._put(fingerprint, incarnation, end, now)
         self.tick(now)
         return tuple(mark for mark in out if _of(mark) in self._ends)
@@ -240,15 +273,16 @@
         ends: dict[Incarnation, End],
         new: End,
     ) -> bool:
-        """Forget the oldest void mark for one that counts, if there is one.
+        """Forget the oldest mark that does not count for one that may.
 
-        Without it a request that was blamed wrongly often enough could never
-        be held.
+        Without it a request that was blamed wrongly often enough, or ran on
+        many targets that ended together, could never be held.
         """
-        void = [incarnation for incarnation, end in ends.items() if end.void]
-        if new.void or not void:
+        counted = {id(end) for end in _apart(ends)}
+        idle = [inc for inc, end in ends.items() if id(end) not in counted]
+        if new.void or not idle:
             return False
-        oldest = min(void, key=lambda incarnation: ends[incarnation].at)
+        oldest = min(idle, key=lambda incarnation: ends[incarnation].at)
         self._take_out(fingerprint, oldest, ends.pop(oldest))
         return True
 
@@ -293,6 +327,35 @@
         del counter[key]
 
 
+def _apart(ends: dict[Incarnation, End]) -> list[End]:
+    """Return the ends that count, of those with one cause only the first.
+
+    Targets that lose power together end under requests that are well. A run
+    that began after another one had ended has not ended by the same, but for
+    one that was sent on to the next target that was just about to end.
+    """
+    found: list[End] = []
+    times = [end.at for end in ends.values() if _has_run(end)]
+    for end in sorted(ends.values(), key=lambda end: end.at):
+        if end.void:
+            continue
+        if not found or not _has_run(end):
+            found.append(end)
+            continue
+        last_at = found[-1].at
+        together = end.at - last_at <= const.TOGETHER_SECONDS
+        many = sum(0 <= at - last_at <= const.TOGETHER_SECONDS for at in times)
+        if together and many >= const.TOGETHER_LEAST:
+            continue
+        if end.at - end.ran_s + const.APART_SECONDS >= last_at:
+            found.append(end)
+    return found
+
+
+def _has_run(end: End) -> bool:
+    return not end.void and end.ran_s >= 0
+
+
 def _counted(ends: dict[Incarnation, End]) -> int:
     return sum(not end.void for end in ends.values())
 
@@ -331,4 +394,5 @@
         born=incarnation.born,
         void=end.void,
         age_s=round(now - end.at, 3),
+        ran_s=round(end.ran_s, 3),
     )
--- a/jasperweir/components/quarantine/messages.py
+++ b/jasperweir/components/quarantine/messages.py
@@ -17,6 +17,8 @@
         void: Whether it counts no more: the target has answered since, the
             request was answered whole, or an operator has lifted it.
         age_s: Seconds since the end.
+        ran_s: Seconds for which it had the request by then, less than none if
+            that is not known.
     """
 
     outline: int
@@ -25,6 +27,7 @@
     born: int
     void: bool
     age_s: float
+    ran_s: float = -1.0
 
 
 @codec.message("quarantine.marks")
--- a/jasperweir/components/quarantine/suspects.py
+++ b/jasperweir/components/quarantine/suspects.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 import dataclasses
+from typing import NamedTuple
 
 from jasperweir.components.directory import incarnation
 from jasperweir.components.directory import records
@@ -15,17 +16,31 @@
 from jasperweir.components.quarantine import fingerprint as fingerprint_lib
 
 
+class Try(NamedTuple):
+    """One run whose connection broke.
+
+    Attributes:
+        request_id: Id by which its caller knows it.
+        began_at: When it was sent, monotonic seconds.
+        broke_at: When its connection broke, monotonic seconds.
+    """
+
+    request_id: str
+    began_at: float
+    broke_at: float
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Case:
     """Requests whose connections to one incarnation of a target broke.
 
     Attributes:
         target: The incarnation.
-        suspects: Their fingerprints, each with the id of one try.
+        suspects: Their fingerprints, each with one try.
     """
 
     target: records.Target
-    suspects: dict[fingerprint_lib.Fingerprint, str]
+    suspects: dict[fingerprint_lib.Fingerprint, Try]
 
 
 class Suspects:
@@ -40,7 +55,7 @@
         self,
         target: records.Target,
         fingerprint: fingerprint_lib.Fingerprint,
-        request_id: str,
+        broken: Try,
     ) -> bool:
         """Note a request whose connection broke.
 
@@ -54,7 +69,7 @@
             case = Case(target=target, suspects={})
             self._cases[key] = case
         if len(case.suspects) < const.SUSPECTS_MAX:
-            case.suspects.setdefault(fingerprint, request_id)
+            case.suspects.setdefault(fingerprint, broken)
         return is_first
 
     def keep(self, case: Case, now: float) -> None:
