--- a/jasperweir/components/balance/balancer.py
+++ b/jasperweir/components/balance/balancer.py
@@ -73,8 +73,8 @@
         self._requests: dict[str, int] = {}
         self._queues: dict[str, messages.Queue] = {}
         self._peers: dict[str, Peer] = {}
-        # Open requests of all peers at each target: a choice among 192 targets
-        # asked 20 peers about each of them.
+        # Open requests of all peers at each target, so that a choice need not
+        # ask each peer about each target.
         self._elsewhere: collections.Counter[str] = collections.Counter()
         # When the first of the peers is stale if it tells nothing more.
         self._stale_at = math.inf
@@ -236,9 +236,9 @@
     def loads(self, targets: list[records.Target], now: float) -> Loads:
         """Return how much targets run, and how much more they could begin.
 
-        Asked with each request and each tick: a look at 64 targets one by one,
-        by three questions for each, was a third of an entry's time for a stream
-        of 23 events (sampled by function).
+        One look at all of them: it is asked for with each request and each
+        tick, and three questions for each target would cost as much as the
+        rest of a request.
         """
         counts = self._counts(targets, now)
         free = sum(
--- a/jasperweir/components/balance/const.py
+++ b/jasperweir/components/balance/const.py
@@ -8,9 +8,8 @@
 SHARE_SECONDS = 0.5
 # Figures of an entry that has been silent for longer count no more.
 SHARE_STALE_SECONDS = 1.5
-# Up to this many entries all tell each other; beyond, only those of a cell
-# (37 entries that all told each other sent most of the bytes between data
-# centres, docs/MEASUREMENTS.md).
+# Up to this many entries all tell each other; beyond, only those of a cell:
+# messages grow with the square of those who talk.
 MESH_ENTRIES = 24
 # A data centre with twice as many entries or more is split into cells.
 CELL_ENTRIES = 16
@@ -40,8 +39,7 @@
 TIME_SMOOTHING = 0.25
 
 # A pass of a group at work takes this many times its fixed steps without any
-# stream that writes: prompts are read in between (30 ms for 18, fitted over 13
-# days of one site).
+# stream that writes: prompts are read in between.
 PASS_FIXED_FACTOR = 1.5
 # Pauses longer than this many times what callers allow are no passes.
 PASS_LONGEST = 4.0
@@ -53,9 +51,8 @@
 # anything, and says little of what a stream costs.
 PASS_CALM = 0.8
 # While passes take longer than this share of the pause that callers allow,
-# nothing new is let in: single passes take some longer than most. Together with
-# WAIT_LEAST_SECONDS worth 0.055 of 1: mean worth of eight days with
-# trouble, 0.597 without.
+# nothing new is let in: single passes take some longer than most, and one that
+# is too long makes every stream of the group late.
 PASS_SHARE = 0.88
 # Whatever passes take, each target may run streams in this share of its slots:
 # with a slow rank they stay long. And an entry that is cut off from others sees
@@ -66,8 +63,7 @@
 # fewer than this share of all are taken: those who come meanwhile are in time.
 LATE_SHARE = 0.85
 # A group that has shown no pass of late may have begun anew, with a map that
-# does not fit: it passed the pause that callers allow with 2.7 to 4.6 streams
-# for 6 slots, and with 2.1 to 2.6 for 5 (two sites after a loss of all power).
+# does not fit: full, it would pass the pause that callers allow.
 COLD_SHARE = 0.6
 
 # Share of the retry budget that the entries use in all, so that figures
@@ -107,16 +103,15 @@
 # So long it keeps a request meanwhile: a caller without a first event leaves
 # after 2 s, some 0.3 s of which its answer takes. Seconds.
 START_WAIT_SECONDS = 1.2
-# Targets that have just started refuse until their group has formed. A refusal
-# comes 3 ms after a request at the median, 97 ms at most (373 refusals after a
-# loss of all power); whom they have not refused for this long they have taken,
-# and those who wait follow. Seconds.
+# Targets that have just started refuse until their group has formed, and do so
+# within some ms; whom they have not refused for this long they have taken, and
+# those who wait follow. Seconds.
 START_TAKEN_SECONDS = 0.06
-# Meanwhile one of those who wait tries them this often, seconds. An entry that
-# tried each OUTAGE_PROBE_SECONDS saw its group accept again 0.1 to 0.6 s late.
+# Meanwhile one of those who wait tries them this often, seconds: more often
+# than in an outage, as the group is about to accept.
 START_PROBE_SECONDS = 0.2
-# And one refusal is enough to know that they do: with three, 48 entries sent
-# 461 requests in vain, and the retry budget had nothing left for them later.
+# And one refusal is enough to know that they do: each further one of each entry
+# takes from the retry budget what they need later.
 START_REFUSALS = 1
 # No more requests than this are kept without a configuration: what callers of a
 # large site send to one entry in a second is some tens, each of some KB.
--- a/jasperweir/components/directory/directory.py
+++ b/jasperweir/components/directory/directory.py
@@ -58,7 +58,7 @@
         """Return the targets of a service that may get new requests.
 
         The list is kept until it changes, since it is asked for with each
-        request: a look takes 174 us, the kept list 0.25 us (197 targets).
+        request.
         """
         known = self._serving.get(service)
         if known is None or now >= known.until:
--- a/jasperweir/components/follow/follower.py
+++ b/jasperweir/components/follow/follower.py
@@ -263,9 +263,8 @@
     def _partners(self, now: float) -> list[tuple[str, Control]]:
         """Return the control VMs to talk to: those that keep the log.
 
-        Where 5 of 13 control VMs have a disk this is 5 beats in place of 13.
-        While none that keeps it is heard, the others
-        may know where they are.
+        Beats to the others would tell nothing more. While none that keeps it
+        is heard, the others may know where they are.
         """
         known = list(self._controls.items())
         keepers = [item for item in known if item[1].keeps_log]
--- a/jasperweir/components/forward/end_watch.py
+++ b/jasperweir/components/forward/end_watch.py
@@ -74,9 +74,8 @@
     def hold_back(self, exchange: "exchange_lib.Exchange", now: float) -> bool:
         """Refuse a request under which targets have ended.
 
-        Without it one request that came back every four seconds ended eight
-        targets, each of which was away for more than 3 s and stopped its group
-        of ranks (recorded days).
+        Without it one request that comes back every few seconds ends one target
+        each time, which is away for seconds and stops its group of ranks.
         """
         verdict = self.verdict(exchange, now)
         if not verdict.held_s:
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -274,9 +274,8 @@
     def _wait_at_start(self, exchange: exchange_lib.Exchange) -> bool:
         """Let a request wait for targets that are about to be there.
 
-        After a loss of all power an entry refused its callers for 0.3 s because
-        its targets did, whose groups still formed; all came back 1.6 to 2.6 s
-        later (262 requests of a site with 48 entries).
+        After a loss of all power targets refuse while their groups form. Who is
+        refused meanwhile comes back together with everybody else.
         """
         now = self.now()
         life = exchange.life
@@ -409,8 +408,7 @@
         starts = self._starting.lasts(now)
         given = self._queues.given(service, reach, now, starts=starts)
         # In an overload without a start, room for those in time costs those who
-        # are late more refusals than it brings: worth 0.565 of 1 without it and
-        # 0.542 with it (one day with a burst beside restarts).
+        # are late more refusals than it brings.
         yielding = given.yielding if starts else None
         for number in gate.admit(given.total, now, yielding=yielding):
             exchange = self._open.get(number)
--- a/jasperweir/components/mapswitch/const.py
+++ b/jasperweir/components/mapswitch/const.py
@@ -75,7 +75,7 @@
 # Targets from this pace on are named to the entries as slow.
 SLOW_PACE = 1.15
 # A copy goes to one of this many of the least loaded ranks; more make a plan
-# of 72 ranks four times as long and no better (docs/MEASUREMENTS.md).
+# of 72 ranks much longer and no better.
 CANDIDATE_RANKS = 9
 # And is one of this many of the slowest rank's most chosen experts.
 CANDIDATE_EXPERTS = 6
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -152,7 +152,7 @@
         """Tick as long as there is something to do.
 
         An entry of a large site carries two or three streams: ticking all the
-        time was two thirds of its wake-ups, 50 of 75 a second.
+        time would be most of its wake-ups.
         """
         if self._tick_due:
             return
