In an outage no target is avoided

When a group stalls and then refuses, the targets that were not asked yet hold the stalled streams and seem full, and those that refused were avoided: nobody was sent anywhere, so the outage was not noticed either.

Now those that refuse are avoided only while their service takes requests.

Guards of backpressure, limits and ends together, in a file of their own; scenarios for two that stayed green without: those who wait when a rest ends, and rests that are no outage.

--- a/features/backpressure.feature
+++ b/features/backpressure.feature
@@ -82,6 +82,26 @@
     Then no more than 1 requests reach it
     And nobody but the one that it refused has been sent to the other
 
+  Scenario: Those who wait do not all go where a rest has just ended
+    Given an entry with 2 targets
+    When one of them rests, the other is full, and 5 requests wait for its end
+    Then it gets 1 of them
+
+  Scenario: Targets that ask for rest are no outage of their service
+    Given an entry with 4 targets, which may send a request to each
+    When three of them ask for 3 s of rest, and requests come for 2 s
+    Then every caller is answered 200
+
+  Scenario: In an outage no target is avoided
+    Given an entry with 4 targets
+    When all of them refuse, 3 requests come, and 2 targets are full of others
+    Then the entry still sees places at 4 targets
+
+  Scenario: What another target says at the address is not taken for it
+    Given an entry with 2 targets
+    When another one at the first address says it leaves, and requests come
+    Then the first target may still get requests
+
   Scenario: A stream does not leave a slow target for one that rests
     Given a stream at a target that turns slow, and another one that rests
     Then the stream stays where it is
--- a/features/harness/asking.py
+++ b/features/harness/asking.py
@@ -25,6 +25,7 @@
             answers them.
         leaves: Whether it says with its answers that it leaves.
         limit: Limit that it names with its answers, None for none.
+        is_other: Whether another target has its address.
         arrivals: When requests came, by the entry's clock.
         refused_at: When it turned requests away.
     """
@@ -34,6 +35,7 @@
         self.rest = None
         self.leaves = False
         self.limit = None
+        self.is_other = False
         self.arrivals = []
         self.refused_at = []
         self._clock = clock
@@ -54,6 +56,11 @@
         writer.close()
 
     def _answer(self):
+        if self.is_other:
+            return (
+                b"HTTP/1.1 421 Misdirected\r\nServer-Leaving: 1\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
         if self.rest is None:
             said = b"Server-Leaving: 1\r\n" if self.leaves else b""
             if self.limit is not None:
@@ -103,15 +110,19 @@
             leaving=find_all(head.headers, b"server-leaving"),
         )
         found = super().target_head(head)
-        return found._replace(not_run=refuses, signals=told)
+        return found._replace(
+            not_run=refuses, other_target=head.status == 421, signals=told
+        )
 
 
 class Entry:
     """One entry on a clock of its own, and its targets."""
 
-    def __init__(self, *, count, kind=model.Kind.SAFE):
+    def __init__(self, *, count, attempts=2):
         self.clock = core.ManualClock(start=100.0)
-        route = hop.route(kind=kind, resumable=False)
+        route = hop.route(
+            kind=model.Kind.SAFE, resumable=False, attempts=attempts
+        )
         self.one = hop.Hop(route=route, clock=self.clock)
         self.targets = [
             Target(name=f"t{n}", clock=self.clock) for n in range(count)
--- a/features/steps/backpressure_steps.py
+++ b/features/steps/backpressure_steps.py
@@ -302,3 +302,81 @@
 def step_stays(context):
     assert not context.one.slow.closed
     assert context.one.other.requests == 0
+
+
+@when("another one at the first address says it leaves, and requests come")
+def step_other_says(context):
+    async def come(entry):
+        await entry.start()
+        entry.targets[0].is_other = True
+        await entry.run(0.5)
+        entry.close()
+
+    asyncio.run(come(context.entry))
+
+
+@then("the first target may still get requests")
+def step_still(context):
+    entry = context.entry
+    assert entry.targets[0].arrivals
+    target = entry.one.directory.get("t0")
+    asked = entry.one.forwarder.targets.asked
+    assert asked.open_to([target], entry.clock.now) == [target]
+
+
+@when(
+    "one of them rests, the other is full,"
+    " and {count:d} requests wait for its end"
+)
+def step_wait_for_end(context, count):
+    async def come(entry):
+        await entry.start()
+        entry.targets[0].rest = b"0.4"
+        while not entry.targets[0].arrivals:
+            await entry.call()
+        entry.one.fill("t1")
+        entry.clock.now += 0.2
+        await entry.call(count)
+        entry.before = len(entry.targets[0].arrivals)
+        entry.clock.now += 0.25
+        entry.keep()
+        entry.one.forwarder.tick()
+        await asyncio.sleep(asking.ANSWER_SECONDS)
+        entry.close()
+
+    asyncio.run(come(context.entry))
+
+
+@given("an entry with {count:d} targets, which may send a request to each")
+def step_entry_attempts(context, count):
+    context.entry = asking.Entry(count=count, attempts=count)
+
+
+@when("three of them ask for 3 s of rest, and requests come for {seconds:g} s")
+def step_three_rest(context, seconds):
+    rest(context, 3, seconds)
+
+
+@when(
+    "all of them refuse, {count:d} requests come,"
+    " and 2 targets are full of others"
+)
+def step_outage(context, count):
+    async def come(entry):
+        await entry.start()
+        for target in entry.targets:
+            target.rest = b""
+        for _ in range(count):
+            await entry.call()
+        for name in ("t0", "t1"):
+            entry.one.fill(name)
+        entry.close()
+
+    asyncio.run(come(context.entry))
+
+
+@then("the entry still sees places at {count:d} targets")
+def step_sees(context, count):
+    entry = context.entry
+    found = entry.one.forwarder.targets.of("s", entry.clock.now)
+    assert len(found) == count, found
--- a/jasperweir/components/backpressure/asked.py
+++ b/jasperweir/components/backpressure/asked.py
@@ -155,10 +155,16 @@
         """
         if not self._asked:
             return targets
-        found = [t for t in targets if self._opens_in_s(t, now) <= 0]
+        found = self.unbarred(targets, now)
         fit = [t for t in found if not self._is_avoided(t, now)]
         return fit or found
 
+    def unbarred(
+        self, targets: list[records.Target], now: float
+    ) -> list[records.Target]:
+        """Return those of some targets that have not asked for nothing now."""
+        return [t for t in targets if self._opens_in_s(t, now) <= 0]
+
     def opens_in_s(
         self, targets: list[records.Target], now: float, ahead: int = 0
     ) -> float:
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -106,7 +106,9 @@
             rng=rng,
         )
         self.targets = targets_lib.Targets(
-            directory=directory, name=neighbours.name
+            directory=directory,
+            outages=self._outages,
+            name=neighbours.name,
         )
         self.notes = notes_lib.Notes(
             clock=clock,
@@ -313,7 +315,7 @@
             return
         tried = exchange.life.tried
         # Others may have been sent there since the places were counted.
-        near = self.targets.asked.open_to(reach.targets, now)
+        near = self.targets.still_open(reach.targets, exchange.service, now)
         target = self.balancer.choose(near, tried, now)
         if target is None:
             # All near ones have been tried.
--- a/jasperweir/components/forward/targets.py
+++ b/jasperweir/components/forward/targets.py
@@ -1,6 +1,7 @@
 """Which targets of a service want requests now."""
 
 from jasperweir.components.backpressure import asked as asked_lib
+from jasperweir.components.balance import outage as outage_lib
 from jasperweir.components.directory import directory as directory_lib
 from jasperweir.components.directory import records
 
@@ -16,21 +17,39 @@
     """
 
     def __init__(
-        self, *, directory: directory_lib.Directory, name: str
+        self,
+        *,
+        directory: directory_lib.Directory,
+        outages: outage_lib.Outages,
+        name: str,
     ) -> None:
         """Begin with nothing asked.
 
         Args:
             directory: Targets that are announced.
+            outages: Services that refuse everything at present.
             name: Name of this entry.
         """
         self.asked = asked_lib.Backpressure(name=name)
         self._directory = directory
+        self._outages = outages
 
     def of(self, service: str, now: float) -> list[records.Target]:
         """Return the targets of a service that want requests."""
         announced = self._directory.serving(service, now)
-        return self.asked.open_to(announced, now)
+        return self.still_open(announced, service, now)
+
+    def still_open(
+        self, targets: list[records.Target], service: str, now: float
+    ) -> list[records.Target]:
+        """Return those of some targets of a service that want requests.
+
+        In an outage all refuse, and none is avoided for it: those that were not
+        asked yet would seem full, and requests wait for them in vain.
+        """
+        if self._outages.of(service).lasts(now):
+            return self.asked.unbarred(targets, now)
+        return self.asked.open_to(targets, now)
 
     def opens_in_s(
         self, service: str, tried: set[str], ahead: int, now: float
--- a/script/guards.py
+++ b/script/guards.py
@@ -7,7 +7,9 @@
 import subprocess
 import sys
 import tempfile
-from typing import NamedTuple
+
+import guard as guard_lib
+import guards_backpressure
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PARTS = (
@@ -16,16 +18,7 @@
 )  # fmt: skip
 RUN_SECONDS = 90
 C = "jasperweir/components/"
-
-
-class Guard(NamedTuple):
-    """One guard: what it guards, where, its text and what replaces it."""
-
-    name: str
-    file: str
-    text: str
-    without: str
-    feature: str
+Guard = guard_lib.Guard
 
 
 GUARDS = (
@@ -429,7 +422,9 @@
     parser.add_argument("--markdown", type=pathlib.Path)
     args = parser.parse_args()
     chosen = [
-        g for g in GUARDS if not args.feature or g.feature == args.feature
+        g
+        for g in (*GUARDS, *guards_backpressure.GUARDS)
+        if not args.feature or g.feature == args.feature
     ]
     rows = ["| guard removed | test that goes red |", "| --- | --- |"]
     green = 0
--- /dev/null
+++ b/script/guards_backpressure.py
@@ -0,0 +1,90 @@
+"""Guards of what targets ask; see guards.py."""
+
+import guard
+
+Guard = guard.Guard
+B = "jasperweir/components/backpressure/"
+F = "jasperweir/components/forward/"
+
+GUARDS = (
+    Guard("a target that rests gets nothing", B + "asked.py",
+          "return max(asked.rest_until - now, flow_s, 0.0)",
+          "return max(flow_s, 0.0)", "backpressure"),
+    Guard("a target that leaves gets nothing", B + "asked.py",
+          "        if asked.leaves:\n            return math.inf\n", "",
+          "backpressure"),
+    Guard("a last look before a request is written", F + "exchange.py",
+          "if self._owner.targets.asked.bars(self._target, now):",
+          "if False:", "backpressure"),
+    Guard("after a rest one request goes first", B + "state.py",
+          "        return now - self.trial_at < const.TRIAL_SECONDS\n",
+          "        return False\n", "backpressure"),
+    Guard("each choice looks again", F + "forwarder.py",
+          "self.targets.still_open(reach.targets, exchange.service, now)",
+          "reach.targets", "backpressure"),
+    Guard("a stream does not leave for a target that rests",
+          F + "forwarder.py",
+          "        targets = self.targets.of(exchange.service, now)\n"
+          "        reach = self._reach(exchange.service, targets, now)\n"
+          "        if reach.places < 1 or",
+          "        targets = self._directory.serving(exchange.service, now)\n"
+          "        reach = self._reach(exchange.service, targets, now)\n"
+          "        if reach.places < 1 or", "backpressure"),
+    Guard("who waits gets no place at a target that rests",
+          F + "forwarder.py",
+          "        targets = self.targets.of(service, now)\n"
+          "        reach = self._reach(service, targets, now)\n"
+          "        starts",
+          "        targets = self._directory.serving(service, now)\n"
+          "        reach = self._reach(service, targets, now)\n"
+          "        starts", "backpressure"),
+    Guard("a refusal with a rest is no outage", F + "notes.py",
+          "if fault is life_lib.Fault.NOT_RUN and not rests:",
+          "if fault is life_lib.Fault.NOT_RUN:", "backpressure"),
+    Guard("a target that refuses is avoided", B + "state.py",
+          "        self.avoided_until = now + min(",
+          "        self.avoided_until = now - min(", "backpressure"),
+    Guard("all are tried if all refuse", B + "asked.py",
+          "return fit or found", "return fit", "backpressure"),
+    Guard("no target is avoided in an outage", F + "targets.py",
+          "if self._outages.of(service).lasts(now):", "if False:",
+          "backpressure"),
+    Guard("others hear who refuses", F + "forwarder.py",
+          "        self.targets.asked.on_told(msg.refusing, now)\n", "",
+          "backpressure"),
+    Guard("an earlier incarnation's word is forgotten", B + "asked.py",
+          "        if told is incarnation.Start.LATER:\n",
+          "        if False:\n", "backpressure"),
+    Guard("a shorter rest takes nothing back", B + "state.py",
+          "max(self.rest_until, now + seconds)", "now + seconds",
+          "backpressure"),
+    Guard("what is remembered is bounded", B + "asked.py",
+          "if len(self._asked) > const.TARGETS_MAX:", "if False:",
+          "backpressure"),
+    Guard("signals of another target are left out", F + "exchange.py",
+          "if self._target is not None and not found.other_target:",
+          "if self._target is not None:", "backpressure"),
+    Guard("no more owners than a target bears", B + "shares.py",
+          "count = min(owners(per_s), len(self._seen))",
+          "count = len(self._seen)", "limit"),
+    Guard("an entry out of sight keeps its part", B + "shares.py",
+          "oldest = now - const.ENTRIES_KEPT_SECONDS", "oldest = now",
+          "limit"),
+    Guard("who has no part looks later where many do", B + "shares.py",
+          "return max(const.LIMIT_KEPT_SECONDS, others / flow)",
+          "return const.LIMIT_KEPT_SECONDS / 10", "limit"),
+    Guard("an old answer ends no limit", B + "state.py",
+          "if self.flow is None or sent_at < self.flow.named_at:",
+          "if self.flow is None:", "limit"),
+    Guard("requests to a limited target are counted", B + "state.py",
+          "            self.flow.on_sent(now)\n", "            pass\n",
+          "limit"),
+    Guard("ends together are one piece of evidence",
+          "jasperweir/components/quarantine/ledger.py",
+          "if together and many >= const.TOGETHER_LEAST:", "if False:",
+          "quarantine_ledger"),
+    Guard("runs that began before are one piece of evidence",
+          "jasperweir/components/quarantine/ledger.py",
+          "if end.at - end.ran_s + const.APART_SECONDS >= last_at:",
+          "if True:", "quarantine_ledger"),
+)  # fmt: skip
