Soak: targets ask for rest, limits and to be left alone, by seed

What targets see is held against what they asked, entry by entry, in the users' reckoning; entries that were killed, stopped or frozen meanwhile are excused. Links are left as they are there.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -21,6 +21,16 @@
       | 233  | 9       |
       | 243  | 9       |
 
+  # What targets ask is counted by what they see, entry by entry.
+  Scenario Outline: A soak in which targets ask for rest, limits and leave
+    When the soak in which targets ask runs seed <seed> for 10 seconds
+    Then no promise was broken
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+
   # Cause: SIGHUP ends a process that is still loading; see KNOWN-RED.txt.
   Scenario: A soak in which processes are told to reload while they load
     When the soak runs seed 223 for 9 seconds
--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -75,6 +75,7 @@
         self._sent += 1
         rid = f"{kind}-{self._number}-{self._sent}"
         self._world.ledger.sent(rid)
+        self._world.sent_to[rid] = _entry(address)
         got = self._send(address, kind, rid, deadline_ms)
         # A connection that was refused carried no request.
         planned = self._world.faults.planned_only and got.status != REFUSED
@@ -138,6 +139,11 @@
         return self._rng.choice(self._addresses) if self._addresses else None
 
 
+def _entry(address):
+    """Return the entry behind a proxy's address."""
+    return f"entry-{address.partition(':')[0].rpartition('.')[2]}"
+
+
 def _headers(rid, deadline_ms):
     return {
         "Host": platform_lib.HOST,
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -9,6 +9,8 @@
 import threading
 import time
 
+from features.soak import asking
+
 VMS = (1, 2, 3)
 STOP_SECONDS = 10.0
 # From one fault to the next.
@@ -23,12 +25,15 @@
     Attributes:
         planned_only: Whether only planned work is done: stops, reloads.
         log: What was done when, for whoever traces a seed.
+        excuses: When processes were disturbed.
     """
 
-    def __init__(self, *, world, planned_only):
+    def __init__(self, *, world, planned_only, asks=False):
         super().__init__(name="faults")
         self.planned_only = planned_only
         self.log = []
+        self.excuses = asking.Excuses()
+        self._asks = asks
         self._rng = random.Random(f"{world.seed}/faults")
         self._world = world
         self._frozen = {}
@@ -48,6 +53,13 @@
                 # What targets do is what most promises are about.
                 *[self._bend_target] * 4,
             ]  # fmt: skip
+        if self._asks:
+            # Links stay as they are, so that what a target sees is what
+            # entries do.
+            kinds = [
+                self._kill, self._freeze, self._stop_and_start, self._reset,
+                *[self._ask] * 5,
+            ]  # fmt: skip
         while not self._world.stopping.wait(self._rng.uniform(*PAUSE_SECONDS)):
             self._thaw_due()
             self._mend_disks(time.monotonic())
@@ -100,6 +112,7 @@
         if name in self._frozen:
             return
         self._note(f"freeze {name}")
+        self.excuses.note(name, time.monotonic())
         self._world.plat.signal(name, signal.SIGSTOP)
         seconds = self._rng.uniform(0.2, 3.0)
         self._frozen[name] = time.monotonic() + seconds
@@ -143,6 +156,7 @@
             )
 
     def _end(self, name, what):
+        self.excuses.note(name, time.monotonic())
         if name.startswith("control"):
             self._control_lost_at = time.monotonic()
         self._thaw(name)
@@ -164,6 +178,7 @@
         return log.read_text(errors="replace").count('"event":"started"')
 
     def _start(self, name):
+        self.excuses.note(name, time.monotonic())
         self._begun_before[name] = self._begun(name)
         role, _, number = name.partition("-")
         self._world.plat.start(role, int(number), bootstrap=False)
@@ -172,6 +187,7 @@
 
     def _thaw(self, name):
         if self._frozen.pop(name, None) is not None:
+            self.excuses.note(name, time.monotonic())
             self._world.plat.signal(name, signal.SIGCONT)
             if name.startswith("control"):
                 self._control_lost_at = time.monotonic()
@@ -207,6 +223,26 @@
 
     # Targets.
 
+    def _ask(self):
+        """Let a target ask for something, or for nothing more."""
+        number = self._rng.choice(self._world.TARGETS)
+        what = self._rng.choice(
+            (
+                {"refuse": True, "rest": "3"},
+                {"refuse": True, "rest": "1"},
+                {"refuse": True, "rest": ""},
+                {"refuse": False, "rest": ""},
+                {"refuse": False, "rest": ""},
+                {"leaving": "1"},
+                {"limit": "2"},
+            )
+        )
+        if "limit" in what or "leaving" in what:
+            # One target for good each, so that others are left to serve.
+            number = 1 if "limit" in what else 2
+        self._note(f"target {number} {what}")
+        self._world.tell(number, **what)
+
     def _bend_target(self):
         number = self._rng.choice(self._world.TARGETS)
         what = self._rng.choice(
--- a/features/soak/world.py
+++ b/features/soak/world.py
@@ -6,6 +6,7 @@
 import time
 
 from features.harness import platform as platform_lib
+from features.soak import asking
 from features.soak import callers
 from features.soak import faults as faults_lib
 from features.soak import ledger as ledger_lib
@@ -24,15 +25,27 @@
 
     TARGETS = (1, 2, 3)
 
-    def __init__(self, *, seed, folder):
+    def __init__(self, *, seed, folder, asks=False):
+        """Prepare a run.
+
+        Args:
+            seed: Decides what is drawn.
+            folder: Where processes write.
+            asks: Whether targets ask for rest, limits and to be left alone.
+        """
         self.seed = seed
+        self._asks = asks
+        # The entry that each request was sent to.
+        self.sent_to = {}
         self.began = time.monotonic()
         self.stopping = threading.Event()
         self.ledger = ledger_lib.Ledger(events=EVENTS)
         self.plat = platform_lib.Platform(folder)
         self.proxies = proxy_lib.Proxies()
         self.faults = faults_lib.Faults(
-            world=self, planned_only=seed % PLANNED_EVERY == 0
+            world=self,
+            planned_only=seed % PLANNED_EVERY == 0 and not asks,
+            asks=asks,
         )
         self.operator = callers.Operator(world=self)
         self._callers = [
@@ -122,9 +135,19 @@
                 self.ledger.broken.append(f"vm-{number}: {exc}")
         runs = []
         for number in self.TARGETS:
-            runs += self.plat.told(number)["runs"]
+            told = self.plat.told(number)
+            runs += told["runs"]
+            if self._asks:
+                self._check_asked(number, told)
         self.ledger.settle(runs)
 
+    def _check_asked(self, number, told):
+        seen = asking.Seen(
+            name=f"target-{number}", told=told, entry_of=self.sent_to.get
+        )
+        excused = self.faults.excuses.between
+        self.ledger.broken += sorted(set(seen.broken(excused)))
+
     def _reads(self, number):
         try:
             status, body = self.plat.describe(number)
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -12,6 +12,14 @@
     context.broken = context.world.run(seconds)
 
 
+@when(
+    "the soak in which targets ask runs seed {seed:d} for {seconds:g} seconds"
+)
+def step_soak_asks(context, seed, seconds):
+    context.world = world_lib.World(seed=seed, folder=context.folder, asks=True)
+    context.broken = context.world.run(seconds)
+
+
 @then("no promise was broken")
 def step_none_broken(context):
     assert not context.broken, [*context.broken[:5], *context.world.faults.log]
--- a/script/soak.py
+++ b/script/soak.py
@@ -17,11 +17,16 @@
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument(
+        "--asks",
+        action="store_true",
+        help="targets ask for rest, limits and to be left alone",
+    )
     args = parser.parse_args()
     failed = []
     for seed in range(args.first, args.first + args.seeds):
         folder = tempfile.mkdtemp(prefix=f"jasperweir-soak-{seed}-")
-        world = world_lib.World(seed=seed, folder=folder)
+        world = world_lib.World(seed=seed, folder=folder, asks=args.asks)
         broken = world.run(args.seconds)
         served = dict(world.ledger.served())
         print(f"seed {seed}: {len(broken)} broken, served {served}", flush=True)
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -50,10 +50,11 @@
         self.rest = ""
         self.limit = ""
         self.leaving = ""
-        # Requests that came, and those that were refused: seconds of the
-        # machine's clock and ids.
+        # Requests that came, those that were refused and what was asked with
+        # each answer: seconds of the machine's clock and ids.
         self.arrivals: list[tuple[float, str]] = []
         self.refused: list[tuple[float, str]] = []
+        self.asked: list[tuple[float, str, dict[str, str]]] = []
         # Events that a stream sends before it ends its target.
         self.events_before_end = 0
         # Plain requests that still run and whose answers get lost.
@@ -77,6 +78,7 @@
             state = self.state
             told = {"runs": state.runs, "seen": state.seen}
             told |= {"arrivals": state.arrivals, "refused": state.refused}
+            told |= {"asked": state.asked}
             self._json(told)
             return
         self._serve(b"")
@@ -107,6 +109,13 @@
             return
         came = (time.monotonic(), self.headers.get("Attempt-Id", ""))
         state.arrivals.append(came)
+        if state.rest or state.limit or state.leaving:
+            asked = {
+                "rest": state.rest if state.refuse else "",
+                "limit": state.limit,
+                "leaving": state.leaving,
+            }
+            state.asked.append((*came, asked))
         if state.refuse:
             state.refused.append(came)
             self._plain(503, b"", signed=False, not_run=True)
