A target that refuses for hours stays tried; what cannot be read is told once

Seen on reading the code: the pause before a refusing target is tried doubles with each refusal, and after 1,024 of them in a row (some two hours) 2**n no longer fits a float: each further refusal would have raised in the entry. The count now stands still at the longest pause. A value that can't be read was logged with each answer; now once for each start of a target.

Scenario for what one entry hears of a target that leaves, with real processes: the others send it nothing from 1 s on (green at once: it was built but not proved). Tests: backpressure, limit and asking features, 67 scenarios, green.

--- a/features/asking.feature
+++ b/features/asking.feature
@@ -18,6 +18,11 @@
     Then no entry has sent it a request later than 1 s after its first word
     And every caller was answered 200
 
+  Scenario: What one entry hears of a target that leaves all entries know
+    Given three VMs with control and entry, and four targets
+    When callers of the first entry hear that the first target leaves
+    Then the other entries send it nothing from 1 s later on
+
   Scenario: A target of four that names a limit
     Given three VMs with control and entry, and four targets
     When 12 callers call for 10 s while the first target takes 5 a second
--- a/features/backpressure.feature
+++ b/features/backpressure.feature
@@ -147,6 +147,14 @@
     When 400 s pass for that target
     Then it may get no requests
 
+  Scenario: A target that refuses for hours is still tried
+    Given a target that refuses each request for 10000 s
+    Then it was tried at least each 8 s, and never twice within 7 s later on
+
+  Scenario: What cannot be read is told once
+    Given a target that says "soon" of rest with 20 answers
+    Then this is told once, and it may get requests
+
   Scenario: What is remembered is bounded
     When 10000 targets ask for rest, and other entries tell of 10000 more
     Then no more than 4096 are remembered
--- a/features/steps/asked_steps.py
+++ b/features/steps/asked_steps.py
@@ -1,5 +1,7 @@
 """Steps on what is kept of what targets ask."""
 
+import itertools
+
 from behave import given
 from behave import then
 from behave import when
@@ -106,3 +108,43 @@
 def step_forgotten(context):
     context.asked.tidy(lambda _: None, 200.0)
     assert len(context.asked) == 0, len(context.asked)
+
+
+@given("a target that refuses each request for {seconds:d} s")
+def step_refuses_long(context, seconds):
+    asks(context, signals.NONE)
+    context.tried = []
+    other = context.target._replace(target_id="other")
+    for step in range(seconds * 4):
+        now = 100.0 + step / 4
+        found = context.asked.open_to([context.target, other], now)
+        if context.target in found:
+            context.tried.append(now)
+            context.asked.on_chosen(context.target, now)
+            context.asked.on_refused(context.target, now)
+
+
+@then(
+    "it was tried at least each {most:g} s, and never twice within 7 s later on"
+)
+def step_tried(context, most):
+    apart = [b - a for a, b in itertools.pairwise(context.tried)]
+    assert max(apart) <= most, max(apart)
+    assert min(apart[10:]) >= 7.0, min(apart[10:])
+
+
+@given('a target that says "{value}" of rest with {count:d} answers')
+def step_puzzles(context, value, count):
+    told = signals.read(rest=[value.encode()], limit=[], leaving=[])
+    asks(context, told)
+    context.changes = [asked.Change.UNREADABLE]
+    for _ in range(count - 1):
+        context.changes += context.asked.on_answer(
+            context.target, told, context.now, context.now
+        )
+
+
+@then("this is told once, and it may get requests")
+def step_told_once(context):
+    assert context.changes == [asked.Change.UNREADABLE], context.changes
+    assert context.asked.open_to([context.target], context.now)
--- a/features/steps/asking_steps.py
+++ b/features/steps/asking_steps.py
@@ -187,3 +187,21 @@
     log = (context.plat.folder / "entry-1.log").read_text().splitlines()
     lines = [json.loads(line) for line in log if '"target limited"' in line]
     assert [line["limit_per_s"] for line in lines] == [context.limit], lines
+
+
+@when("callers of the first entry hear that the first target leaves")
+def step_one_hears(context):
+    context.plat.tell(1, leaving="1")
+    for count in range(20):
+        context.plat.request(1, "/safe/x", f"1/0/{count}")
+    assert by_entry(context.plat.told(1)["arrivals"]), "it was never asked"
+
+
+@then("the other entries send it nothing from {seconds:g} s later on")
+def step_others_know(context, seconds):
+    time.sleep(seconds)
+    for count in range(20):
+        for entry in (2, 3):
+            rid = f"{entry}/0/{count}"
+            assert context.plat.request(entry, "/safe/x", rid)[0] == 200
+    assert set(by_entry(context.plat.told(1)["arrivals"])) == {"1"}
--- a/jasperweir/components/backpressure/asked.py
+++ b/jasperweir/components/backpressure/asked.py
@@ -27,6 +27,7 @@
     LEAVES = "leaves"
     LIMITED = "limited"
     UNLIMITED = "limited no more"
+    UNREADABLE = "unreadable"
 
 
 class Backpressure:
@@ -73,6 +74,9 @@
                 return []
             asked = self._add(target.target_id, target.born)
         changes = []
+        if told.unreadable and not asked.puzzles:
+            asked.puzzles = True
+            changes.append(Change.UNREADABLE)
         if told.leaves and not asked.leaves:
             asked.leaves = True
             changes.append(Change.LEAVES)
--- a/jasperweir/components/backpressure/signals.py
+++ b/jasperweir/components/backpressure/signals.py
@@ -27,8 +27,9 @@
 
     @property
     def asks_nothing(self) -> bool:
-        """Whether the target takes whatever comes."""
-        return self.rest_s is self.limit_per_s is None and not self.leaves
+        """Whether the target takes whatever comes, and has said no more."""
+        has_numbers = self.rest_s is not None or self.limit_per_s is not None
+        return not (has_numbers or self.leaves or self.unreadable)
 
 
 NONE = Signals()
--- a/jasperweir/components/backpressure/state.py
+++ b/jasperweir/components/backpressure/state.py
@@ -59,11 +59,13 @@
         leaves: Whether it wants none any more.
         flow: Requests to it if it has a limit.
         refusals: How many requests in a row it has refused without saying for
-            how long; those that were on their way together count as one.
+            how long; those that were on their way together count as one, and
+            none once it is avoided for the longest time.
         avoided_until: Until when it gets requests only if no other target
             wants them, monotonic seconds.
         told_until: The same, as other entries have told.
         trial_at: When the first request after a refusal was chosen for it.
+        puzzles: Whether it has said what cannot be read.
     """
 
     born: int
@@ -74,6 +76,7 @@
     avoided_until: float = _NEVER
     told_until: float = _NEVER
     trial_at: float = _NEVER
+    puzzles: bool = False
 
     # Queries.
 
@@ -94,8 +97,8 @@
 
     @property
     def holds_on(self) -> bool:
-        """Whether it asks for something as long as it runs."""
-        return self.leaves or self.flow is not None
+        """Whether what it has said is kept as long as it runs."""
+        return self.leaves or self.puzzles or self.flow is not None
 
     @property
     def has_rested(self) -> bool:
@@ -145,7 +148,8 @@
         if self.bars(now) or now < self.avoided_until:
             return
         pause_s = const.AVOID_SECONDS * 2**self.refusals
-        self.refusals += 1
+        if pause_s < const.AVOID_MOST_SECONDS:
+            self.refusals += 1
         self.avoided_until = now + min(pause_s, const.AVOID_MOST_SECONDS)
 
     def chosen(self, now: float) -> None:
--- a/jasperweir/components/forward/notes.py
+++ b/jasperweir/components/forward/notes.py
@@ -55,8 +55,6 @@
         """Note what a target asks with the head of an answer."""
         now = self._clock.monotonic()
         changes = self._targets.asked.on_answer(target, told, now, sent_at)
-        if not changes and not told.unreadable:
-            return
         self._record.asks(target, told, changes)
         if asked_lib.Change.LEAVES in changes:
             self.on_leaving(target)
--- a/jasperweir/components/forward/record.py
+++ b/jasperweir/components/forward/record.py
@@ -200,14 +200,7 @@
                 address=target.address,
                 rest_s=told.rest_s,
                 limit_per_s=told.limit_per_s,
-            )
-        if told.unreadable:
-            self._metrics.inc("target_signals", signal="unreadable")
-            _log.warn(
-                "unreadable signal",
-                target=target.target_id,
-                address=target.address,
-                values=list(told.unreadable),
+                unreadable=list(told.unreadable),
             )
 
     def takes_again(self, target: records.Target) -> None:
