--- a/features/harness/quarantine.py
+++ b/features/harness/quarantine.py
@@ -31,6 +31,11 @@
     return of(request(body=str(name).encode()), "one")
 
 
+def target(number):
+    """Return one start of a target."""
+    return ledger_lib.Incarnation(f"t{number}", 0)
+
+
 def of(req, customer):
     return fingerprint.of(fingerprint.subject(req, customer))
 
--- a/features/steps/quarantine_ledger_steps.py
+++ b/features/steps/quarantine_ledger_steps.py
@@ -1,9 +1,7 @@
 """Steps on what processes remember of requests under which targets end."""
 
-import asyncio
 import contextlib
 import random
-from unittest import mock
 
 from behave import given
 from behave import then
@@ -12,16 +10,12 @@
 from hypothesis import strategies as st
 import msgspec
 
-from features.harness import hop
 from features.harness import quarantine
-from features.harness import site as site_lib
-from jasperweir import core
 from jasperweir import exceptions
 from jasperweir import result_codes
 from jasperweir.components.agent import ends as ends_lib
 from jasperweir.components.limits import retry
 from jasperweir.components.quarantine import const
-from jasperweir.components.quarantine import fingerprint
 from jasperweir.components.quarantine import ledger as ledger_lib
 from jasperweir.components.quarantine import messages
 from jasperweir.components.request import actions
@@ -183,85 +177,6 @@
 # One ledger.
 
 
-def target(number):
-    return ledger_lib.Incarnation(f"t{number}", 0)
-
-
-@given("a ledger with {count:d} ends of a request {ago:g} s ago")
-def step_ledger(context, count, ago):
-    context.now = 1000.0
-    context.ledger = ledger_lib.Ledger()
-    context.what = quarantine.content(WHAT)
-    for number in range(count):
-        context.ledger.add(context.what, target(number), context.now - ago)
-
-
-@when("one of the targets answers what it was sent {ago:g} s ago")
-def step_lives(context, ago):
-    context.ledger.lives(target(0), context.now - ago, context.now)
-
-
-@when("a further target ends under it")
-def step_further(context):
-    context.ledger.add(context.what, target(77), context.now)
-
-
-@when("{count:d} more targets end under it, with a whole answer after each")
-def step_absolved(context, count):
-    for number in range(count):
-        context.now += 1.0
-        context.ledger.add(context.what, target(200 + number), context.now)
-        context.ledger.absolve(context.what, context.now)
-
-
-@when("{count:d} further targets end under it")
-def step_more(context, count):
-    for number in range(count):
-        context.now += 1.0
-        context.ledger.add(context.what, target(300 + number), context.now)
-
-
-@when("{seconds:g} s pass")
-def step_pass(context, seconds):
-    context.now += seconds
-    context.ledger.tick(context.now)
-
-
-@when("{count:d} other requests each have a target end under them")
-def step_many(context, count):
-    for number in range(count):
-        what = quarantine.content(f"other-{number}")
-        context.ledger.add(what, target(number + 100), context.now)
-
-
-@then("the request is kept from targets")
-def step_kept(context):
-    assert context.ledger.verdict(context.what, context.now).held_s > 0
-
-
-@then("the request is not kept from targets")
-def step_not_kept(context):
-    assert context.ledger.verdict(context.what, context.now).held_s == 0
-
-
-@then("the request is held for {seconds:g} s")
-def step_held_for(context, seconds):
-    verdict = context.ledger.verdict(context.what, context.now)
-    assert verdict.held_s == seconds, verdict
-
-
-@then("nothing is remembered")
-def step_nothing(context):
-    assert len(context.ledger) == 0
-    assert context.ledger.digest == 0
-    assert not context.ledger.knows(context.what.outline)
-
-
-@then("{count:d} requests are remembered")
-def step_remembered(context, count):
-    assert len(context.ledger) == count, len(context.ledger)
-
-
 @then("a request that differs in its {part} is {same}")
 def step_differs(context, part, same):
     customer = "two" if part == "customer" else "one"
@@ -293,200 +208,6 @@
 # A forwarder with sockets.
 
 
-def remember(forwarder, req, count=const.ENDS_MAX):
-    what = quarantine.of(req, "")
-    for number in range(count):
-        forwarder.ends.ledger.add(what, target(number), forwarder.now())
-
-
-async def answer(hop_, answering):
-    hop_.forwarder.handle(answering)
-    await asyncio.sleep(hop.SETTLE_SECONDS)
-
-
-def run(coro):
-    asyncio.run(coro)
-
-
-@given("a forwarder that remembers a request with a body of {size:d} bytes")
-def step_remembers(context, size):
-    context.size = size
-
-
-@when("{count:d} requests with other paths or sizes come")
-def step_unlike(context, count):
-    context.count = count
-
-
-@then("no body was hashed")
-def step_no_hash(context):
-    async def play():
-        hop_ = hop.Hop(route=hop.route())
-        await hop_.prepare()
-        hop_.announce("other", hop_.other)
-        known = quarantine.request(body=b"a" * context.size, path=b"/p")
-        remember(hop_.forwarder, known)
-        with mock.patch.object(
-            fingerprint, "of", side_effect=fingerprint.of
-        ) as hashed:
-            for number in range(context.count):
-                size = context.size + number % 2
-                path = b"/q" if size == context.size else b"/p"
-                asked = hop.Answering()
-                asked.request = quarantine.request(body=b"a" * size, path=path)
-                hop_.forwarder.handle(asked)
-            context.unlike = hashed.call_count
-            asked = hop.Answering()
-            asked.request = quarantine.request(
-                body=b"b" * context.size, path=b"/p"
-            )
-            before = hop_.other.requests
-            await answer(hop_, asked)
-            context.like = hashed.call_count
-            context.sent = hop_.other.requests - before
-        hop_.close()
-
-    run(play())
-    assert context.unlike == 0, context.unlike
-
-
-@when("one with the same path and size and another body comes")
-def step_alike(context):
-    assert context.like > 0
-
-
-@then("one body was hashed, and it was sent")
-def step_one_hash(context):
-    assert context.sent > 0
-
-
-@given("a forwarder that keeps a request from targets")
-def step_keeps(context):
-    context.waits = False
-
-
-@given("a forwarder with a request that waits for a place")
-def step_waits(context):
-    context.waits = True
-
-
-@when("it comes")
-def step_it_comes(context):
-    async def play():
-        hop_ = hop.Hop(route=hop.route())
-        await hop_.prepare()
-        hop_.announce("other", hop_.other)
-        remember(hop_.forwarder, hop_.answering.request)
-        await answer(hop_, hop_.answering)
-        context.hop = hop_
-        hop_.close()
-
-    run(play())
-
-
-@when("others tell that two targets ended under it")
-def step_told(context):
-    async def play():
-        hop_ = hop.Hop(route=hop.route())
-        await hop_.prepare()
-        hop_.announce("other", hop_.other)
-        hop_.fill("other")
-        # It has come back after a refusal, so that it waits.
-        with mock.patch.object(
-            hop_.forwarder._patience, "used", return_value=1.0
-        ):
-            hop_.forwarder.handle(hop_.answering)
-        assert not hop_.answering.done
-        remember(hop_.forwarder, hop_.answering.request)
-        hop_.forwarder.on_marks(hop_.forwarder.now())
-        context.hop = hop_
-        hop_.close()
-
-    run(play())
-
-
-@then("it is answered 503 with code 2009 and when to come back")
-def step_told_truth(context):
-    status, headers = context.hop.answering.replied
-    found = dict(headers)
-    assert status == 503, status
-    assert found[b"jasperweir-code"] == b"2009", found
-    assert 590 < float(found[b"retry-after"]) <= 600, found
-
-
-@then("no target has received it")
-def step_not_received(context):
-    assert context.hop.other.requests == 0
-
-
-@given("a target that {does} when it gets a request")
-def step_target(context, does):
-    async def play():
-        hop_ = hop.Hop(route=hop.route(resumable=False))
-        await hop_.prepare()
-        target_ = hop.Ending(listens=does == "breaks off and listens")
-        await target_.start()
-        hop_.announce("ending", target_)
-        if does == "leaves and ends":
-            target_.on_request = lambda: hop_.directory.leave(
-                "ending", hop_.forwarder.now()
-            )
-        await answer(hop_, hop_.answering)
-        await asyncio.sleep(const.CHECK_SECONDS + hop.SETTLE_SECONDS)
-        context.marks = hop_.forwarder.ends.ledger.marks(hop_.forwarder.now())
-        target_.close()
-        hop_.close()
-
-    run(play())
-
-
-@given("a target that gives no sign after a request broke")
-def step_no_sign(context):
-    clock = core.ManualClock(start=1000.0)
-
-    async def play():
-        hop_ = hop.Hop(route=hop.route(resumable=False), clock=clock)
-        await hop_.prepare()
-        target_ = hop.Ending(listens=True)
-        await target_.start()
-        hop_.announce("ending", target_)
-        hop_.forwarder.handle(hop_.answering)
-        await asyncio.sleep(hop.SETTLE_SECONDS / 2)
-        silent = mock.patch.object(
-            hop_.forwarder.pool, "open", side_effect=OSError("no answer")
-        )
-        with silent:
-            await asyncio.sleep(const.CHECK_SECONDS + hop.SETTLE_SECONDS)
-        context.address = target_.address
-        target_.close()
-        hop_.close()
-        return hop_
-
-    context.clock = clock
-    context.hop = asyncio.run(play())
-
-
-@when("{what} {seconds:g} s later")
-def step_later(context, what, seconds):
-    forwarder = context.hop.forwarder
-    context.clock.advance(seconds)
-    now = context.clock.monotonic()
-    if what != "nothing has come":
-        service = "other" if "service" in what else "s"
-        new = site_lib.target(target_id="new", address=context.address)
-        context.hop.directory.merge(new._replace(service=service), now)
-    forwarder.ends.tick(now)
-    context.marks = forwarder.ends.ledger.marks(now)
-
-
-@then("{count:d} ends are remembered after the check")
-def step_ends(context, count):
-    assert len(context.marks) == count, context.marks
-
-
-# The own interface.
-
-
 @given("an agent whose engine ends, comes back and ends again")
 def step_agent(context):
     context.listening = True
@@ -629,37 +350,3 @@
     kinds = st.sampled_from([*codec.kinds(), "no.such"])
     versions = st.sampled_from([codec.FRAME_VERSION, 0, 2])
     drawn(count, st.tuples(kinds, VALUES, versions), check)
-
-
-@given("runs of a request that began {begun:g} s ago on {count:d} targets")
-def step_runs(context, begun, count):
-    context.now = 100.0
-    context.ledger = ledger_lib.Ledger()
-    context.what = quarantine.content(WHAT)
-    context.begun = begun
-    context.count = count
-
-
-@when("these end within {spread:g} s of each other {ago:g} s ago")
-def step_runs_end(context, spread, ago):
-    for number in range(context.count):
-        after = spread * number / context.count
-        end_run(context, number, ended_ago_s=ago - after, begun=context.begun)
-
-
-def end_run(context, number, *, ended_ago_s, begun):
-    run = ledger_lib.Run(ended_s=ended_ago_s, took_s=begun - ended_ago_s)
-    context.ledger.add(context.what, target(number), context.now, run)
-
-
-@when(
-    "a further target ends under a run that began {begun:g} s ago,"
-    " {ago:g} s ago"
-)
-def step_earlier_run(context, begun, ago):
-    end_run(context, 400, ended_ago_s=ago, begun=begun)
-
-
-@when("a further target ends under a run that began {begun:g} s ago")
-def step_further_run(context, begun):
-    end_run(context, 500, ended_ago_s=0.0, begun=begun)
