--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -314,7 +314,7 @@
     def _may_wait(self, code: Code) -> bool:
         if self.life.started or code not in _WAITABLE:
             return False
-        return self._owner.may_wait(self)
+        return self._owner.waiting.for_targets(self)
 
     def refuse(self, code: Code) -> None:
         """Give the caller a numbered answer of our own."""
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import itertools
-import math
 import random
 
 from jasperweir import core
@@ -32,6 +31,7 @@
 from jasperweir.components.forward import starting as starting_lib
 from jasperweir.components.forward import stragglers
 from jasperweir.components.forward import targets as targets_lib
+from jasperweir.components.forward import waiting as waiting_lib
 from jasperweir.helpers import http_client
 from jasperweir.helpers import http_server
 from jasperweir.helpers import metrics as metrics_lib
@@ -50,10 +50,10 @@
         notes: What is concluded from the answers of targets.
         ends: Targets that end, and the requests that ran there.
         targets: Which targets want requests now.
+        waiting: Who may go to one at once, and who may wait.
         pool: Connections to targets.
         dialect: Protocol of callers and targets.
         index: Configuration in force, None before the first.
-        stopping: Whether new requests are refused.
         is_certain: Tells whether the configuration in force is the newest.
         on_work: Called when ``tick`` has something to do soon.
     """
@@ -74,7 +74,6 @@
         self.balancer = balancer_lib.Balancer(rng=rng)
         self.pool = http_client.Pool(times=times)
         self.index: index_lib.Index | None = None
-        self.stopping = False
         self.is_certain: Callable[[], bool] = lambda: True
         self.on_work: Callable[[], None] = lambda: None
         self._clock = clock
@@ -119,6 +118,15 @@
             record=self._record,
             starting=self._starting,
         )
+        self.waiting = waiting_lib.Waiting(
+            clock=clock,
+            queues=self._queues,
+            outages=self._outages,
+            starting=self._starting,
+            targets=self.targets,
+            record=self._record,
+        )
+        self.waiting.on_work = lambda: self.on_work()
         self.passes = pass_watch.PassWatch(
             places=self.places, directory=directory, record=self._record
         )
@@ -127,6 +135,15 @@
         """Return monotonic seconds."""
         return self._clock.monotonic()
 
+    def stop(self) -> None:
+        """Refuse new requests from now on."""
+        self.waiting.stopping = True
+
+    @property
+    def stopping(self) -> bool:
+        """Whether new requests are refused."""
+        return self.waiting.stopping
+
     @property
     def open_count(self) -> int:
         """Number of requests without a final answer."""
@@ -229,82 +246,20 @@
             return
         targets = self.targets.of(exchange.service, now)
         if not targets:
-            self._without_target(exchange, now)
+            self.waiting.without_target(exchange, now)
             return
         reach = self._reach(exchange.service, targets, now)
-        if self._may_go(exchange, reach, now):
+        if self.waiting.may_go(exchange, reach, now):
             self._send(exchange, reach, now)
             return
         running = self.places.open_at(targets, now)
-        wait_s = self._queues.foreseen_s(exchange.service, reach, running, now)
-        if not exchange.life.expect_wait(wait_s):
-            exchange.give_up(Code.OVERLOADED)
-            return
-        self._wait(exchange, now, now)
-
-    def _may_go(
-        self,
-        exchange: exchange_lib.Exchange,
-        reach: places_lib.Reach,
-        now: float,
-    ) -> bool:
-        """Tell whether a request that has just come passes those who wait."""
-        if reach.places < 1:
-            return False
-        if self._outages.of(exchange.service).lasts(now):
-            # Those who come first show whether it has ended.
-            return True
-        gate = self._queues.of(exchange.service).gate
-        if self._queues.is_timely(exchange, now):
-            return not gate.timely(now)
-        if len(gate):
-            return False
-        return reach.late >= 1 or not self._starting.lasts(now)
+        self.waiting.for_place(exchange, reach, running, now)
 
     def _reach(
         self, service: str, targets: list[records.Target], now: float
     ) -> places_lib.Reach:
         return self.places.reach(targets, self.passes.limits.of(service), now)
 
-    def _wait(
-        self, exchange: exchange_lib.Exchange, now: float, not_before: float
-    ) -> None:
-        self._queues.wait(exchange, not_before)
-        self._record.waits(exchange, now)
-        self.on_work()
-
-    def _wait_at_start(self, exchange: exchange_lib.Exchange) -> bool:
-        """Let a request wait for targets that are about to be there.
-
-        After a loss of all power targets refuse while their groups form. Who is
-        refused meanwhile comes back together with everybody else.
-        """
-        now = self.now()
-        life = exchange.life
-        patience_s = life.remaining(life.arrived)
-        until = self._starting.kept_until(life.arrived, patience_s)
-        if self.stopping or until <= now:
-            return False
-        life.kept_until = until
-        life.tried.clear()
-        self._wait(exchange, now, now)
-        return True
-
-    def may_wait(self, exchange: exchange_lib.Exchange) -> bool:
-        """Let a request wait that targets refused, if it has the time."""
-        if self._wait_at_start(exchange):
-            return True
-        now = self.now()
-        not_before = now + balance_const.PAUSE_SECONDS
-        life = exchange.life
-        if not life.is_last_try or life.waits_until <= not_before:
-            return False
-        if self.stopping:
-            return False
-        life.tried.clear()
-        self._wait(exchange, now, not_before)
-        return True
-
     def _send(
         self,
         exchange: exchange_lib.Exchange,
@@ -322,7 +277,7 @@
             targets = self.targets.of(exchange.service, now)
             target = self.balancer.choose(targets, tried, now)
         if target is None:
-            self._without_target(exchange, now)
+            self.waiting.without_target(exchange, now)
             return
         target_id = target.target_id
         self._outages.of(exchange.service).on_sent(now)
@@ -339,28 +294,6 @@
         self.targets.asked.on_chosen(target, now)
         exchange.send_to(target)
 
-    def _without_target(
-        self, exchange: exchange_lib.Exchange, now: float
-    ) -> None:
-        """Let a request wait for the end of a rest, or refuse it at once."""
-        life = exchange.life
-        ahead = len(self._queues.of(exchange.service).gate)
-        opens_s = self.targets.opens_in_s(
-            exchange.service, life.tried, ahead, now
-        )
-        if life.tried and math.isinf(opens_s):
-            exchange.give_up(Code.TARGETS_REFUSED)
-            return
-        if math.isinf(opens_s):
-            if not self.may_wait(exchange):
-                exchange.give_up(Code.NO_TARGET)
-            return
-        in_time = life.expect_wait(opens_s)
-        if self.stopping or not in_time or now + opens_s >= life.waits_until:
-            exchange.give_up(Code.BACKPRESSURE)
-            return
-        self._wait(exchange, now, now + opens_s)
-
     def on_marks(self, now: float) -> None:
         """Refuse those who wait and are now known to end targets."""
         for service in self._queues.services():
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -297,7 +297,7 @@
         since = now - self._stopping_at
         if since < STOP_SERVING_SECONDS:
             return
-        self._forwarder.stopping = True
+        self._forwarder.stop()
         last = self._cfg.bounds.grace_s - STOP_MARGIN_SECONDS
         if self._forwarder.open_count and since < last:
             return
