The own interface's router avoids targets that refuse

Now it keeps it by incarnation with the state that the platform's path has, and chooses such a target only if all refuse, or for one request after 0.25 s and more.

Tests (virtual clock): three rules of routing, red before (no such call), green now; routing and request features green. Not measured with real processes under load. The deployed roles don't use this router.

--- a/features/routing.feature
+++ b/features/routing.feature
@@ -9,6 +9,9 @@
       | a leaving or dead target gets nothing         |
       | an idle target is preferred                   |
       | own requests correct a stale report           |
+      | a target that refuses is avoided for a while  |
+      | all are tried if all refuse                   |
+      | a new incarnation has refused nothing         |
       | a straggler is ejected and comes back slowly  |
       | a fault of all ejects at most a third         |
       | a new incarnation starts slowly               |
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -71,6 +71,37 @@
     assert abs(sent["a1"] - sent["a2"]) <= 2, sent
 
 
+def refusal():
+    _, router = scene(3)
+    router.refused("a1", 100.0)
+    assert "a1" not in picks(router, 100.1)
+    assert "a1" in picks(router, 100.5)
+    router.started("a1", QUERY, 100.5)
+    router.refused("a1", 100.5)
+    router.ended("a1", 100.5)
+    assert "a1" not in picks(router, 100.9)
+    router.started("a1", QUERY, 102.0)
+    router.ended("a1", 102.0)
+    # One request goes first.
+    assert "a1" not in picks(router, 102.1)
+    router.succeeded("a1", 0.1, 102.2)
+    assert "a1" in picks(router, 102.2)
+
+
+def refusal_of_all():
+    _, router = scene(3)
+    for name in ("a1", "a2", "a3"):
+        router.refused(name, 100.0)
+    assert len(picks(router, 100.1)) == 3
+
+
+def refusal_of_before():
+    roster, router = scene(3)
+    router.refused("a1", 100.0)
+    roster.merge(nodes.member("a1", "agent", inc=2), 100.0)
+    assert not router.state("a1", 100.1).asked.is_avoided(100.1)
+
+
 def feed(router, slow, now):
     for _ in range(10):
         for i in range(1, 7):
@@ -135,6 +166,9 @@
     "a leaving or dead target gets nothing": no_leaving,
     "an idle target is preferred": idle_preferred,
     "own requests correct a stale report": stale_report,
+    "a target that refuses is avoided for a while": refusal,
+    "all are tried if all refuse": refusal_of_all,
+    "a new incarnation has refused nothing": refusal_of_before,
     "a straggler is ejected and comes back slowly": straggler,
     "a fault of all ejects at most a third": ejection_floor,
     "a new incarnation starts slowly": slow_start,
--- a/jasperweir/components/entry/driver.py
+++ b/jasperweir/components/entry/driver.py
@@ -216,12 +216,8 @@
         if isinstance(result, hop_lib.Stream):
             self._stream = result
             return events.Head()
-        if (
-            isinstance(result, events.Refused)
-            and result.reason == run_const.REFUSED_FULL
-        ):
-            service, at = self._job.spec.name, self._port.now()
-            self._port.tell(lambda: self._port.entry.congested(service, at))
+        if isinstance(result, events.Refused):
+            self._note_refusal(result)
         failed = isinstance(
             result, events.Unsent | events.Broke | events.OtherIncarnation
         )
@@ -235,6 +231,16 @@
                 return events.Expired()
         return result
 
+    def _note_refusal(self, refused: events.Refused) -> None:
+        """Tell routing and admission that a target did not run a request."""
+        entry, now = self._port.entry, self._port.now()
+        if refused.reason == run_const.REFUSED_FULL:
+            service = self._job.spec.name
+            self._port.tell(lambda: entry.congested(service, now))
+        if self._dispatch.target is not None:
+            name = self._dispatch.target.name
+            self._port.tell(lambda: entry.router.refused(name, now))
+
     # The answer.
 
     def _read_whole(self) -> events.Event:
--- a/jasperweir/components/routing/router.py
+++ b/jasperweir/components/routing/router.py
@@ -101,6 +101,7 @@
             c for c in self.candidates(query) if c.member.name not in excluded
         ]
         pool = self._not_ejected(pool, now)
+        pool = self._not_avoided(pool, now)
         if not pool:
             return None
         typical = statistics.fmean(
@@ -123,7 +124,9 @@
 
     def started(self, name: str, query: Query, now: float) -> None:
         """Count a request sent to a target."""
-        self.state(name, now).in_flight += 1
+        state = self.state(name, now)
+        state.in_flight += 1
+        state.asked.chosen(now)
         if query.prefix:
             self._hint(query.prefix, name)
 
@@ -138,6 +141,10 @@
         state.succeeded(first_token)
         self._eject_straggler(name, state, now)
 
+    def refused(self, name: str, now: float) -> None:
+        """Take in that a target refused a request and did not run it."""
+        self.state(name, now).asked.refuse(now)
+
     def failed(self, name: str, now: float) -> None:
         """Take in a broken or unreachable target."""
         state = self.state(name, now)
@@ -226,6 +233,20 @@
         )
         return kept + out[: floor - len(kept)]
 
+    def _not_avoided(
+        self, pool: list[Candidate], now: float
+    ) -> list[Candidate]:
+        """Return those that do not refuse, or all if all do.
+
+        Whoever refuses at once has nothing open, and would be chosen next.
+        """
+        kept = [
+            c
+            for c in pool
+            if not self.state(c.member.name, now).asked.is_avoided(now)
+        ]
+        return kept or pool
+
     # Scores.
 
     def _score(
--- a/jasperweir/components/routing/state.py
+++ b/jasperweir/components/routing/state.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 
+from jasperweir.components.backpressure import state as backpressure_state
 from jasperweir.components.routing import const
 
 
@@ -20,6 +21,7 @@
         skew: How far the slowest rank trails, as a share of a step.
         switching: Whether a map switch is pending.
         latency: Smoothed seconds to the first token.
+        asked: How it refuses.
     """
 
     inc: int
@@ -34,6 +36,9 @@
     samples: int = 0
     failures: int = 0
     ejections: int = 0
+    asked: backpressure_state.Asked = dataclasses.field(
+        default_factory=lambda: backpressure_state.Asked(born=0)
+    )
     ejected_until: float = float("-inf")
 
     def others(self) -> int:
@@ -76,6 +81,7 @@
     def succeeded(self, first_token: float) -> None:
         """Take in the time to the first token of a request."""
         self.failures = 0
+        self.asked.forgive()
         self.samples += 1
         if self.samples == 1:
             self.latency = first_token
