Log each decision on a retry with the figures that decided it

Cause: a retry was only counted. Whether an entry divides the burst by too small a number, forgets what it spent before a restart, or sends without asking could not be read off the logs. Change: lines 'retry allowed' and 'retry denied' (request, service, entries, requests and retries in the window, limit) and 'entries known'; gauge entries_known. RetryBudget.take returns a typed decision; same arithmetic. Ruled out: a line for each first send, which 'target chosen' already is. Conclusion: the three hypotheses can be told apart from one entry's log.

--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -151,7 +151,7 @@
             retry_budget.count_first("s", 5.0)
         for _ in range(20):
             entries = len(context.budgets)
-            context.taken += retry_budget.take("s", entries, 5.5)
+            context.taken += retry_budget.take("s", entries, 5.5).allowed
 
 
 @then("the retries of all entries stay within the budget")
--- a/jasperweir/components/balance/budget.py
+++ b/jasperweir/components/balance/budget.py
@@ -1,6 +1,7 @@
 """Retry budget of a service, divided among the entries."""
 
 import collections
+from typing import NamedTuple
 
 from jasperweir.components.balance import const
 
@@ -20,6 +21,24 @@
         self.window_s = window_s
 
 
+class RetryDecision(NamedTuple):
+    """Whether a retry is within the budget, and the figures that decided it.
+
+    Attributes:
+        allowed: Whether the retry may be made.
+        entries: Number of entries that share the burst.
+        first_attempts: First attempts of this entry within the window.
+        retries: Retries of this entry within the window, without this one.
+        limit: Retries that this entry may make within the window.
+    """
+
+    allowed: bool
+    entries: int
+    first_attempts: int
+    retries: int
+    limit: float
+
+
 class RetryBudget:
     """One entry's share of the retry budget of each service.
 
@@ -36,17 +55,23 @@
         """Count the first attempt of a request."""
         self._recent(self._attempts, service, now).append(now)
 
-    def take(self, service: str, entries: int, now: float) -> bool:
-        """Take one retry from the budget; return whether one was left."""
+    def take(self, service: str, entries: int, now: float) -> RetryDecision:
+        """Take one retry from the budget if one is left."""
         attempts = self._recent(self._attempts, service, now)
         retries = self._recent(self._retries, service, now)
         share = const.RETRY_BUDGET_SHARE
-        allowed = share * self._bounds.ratio * len(attempts)
-        allowed += share * self._bounds.burst / max(entries, 1)
-        if len(retries) + 1 > allowed:
-            return False
-        retries.append(now)
-        return True
+        limit = share * self._bounds.ratio * len(attempts)
+        limit += share * self._bounds.burst / max(entries, 1)
+        decision = RetryDecision(
+            allowed=len(retries) + 1 <= limit,
+            entries=entries,
+            first_attempts=len(attempts),
+            retries=len(retries),
+            limit=limit,
+        )
+        if decision.allowed:
+            retries.append(now)
+        return decision
 
     def _recent(
         self,
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -403,15 +403,17 @@
         now: float,
     ) -> None:
         is_retry = exchange.state.deliveries > 0
-        if is_retry and not self._take_retry(exchange.service, now):
+        if is_retry and not self._take_retry(exchange, now):
             exchange.fail(Code.TARGETS_REFUSED)
             return
         self._choose_and_send(exchange, candidates, now)
 
-    def _take_retry(self, service: str, now: float) -> bool:
-        taken = self._budget.take(service, self.capacity.entry_count, now)
-        self._recorder.record_retry(taken=taken)
-        return taken
+    def _take_retry(self, exchange: exchange_lib.Exchange, now: float) -> bool:
+        decision = self._budget.take(
+            exchange.service, self.capacity.entry_count, now
+        )
+        self._recorder.record_retry(exchange, decision)
+        return decision.allowed
 
     def update_slowdowns(self, slowdowns: dict[str, float], now: float) -> None:
         """Update the slowdowns of targets and move streams away from slow ones.
@@ -429,9 +431,7 @@
     def _move_stream(self, exchange: exchange_lib.Exchange, now: float) -> None:
         targets = self.targets.list_available(exchange.service, now)
         candidates = self._find_candidates(exchange.service, targets, now)
-        if candidates.free_slots < 1 or not self._take_retry(
-            exchange.service, now
-        ):
+        if candidates.free_slots < 1 or not self._take_retry(exchange, now):
             return
         self._recorder.record_move(exchange)
         exchange.leave_target()
@@ -441,7 +441,10 @@
 
     def on_entries(self, entries: tuple[records.Node, ...]) -> None:
         """Update the list of entries, this one included."""
-        self.capacity.entry_count = max(len(entries), 1)
+        count = max(len(entries), 1)
+        if count != self.capacity.entry_count:
+            self._recorder.record_entry_count(self.capacity.entry_count, count)
+        self.capacity.entry_count = count
         self.cell.on_entries(entries)
         names = (entry.name for entry in entries)
         self.targets.backpressure.shares.on_entries(names, self.now())
--- a/jasperweir/components/forward/recorder.py
+++ b/jasperweir/components/forward/recorder.py
@@ -5,6 +5,7 @@
 from jasperweir import result_codes
 from jasperweir.components.backpressure import backpressure as backpressure_lib
 from jasperweir.components.backpressure import signals as signals_lib
+from jasperweir.components.balance import budget as budget_lib
 from jasperweir.components.directory import records
 from jasperweir.components.forward import dialect as dialect_lib
 from jasperweir.components.forward import exchange as exchange_lib
@@ -129,9 +130,27 @@
             service=service,
         )
 
-    def record_retry(self, *, taken: bool) -> None:
-        """Count a retry that the budget allowed or denied."""
-        self._metrics.inc("retries" if taken else "retries_denied")
+    def record_retry(
+        self,
+        exchange: exchange_lib.Exchange,
+        decision: budget_lib.RetryDecision,
+    ) -> None:
+        """Record a retry that the budget allowed or denied."""
+        self._metrics.inc("retries" if decision.allowed else "retries_denied")
+        _log.info(
+            "retry allowed" if decision.allowed else "retry denied",
+            id=exchange.state.caller_headers.request_id,
+            service=exchange.service,
+            entries=decision.entries,
+            requests=decision.first_attempts,
+            retries=decision.retries,
+            limit=round(decision.limit, 2),
+        )
+
+    def record_entry_count(self, before: int, count: int) -> None:
+        """Record that another number of entries is known."""
+        self._metrics.gauge("entries_known", float(count))
+        _log.info("entries known", before=before, entries=count)
 
     def record_end(
         self,
