Retry budget: entries earn their share of the burst, and start with none

What callers and targets saw: on a site of 37 entries targets got more second sends than the budget of all entries allows, soon after entries or control VMs had started. Cause: each entry divided the burst by the number of entries that it knew. From its start to its first list, up to half a second after it takes callers, that number is 1; it stays low while restarted control VMs have heard of few and in the parts of a partition. And a restart gave the whole share again. Change: the ratio counts for own requests only, at half, so that it holds over any number of restarts (what an incarnation spent was covered by its own requests). The share of the burst accrues over time from zero, by the largest number of entries within the window, and only while the leader of the log is heard from: it counts everybody who hears from it, and there is one at a time. Ruled out: dividing by a count that is only right in the end (any waiting time for the list can be longer in a cut); asking control for each retry (a call in the path); keeping what was spent on disk (entries have none). Conclusion: the limit no longer hangs on what entries believe.

--- a/features/harness/hop.py
+++ b/features/harness/hop.py
@@ -7,6 +7,7 @@
 from features.harness import site
 from jasperweir import core
 from jasperweir.components.balance import budget
+from jasperweir.components.balance import const as balance_const
 from jasperweir.components.balance import entry_cell
 from jasperweir.components.deployment import index
 from jasperweir.components.deployment import model
@@ -171,9 +172,9 @@
 
     async def prepare(self):
         self.directory = directory.Directory()
-        bounds = budget.BudgetBounds(
-            ratio=0.0, burst=self._retries, window_s=10.0
-        )
+        # Each request earns the entry so many retries.
+        ratio = self._retries / balance_const.RETRY_RATIO_PART
+        bounds = budget.BudgetBounds(ratio=ratio, burst=0.0, window_s=10.0)
         self.forwarder = forwarder.Forwarder(
             clock=self._clock,
             rng=random.Random(1),
--- a/features/harness/retry_budgets.py
+++ b/features/harness/retry_budgets.py
@@ -66,8 +66,7 @@
     """Retry budget of one incarnation of an entry."""
 
     def __init__(self, *, bounds, now):
-        self._budget = budget_lib.RetryBudget(bounds=bounds)
-        self._entries = 1
+        self._budget = budget_lib.RetryBudget(bounds=bounds, now=now)
         self._next_update_at = now
         self._requests_due = 0.0
 
@@ -86,10 +85,40 @@
                 limit.retry_times.append(now)
 
     def _update(self, client, now):
-        self._entries = max(len(client.open_entries(now)), 1)
+        entries = len(client.open_entries(now))
+        hears_leader = client.hears_leader(now)
+        self._budget.on_entries(entries if hears_leader else 0, now)
 
     def _take(self, now):
-        return self._budget.take(SERVICE, self._entries, now).allowed
+        return self._budget.take(SERVICE, now).allowed
+
+
+class QuietEntry:
+    """One of several entries, which gets few requests and hears the leader."""
+
+    def __init__(self, *, entries, burst, gap_s):
+        bounds = budget_lib.BudgetBounds(ratio=0.2, burst=burst, window_s=10.0)
+        self._budget = budget_lib.RetryBudget(bounds=bounds, now=0.0)
+        self._entries = entries
+        self._gap_s = gap_s
+        self._next_request_at = 0.0
+        self._now = 0.0
+
+    def run(self, seconds):
+        """Advance the clock, with a list of entries twice a second."""
+        end = self._now + seconds
+        while self._now < end:
+            self._budget.on_entries(self._entries, self._now)
+            if self._now >= self._next_request_at:
+                self._next_request_at += self._gap_s
+                self._budget.count_first(SERVICE, self._now)
+            self._now += balance_const.SHARE_SECONDS
+
+    def take_all(self):
+        """Make all retries that the budget has left and return their number."""
+        return sum(
+            self._budget.take(SERVICE, self._now).allowed for _ in range(100)
+        )
 
 
 class RetryingSite(site_lib.Site):
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -138,7 +138,7 @@
 def step_budget(context, count, ratio, burst):
     bounds = budget.BudgetBounds(ratio=ratio, burst=burst, window_s=10.0)
     context.budgets = [
-        budget.RetryBudget(bounds=bounds) for _ in range(count)
+        budget.RetryBudget(bounds=bounds, now=0.0) for _ in range(count)
     ]  # fmt: skip
     context.most = ratio * 20 * count + burst
 
@@ -147,11 +147,11 @@
 def step_retry_all(context):
     context.taken = 0
     for retry_budget in context.budgets:
+        retry_budget.on_entries(len(context.budgets), 0.0)
         for _ in range(20):
             retry_budget.count_first("s", 5.0)
         for _ in range(20):
-            entries = len(context.budgets)
-            context.taken += retry_budget.take("s", entries, 5.5).allowed
+            context.taken += retry_budget.take("s", 5.5).allowed
 
 
 @then("the retries of all entries stay within the budget")
--- a/features/steps/retry_budget_steps.py
+++ b/features/steps/retry_budget_steps.py
@@ -19,24 +19,78 @@
     )
 
 
-@when(
-    "all entries and control VMs restart at once, {times:d} times within "
-    "{seconds:g} s"
-)
-def step_restart_with_controls(context, times, seconds):
-    restart_all(context.retrying, times, seconds, controls=True)
+@when("all {what} restart at once, {times:d} times within {seconds:g} s")
+def step_restart(context, what, times, seconds):
+    for _ in range(times):
+        context.retrying.restart_all(controls="control" in what)
+        context.retrying.run(seconds / times)
+    context.retrying.run(SETTLE_SECONDS)
 
 
-def restart_all(retrying, times, seconds, *, controls):
-    """Restart all entries several times within some seconds."""
-    for _ in range(times):
-        retrying.restart_all(controls=controls)
-        retrying.run(seconds / times)
+@when("the system is cut into {parts:d} parts, and all entries restart in them")
+def step_cut(context, parts):
+    retrying = context.retrying
+    retrying.cut_into(parts)
+    retrying.run(5.0)
+    retrying.restart_all(controls=False)
+    retrying.run(25.0)
+
+
+@when("each of them drains for {seconds:g} s and restarts, one every {gap:g} s")
+def step_drain(context, seconds, gap):
+    retrying = context.retrying
+    for name in retrying.entry_names:
+        retrying.drain_entry(name, seconds)
+        retrying.run(gap)
     retrying.run(SETTLE_SECONDS)
 
 
+@when("the entries run for {seconds:g} s")
+def step_pass(context, seconds):
+    context.retrying.run(seconds)
+
+
 @then("no window has more retries than the limit of all entries together")
 def step_within_limit(context):
     limit = context.retrying.limit
     assert limit.retry_times[-1] > limit.start_at, "no retry was made"
     assert limit.excess() <= 0, f"{limit.excess():.0f} more than allowed"
+
+
+@given("{count:d} drawn schedules of faults, from seed {first:d}")
+def step_schedules(context, count, first):
+    context.excesses = {
+        seed: retry_budgets.run_schedule(seed)
+        for seed in range(first, first + count)
+    }
+
+
+@then(
+    "none has more retries in a window than the limit of all entries together"
+)
+def step_none_above(context):
+    above = {seed: more for seed, more in context.excesses.items() if more > 0}
+    assert not above, above
+
+
+@then("at least {share:g} of the limit is used in the last window")
+def step_used(context, share):
+    limit = context.retrying.limit
+    end = context.retrying.now
+    made = retry_budgets.count(limit.retry_times, end - limit.window_s, end)
+    assert made >= share * limit.allowed(end), made
+
+
+@given(
+    "one of {count:d} entries with a request every {gap:g} s and a burst of "
+    "{burst:g}"
+)
+def step_few_requests(context, count, gap, burst):
+    context.retrying = retry_budgets.QuietEntry(
+        entries=count, burst=burst, gap_s=gap
+    )
+
+
+@then("it may make {retries:d} retries at once")
+def step_may_make(context, retries):
+    assert context.retrying.take_all() == retries
--- a/jasperweir/components/balance/budget.py
+++ b/jasperweir/components/balance/budget.py
@@ -1,4 +1,16 @@
-"""Retry budget of a service, divided among the entries."""
+"""Retry budgets of services; sans-I/O.
+
+A budget holds for the sum over all entries: within any window, retries must not
+exceed a ratio of the requests, plus a burst. Entries don't coordinate their
+retries. Each starts with none and earns them in two ways:
+
+* A part of the ratio for its own requests within the window. The sum over all
+  entries follows without knowing how many there are.
+* A share of the burst that accrues over time, so that an entry gains nothing by
+  a restart. It accrues only while the leader of the log is heard from, which
+  counts all entries that hear from it. There is one leader at a time, so the
+  sides of a network partition don't both divide the burst.
+"""
 
 import collections
 from typing import NamedTuple
@@ -26,60 +38,147 @@
 
     Attributes:
         allowed: Whether the retry may be made.
-        entries: Number of entries that share the burst.
+        entries: Number of entries that share the burst, 0 while unknown.
         first_attempts: First attempts of this entry within the window.
-        retries: Retries of this entry within the window, without this one.
-        limit: Retries that this entry may make within the window.
+        retries: Retries within the window that were charged to these.
+        burst_left: Retries that are left of this entry's share of the burst.
     """
 
     allowed: bool
     entries: int
     first_attempts: int
     retries: int
-    limit: float
+    burst_left: float
 
 
-class RetryBudget:
-    """One entry's share of the retry budget of each service.
+class EntryCount(NamedTuple):
+    """Number of entries that was known at a time.
+
+    Attributes:
+        at: Monotonic seconds.
+        entries: Number of entries, 0 while the leader is not heard from.
+    """
+
+    at: float
+    entries: int
+
+
+class BurstShare:
+    """An entry's share of the burst, which accrues over time.
+
+    Attributes:
+        entries: Largest number of entries within the window, 0 while unknown.
+        accrued: Retries that have accrued since the start.
+    """
+
+    def __init__(self, *, bounds: BudgetBounds, now: float) -> None:
+        self.entries = 0
+        self.accrued = 0.0
+        self._bounds = bounds
+        self._counts: collections.deque[EntryCount] = collections.deque()
+        self._updated_at = now
+
+    def on_entries(self, entries: int, now: float) -> None:
+        """Update the number of entries that share the burst.
 
-    Each entry counts its own requests, and the burst is divided by the number
-    of entries, so that the sum stays within the bounds without coordination.
+        The largest number within the window counts: entries that are not
+        listed any more may have made retries within it, or still drain.
+
+        Args:
+            entries: Number of entries, 0 while the leader is not heard from.
+            now: Monotonic seconds.
+        """
+        self.update(now)
+        self._counts.append(EntryCount(now, entries))
+        while self._counts[0].at <= now - self._bounds.window_s:
+            self._counts.popleft()
+        self.entries = max(count.entries for count in self._counts)
+
+    def update(self, now: float) -> None:
+        """Add what has accrued since the last call."""
+        elapsed_s = max(now - self._updated_at, 0.0)
+        self._updated_at = now
+        if self._counts and self._counts[-1].entries:
+            per_window = self._divide(const.RETRY_BURST_ACCRUAL)
+            self.accrued += per_window * elapsed_s / self._bounds.window_s
+
+    @property
+    def max_saved(self) -> float:
+        """Most retries that may be saved up for one service."""
+        return self._divide(const.RETRY_BURST_SAVED) if self.entries else 0.0
+
+    def _divide(self, part: float) -> float:
+        return part * self._bounds.burst / self.entries
+
+
+class ServiceAccount:
+    """First attempts and retries of one service at one entry.
+
+    Attributes:
+        first_attempts: Times of the first attempts within the window.
+        retries: Times of the retries that were charged to these.
+        saved: Retries that are left of the share of the burst.
     """
 
-    def __init__(self, *, bounds: BudgetBounds) -> None:
+    def __init__(self) -> None:
+        self.first_attempts: collections.deque[float] = collections.deque()
+        self.retries: collections.deque[float] = collections.deque()
+        self.saved = 0.0
+        self._accrued_before = 0.0
+
+    def update(self, share: BurstShare, window_s: float, now: float) -> None:
+        """Drop what is older than the window and save up what has accrued."""
+        for times in (self.first_attempts, self.retries):
+            while times and times[0] <= now - window_s:
+                times.popleft()
+        share.update(now)
+        accrued = share.accrued - self._accrued_before
+        self._accrued_before = share.accrued
+        self.saved = min(self.saved + accrued, share.max_saved)
+
+
+class RetryBudget:
+    """One entry's part of the retry budget of each service."""
+
+    def __init__(self, *, bounds: BudgetBounds, now: float) -> None:
         self._bounds = bounds
-        self._attempts: dict[str, collections.deque[float]] = {}
-        self._retries: dict[str, collections.deque[float]] = {}
+        self._share = BurstShare(bounds=bounds, now=now)
+        self._accounts: dict[str, ServiceAccount] = {}
+
+    def on_entries(self, entries: int, now: float) -> None:
+        """Update the number of entries that share the burst.
+
+        Args:
+            entries: Number of entries, 0 while the leader is not heard from.
+            now: Monotonic seconds.
+        """
+        self._share.on_entries(entries, now)
 
     def count_first(self, service: str, now: float) -> None:
         """Count the first attempt of a request."""
-        self._recent(self._attempts, service, now).append(now)
+        self._account(service, now).first_attempts.append(now)
 
-    def take(self, service: str, entries: int, now: float) -> RetryDecision:
+    def take(self, service: str, now: float) -> RetryDecision:
         """Take one retry from the budget if one is left."""
-        attempts = self._recent(self._attempts, service, now)
-        retries = self._recent(self._retries, service, now)
-        share = const.RETRY_BUDGET_SHARE
-        limit = share * self._bounds.ratio * len(attempts)
-        limit += share * self._bounds.burst / max(entries, 1)
-        decision = RetryDecision(
-            allowed=len(retries) + 1 <= limit,
-            entries=entries,
-            first_attempts=len(attempts),
-            retries=len(retries),
-            limit=limit,
+        account = self._account(service, now)
+        attempts = len(account.first_attempts)
+        retries = len(account.retries)
+        limit = const.RETRY_RATIO_PART * self._bounds.ratio * attempts
+        within_ratio = retries + 1 <= limit
+        burst_left = account.saved
+        if within_ratio:
+            account.retries.append(now)
+        elif burst_left >= 1:
+            account.saved -= 1
+        return RetryDecision(
+            allowed=within_ratio or burst_left >= 1,
+            entries=self._share.entries,
+            first_attempts=attempts,
+            retries=retries,
+            burst_left=burst_left,
         )
-        if decision.allowed:
-            retries.append(now)
-        return decision
-
-    def _recent(
-        self,
-        table: dict[str, collections.deque[float]],
-        service: str,
-        now: float,
-    ) -> collections.deque[float]:
-        times = table.setdefault(service, collections.deque())
-        while times and times[0] <= now - self._bounds.window_s:
-            times.popleft()
-        return times
+
+    def _account(self, service: str, now: float) -> ServiceAccount:
+        account = self._accounts.setdefault(service, ServiceAccount())
+        account.update(self._share, self._bounds.window_s, now)
+        return account
--- a/jasperweir/components/balance/const.py
+++ b/jasperweir/components/balance/const.py
@@ -72,9 +72,15 @@
 # passes would exceed the allowed pause.
 LATE_STALE_SHARE = 0.6
 
-# Share of the retry budget that the entries use: request counts that are still
-# under way can't make them exceed the budget.
-RETRY_BUDGET_SHARE = 0.6
+# Part of the allowed ratio of retries that entries use. A VM that restarts
+# within a window may use it before and after, so twice this part must be
+# allowed.
+RETRY_RATIO_PART = 0.5
+# Part of the burst that accrues to all entries together within a window, and
+# the part that they may have saved up before. The rest covers entries that are
+# not listed yet and retries that are under way.
+RETRY_BURST_ACCRUAL = 0.25
+RETRY_BURST_SAVED = 0.5
 
 # Longest time that a first attempt waits for a slot, as a multiple of its
 # route's target time. If the forecast is longer it is refused at once and its
--- a/jasperweir/components/discovery/client.py
+++ b/jasperweir/components/discovery/client.py
@@ -133,12 +133,23 @@
         Without it, a route or key that is unknown here may exist.
         """
         return any(
-            control.heartbeat is not None
+            heartbeat.version <= self.version
+            for heartbeat in self._confirmations(now)
+        )
+
+    def hears_leader(self, now: float) -> bool:
+        """Return whether the leader of the log was heard from recently."""
+        return bool(self._confirmations(now))
+
+    def _confirmations(self, now: float) -> list[records.ControlHeartbeat]:
+        """Return recent heartbeats of the leader while it had its lease."""
+        return [
+            control.heartbeat
+            for control in self._controls.values()
+            if control.heartbeat is not None
             and control.heartbeat.certain
-            and control.heartbeat.version <= self.version
             and now - control.heard_at < CONFIRMATION_VALID_SECONDS
-            for control in self._controls.values()
-        )
+        ]
 
     def open_entries(self, now: float) -> tuple[records.Node, ...]:
         """Return the open entries that any reachable control VM lists.
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -85,7 +85,9 @@
             balancer=self.balancer, cell=cell, rng=rng
         )
         self._directory = directory
-        self._budget = budget_lib.RetryBudget(bounds=bounds)
+        self._budget = budget_lib.RetryBudget(
+            bounds=bounds, now=clock.monotonic()
+        )
         self._recorder = recorder_lib.Recorder(metrics=metrics)
         self.crash_detector = crash_detector.CrashDetector(
             clock=clock,
@@ -409,9 +411,7 @@
         self._choose_and_send(exchange, candidates, now)
 
     def _take_retry(self, exchange: exchange_lib.Exchange, now: float) -> bool:
-        decision = self._budget.take(
-            exchange.service, self.capacity.entry_count, now
-        )
+        decision = self._budget.take(exchange.service, now)
         self._recorder.record_retry(exchange, decision)
         return decision.allowed
 
@@ -439,15 +439,25 @@
 
     # Other entries.
 
-    def on_entries(self, entries: tuple[records.Node, ...]) -> None:
-        """Update the list of entries, this one included."""
+    def on_entries(
+        self, entries: tuple[records.Node, ...], *, hears_leader: bool
+    ) -> None:
+        """Update the list of entries, this one included.
+
+        Args:
+            entries: All entries that are open to callers.
+            hears_leader: Whether the leader of the log, which counts all
+                entries that hear from it, was heard from recently.
+        """
+        now = self.now()
         count = max(len(entries), 1)
         if count != self.capacity.entry_count:
             self._recorder.record_entry_count(self.capacity.entry_count, count)
         self.capacity.entry_count = count
+        self._budget.on_entries(len(entries) if hears_leader else 0, now)
         self.cell.on_entries(entries)
         names = (entry.name for entry in entries)
-        self.targets.backpressure.shares.on_entries(names, self.now())
+        self.targets.backpressure.shares.on_entries(names, now)
 
     def share(self) -> balance_messages.Share:
         """Return the load report for other entries."""
--- a/jasperweir/components/forward/recorder.py
+++ b/jasperweir/components/forward/recorder.py
@@ -144,7 +144,7 @@
             entries=decision.entries,
             requests=decision.first_attempts,
             retries=decision.retries,
-            limit=round(decision.limit, 2),
+            burst_left=round(decision.burst_left, 2),
         )
 
     def record_entry_count(self, before: int, count: int) -> None:
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -289,8 +289,11 @@
 
     def _update_entries(self) -> None:
         """Update the list of entries and send them this entry's load."""
-        entries = self._discovery.open_entries(self._host.now())
-        self._forwarder.on_entries(entries)
+        now = self._host.now()
+        self._forwarder.on_entries(
+            self._discovery.open_entries(now),
+            hears_leader=self._discovery.hears_leader(now),
+        )
         self._send_share()
 
     def _send_share(self) -> None:
