Guards of the retry budget, and tests of saved-up retries and short lists

Cause: two parts of the budget (half of the ratio, the largest count in the window) had no test that went red without them. Change: scenarios on retries saved up before a restart, on a list that is short for a moment and on control VMs that restart alone; five guards. Conclusion: each part is held by a test.

--- a/features/harness/retry_budgets.py
+++ b/features/harness/retry_budgets.py
@@ -12,6 +12,7 @@
 REQUESTS_PER_S = 8.0
 # Retries that an entry makes in one step of the simulation if it may.
 RETRIES_PER_STEP = 4
+RETRIES_WITHOUT_LIMIT = 1000
 
 
 class Limit:
@@ -70,8 +71,8 @@
         self._next_update_at = now
         self._requests_due = 0.0
 
-    def run(self, client, limit, now, seconds):
-        """Receive the requests of one step and retry whatever is allowed."""
+    def run(self, client, limit, now, seconds, retries):
+        """Receive the requests of one step and make up to some retries."""
         if now >= self._next_update_at:
             self._next_update_at = now + balance_const.SHARE_SECONDS
             self._update(client, now)
@@ -80,9 +81,10 @@
             self._requests_due -= 1
             self._budget.count_first(SERVICE, now)
             limit.first_times.append(now)
-        for _ in range(RETRIES_PER_STEP):
-            if self._take(now):
-                limit.retry_times.append(now)
+        for _ in range(retries):
+            if not self._take(now):
+                break
+            limit.retry_times.append(now)
 
     def _update(self, client, now):
         entries = len(client.open_entries(now))
@@ -99,7 +101,7 @@
     def __init__(self, *, entries, burst, gap_s):
         bounds = budget_lib.BudgetBounds(ratio=0.2, burst=burst, window_s=10.0)
         self._budget = budget_lib.RetryBudget(bounds=bounds, now=0.0)
-        self._entries = entries
+        self.entries = entries
         self._gap_s = gap_s
         self._next_request_at = 0.0
         self._now = 0.0
@@ -108,7 +110,7 @@
         """Advance the clock, with a list of entries twice a second."""
         end = self._now + seconds
         while self._now < end:
-            self._budget.on_entries(self._entries, self._now)
+            self._budget.on_entries(self.entries, self._now)
             if self._now >= self._next_request_at:
                 self._next_request_at += self._gap_s
                 self._budget.count_first(SERVICE, self._now)
@@ -128,6 +130,7 @@
         limit: Limit that all entries keep together.
         draining: Entries that are closed to callers but still serve requests,
             and when they stop.
+        retries_per_step: Most retries that an entry makes in one step.
     """
 
     def __init__(self, *, entries, burst, controls=3, seed=0):
@@ -137,6 +140,7 @@
         )
         self.budgets = {}
         self.draining = {}
+        self.retries_per_step = RETRIES_PER_STEP
         super().__init__(
             controls=controls, entries=entries, seed=seed, wanted=controls
         )
@@ -166,7 +170,9 @@
             return
         if name not in self.budgets:
             self.budgets[name] = EntryBudget(bounds=self.bounds, now=self.now)
-        self.budgets[name].run(client, self.limit, self.now, site_lib.STEP)
+        self.budgets[name].run(
+            client, self.limit, self.now, site_lib.STEP, self.retries_per_step
+        )
 
     def kill(self, name):
         super().kill(name)
@@ -183,12 +189,12 @@
         if name in self.discovery_clients:
             self.draining.setdefault(name, self.now + seconds)
 
-    def restart_all(self, *, controls):
-        """Start all entries again at once, and the control VMs too if asked."""
+    def restart_all(self, *, controls, entries=True):
+        """Start all entries or control VMs, or both, again at once."""
         down = self.names if controls else []
         for name in down:
             self.kill(name)
-        for name in self.entry_names:
+        for name in self.entry_names if entries else []:
             self.restart_entry(name)
         for name in down:
             self.start(name)
--- a/features/retry_budget.feature
+++ b/features/retry_budget.feature
@@ -16,6 +16,7 @@
       | 10    | 96    | entries                  | 3     |
       | 10    | 96    | entries and control VMs  | 3     |
       | 37    | 202   | entries and control VMs  | 4     |
+      | 37    | 202   | control VMs              | 4     |
       | 103   | 458   | entries and control VMs  | 3     |
 
   Scenario Outline: Entries that restart in a partitioned system keep the retry budget
@@ -30,6 +31,11 @@
       | 37    | 202   | 2     |
       | 37    | 202   | 3     |
 
+  Scenario: Entries that save up retries before a restart keep the retry budget
+    Given 37 entries that retry whatever they may, with a burst of 202
+    When they make no retry for 20 s, then all they may, and restart
+    Then no window has more retries than the limit of all entries together
+
   Scenario: Entries that drain one after the other keep the retry budget
     Given 10 entries that retry whatever they may, with a burst of 96
     When each of them drains for 6 s and restarts, one every 0.3 s
@@ -57,6 +63,12 @@
       | 37    | 202   | 10      | 1       |
       | 37    | 202   | 60      | 2       |
 
+  Scenario: A list that is short for a moment gives an entry no larger share
+    Given one of 37 entries with a request every 3 s and a burst of 202
+    When the entries run for 60 s
+    And its list of entries is short for 2 s, with 1 of them
+    Then it may make 2 retries at once
+
   Scenario Outline: An entry of the own interface gains no retries by restarts
     Given an entry of the own interface that retries whatever it may
     When it restarts <times> times within 10 s without requests
--- a/features/steps/retry_budget_steps.py
+++ b/features/steps/retry_budget_steps.py
@@ -5,6 +5,7 @@
 from behave import when
 
 from features.harness import retry_budgets
+from features.harness import site as site_lib
 from jasperweir.components.limits import retry
 
 # Until all requests of a test lie within past windows, seconds.
@@ -23,7 +24,9 @@
 @when("all {what} restart at once, {times:d} times within {seconds:g} s")
 def step_restart(context, what, times, seconds):
     for _ in range(times):
-        context.retrying.restart_all(controls="control" in what)
+        context.retrying.restart_all(
+            controls="control" in what, entries="entries" in what
+        )
         context.retrying.run(seconds / times)
     context.retrying.run(SETTLE_SECONDS)
 
@@ -37,6 +40,17 @@
     retrying.run(25.0)
 
 
+@when("they make no retry for {seconds:g} s, then all they may, and restart")
+def step_save_up(context, seconds):
+    retrying = context.retrying
+    retrying.retries_per_step = 0
+    retrying.run(seconds)
+    retrying.retries_per_step = retry_budgets.RETRIES_WITHOUT_LIMIT
+    retrying.run(site_lib.STEP)
+    retrying.restart_all(controls=False)
+    retrying.run(SETTLE_SECONDS)
+
+
 @when("each of them drains for {seconds:g} s and restarts, one every {gap:g} s")
 def step_drain(context, seconds, gap):
     retrying = context.retrying
@@ -92,6 +106,12 @@
     )
 
 
+@when("its list of entries is short for {seconds:g} s, with {count:d} of them")
+def step_short_list(context, seconds, count):
+    context.retrying.entries = count
+    context.retrying.run(seconds)
+
+
 @then("it may make {retries:d} retries at once")
 def step_may_make(context, retries):
     assert context.retrying.take_all() == retries
--- a/script/guards.py
+++ b/script/guards.py
@@ -390,6 +390,21 @@
     Guard("the customer is part of what identifies a request",
           C + "quarantine/fingerprint.py",
           "parts.customer.encode()", 'b""', "quarantine_ledger"),
+    Guard("a start earns no share of the burst", C + "balance/budget.py",
+          "self.saved = min(self.saved + accrued, share.max_saved)",
+          "self.saved = share.max_saved", "retry_budget"),
+    Guard("a short list gives no larger share", C + "balance/budget.py",
+          "self.entries = max(count.entries for count in self._counts)",
+          "self.entries = entries", "retry_budget"),
+    Guard("the burst accrues under a leader only", C + "discovery/client.py",
+          "return bool(self._confirmations(now))", "return True",
+          "retry_budget"),
+    Guard("half of the ratio before and after a start", C + "balance/const.py",
+          "RETRY_RATIO_PART = 0.5", "RETRY_RATIO_PART = 1.0",
+          "retry_budget"),
+    Guard("the own interface's budget starts empty", C + "limits/retry.py",
+          "self._tokens = tokens\n", "self._tokens = burst\n",
+          "retry_budget"),
 )  # fmt: skip
 
 
