Retry budget: a window of 0 s allows no retries instead of ending the entry

Cause: found while reading: with retryWindowS = 0 the list of counts ran empty and the entry's timer raised. Change: the newest count stays; without a window nothing accrues. Measured: the new rows are red before (IndexError), green after. Conclusion: odd bounds are read safely.

--- a/features/harness/retry_budgets.py
+++ b/features/harness/retry_budgets.py
@@ -98,8 +98,10 @@
 class QuietEntry:
     """One of several entries, which gets few requests and hears the leader."""
 
-    def __init__(self, *, entries, burst, gap_s):
-        bounds = budget_lib.BudgetBounds(ratio=0.2, burst=burst, window_s=10.0)
+    def __init__(self, *, entries, burst, gap_s, window_s=10.0):
+        bounds = budget_lib.BudgetBounds(
+            ratio=0.2, burst=burst, window_s=window_s
+        )
         self._budget = budget_lib.RetryBudget(bounds=bounds, now=0.0)
         self.entries = entries
         self._gap_s = gap_s
--- a/features/retry_budget.feature
+++ b/features/retry_budget.feature
@@ -69,6 +69,16 @@
     And its list of entries is short for 2 s, with 1 of them
     Then it may make 2 retries at once
 
+  Scenario Outline: Bounds without a window or a burst allow no retries from the burst
+    Given an entry whose budget has a window of <window> s and a burst of <burst>
+    When the entries run for 20 s
+    Then it may make 0 retries at once
+
+    Examples:
+      | window | burst |
+      | 0      | 96    |
+      | 10     | 0     |
+
   Scenario Outline: An entry of the own interface gains no retries by restarts
     Given an entry of the own interface that retries whatever it may
     When it restarts <times> times within 10 s without requests
--- a/features/steps/retry_budget_steps.py
+++ b/features/steps/retry_budget_steps.py
@@ -106,6 +106,16 @@
     )
 
 
+@given(
+    "an entry whose budget has a window of {window_s:g} s and a burst of "
+    "{burst:g}"
+)
+def step_odd_bounds(context, window_s, burst):
+    context.retrying = retry_budgets.QuietEntry(
+        entries=1, burst=burst, gap_s=3.0, window_s=window_s
+    )
+
+
 @when("its list of entries is short for {seconds:g} s, with {count:d} of them")
 def step_short_list(context, seconds, count):
     context.retrying.entries = count
--- a/jasperweir/components/balance/budget.py
+++ b/jasperweir/components/balance/budget.py
@@ -24,7 +24,7 @@
     Attributes:
         ratio: Retries allowed per first attempt within the window.
         burst: Retries allowed in addition.
-        window_s: Length of the sliding window, seconds.
+        window_s: Length of the sliding window, seconds; 0 allows no retries.
     """
 
     def __init__(self, *, ratio: float, burst: float, window_s: float):
@@ -90,7 +90,8 @@
         """
         self.update(now)
         self._counts.append(EntryCount(now, entries))
-        while self._counts[0].at <= now - self._bounds.window_s:
+        oldest = now - self._bounds.window_s
+        while len(self._counts) > 1 and self._counts[0].at <= oldest:
             self._counts.popleft()
         self.entries = max(count.entries for count in self._counts)
 
@@ -98,7 +99,9 @@
         """Add what has accrued since the last call."""
         elapsed_s = max(now - self._updated_at, 0.0)
         self._updated_at = now
-        if self._counts and self._counts[-1].entries:
+        if not self._counts or not self._counts[-1].entries:
+            return
+        if self._bounds.window_s > 0:
             per_window = self._divide(const.RETRY_BURST_ACCRUAL)
             self.accrued += per_window * elapsed_s / self._bounds.window_s
 
