Soak: targets' records are checked against the retry budget

Change: arrivals of a request beyond its first, over all targets and sliding windows of 10 s, against 0.2 of the requests and 96.

--- a/features/soak/world.py
+++ b/features/soak/world.py
@@ -10,6 +10,7 @@
 from features.soak import faults as faults_lib
 from features.soak import ledger as ledger_lib
 from features.soak import proxy as proxy_lib
+from features.soak import retry_check
 from features.soak import signal_check
 
 EVENTS = 8
@@ -133,13 +134,14 @@
                 )
             except AssertionError as exc:
                 self.ledger.violations.append(f"vm-{number}: {exc}")
-        runs = []
-        for number in self.TARGETS:
-            records = self.plat.told(number)
-            runs += records["runs"]
-            if self._asks:
-                self._check_signals(number, records)
-        self.ledger.check_runs(runs)
+        records = {number: self.plat.told(number) for number in self.TARGETS}
+        self.ledger.check_runs(
+            [run for told in records.values() for run in told["runs"]]
+        )
+        self.ledger.violations += retry_check.find_violations(records.values())
+        if self._asks:
+            for number, told in records.items():
+                self._check_signals(number, told)
 
     def _check_signals(self, number, records):
         seen = signal_check.TargetObservations(
