--- a/features/recovery.feature
+++ b/features/recovery.feature
@@ -129,6 +129,11 @@
       | 0.3 | 4      | 0       |
       | 4   | 0      | 4       |
 
+  Scenario: An entry that has just started does not ask for a retry with every tick
+    Given an entry that has run for 0.3 s, whose targets refuse requests
+    When 4 requests are refused, and 0.6 s pass without retries
+    Then between 4 and 20 retries have been denied
+
   Scenario Outline: A request that is not refused soon has been accepted
     Given 3 refusals within 0.1 s, and a request that is sent 0.1 s later
     When <seconds> s pass and it is <refused>
--- a/features/steps/starting_steps.py
+++ b/features/steps/starting_steps.py
@@ -186,6 +186,45 @@
     return whole, sum(answering.done for answering in answers)
 
 
+async def count_denials(age_s, count, seconds):
+    """Return how many retries the budget denied after the group has formed.
+
+    Args:
+        age_s: Age of the entry, seconds.
+        count: Requests that the targets refuse before that.
+        seconds: Time that passes after it.
+    """
+    clock = core.ManualClock(start=100.0)
+    one = hop.Hop(route=hop.route(), retries=0.0, clock=clock)
+    one.other = FormingTarget()
+    await one.prepare()
+    one.forwarder.dialect = NotRunDialect()
+    one.announce("other", one.other)
+    clock.now += age_s
+    for _ in range(count):
+        one.forwarder.handle(hop.Answering())
+        await asyncio.sleep(TICK_SECONDS)
+    one.other.formed = True
+    one.forwarder.handle(hop.Answering())
+    decisions = record_decisions(one.forwarder)
+    await run_ticks(one, clock, seconds)
+    one.close()
+    return sum(not decision.allowed for decision in decisions)
+
+
+def record_decisions(entry):
+    """Return a list that collects the entry's decisions on retries."""
+    decisions = []
+    take = entry._budget.take
+
+    def recorded(service, now):
+        decisions.append(take(service, now))
+        return decisions[-1]
+
+    entry._budget.take = recorded
+    return decisions
+
+
 async def run_ticks(one, clock, seconds):
     """Advance the clock in steps of one tick."""
     for _ in range(round(seconds / TICK_SECONDS)):
@@ -206,6 +245,16 @@
     )
 
 
+@when("{count:d} requests are refused, and {seconds:g} s pass without retries")
+def step_without_retries(context, count, seconds):
+    context.denials = asyncio.run(count_denials(context.age_s, count, seconds))
+
+
+@then("between {least:d} and {most:d} retries have been denied")
+def step_denials(context, least, most):
+    assert least <= context.denials <= most, context.denials
+
+
 @then("{served:d} of them are answered by targets and {refused:d} refused")
 def step_served_refused(context, served, refused):
     assert context.outcome == (served, refused), context.outcome
--- a/jasperweir/components/forward/admission.py
+++ b/jasperweir/components/forward/admission.py
@@ -153,7 +153,11 @@
             return False
         state.startup_deadline = until
         state.tried_target_ids.clear()
-        self._enqueue(exchange, now, now)
+        not_before = now
+        if state.deliveries:
+            # A target refused it, or the retry budget did.
+            not_before += const.PAUSE_SECONDS
+        self._enqueue(exchange, now, not_before)
         return True
 
     def _enqueue(
