Retry budget: two retries at the system's first start; nothing accrues on a new list

Cause: entries started with none even where nothing could have been spent before; and a list that is short for the first half-second let the share of the burst accrue as if few entries shared it. Change: when the whole system starts for the first time (the platform says so) each entry may make two retries of a service; the share accrues from one second after the list is first known. The harness checks the first start as well. Ruled out: a grant at each start (as many as starts within the window); a weaker test. Conclusion: restarts still earn nothing.

--- a/features/harness/retry_budgets.py
+++ b/features/harness/retry_budgets.py
@@ -21,7 +21,6 @@
     Attributes:
         first_times: When entries received requests.
         retry_times: When entries made retries.
-        start_at: Windows that end earlier are not checked.
     """
 
     def __init__(self, *, ratio, burst, window_s):
@@ -30,7 +29,6 @@
         self.window_s = window_s
         self.first_times = []
         self.retry_times = []
-        self.start_at = 0.0
 
     def allowed(self, end):
         """Return the retries allowed in the window that ends at a time.
@@ -52,7 +50,6 @@
                 count(self.retry_times, end - self.window_s, end)
                 - self.allowed(end)
                 for end in sorted(set(self.retry_times))
-                if end > self.start_at
             ),
             default=float("-inf"),
         )
@@ -66,8 +63,10 @@
 class EntryBudget:
     """Retry budget of one incarnation of an entry."""
 
-    def __init__(self, *, bounds, now):
-        self._budget = budget_lib.RetryBudget(bounds=bounds, now=now)
+    def __init__(self, *, bounds, now, is_first_start):
+        self._budget = budget_lib.RetryBudget(
+            bounds=bounds, now=now, is_first_start=is_first_start
+        )
         self._next_update_at = now
         self._requests_due = 0.0
 
@@ -98,11 +97,15 @@
 class QuietEntry:
     """One of several entries, which gets few requests and hears the leader."""
 
-    def __init__(self, *, entries, burst, gap_s, window_s=10.0):
+    def __init__(
+        self, *, entries, burst, gap_s, window_s=10.0, is_first_start=False
+    ):
         bounds = budget_lib.BudgetBounds(
             ratio=0.2, burst=burst, window_s=window_s
         )
-        self._budget = budget_lib.RetryBudget(bounds=bounds, now=0.0)
+        self._budget = budget_lib.RetryBudget(
+            bounds=bounds, now=0.0, is_first_start=is_first_start
+        )
         self.entries = entries
         self._gap_s = gap_s
         self._next_request_at = 0.0
@@ -141,6 +144,7 @@
             ratio=0.2, burst=burst, window_s=10.0
         )
         self.budgets = {}
+        self.started = set()
         self.draining = {}
         self.retries_per_step = RETRIES_PER_STEP
         super().__init__(
@@ -150,7 +154,6 @@
         self.run(3.0)
         self.replace("c1", 1)
         self.run(25.0)
-        self.limit.start_at = self.now
 
     def run(self, seconds):
         """Run step by step; entries that are up receive requests."""
@@ -171,7 +174,12 @@
         elif not client.node.open:
             return
         if name not in self.budgets:
-            self.budgets[name] = EntryBudget(bounds=self.bounds, now=self.now)
+            self.budgets[name] = EntryBudget(
+                bounds=self.bounds,
+                now=self.now,
+                is_first_start=name not in self.started,
+            )
+            self.started.add(name)
         self.budgets[name].run(
             client, self.limit, self.now, site_lib.STEP, self.retries_per_step
         )
--- a/features/retry_budget.feature
+++ b/features/retry_budget.feature
@@ -63,6 +63,15 @@
       | 37    | 202   | 10      | 1       |
       | 37    | 202   | 60      | 2       |
 
+  Scenario Outline: Only the first start of the whole system grants retries
+    Given an entry that has just started, the whole system for the first time: <first>
+    Then it may make <retries> retries at once
+
+    Examples:
+      | first | retries |
+      | yes   | 2       |
+      | no    | 0       |
+
   Scenario: A list that is short for a moment gives an entry no larger share
     Given one of 37 entries with a request every 3 s and a burst of 202
     When the entries run for 60 s
--- a/features/steps/retry_budget_steps.py
+++ b/features/steps/retry_budget_steps.py
@@ -68,7 +68,7 @@
 @then("no window has more retries than the limit of all entries together")
 def step_within_limit(context):
     limit = context.retrying.limit
-    assert limit.retry_times[-1] > limit.start_at, "no retry was made"
+    assert limit.retry_times, "no retry was made"
     assert limit.excess() <= 0, f"{limit.excess():.0f} more than allowed"
 
 
@@ -116,6 +116,16 @@
     )
 
 
+@given(
+    "an entry that has just started, the whole system for the first time: "
+    "{first}"
+)
+def step_first_start(context, first):
+    context.retrying = retry_budgets.QuietEntry(
+        entries=3, burst=96.0, gap_s=3.0, is_first_start=first == "yes"
+    )
+
+
 @when("its list of entries is short for {seconds:g} s, with {count:d} of them")
 def step_short_list(context, seconds, count):
     context.retrying.entries = count
--- a/jasperweir/components/balance/budget.py
+++ b/jasperweir/components/balance/budget.py
@@ -10,9 +10,13 @@
   a restart. It accrues only while the leader of the log is heard from, which
   counts all entries that hear from it. There is one leader at a time, so the
   sides of a network partition don't both divide the burst.
+
+When the whole system starts for the first time no retries were made before, and
+each entry gets RETRIES_AT_FIRST_START for each service.
 """
 
 import collections
+import math
 from typing import NamedTuple
 
 from jasperweir.components.balance import const
@@ -41,7 +45,7 @@
         entries: Number of entries that share the burst, 0 while unknown.
         first_attempts: First attempts of this entry within the window.
         retries: Retries within the window that were charged to these.
-        burst_left: Retries that are left of this entry's share of the burst.
+        burst_left: Retries that this entry had left besides these.
     """
 
     allowed: bool
@@ -77,6 +81,7 @@
         self._bounds = bounds
         self._counts: collections.deque[EntryCount] = collections.deque()
         self._updated_at = now
+        self._accrues_from = math.inf
 
     def on_entries(self, entries: int, now: float) -> None:
         """Update the number of entries that share the burst.
@@ -90,6 +95,8 @@
         """
         self.update(now)
         self._counts.append(EntryCount(now, entries))
+        if entries and math.isinf(self._accrues_from):
+            self._accrues_from = now + const.RETRY_LIST_SETTLE_SECONDS
         oldest = now - self._bounds.window_s
         while len(self._counts) > 1 and self._counts[0].at <= oldest:
             self._counts.popleft()
@@ -97,7 +104,8 @@
 
     def update(self, now: float) -> None:
         """Add what has accrued since the last call."""
-        elapsed_s = max(now - self._updated_at, 0.0)
+        since = max(self._updated_at, self._accrues_from)
+        elapsed_s = max(now - since, 0.0)
         self._updated_at = now
         if not self._counts or not self._counts[-1].entries:
             return
@@ -121,12 +129,14 @@
         first_attempts: Times of the first attempts within the window.
         retries: Times of the retries that were charged to these.
         saved: Retries that are left of the share of the burst.
+        granted: Retries that are left of those granted at the start.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, granted: int) -> None:
         self.first_attempts: collections.deque[float] = collections.deque()
         self.retries: collections.deque[float] = collections.deque()
         self.saved = 0.0
+        self.granted = granted
         self._accrued_before = 0.0
 
     def update(self, share: BurstShare, window_s: float, now: float) -> None:
@@ -139,13 +149,42 @@
         self._accrued_before = share.accrued
         self.saved = min(self.saved + accrued, share.max_saved)
 
+    @property
+    def burst_left(self) -> float:
+        """Retries that are left besides those for the first attempts."""
+        return self.granted + self.saved
+
+    def take_from_burst(self) -> bool:
+        """Take a retry that is not charged to first attempts, if one is left.
+
+        Returns:
+            Whether one was left.
+        """
+        if self.granted:
+            self.granted -= 1
+            return True
+        if self.saved >= 1:
+            self.saved -= 1
+            return True
+        return False
+
 
 class RetryBudget:
     """One entry's part of the retry budget of each service."""
 
-    def __init__(self, *, bounds: BudgetBounds, now: float) -> None:
+    def __init__(
+        self, *, bounds: BudgetBounds, now: float, is_first_start: bool = False
+    ) -> None:
+        """Initialize a budget without retries.
+
+        Args:
+            bounds: Bounds of each service's retries.
+            now: Monotonic seconds.
+            is_first_start: Whether the whole system starts for the first time.
+        """
         self._bounds = bounds
         self._share = BurstShare(bounds=bounds, now=now)
+        self._granted = const.RETRIES_AT_FIRST_START if is_first_start else 0
         self._accounts: dict[str, ServiceAccount] = {}
 
     def on_entries(self, entries: int, now: float) -> None:
@@ -167,14 +206,12 @@
         attempts = len(account.first_attempts)
         retries = len(account.retries)
         limit = const.RETRY_RATIO_PART * self._bounds.ratio * attempts
-        within_ratio = retries + 1 <= limit
-        burst_left = account.saved
-        if within_ratio:
+        burst_left = account.burst_left
+        is_within_ratio = retries + 1 <= limit
+        if is_within_ratio:
             account.retries.append(now)
-        elif burst_left >= 1:
-            account.saved -= 1
         return RetryDecision(
-            allowed=within_ratio or burst_left >= 1,
+            allowed=is_within_ratio or account.take_from_burst(),
             entries=self._share.entries,
             first_attempts=attempts,
             retries=retries,
@@ -182,6 +219,9 @@
         )
 
     def _account(self, service: str, now: float) -> ServiceAccount:
-        account = self._accounts.setdefault(service, ServiceAccount())
+        account = self._accounts.get(service)
+        if account is None:
+            account = ServiceAccount(granted=self._granted)
+            self._accounts[service] = account
         account.update(self._share, self._bounds.window_s, now)
         return account
--- a/jasperweir/components/balance/const.py
+++ b/jasperweir/components/balance/const.py
@@ -81,6 +81,12 @@
 # not listed yet and retries that are under way.
 RETRY_BURST_ACCRUAL = 0.25
 RETRY_BURST_SAVED = 0.5
+# The list of entries is short just after a start; no share of the burst accrues
+# until it has been known for this long, seconds.
+RETRY_LIST_SETTLE_SECONDS = 1.0
+# Retries of each service that an entry may make at once when the whole system
+# starts for the first time.
+RETRIES_AT_FIRST_START = 2
 
 # Longest time that a first attempt waits for a slot, as a multiple of its
 # route's target time. If the forecast is longer it is refused at once and its
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -71,6 +71,7 @@
         bounds: budget_lib.BudgetBounds,
         times: http_client.ClientTimeouts,
         metrics: metrics_lib.Metrics,
+        is_first_start: bool = False,
     ) -> None:
         self.dialect = dialect
         self.balancer = balancer_lib.Balancer(rng=rng)
@@ -86,7 +87,9 @@
         )
         self._directory = directory
         self._budget = budget_lib.RetryBudget(
-            bounds=bounds, now=clock.monotonic()
+            bounds=bounds,
+            now=clock.monotonic(),
+            is_first_start=is_first_start,
         )
         self._recorder = recorder_lib.Recorder(metrics=metrics)
         self.crash_detector = crash_detector.CrashDetector(
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -123,6 +123,7 @@
             bounds=bounds,
             times=http_client.ClientTimeouts(),
             metrics=self._host.metrics,
+            is_first_start=cfg.bootstrap,
         )
         self._share_scheduled = False
         self._forwarder.balancer.on_change = self._schedule_share
