Recognize returning callers by what was refused where callers choose their own time

Cause: an entry took each caller that stated less time than the longest one for a retry. On deployments with 22 and more entry VMs callers state 6.9 to 8.1 s at their first attempt, so most first attempts counted as retries: they waited up to 3.5 times the target time instead of being refused, and as late requests behind others. Change: WaitEstimator notices routes whose callers state different times at first; there a retry is recognized by its content and the end of its caller's time, which entries tell each other after a refusal (Share.refused). Routes whose callers state the same time are treated as before. Log field stated_ms.

--- a/features/steps/quarantine_forward_steps.py
+++ b/features/steps/quarantine_forward_steps.py
@@ -122,7 +122,7 @@
         hop_.fill("other")
         # A retry after a refusal, which waits for a slot.
         with mock.patch.object(
-            hop_.forwarder._patience, "estimate_waited_s", return_value=1.0
+            hop_.forwarder._returns, "estimate_used_s", return_value=1.0
         ):
             hop_.forwarder.handle(hop_.answering)
         assert not hop_.answering.done
--- a/jasperweir/components/balance/messages.py
+++ b/jasperweir/components/balance/messages.py
@@ -40,6 +40,20 @@
     for_s: float
 
 
+class RefusedCaller(NamedTuple):
+    """A request that an entry has refused and whose caller may return.
+
+    Attributes:
+        number: Hash of the request's content.
+        used_s: Time since its caller's first attempt, seconds.
+        left_s: Time that its caller has left, seconds.
+    """
+
+    number: int
+    used_s: float
+    left_s: float
+
+
 @codec.message("balance.share")
 class Share(NamedTuple):
     """Open and waiting requests of an entry.
@@ -49,9 +63,11 @@
         loads: Open requests by target.
         queues: Requests that wait for a free slot by service; none is empty.
         refusing: Targets that refuse this entry's requests.
+        refused: Requests that this entry has refused since its last message.
     """
 
     sequence: int
     loads: tuple[OpenLoad, ...]
     queues: tuple[Queue, ...] = ()
     refusing: tuple[Refusing, ...] = ()
+    refused: tuple[RefusedCaller, ...] = ()
--- a/jasperweir/components/balance/wait_estimate.py
+++ b/jasperweir/components/balance/wait_estimate.py
@@ -1,9 +1,13 @@
 """Estimate of the time that a caller has already waited; sans-I/O.
 
-A caller states how long it will still wait. One that retries after a refusal
-states less than at its first attempt.
+A caller states how long it will still wait. Where all callers of a route state
+the same time at their first attempt, one that retries after a refusal states
+less. Callers that choose their own time differ by seconds from each other, and
+nothing can be concluded from what they state.
 """
 
+import collections
+
 from jasperweir.components.balance import const
 from jasperweir.components.deployment import model
 
@@ -11,11 +15,23 @@
 class WaitEstimator:
     """Longest time that callers of each route have stated, seconds."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, started_at: float = float("-inf")) -> None:
+        """Initialize without any stated time.
+
+        Args:
+            started_at: When the process started, monotonic seconds. After a
+                failure of all VMs most requests are retries; they don't count
+                as evidence that callers choose their own time.
+        """
+        self._counted_from = started_at + const.START_SECONDS
         self._longest_by_route: dict[str, float] = {}
+        # Whether the last requests stated the longest time, by route.
+        self._near_longest: dict[str, collections.deque[bool]] = {}
+        # Routes whose callers choose their own time.
+        self._varied_routes: set[str] = set()
 
     def estimate_waited_s(
-        self, route: model.Route, stated_s: float | None
+        self, route: model.Route, stated_s: float | None, now: float = 0.0
     ) -> float:
         """Return the estimated time that a caller has already waited.
 
@@ -25,6 +41,7 @@
                 requests look like retries.
             stated_s: Time that the caller states it will still wait, seconds;
                 None if it states none.
+            now: Monotonic seconds.
 
         Returns:
             Seconds, 0 for a first attempt.
@@ -36,4 +53,28 @@
         used_s = min(longest_s, route.timeout_s) - min(
             stated_s, route.timeout_s
         )
+        if now >= self._counted_from:
+            self._add_sample(
+                route, is_longest=used_s <= const.STATED_TOLERANCE_SECONDS
+            )
         return used_s if used_s >= const.RETRY_MIN_SECONDS else 0.0
+
+    def is_common(self, route: model.Route) -> bool:
+        """Return whether callers of a route state the same time at first.
+
+        Assumed until enough callers have stated theirs.
+        """
+        return route.name not in self._varied_routes
+
+    def _add_sample(self, route: model.Route, *, is_longest: bool) -> None:
+        samples = self._near_longest.setdefault(
+            route.name, collections.deque(maxlen=const.STATED_SAMPLES)
+        )
+        samples.append(is_longest)
+        if len(samples) < const.STATED_SAMPLES_MIN:
+            return
+        share = sum(samples) / len(samples)
+        if share < const.STATED_COMMON_SHARE:
+            self._varied_routes.add(route.name)
+        elif share >= const.STATED_COMMON_AGAIN_SHARE:
+            self._varied_routes.discard(route.name)
--- a/jasperweir/components/forward/const.py
+++ b/jasperweir/components/forward/const.py
@@ -15,5 +15,13 @@
 MAX_BUFFERED_BYTES = 256 * 1024
 # Larger events are passed on in parts.
 MAX_EVENT_BYTES = 256 * 1024
+# Largest difference between the ends of a caller's time, as it states them at
+# two attempts, seconds: delays of the network and of a busy entry.
+RETURN_TOLERANCE_SECONDS = 0.25
+# Refused requests that an entry remembers, and most of them in one message.
+RETURNS_MAX = 4096
+RETURNS_SENT_MAX = 256
+# Longest time that is read of another entry's refused request, seconds.
+RETURN_MAX_SECONDS = 60.0
 # Deadline of requests whose caller does not state one, seconds.
 DEFAULT_DEADLINE_SECONDS = 30.0
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -12,7 +12,6 @@
 from jasperweir.components.balance import entry_cell as entry_cell_lib
 from jasperweir.components.balance import messages as balance_messages
 from jasperweir.components.balance import outage as outage_lib
-from jasperweir.components.balance import wait_estimate as wait_estimate_lib
 from jasperweir.components.deployment import index as index_lib
 from jasperweir.components.directory import directory as directory_lib
 from jasperweir.components.directory import records
@@ -30,8 +29,10 @@
 from jasperweir.components.forward import recorder as recorder_lib
 from jasperweir.components.forward import rejections
 from jasperweir.components.forward import request_state
+from jasperweir.components.forward import return_detector
 from jasperweir.components.forward import startup_grace as startup_grace_lib
 from jasperweir.components.forward import stragglers
+from jasperweir.components.quarantine import fingerprint
 from jasperweir.helpers import http_client
 from jasperweir.helpers import http_server
 from jasperweir.helpers import metrics as metrics_lib
@@ -101,7 +102,9 @@
         self._rejections = rejections.RejectionResponder(
             dialect=dialect, rng=rng
         )
-        self._patience = wait_estimate_lib.WaitEstimator()
+        self._returns = return_detector.ReturnDetector(
+            started_at=clock.monotonic()
+        )
         self._outages = outage_lib.Outages()
         self._early_requests = early_requests.EarlyRequestBuffer()
         self._startup_grace = startup_grace_lib.StartupGrace(
@@ -241,8 +244,14 @@
             return
         now = self.now()
         service = match.route.choose_service(self._rng)
-        used_s = self._patience.estimate_waited_s(
-            match.route, caller_headers.patience_s
+        customer = match.customer
+        used_s = self._returns.estimate_used_s(
+            route=match.route,
+            stated_s=caller_headers.patience_s,
+            subject=fingerprint.subject(
+                answering.request, customer.name if customer else ""
+            ),
+            now=now,
         )
         state = request_state.RequestState(
             match=match,
@@ -464,14 +473,18 @@
 
     def share(self) -> balance_messages.Share:
         """Return the load report for other entries."""
-        refusing = self.targets.backpressure.refusing(self.now())
-        return self.balancer.share()._replace(refusing=refusing)
+        now = self.now()
+        return self.balancer.share()._replace(
+            refusing=self.targets.backpressure.refusing(now),
+            refused=self._returns.take_unsent(now),
+        )
 
     def on_share(self, src: str, msg: balance_messages.Share) -> None:
         """Handle another entry's load report."""
         now = self.now()
         self.balancer.on_share(src, msg, now)
         self.targets.backpressure.on_peer_refusals(msg.refusing, now)
+        self._returns.on_peer_refused(msg.refused, now)
 
     def tidy(self) -> None:
         """Close idle connections and drop expired backpressure state."""
@@ -509,6 +522,16 @@
     def reject(self, exchange: exchange_lib.Exchange, code: Code) -> None:
         """Send a result code to the caller, with the delay before a retry."""
         now = self.now()
+        state = exchange.state
+        self._returns.on_refused(
+            route=state.match.route,
+            subject=fingerprint.subject(exchange.request, state.customer_name),
+            refused=return_detector.RefusedRequest(
+                first_attempt_at=state.first_attempt_at,
+                caller_deadline=state.caller_deadline,
+            ),
+            now=now,
+        )
         self._rejections.reject(
             exchange.answering,
             exchange.state.caller_headers,
--- a/jasperweir/components/forward/recorder.py
+++ b/jasperweir/components/forward/recorder.py
@@ -186,6 +186,7 @@
             else -1,
             gap_ms=round(exchange.longest_gap_s * 1000),
             total_ms=round((now - state.arrived_at) * 1000),
+            stated_ms=round((state.caller_headers.patience_s or 0.0) * 1000),
             used_ms=round((state.arrived_at - state.first_attempt_at) * 1000),
             target_ms=round(state.match.route.target_s * 1000),
             gap_target_ms=round(state.match.route.gap_s * 1000),
--- a/jasperweir/components/quarantine/fingerprint.py
+++ b/jasperweir/components/quarantine/fingerprint.py
@@ -63,6 +63,11 @@
     return xxhash.xxh3_64_intdigest(_encode_parts(parts))
 
 
+def compute_quick(parts: Subject) -> int:
+    """Return a 63-bit hash of a request's content, body included."""
+    return xxhash.xxh3_64_intdigest(parts.body, outline(parts)) >> 1
+
+
 def compute(parts: Subject) -> Fingerprint:
     """Return the fingerprint of a request."""
     digest = hashlib.blake2b(digest_size=const.CONTENT_BYTES)
