Reduced state: fewer voters than wanted, and recovery by a survivor

Cause: with three voters where five are wanted a configuration was acknowledged once two disks had it, and after the loss of two disks the remaining voter could never lead again, whether or not it had the entry. With fewer voters than wanted an entry is committed only once every voter that isn't silent has synced it. A member of the reduced state leads without a majority if it has the votes of all members whose disks aren't proved lost: their VMs request a seat with another, blank disk, and repeat numbers that the voter sends them, for at least 1 s. The leader logs and shows the state; learners of data centres with few voters are promoted first, and no data centre keeps a majority if another can take a seat. The step that acknowledges a version now resends it as an operator does, and fails after 10 s instead of waiting for ever.

--- a/features/steps/final_loss_steps.py
+++ b/features/steps/final_loss_steps.py
@@ -16,6 +16,8 @@
 RESTART_SPREAD_SECONDS = 0.3
 RECOVERY_SECONDS = 8.0
 ACKNOWLEDGED = 2
+ACKNOWLEDGE_ATTEMPTS = 10
+OPERATOR_TIMEOUT_SECONDS = 1.0
 
 
 @given(
@@ -73,10 +75,15 @@
 
 
 def acknowledge(site, version):
-    """Send a version and run until it is acknowledged."""
-    site.replace("c1", version)
-    while site.acked[0] < version:
-        site.run(site_lib.STEP)
+    """Send a version until it is acknowledged, as an operator does."""
+    for _ in range(ACKNOWLEDGE_ATTEMPTS):
+        site.replace("c1", version)
+        ends_at = site.now + OPERATOR_TIMEOUT_SECONDS
+        while site.acked[0] < version and site.now < ends_at:
+            site.run(site_lib.STEP)
+        if site.acked[0] >= version:
+            return
+    raise AssertionError(f"version {version} was not acknowledged")
 
 
 def lose_power(site, wiped):
--- a/jasperweir/cli/operate.py
+++ b/jasperweir/cli/operate.py
@@ -232,6 +232,9 @@
         print(json.dumps(status, sort_keys=True))
         return 0
     print(f"newest version {status['head']}, leader {status['leader']}")
+    wanted = status.get("wanted_seats") or "not stated"
+    state = ", reduced" if status.get("reduced") else ""
+    print(f"voters {status.get('voting_seats')}, wanted {wanted}{state}")
     roll = status["roll"]
     if roll:
         state = "halted: " + roll["halted"] if roll["halted"] else "in progress"
--- a/jasperweir/components/configctl/discovery_server.py
+++ b/jasperweir/components/configctl/discovery_server.py
@@ -74,6 +74,7 @@
         controls: Time of the last heartbeat by the name of each other control
             VM, minus infinity before the first.
         nodes: Entries and agents that send heartbeats here.
+        reported_version: Newest configuration version that a process reported.
     """
 
     def __init__(
@@ -105,6 +106,7 @@
         self._seats = quorum_messages.Seats()
         # Newest heartbeat of each other control VM.
         self._control_heartbeats: dict[str, records.ControlHeartbeat] = {}
+        self.reported_version = 0
         self._unacked_updates: dict[int, float] = {}
         self._digest_tracker = digest_tracker.DigestTracker()
         # Targets that announced themselves here since the last refresh.
@@ -215,6 +217,11 @@
             and now - self.controls[name] < fresh_s
         }
 
+    def control_places(self) -> dict[str, str]:
+        """Return the data centre by name of each known control VM."""
+        places = {n: beat.place for n, beat in self._control_heartbeats.items()}
+        return places | {self._name: self._place}
+
     def _is_live(self, name: str, now: float) -> bool:
         return now - self.controls[name] < const.CONTROL_SILENT_SECONDS
 
@@ -304,6 +311,7 @@
         log_status: LogStatus,
         now: float,
     ) -> Actions:
+        self.reported_version = max(self.reported_version, msg.version)
         is_new = src not in self._control_heartbeats
         self.controls[src] = now
         self._control_heartbeats[src] = msg
@@ -327,6 +335,7 @@
         log_status: LogStatus,
         now: float,
     ) -> Actions:
+        self.reported_version = max(self.reported_version, msg.version)
         if not self.nodes.on_heartbeat(src, msg.node, now):
             return []
         heartbeat = self._make_heartbeat(log_status, now)
--- a/jasperweir/components/configctl/node.py
+++ b/jasperweir/components/configctl/node.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from jasperweir import core
+from jasperweir import exceptions
 from jasperweir.components.configctl import bootstrap_election as bootstrap_lib
 from jasperweir.components.configctl import const
 from jasperweir.components.configctl import discovery_server
@@ -60,6 +61,20 @@
     sent_at: float = 0.0
 
 
+class SeatsChanged(NamedTuple):
+    """Action: the voters, or what is decided about their number, changed.
+
+    Attributes:
+        voters: Names of the voting members.
+        wanted: Wanted number of voters.
+        reduced: Whether the cluster has decided to work with fewer.
+    """
+
+    voters: tuple[str, ...]
+    wanted: int
+    reduced: bool
+
+
 class Waiter(NamedTuple):
     """Process that waits until an operation is committed.
 
@@ -72,6 +87,19 @@
     number: int
 
 
+def _replaced_version(entry: quorum_messages.Entry) -> int:
+    """Return the version that a log entry applies, 0 if it applies none."""
+    if entry.kind != quorum_const.KIND_OP:
+        return 0
+    req = codec.unpack(entry.data, ops.Request)
+    try:
+        op = codec.unpack_tagged(req.body)
+    except exceptions.FrameError:
+        # An operation of a newer peer.
+        return 0
+    return op.version if isinstance(op, ops.Replace) else 0
+
+
 class ConfigNode:
     """Control VM: replicates configurations and serves discovery.
 
@@ -116,6 +144,11 @@
         self._waiters: dict[str, list[Waiter]] = {}
         self._applicants: dict[str, seats_lib.Applicant] = {}
         self._next_hello_at = 0.0
+        # Numbers to repeat in requests for a seat, by receiver.
+        self._hello_echoes: dict[str, int] = {}
+        # Since when the leader has had fewer voters than wanted.
+        self._short_since: float | None = None
+        self._reported_seats = SeatsChanged((), wanted_seats, reduced=False)
         if voter.snapshot.idx:
             self.machine.load(voter.snapshot.data)
 
@@ -143,8 +176,11 @@
 
     def tick(self, now: float) -> Actions:
         """Run all timers."""
+        self.voter.places = self.discovery.control_places()
+        self._update_staleness()
         out = self._process_actions(self.voter.tick(now), now)
         out += self._update_seats(now)
+        out += self._report_seats()
         out += self._send_pending(now)
         out += self.discovery.tick(self._log_status(now), now)
         if self._bootstrap_election is not None:
@@ -170,6 +206,10 @@
                 )
                 if self._bootstrap_election is not None:
                     self._bootstrap_election.on_applicant(src)
+            case quorum_messages.SeatClaimCheck():
+                if src in self.discovery.peers():
+                    self._hello_echoes[src] = msg.nonce
+                return []
             case messages.BootstrapRequest():
                 return self._on_bootstrap_request()
         if type(msg).__module__ == quorum_messages.__name__:
@@ -240,8 +280,16 @@
         if now < self._next_hello_at:
             return []
         self._next_hello_at = now + quorum_const.HELLO_SECONDS
-        hello = quorum_messages.Hello(disk=self.voter.disk, addr=self.name)
-        return [core.Send(dst=n, msg=hello) for n in self.discovery.peers()]
+        hello = quorum_messages.Hello(
+            disk=self.voter.disk, addr=self.name, blank=self._is_blank
+        )
+        return [
+            core.Send(
+                dst=name,
+                msg=hello._replace(echo=self._hello_echoes.get(name, 0)),
+            )
+            for name in self.discovery.peers()
+        ]
 
     def _leader(self, now: float) -> discovery_server.Leader:
         """Return the leader; without a disk, as other control VMs report it."""
@@ -311,6 +359,8 @@
             return []
         held = self.machine.declared().version
         if msg.version <= held:
+            if self.voter.is_short and not self.voter.is_commit_synced(now):
+                return []
             reply = messages.ReplaceReply(number=msg.number, version=held)
             return self._send_reply(src, reply)
         if not self._has_enough_seats(now):
@@ -376,15 +426,20 @@
     def _has_enough_seats(self, now: float) -> bool:
         """Return whether there are enough voters to accept a configuration.
 
-        The wanted number of voters survives the tolerated number of losses.
-        Control VMs that are not among the seeds may still join, so a smaller
-        number is accepted only after SEATS_WAIT_SECONDS.
+        The wanted number of voters survives the tolerated number of losses. A
+        smaller number is accepted only in the reduced state, in which entries
+        are committed on all voters that aren't silent.
         """
-        voting = [s for s in self.voter.seats.seats if s.voting]
-        if len(voting) >= self._wanted_seats:
+        if self._count_voters() >= self._wanted_seats:
             return True
-        waited = now - self.voter.leader_since >= const.SEATS_WAIT_SECONDS
-        return waited and len(voting) >= self._min_seats
+        is_decided = (
+            self.voter.seats.reduced
+            and self.voter.seats_index <= self.voter.commit
+        )
+        return is_decided and self._count_voters() >= self._min_seats
+
+    def _count_voters(self) -> int:
+        return sum(seat.voting for seat in self.voter.seats.seats)
 
     # Committed entries.
 
@@ -467,8 +522,62 @@
             heard_at=heard_at,
             wanted=self._wanted_seats,
             now=now,
+            leader=self.name,
+            places=self.voter.places,
         )
+        change = change or self._decide_reduced(now)
         if change is None:
             return []
         _, out = self.voter.change_seats(change, now)
         return self._process_actions(out, now)
+
+    def _decide_reduced(self, now: float) -> quorum_messages.Seats | None:
+        """Return the seats with a changed reduced state, or None.
+
+        Control VMs that are not among the seeds may still join, so the state
+        begins only after SEATS_WAIT_SECONDS with too few voters. It ends with
+        the promotion of the last missing voter.
+        """
+        seats = self.voter.seats
+        if self._count_voters() >= self._wanted_seats:
+            self._short_since = None
+            # A lower number may be wanted since a restart.
+            return seats._replace(reduced=False) if seats.reduced else None
+        if self._short_since is None:
+            self._short_since = now
+        since = max(self._short_since, self.voter.leader_since)
+        is_due = now - since >= const.SEATS_WAIT_SECONDS
+        if (
+            seats.reduced
+            or not is_due
+            or self._count_voters() < (self._min_seats)
+        ):
+            return None
+        return seats._replace(reduced=True)
+
+    def _update_staleness(self) -> None:
+        """Tell the voter whether a process reports a version it lacks."""
+        reported = self.discovery.reported_version
+        voter = self.voter
+        if reported <= self.machine.declared().version:
+            voter.is_known_stale = False
+            return
+        # The log may hold it without a proof that it is committed.
+        uncommitted = voter.log.entries_between(
+            voter.commit + 1, voter.log.last_index
+        )
+        voter.is_known_stale = reported > max(
+            (_replaced_version(entry) for entry in uncommitted), default=0
+        )
+
+    def _report_seats(self) -> Actions:
+        seats = self.voter.seats
+        state = SeatsChanged(
+            voters=tuple(s.name for s in seats.seats if s.voting),
+            wanted=self._wanted_seats,
+            reduced=seats.reduced,
+        )
+        if state == self._reported_seats:
+            return []
+        self._reported_seats = state
+        return [state]
--- a/jasperweir/components/configctl/seats.py
+++ b/jasperweir/components/configctl/seats.py
@@ -1,5 +1,7 @@
 """Changes of seats, decided by the leader of the log."""
 
+import collections
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from jasperweir.components.configctl import const
@@ -30,6 +32,8 @@
     heard_at: dict[str, float],
     wanted: int,
     now: float,
+    leader: str = "",
+    places: Mapping[str, str] | None = None,
 ) -> messages.Seats | None:
     """Return the seats after the next change, or None if none is needed.
 
@@ -43,6 +47,8 @@
         heard_at: Time of each other member's last reply to the leader.
         wanted: Wanted number of voting members.
         now: Monotonic seconds.
+        leader: Name of the leader, which keeps its seat.
+        places: Data centre by name of a process, as far as known.
     """
     recent = [
         a
@@ -63,14 +69,61 @@
                 voting=False,
             )
             return seats._replace(seats=(*seats.seats, learner))
-    if len(progress_lib.voting_seats(seats)) <= wanted:
-        return None
     silent = [
         seat
         for seat in seats.seats
         if now - heard_at.get(seat.name, now) > const.SEAT_SILENT_SECONDS
     ]
-    return _without_seat(seats, silent[0]) if silent else None
+    count = len(progress_lib.voting_seats(seats))
+    if count > wanted and silent:
+        return _without_seat(seats, silent[0])
+    if silent or not places or count < wanted:
+        return None
+    return _spread(seats, count, wanted, leader, places)
+
+
+def _spread(
+    seats: messages.Seats,
+    count: int,
+    wanted: int,
+    leader: str,
+    places: Mapping[str, str],
+) -> messages.Seats | None:
+    """Return a change after which no data centre holds a majority, or None.
+
+    One voter of the data centre with a majority is replaced by a learner of
+    another one, which is promoted first. Nothing changes if the other data
+    centre would then hold a majority itself.
+    """
+    voters = progress_lib.voting_seats(seats)
+    counts = collections.Counter(places.get(s.name, "") for s in voters)
+    place, most = counts.most_common(1)[0]
+    limit = progress_lib.majority_size(wanted)
+    if most < limit or wanted < 2:
+        return None
+    if count > wanted:
+        surplus = [
+            s
+            for s in voters
+            if places.get(s.name, "") == place and s.name != leader
+        ]
+        return _with_vote(seats, surplus[-1], voting=False) if surplus else None
+    for seat in seats.seats:
+        other = places.get(seat.name, "")
+        if not seat.voting and other and counts[other] + 1 < limit:
+            return _with_vote(seats, seat, voting=True)
+    return None
+
+
+def _with_vote(
+    seats: messages.Seats, changed: messages.Seat, *, voting: bool
+) -> messages.Seats:
+    return seats._replace(
+        seats=tuple(
+            s._replace(voting=voting) if s == changed else s
+            for s in seats.seats
+        )
+    )
 
 
 def _without_seat(
--- a/jasperweir/components/quorum/const.py
+++ b/jasperweir/components/quorum/const.py
@@ -31,6 +31,16 @@
 # promoted in its place.
 REPLACE_SECONDS = 2.0
 HELLO_SECONDS = 1.0
+# A disk is proved lost by requests for a seat with another disk over at least
+# this long; they are sent once in HELLO_SECONDS.
+LOSS_PROOF_SECONDS = 1.0
+# The proof expires this long after the last request: one request may be lost.
+LOSS_PROOF_TTL_SECONDS = 2.5
+# An election that rests on lost disks skips this many terms. Lost disks may
+# hold the only record of the terms of the last leader, and a term must not be
+# used twice; elections are at least 0.15 s apart, so this is over 40 hours of
+# failed elections.
+RECOVERY_TERM_STEP = 1_000_000
 
 KIND_NOOP = "noop"
 KIND_SEATS = "seats"
--- a/jasperweir/components/quorum/messages.py
+++ b/jasperweir/components/quorum/messages.py
@@ -44,10 +44,13 @@
         seats: All members, including learners.
         log_id: Random identity of the log, set at bootstrap. It prevents a
             node from mixing the revisions of two logs.
+        reduced: Whether the cluster has decided to work with fewer voters than
+            wanted; see docs/design/control.md.
     """
 
     seats: tuple[Seat, ...] = ()
     log_id: str = ""
+    reduced: bool = False
 
 
 @codec.message("quorum.prevote")
@@ -166,10 +169,26 @@
 
 @codec.message("quorum.hello")
 class Hello(NamedTuple):
-    """Request for a seat, sent to the voters by a process without one."""
+    """Request for a seat, sent to the voters by a process without one.
+
+    Attributes:
+        disk: Identity of the sender's disk.
+        addr: Its internal address.
+        blank: Whether its disk holds no log and no term.
+        echo: Number of the receiver's last SeatClaimCheck, 0 without one.
+    """
 
     disk: str
     addr: str
+    blank: bool = False
+    echo: int = 0
+
+
+@codec.message("quorum.seat_claim_check")
+class SeatClaimCheck(NamedTuple):
+    """Asks a VM that claims another disk to repeat a number with its Hello."""
+
+    nonce: int
 
 
 class Meta(NamedTuple):
--- a/jasperweir/components/quorum/progress.py
+++ b/jasperweir/components/quorum/progress.py
@@ -48,11 +48,48 @@
     return [seat for seat in seats.seats if seat.voting]
 
 
+def promote(
+    seats: messages.Seats, learner: messages.Seat, wanted: int
+) -> messages.Seats:
+    """Return the seats with a learner as a voter.
+
+    The reduced state ends once there are as many voters as wanted.
+    """
+    changed = tuple(
+        s._replace(voting=True) if s.name == learner.name else s
+        for s in seats.seats
+    )
+    promoted = seats._replace(seats=changed)
+    is_reduced = seats.reduced and len(voting_seats(promoted)) < wanted
+    return promoted._replace(reduced=is_reduced)
+
+
 def majority_size(count: int) -> int:
     """Return the smallest number that is more than half of ``count``."""
     return count // 2 + 1
 
 
+def committed_index(
+    matches: dict[str, int], silent: set[str], *, is_reduced: bool
+) -> int:
+    """Return the highest index that enough voters have synced.
+
+    Args:
+        matches: Highest synced index by voter.
+        silent: Voters that have not answered the leader for a while.
+        is_reduced: Whether there are fewer voters than wanted. Then the loss
+            of disks within the tolerance may leave any single one of them, so
+            that all voters that aren't silent must have synced the index.
+    """
+    if not matches:
+        return 0
+    index = int(majority_value([float(m) for m in matches.values()]))
+    if not is_reduced:
+        return index
+    heard = [match for name, match in matches.items() if name not in silent]
+    return min([index, *heard])
+
+
 def majority_value(values: list[float]) -> float:
     """Return the largest value that a majority of the values reaches."""
     ranked = sorted(values, reverse=True)
--- a/jasperweir/components/quorum/replicator.py
+++ b/jasperweir/components/quorum/replicator.py
@@ -53,21 +53,19 @@
         acked_at = max(self.majority_acked_at(now), self.leader_since)
         return now >= acked_at + const.ELECTION_MIN_SECONDS
 
-    def majority_match_index(self, self_votes: bool) -> int:
-        """Return the highest index that a majority has synced.
+    def voter_match_indexes(self, self_votes: bool) -> dict[str, int]:
+        """Return the highest index that each voter has synced.
 
         Args:
             self_votes: Whether the leader itself holds a voting seat.
         """
-        matches = []
+        matches = {}
         for seat in progress_lib.voting_seats(self._seats):
             if seat.name == self._name:
-                matches.append(self._log.last_index if self_votes else 0)
+                matches[seat.name] = self._log.last_index if self_votes else 0
             else:
-                matches.append(self.peers[seat.name].match_index)
-        if not matches:
-            return 0
-        return int(progress_lib.majority_value([float(m) for m in matches]))
+                matches[seat.name] = self.peers[seat.name].match_index
+        return matches
 
     def find_transfer_target(self, now: float) -> str:
         """Return a live voter with a complete log, or an empty string."""
--- a/jasperweir/components/quorum/state.py
+++ b/jasperweir/components/quorum/state.py
@@ -97,6 +97,10 @@
         voting = {seat.name for seat in progress_lib.voting_seats(self.seats)}
         return len(names & voting) >= progress_lib.majority_size(len(voting))
 
+    def other_members(self) -> list[str]:
+        """Return the names of the other members, including learners."""
+        return [s.name for s in self.seats.seats if s.name != self.name]
+
     def reload_seats(self) -> None:
         """Set the seats from the newest record in snapshot and log."""
         self.seats = self.snapshot.seats
--- a/jasperweir/components/quorum/voter.py
+++ b/jasperweir/components/quorum/voter.py
@@ -1,5 +1,7 @@
 """Raft state machine of one voter: elections, leases, seats and commits."""
 
+import collections
+from collections.abc import Mapping
 import random
 from typing import Any
 
@@ -7,6 +9,7 @@
 from jasperweir.components.quorum import actions
 from jasperweir.components.quorum import const
 from jasperweir.components.quorum import follower
+from jasperweir.components.quorum import lost_disks
 from jasperweir.components.quorum import messages
 from jasperweir.components.quorum import progress as progress_lib
 from jasperweir.components.quorum import replicator
@@ -34,7 +37,12 @@
         seat_requests: Newest seat request by the name of its sender.
         wanted_voters: Number of live voters at which learners are no longer
             promoted; 0 for no limit. An odd number leaves a majority on one
-            side of a partition into halves.
+            side of a partition into halves. With fewer voting seats entries
+            are committed only once all voters that aren't silent have them.
+        places: Data centre by member name, as far as known; learners of the
+            data centre with the fewest live voters are promoted first.
+        is_known_stale: Whether another process knows a committed entry that
+            this log lacks.
     """
 
     _replicator: replicator.Replicator | None = None
@@ -59,6 +67,11 @@
         self._follower = follower.Follower(state=self)
         self._is_transferring = False
         self.wanted_voters = 0
+        self.places: Mapping[str, str] = {}
+        self.is_known_stale = False
+        self._lost_disks = lost_disks.LostDisks(rng=rng)
+        # Members that the current election excuses from voting.
+        self._excused: set[str] = set()
         self._election_due_at = now + self._initial_election_delay_s()
 
     # Queries.
@@ -88,6 +101,19 @@
             return None
         return self.commit
 
+    @property
+    def is_short(self) -> bool:
+        """Whether there are fewer voting seats than wanted."""
+        voting = progress_lib.voting_seats(self.seats)
+        return len(voting) < self.wanted_voters
+
+    def is_commit_synced(self, now: float) -> bool:
+        """Return whether enough voters have synced all committed entries.
+
+        A voter that was silent when they were committed may be back since.
+        """
+        return self._find_commit_index(now) >= self.commit
+
     @property
     def leader_since(self) -> float:
         """Start of this voter's leadership, minus infinity if not leader."""
@@ -155,10 +181,12 @@
 
     def receive(self, src: str, msg: Any, now: float) -> Actions:
         """Handle a message from another process."""
+        if self.holds_seat(src, getattr(msg, "disk", "")):
+            self._lost_disks.on_seat_heard(src)
         match msg:
             case messages.Hello():
                 self.seat_requests[src] = msg
-                return []
+                return self._on_hello(src, msg, now)
             case messages.PreVote():
                 return self._on_prevote(src, msg, now)
             case messages.PreVoteReply():
@@ -238,6 +266,47 @@
         self._reset_election_timer(now)
         return [core.Send(dst=target, msg=messages.TimeoutNow(term=self.term))]
 
+    # Recovery after the loss of a majority of the disks.
+
+    def _on_hello(self, src: str, msg: messages.Hello, now: float) -> Actions:
+        seat = self.find_seat(src)
+        if seat is None or self.role == LEADER or not self.is_voting:
+            return []
+        self._lost_disks.retain(self.seats)
+        nonce = self._lost_disks.on_hello(seat, msg, now)
+        if not nonce or not self._may_recover:
+            return []
+        check = messages.SeatClaimCheck(nonce=nonce)
+        return [core.Send(dst=src, msg=check)]
+
+    @property
+    def _may_recover(self) -> bool:
+        """Whether the rules of commits in this state allow a recovery."""
+        return self.seats.reduced and self.is_short and not self.is_known_stale
+
+    def _lost_members(self, now: float) -> set[str]:
+        """Return the members that need not vote, as their disks are lost."""
+        if not self._may_recover:
+            return set()
+        return self._lost_disks.proved(self.seats, now)
+
+    def _electors(self) -> list[str]:
+        """Return the members whose votes an election asks for."""
+        return self.other_members() if self._excused else self.other_voters()
+
+    def _has_won(self, now: float) -> bool:
+        """Return whether the votes suffice to lead.
+
+        A majority does. Without one, the votes of all members whose disks
+        aren't proved lost do: each acknowledged entry is on all of them, and
+        learners may have been promoted without this voter's knowledge.
+        """
+        if self.is_majority(self._votes):
+            return True
+        lost = self._excused & self._lost_members(now)
+        members = {seat.name for seat in self.seats.seats}
+        return bool(lost) and members - lost <= self._votes
+
     # Elections.
 
     def _start_prevote(self, now: float) -> Actions:
@@ -245,7 +314,8 @@
         self.leader = ""
         self._is_prevoting = True
         self._votes = {self.name}
-        if self.is_majority(self._votes):
+        self._excused = self._lost_members(now)
+        if self._has_won(now):
             return self._start_election(now, transfer=False)
         request = messages.PreVote(
             term=self.term + 1,
@@ -253,19 +323,18 @@
             last_term=self.log.last_term,
             disk=self.disk,
         )
-        return [
-            core.Send(dst=name, msg=request) for name in self.other_voters()
-        ]
+        return [core.Send(dst=name, msg=request) for name in self._electors()]
 
     def _start_election(self, now: float, *, transfer: bool) -> Actions:
         self._reset_election_timer(now, const.START_ELECTION_SECONDS)
         self._is_prevoting = False
-        self.term += 1
+        self._excused = set() if transfer else self._lost_members(now)
+        self.term += const.RECOVERY_TERM_STEP if self._excused else 1
         self.voted_for = self.name
         self._votes = {self.name}
         out: Actions = [self.save_meta_action()]
         out += self._set_role(CANDIDATE, "")
-        if self.is_majority(self._votes):
+        if self._has_won(now):
             return out + self._become_leader(now)
         request = messages.Vote(
             term=self.term,
@@ -274,9 +343,7 @@
             disk=self.disk,
             transfer=transfer,
         )
-        out += [
-            core.Send(dst=name, msg=request) for name in self.other_voters()
-        ]
+        out += [core.Send(dst=name, msg=request) for name in self._electors()]
         return out
 
     def _on_prevote(
@@ -308,7 +375,7 @@
         if not self.holds_seat(src, msg.disk):
             return []
         self._votes.add(src)
-        if not self.is_majority(self._votes):
+        if not self._has_won(now):
             return []
         return self._start_election(now, transfer=False)
 
@@ -347,23 +414,30 @@
         if not msg.granted or not self.holds_seat(src, msg.disk):
             return []
         self._votes.add(src)
-        if not self.is_majority(self._votes):
+        if not self._has_won(now):
             return []
         return self._become_leader(now)
 
     def _become_leader(self, now: float) -> Actions:
+        # The first entry of a recovery removes the lost members.
+        is_recovering = not self.is_majority(self._votes)
+        lost = self._excused if is_recovering else set()
         self._replicator = replicator.Replicator(
             name=self.name, log=self.log, now=now
         )
         self._replicator.update_seats(self.seats)
         out = self._set_role(LEADER, self.name)
+        kind, data = const.KIND_NOOP, b""
+        if lost:
+            kind = const.KIND_SEATS
+            kept = tuple(s for s in self.seats.seats if s.name not in lost)
+            data = codec.pack(self.seats._replace(seats=kept))
         entry = messages.Entry(
-            idx=self.log.last_index + 1,
-            term=self.term,
-            kind=const.KIND_NOOP,
-            data=b"",
+            idx=self.log.last_index + 1, term=self.term, kind=kind, data=data
         )
         self.log.append((entry,))
+        if lost:
+            self.reload_seats()
         out.append(actions.SaveEntries(first=entry.idx, entries=(entry,)))
         return out + self._advance_and_send(now)
 
@@ -383,9 +457,7 @@
         assert self._replicator is not None
         if self._has_enough_voters(now):
             return []
-        for seat in self.seats.seats:
-            if seat.voting:
-                continue
+        for seat in self._list_learners(now):
             peer = self._replicator.peers.get(seat.name)
             if peer is None:
                 continue
@@ -395,15 +467,34 @@
             if now - peer.acked_at > const.ELECTION_MIN_SECONDS:
                 # Promoting an unreachable learner could cost the majority.
                 continue
-            seats = self.seats._replace(
-                seats=tuple(
-                    s._replace(voting=True) if s.name == seat.name else s
-                    for s in self.seats.seats
-                )
-            )
-            return self.change_seats(seats, now)[1]
+            if self.seats.reduced and not self._do_all_voters_hold_seats():
+                continue
+            return self.change_seats(
+                progress_lib.promote(self.seats, seat, self.wanted_voters), now
+            )[1]
         return []
 
+    def _list_learners(self, now: float) -> list[messages.Seat]:
+        """Return the learners, of data centres with few live voters first."""
+        live = [n for n in self.other_voters() if not self._is_silent(n, now)]
+        counts = collections.Counter(
+            self.places.get(name, "") for name in [self.name, *live]
+        )
+        learners = [seat for seat in self.seats.seats if not seat.voting]
+        return sorted(
+            learners, key=lambda s: counts[self.places.get(s.name, "")]
+        )
+
+    def _do_all_voters_hold_seats(self) -> bool:
+        """Return whether all voters have synced the current seats.
+
+        In the reduced state a voter that is down must not miss that a learner
+        may become a voter, since it could lead again without its vote.
+        """
+        assert self._replicator is not None
+        matches = self._replicator.voter_match_indexes(self.is_voting)
+        return all(match >= self.seats_index for match in matches.values())
+
     def _has_enough_voters(self, now: float) -> bool:
         """Return whether no learner needs to be promoted."""
         if not self.wanted_voters:
@@ -434,9 +525,19 @@
         self._replicator.on_reply(src, msg)
         return self._advance_and_send(now)
 
+    def _find_commit_index(self, now: float) -> int:
+        """Return the highest index that enough voters have synced."""
+        if self._replicator is None:
+            return 0
+        return progress_lib.committed_index(
+            self._replicator.voter_match_indexes(self.is_voting),
+            {n for n in self.other_voters() if self._is_silent(n, now)},
+            is_reduced=self.is_short,
+        )
+
     def _advance_and_send(self, now: float) -> Actions:
         assert self._replicator is not None
-        index = self._replicator.majority_match_index(self.is_voting)
+        index = self._find_commit_index(now)
         out: Actions = []
         # Only entries of the current term are committed by counting; older
         # entries are committed along with them.
@@ -466,6 +567,7 @@
             self.leader = src
             out.append(self._role_changed())
         self._leader_heard_at = now
+        self._lost_disks.retain(messages.Seats())
         self._reset_election_timer(now)
         if isinstance(msg, messages.Install):
             return out + self._follower.on_install(src, msg)
--- a/jasperweir/daemons/operator_api.py
+++ b/jasperweir/daemons/operator_api.py
@@ -95,6 +95,11 @@
             "term": controller.voter.term,
             "commit": controller.voter.commit,
             "log_entries": len(controller.voter.log),
+            "voting_seats": sum(
+                seat.voting for seat in controller.voter.seats.seats
+            ),
+            "wanted_seats": controller.voter.wanted_voters,
+            "reduced": controller.voter.seats.reduced,
             "seats": [list(seat) for seat in controller.voter.seats.seats],
             "waiting_for_seat": sorted(controller.voter.seat_requests),
             "roll": roll._asdict() if roll else None,
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -314,6 +314,8 @@
                     term=act.term,
                     leader=act.leader,
                 )
+            case node_lib.SeatsChanged():
+                self._record_seats(act)
             case node_lib.NewVersion():
                 self._apply_configuration(act.version)
             case mapswitch_actions.SendDirectly():
@@ -347,6 +349,20 @@
         metrics.observe("map_settling_seconds", act.settling_s)
         _log.info("expert map switched", **act._asdict())
 
+    def _record_seats(self, act: node_lib.SeatsChanged) -> None:
+        """Record the voters and whether fewer than wanted are accepted."""
+        voting = len(act.voters)
+        self._host.metrics.gauge("voting_seats", float(voting))
+        self._host.metrics.gauge("wanted_seats", float(act.wanted))
+        self._host.metrics.gauge("seats_reduced", float(act.reduced))
+        _log.info(
+            "voters changed",
+            seats=voting,
+            wanted=act.wanted,
+            reduced=act.reduced,
+            voters=list(act.voters),
+        )
+
     def _on_direct_result(self, act: core.Send) -> None:
         """Handle a direct order's result like one from the engine's agent."""
         now = self._host.now()
