Scenarios of the reduced state: proofs, partitions, stale voters, spread

Cause: the recovery of a survivor is safe only under several conditions. Change: a scenario for each: what proves no loss, two survivors, partitions, a stale voter, a learner that a voter has not heard of, spread over data centres, no change with as many voters as wanted, and drawn schedules.

--- a/features/harness/site.py
+++ b/features/harness/site.py
@@ -31,9 +31,11 @@
         bootstrap=True,
         wanted=3,
         diskless=(),
+        places=None,
     ):
         self.wanted = wanted
         self.diskless = set(diskless)
+        self.places = places or {}
         self.now = 0.0
         self.rng = random.Random(seed)
         self.names = [f"c{i}" for i in range(1, controls + 1)]
@@ -71,7 +73,7 @@
         )
         self.nodes[name] = node_lib.ConfigNode(
             name=name,
-            place="p",
+            place=self.places.get(name, "p"),
             voter=voter,
             seeds=tuple(seeds or self.names[:3]),
             wanted_seats=self.wanted,
