Rate limit: owners keep what they leave unused, within the target's burst

Cause: an owner could be half a request ahead of its rate, and lost what it left unused for longer, by a stall of its process or a gap in its calls. Change: a token bucket for each owner. The owners share the requests of LIMIT_BURST_SECONDS, at least 1.5 each; the 4 further requests of the target's burst are left for probes and starting entries.

--- a/features/harness/limits.py
+++ b/features/harness/limits.py
@@ -54,6 +54,14 @@
         self.weights = [1.0] * entries
         self.arrivals = []
         self.all = 0
+        # Duration and interval of the pauses in which an entry handles nothing.
+        self.stall_s = 0.0
+        self.stall_interval_s = 1.0
+        # Seconds in each 10 s in which no caller calls.
+        self.pause_s = 0.0
+        self._stall_starts = {
+            name: self.rng.uniform(0.0, 10.0) for name in self.names
+        }
         self._informed_at = {}
         self._first_at = None
         self._numbers = itertools.count()
@@ -80,10 +88,15 @@
                 heapq.heappush(events, (later, number, next_kind, sender))
 
     def _step(self, at, kind, name):
+        stalled_until = self._stalled_until(name, at)
+        if kind != "arrive" and stalled_until > at:
+            return ((stalled_until, kind, name),)
         match kind:
             case "update":
                 seen = self.visible(name, at)
                 self.backpressures[name].shares.on_entries(seen, at)
+            case "call" if at % 10.0 < self.pause_s:
+                pass
             case "call" if self._runs(name, at):
                 return self._call(at, name)
             case "arrive":
@@ -92,6 +105,12 @@
                 self._answer(at, name)
         return ()
 
+    def _stalled_until(self, name, at):
+        """Return the end of an entry's pause, or ``at`` if there is none."""
+        since = (at - self._stall_starts[name]) % self.stall_interval_s
+        # The margin avoids an event at the end that still counts as stalled.
+        return at + self.stall_s - since + 1e-6 if since < self.stall_s else at
+
     def _runs(self, name, at):
         return self.starts[name] <= at < self.ends.get(name, at + 1.0)
 
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -71,6 +71,27 @@
     context.prepare = prepare
 
 
+@given("each entry stalls for {stall:g} s in every {interval:g} s")
+def step_stalls(context, stall, interval):
+    def prepare(world):
+        world.stall_s = stall
+        world.stall_interval_s = interval
+
+    context.prepare = prepare
+
+
+@given("callers pause for {pause:g} s in every 10 s, and {what}")
+def step_pauses(context, pause, what):
+    context.execute_steps(f"Given {what}")
+    prepare_other = context.prepare
+
+    def prepare(world):
+        prepare_other(world)
+        world.pause_s = pause
+
+    context.prepare = prepare
+
+
 @given("all callers at one entry")
 def step_one(context):
     def prepare(world):
--- a/jasperweir/components/backpressure/backpressure.py
+++ b/jasperweir/components/backpressure/backpressure.py
@@ -241,8 +241,11 @@
         limiter = state.limiter
         limiter_s = 0.0
         if limiter is not None:
-            limiter.per_s = self.shares.share_per_s(
-                target.target_id, limiter.limit_per_s
+            per_s = limiter.limit_per_s
+            limiter.set_share(
+                self.shares.share_per_s(target.target_id, per_s),
+                self.shares.burst(per_s),
+                now,
             )
             probe_interval_s = self.shares.probe_interval_s(limiter.limit_per_s)
             limiter_s = limiter.wait_s(now, probe_interval_s)
--- a/jasperweir/components/backpressure/const.py
+++ b/jasperweir/components/backpressure/const.py
@@ -31,7 +31,10 @@
 # seconds, and LIMIT_SPARE more.
 LIMIT_BURST_SECONDS = 2.0
 LIMIT_BURST = 4.0
-# Requests that an owner of a limit may send at once after a pause.
+# Requests that each owner of a limit may send at once after a pause, at least.
+# Where there are few owners they share the requests of LIMIT_BURST_SECONDS: an
+# owner that stalls for some hundred ms would lose its unused part otherwise.
+# LIMIT_BURST is left for probes and for entries that have just started.
 OWNER_BURST = 1.5
 # An entry that is not seen any more keeps its share of limits for this long,
 # seconds.
--- a/jasperweir/components/backpressure/limit_shares.py
+++ b/jasperweir/components/backpressure/limit_shares.py
@@ -2,11 +2,12 @@
 
 Entries don't coordinate their requests. The limit of a target is divided among
 a few entries, its owners, which are chosen by rendezvous hashing of the names
-of the entries and the target. Each owner may be half a request ahead of its
-even rate, so the number of owners is bounded by the burst that the target
-accepts. Other entries send elsewhere. An entry that is not seen any more keeps
-its share for a while, so that the sides of a network partition don't both use
-it.
+of the entries and the target. Each owner may be at least half a request ahead
+of its even rate, so the number of owners is bounded by the burst that the
+target accepts. The fewer owners there are, the more unused requests each of
+them may keep for later. Other entries send elsewhere. An entry that is not
+seen any more keeps its share for a while, so that the sides of a network
+partition don't both use it.
 """
 
 from collections.abc import Iterable
@@ -58,6 +59,17 @@
             return 0.0
         return max(per_s, const.LIMIT_MIN_PER_S) / count
 
+    def burst(self, per_s: float) -> float:
+        """Return how many requests an owner may send at once after a pause.
+
+        The bursts of all owners together are within the target's burst.
+
+        Args:
+            per_s: Limit of the target for all entries, requests per second.
+        """
+        count = min(max_owners(per_s), len(self._seen_at))
+        return max(const.LIMIT_BURST_SECONDS * per_s / count, const.OWNER_BURST)
+
     def probe_interval_s(self, per_s: float) -> float:
         """Return the probe interval of an entry without a share, seconds.
 
--- a/jasperweir/components/backpressure/state.py
+++ b/jasperweir/components/backpressure/state.py
@@ -6,26 +6,47 @@
 from jasperweir.components.backpressure import const
 
 _NEVER = float("-inf")
+# Part of a request that may be missing because of rounding.
+_ROUNDING = 1e-9
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class RateLimiter:
-    """Evenly spaced requests of one entry to a target with a rate limit.
+    """Token bucket of one entry's requests to a target with a rate limit.
 
     Attributes:
         limit_per_s: Limit of the target for all entries, requests per second.
         stated_at: Time of the last answer that stated it, monotonic seconds.
         per_s: This entry's share of it, requests per second.
-        next_at: Time at which the next request is due, monotonic seconds.
+        burst: Requests that this entry may send at once after a pause.
+        tokens: Requests that it may send now; less than 0 after requests that
+            were not waited for.
+        updated_at: Time of ``tokens``, monotonic seconds.
         probed_at: Time of the last probe, monotonic seconds.
     """
 
     limit_per_s: float
     stated_at: float
     per_s: float = 0.0
-    next_at: float = _NEVER
+    burst: float = const.OWNER_BURST
+    tokens: float = const.OWNER_BURST
+    updated_at: float = _NEVER
     probed_at: float = _NEVER
 
+    def set_share(self, per_s: float, burst: float, now: float) -> None:
+        """Set this entry's rate and burst; what has accrued is kept.
+
+        Args:
+            per_s: Requests per second.
+            burst: Requests after a pause.
+            now: Monotonic seconds.
+        """
+        # Accrues at the rate that applied until now.
+        self._accrue(now)
+        self.per_s = per_s
+        self.burst = burst
+        self.tokens = min(self.tokens, burst)
+
     def wait_s(self, now: float, probe_interval_s: float) -> float:
         """Return the time until a request may be sent, seconds.
 
@@ -36,16 +57,23 @@
         """
         if self.per_s <= 0:
             due = max(self.stated_at, self.probed_at) + probe_interval_s
-        else:
-            due = self.next_at - (const.OWNER_BURST - 1) / self.per_s
-        return max(due - now, 0.0)
+            return max(due - now, 0.0)
+        self._accrue(now)
+        missing = 1 - self.tokens
+        return missing / self.per_s if missing > _ROUNDING else 0.0
 
     def on_sent(self, now: float) -> None:
         """Record that a request is sent."""
         if self.per_s <= 0:
             self.probed_at = now
         else:
-            self.next_at = max(self.next_at, now) + 1 / self.per_s
+            self._accrue(now)
+            self.tokens -= 1
+
+    def _accrue(self, now: float) -> None:
+        elapsed_s = max(now - self.updated_at, 0.0)
+        self.tokens = min(self.tokens + elapsed_s * self.per_s, self.burst)
+        self.updated_at = max(now, self.updated_at)
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -128,7 +156,7 @@
         """Set its rate limit; return whether it has changed."""
         if self.limiter is None:
             self.limiter = RateLimiter(
-                limit_per_s=per_s, stated_at=now, next_at=now
+                limit_per_s=per_s, stated_at=now, updated_at=now
             )
             return True
         has_changed = self.limiter.limit_per_s != per_s
