--- a/script/guards.py
+++ b/script/guards.py
@@ -10,6 +10,7 @@
 
 import guard as guard_lib
 import guards_backpressure
+import guards_voters
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PARTS = (
@@ -180,8 +181,10 @@
           "        if self._tokens < 1:\n            return False\n", "",
           "routing"),
     Guard("seats that losses need before a change", C + "configctl/node.py",
-          "if len(voting) >= self._wanted_seats:",
-          "if len(voting) >= self._min_seats:", "declared"),
+          "if self._count_voters() >= self._wanted_seats:\n"
+          "            return True\n",
+          "if self._count_voters() >= self._min_seats:\n"
+          "            return True\n", "declared"),
     Guard("only a blank log is founded", C + "configctl/node.py",
           "if self._bootstrap_election is None or not self._is_blank:",
           "if False:", "declared"),
@@ -451,7 +454,11 @@
     """Return the guards whose text is no longer in the code."""
     return [
         guard
-        for guard in (*GUARDS, *guards_backpressure.GUARDS)
+        for guard in (
+            *GUARDS,
+            *guards_backpressure.GUARDS,
+            *guards_voters.GUARDS,
+        )
         if guard.text not in (ROOT / guard.file).read_text(encoding="utf-8")
     ]
 
@@ -472,7 +479,7 @@
         return 1 if lost() else 0
     chosen = [
         g
-        for g in (*GUARDS, *guards_backpressure.GUARDS)
+        for g in (*GUARDS, *guards_backpressure.GUARDS, *guards_voters.GUARDS)
         if not args.feature or g.feature == args.feature
     ]
     rows = ["| guard removed | test that goes red |", "| --- | --- |"]
