Replicate evacuations of data centres through the log

Cause: the platform's operators evacuate a data centre and withdraw that by calls that the adapter did not know, so each was answered 404.

Change: op.evacuate with the wanted state and the number of orders that the accepting control VM knew; a stale number is refused inside and retried while the operator's call is open. Each order becomes a log entry and is acknowledged on commit, under the conditions of a configuration. An order whose state already holds is counted as well: otherwise a delayed copy of an order that never took effect would do so after a withdrawal with nothing to withdraw. Entries get the list on commit and with each heartbeat and keep the highest revision.

--- a/features/harness/matrix.py
+++ b/features/harness/matrix.py
@@ -2,6 +2,7 @@
 
 from features.harness import claims
 from features.harness import engines
+from features.harness import evacuations
 from features.harness import nodes
 from features.harness import quarantine
 from features.harness import quorum
@@ -335,6 +336,37 @@
     assert len(logs - {""}) == 1, logs
 
 
+def evacuation_cell(tap: Tap) -> None:
+    """An evacuation, its withdrawal and another one under one fault."""
+    scene = site.Site()
+    scene.run(4.0)
+    replace_somewhere(scene, 3)
+    scene.tap = tap
+    followers = [n for n in scene.names if n != scene.leader()]
+    for evacuated in (True, False, True):
+        order = evacuations.Order(scene, evacuated, [*followers, *scene.names])
+        for _ in range(25):
+            order.advance()
+            run(scene, 0.2)
+            if order.acked_at:
+                break
+        heal(scene)
+        for name in scene.names:
+            if name not in scene.nodes:
+                scene.start(name)
+        evacuations.wait_for(scene, [order])
+    run(scene, 1.0)
+    heal(scene)
+    for name in ("e1", "e2"):
+        if name not in scene.discovery_clients:
+            scene.start_entry(name)
+    scene.settle(4.0)
+    expected = (evacuations.PLACE,)
+    assert set(scene.evacuated.values()) == {expected}, scene.evacuated
+    found = evacuations.committed(scene)
+    assert set(found.values()) == {expected}, found
+
+
 def acknowledged(scene, told) -> bool:
     return isinstance(scene.results.get(told), discovery_server.Acknowledged)
 
@@ -425,6 +457,9 @@
 CELLS_BY_KIND = {
     "configctl.found": founding_cell,
     "mapswitch.order_relay": relay_cell,
+    "configctl.evacuate_ask": evacuation_cell,
+    "configctl.evacuate_answer": evacuation_cell,
+    "configctl.evacuations": evacuation_cell,
 }
 
 
--- a/features/harness/site.py
+++ b/features/harness/site.py
@@ -6,6 +6,7 @@
 from features.harness import quorum as quorum_lib
 from jasperweir import core
 from jasperweir.components.configctl import discovery_server
+from jasperweir.components.configctl import evacuations as evacuations_lib
 from jasperweir.components.configctl import node as node_lib
 from jasperweir.components.directory import records
 from jasperweir.components.discovery import client as discovery_client
@@ -43,6 +44,8 @@
         self.nodes = {}
         self.discovery_clients = {}
         self.versions = {}
+        self.evacuated = {}
+        self.starts = 0
         self.cut = set()
         self.frozen = set()
         self.queue = collections.deque()
@@ -69,6 +72,7 @@
         voter = voter_lib.Voter(
             name=name, recovered=disk.recovered(), rng=self.rng, now=self.now
         )
+        self.starts += 1
         self.nodes[name] = node_lib.ConfigNode(
             name=name,
             place="p",
@@ -76,6 +80,7 @@
             seeds=tuple(seeds or self.names[:3]),
             wanted_seats=self.wanted,
             has_disk=name not in self.diskless,
+            first_number=1000 * self.starts,
         )
         acts = self.nodes[name].restore(
             self.saved_commits[name], self.soft_states.get(name, b""), self.now
@@ -103,6 +108,7 @@
             node=node, seeds=tuple(self.names[:3]), now=self.now
         )
         self.versions[name] = 0
+        self.evacuated[name] = ()
 
     def start_agent(self, name):
         node = records.Node(
@@ -169,6 +175,10 @@
                     assert act.version > self.versions[name], "went back"
                     self.versions[name] = act.version
                     assert act.data == self.contents[act.version]
+                case discovery_client.ApplyEvacuations():
+                    self.evacuated[name] = act.evacuations.places
+                case evacuations_lib.Evacuated():
+                    self.results[(name, act.number)] = act
                 case node_lib.Replaced():
                     self.on_replaced(name, act)
                 case node_lib.Described():
--- a/jasperweir/components/config/const.py
+++ b/jasperweir/components/config/const.py
@@ -8,5 +8,6 @@
 PREFIX_BUNDLE = "bundle/"
 PREFIX_VERSION = "version/"
 PREFIX_GROUP = "group/"
+PREFIX_EVACUATION = "evacuation/"
 
 DELTA_MAX_BYTES = 192 * 1024
--- a/jasperweir/components/configctl/control_calls.py
+++ b/jasperweir/components/configctl/control_calls.py
@@ -48,6 +48,18 @@
     born: int = 0
 
 
+class Evacuate(NamedTuple):
+    """Call of an operator that evacuates a data centre or withdraws that.
+
+    Attributes:
+        place: The data centre.
+        evacuated: Wanted state.
+    """
+
+    place: str
+    evacuated: bool
+
+
 class Invalid(NamedTuple):
     """Call that is refused.
 
@@ -60,7 +72,7 @@
     problems: tuple[str, ...]
 
 
-Call = Replace | Describe | Announce | Deregister | Invalid
+Call = Replace | Describe | Announce | Deregister | Evacuate | Invalid
 
 
 class Reply(NamedTuple):
--- a/jasperweir/components/configctl/discovery_server.py
+++ b/jasperweir/components/configctl/discovery_server.py
@@ -16,6 +16,7 @@
 from jasperweir.components.directory import directory as directory_lib
 from jasperweir.components.directory import records
 from jasperweir.components.quorum import messages as quorum_messages
+from jasperweir.components.registry import ops
 from jasperweir.helpers import codec
 from jasperweir.helpers import hashing
 
@@ -57,6 +58,7 @@
         leader: Name of the leader, empty if unknown.
         term: Term of the leader.
         seats: Members of the log.
+        evacuations: Evacuated data centres.
     """
 
     version: int
@@ -64,6 +66,7 @@
     leader: str
     term: int
     seats: quorum_messages.Seats
+    evacuations: ops.EvacuationList = ops.EvacuationList()
 
 
 class DiscoveryServer:
@@ -198,6 +201,27 @@
                 names[name] = None
         return tuple(names)
 
+    def knows_place(self, place: str) -> bool:
+        """Return whether a control VM, node or target is in a data centre."""
+        return (
+            place == self._place
+            or any(t.place == place for t in self.directory.targets())
+            or any(
+                heartbeat.place == place
+                for heartbeat in self._control_heartbeats.values()
+            )
+            or self.nodes.knows_place(place)
+        )
+
+    @property
+    def has_reports(self) -> bool:
+        """Whether any target, node or other control VM was heard from."""
+        return bool(
+            self.directory.targets()
+            or self._control_heartbeats
+            or self.nodes.entry_names()
+        )
+
     def log_holders_by_place(
         self, now: float, fresh_s: float
     ) -> dict[str, str]:
@@ -295,6 +319,8 @@
             nodes_digest=self.nodes.digest,
             leader=log_status.leader,
             term=log_status.term,
+            evacuations_revision=log_status.evacuations.revision,
+            evacuated=log_status.evacuations.places,
         )
 
     def _on_control_heartbeat(
--- a/jasperweir/components/configctl/messages.py
+++ b/jasperweir/components/configctl/messages.py
@@ -56,6 +56,51 @@
     data: bytes
 
 
+@codec.message("configctl.evacuate_ask")
+class EvacuateRequest(NamedTuple):
+    """Forwards an operator's evacuation order to the leader.
+
+    Attributes:
+        number: Request number, echoed by the reply.
+        place: Data centre.
+        evacuated: Wanted state.
+        expected: Number of orders of the data centre that the sender knows.
+    """
+
+    number: int
+    place: str
+    evacuated: bool
+    expected: int
+
+
+@codec.message("configctl.evacuate_answer")
+class EvacuateReply(NamedTuple):
+    """Result of an evacuation order that is committed.
+
+    Attributes:
+        number: Number of the request.
+        code: Result code; STALE_PARENT if ``expected`` was outdated.
+        orders: Number of accepted orders of the data centre.
+    """
+
+    number: int
+    code: int
+    orders: int
+
+
+@codec.message("configctl.evacuations")
+class EvacuationNotice(NamedTuple):
+    """Notifies an entry of the evacuated data centres.
+
+    Attributes:
+        revision: Revision of the list; receivers keep the highest.
+        places: Evacuated data centres.
+    """
+
+    revision: int
+    places: tuple[str, ...]
+
+
 @codec.message("configctl.found")
 class BootstrapRequest(NamedTuple):
     """Tells the receiver, which has a disk, to bootstrap the log."""
--- a/jasperweir/components/configctl/node.py
+++ b/jasperweir/components/configctl/node.py
@@ -6,9 +6,11 @@
 from typing import NamedTuple
 
 from jasperweir import core
+from jasperweir import result_codes
 from jasperweir.components.configctl import bootstrap_election as bootstrap_lib
 from jasperweir.components.configctl import const
 from jasperweir.components.configctl import discovery_server
+from jasperweir.components.configctl import evacuations as evacuations_lib
 from jasperweir.components.configctl import messages
 from jasperweir.components.configctl import seats as seats_lib
 from jasperweir.components.quorum import actions
@@ -54,7 +56,11 @@
         sent_at: Time of the last send, monotonic seconds.
     """
 
-    request: messages.ReplaceRequest | messages.ReadRequest
+    request: (
+        messages.ReplaceRequest
+        | messages.ReadRequest
+        | messages.EvacuateRequest
+    )
     expires_at: float
     sent_to: str = ""
     sent_at: float = 0.0
@@ -91,7 +97,21 @@
         seeds: tuple[str, ...],
         wanted_seats: int,
         has_disk: bool = True,
+        first_number: int = 1,
     ) -> None:
+        """Initialize from the voter's recovered state.
+
+        Args:
+            name: Name of this control VM.
+            place: Its data centre.
+            voter: Member of the replicated log.
+            seeds: Control VMs to connect to first.
+            wanted_seats: Wanted number of voters.
+            has_disk: Whether it stores the log on a disk.
+            first_number: Number of the first request. It must differ from
+                start to start: a reply to a request from before a restart
+                would otherwise acknowledge another order.
+        """
         self.name = name
         self.voter = voter
         self.machine = state_machine_lib.StateMachine()
@@ -104,7 +124,7 @@
         # Minimum number of voters for accepting configurations, for
         # deployments with fewer control VMs than wanted seats.
         self._min_seats = min(wanted_seats, 1 + len(others))
-        self._request_numbers = itertools.count(1)
+        self._request_numbers = itertools.count(first_number)
         self.discovery = discovery_server.DiscoveryServer(
             name=name,
             place=place,
@@ -112,12 +132,14 @@
             numbers=self._request_numbers,
             keeps_log=has_disk,
         )
+        self._evacuations = evacuations_lib.Evacuations(machine=self.machine)
         self._pending: dict[int, PendingRequest] = {}
         self._waiters: dict[str, list[Waiter]] = {}
         self._applicants: dict[str, seats_lib.Applicant] = {}
         self._next_hello_at = 0.0
         if voter.snapshot.idx:
             self.machine.load(voter.snapshot.data)
+            self._evacuations.refresh()
 
     # Requests of operators.
 
@@ -139,6 +161,23 @@
             number, messages.ReadRequest(number=number, held=held), now
         )
 
+    def evacuate(
+        self, place: str, *, evacuated: bool, now: float
+    ) -> discovery_server.StartedRequest:
+        """Start an evacuation order; ends in Evacuated or Unconfirmed."""
+        number = next(self._request_numbers)
+        request = messages.EvacuateRequest(
+            number=number,
+            place=place,
+            evacuated=evacuated,
+            expected=self.machine.evacuation(place).orders,
+        )
+        return self._start_request(number, request, now)
+
+    def abandon(self, number: int) -> None:
+        """End a request whose caller is gone, so that it is not retried."""
+        self._pending.pop(number, None)
+
     # Inputs.
 
     def tick(self, now: float) -> Actions:
@@ -160,7 +199,13 @@
                 return self._on_replace_request(src, msg, now)
             case messages.ReadRequest():
                 return self._on_read_request(src, msg, now)
-            case messages.ReplaceReply() | messages.ReadReply():
+            case messages.EvacuateRequest():
+                return self._on_evacuate_request(src, msg, now)
+            case (
+                messages.ReplaceReply()
+                | messages.ReadReply()
+                | messages.EvacuateReply()
+            ):
                 return self._on_reply(msg)
             case messages.ContentRequest():
                 return self._on_content_request(src, msg)
@@ -257,6 +302,7 @@
             leader=leader.name,
             term=leader.term,
             seats=self.voter.seats,
+            evacuations=self._evacuations.current,
         )
 
     def transfer_leadership(self, now: float) -> Actions:
@@ -268,7 +314,11 @@
     def _start_request(
         self,
         number: int,
-        request: messages.ReplaceRequest | messages.ReadRequest,
+        request: (
+            messages.ReplaceRequest
+            | messages.ReadRequest
+            | messages.EvacuateRequest
+        ),
         now: float,
     ) -> discovery_server.StartedRequest:
         expires_at = now + const.REQUEST_TIMEOUT_SECONDS
@@ -302,6 +352,10 @@
                     out += self._on_read_request(
                         self.name, pending.request, now
                     )
+                case messages.EvacuateRequest():
+                    out += self._on_evacuate_request(
+                        self.name, pending.request, now
+                    )
         return out
 
     def _on_replace_request(
@@ -333,6 +387,33 @@
             del self._waiters[op_id]
         return self._process_actions(out, now)
 
+    def _on_evacuate_request(
+        self, src: str, msg: messages.EvacuateRequest, now: float
+    ) -> Actions:
+        """Propose an order, also one whose state holds, and reply on commit.
+
+        A reply then always has the same conditions as that to a configuration.
+        """
+        if self.voter.read_index(now) is None:
+            return []
+        if not self._has_enough_seats(now):
+            return []
+        if not self._evacuations.start(src, msg):
+            return []
+        # Unique, so that an order is never taken for an earlier equal one.
+        op_id = evacuations_lib.make_op_id(
+            self.voter.term, self.voter.log.last_index + 1
+        )
+        req = ops.Request(
+            op_id=op_id, who=src, at=0.0, body=evacuations_lib.make_body(msg)
+        )
+        self._waiters[op_id] = [Waiter(src=src, number=msg.number)]
+        index, out = self.voter.propose(codec.pack(req), now)
+        if not index:
+            del self._waiters[op_id]
+            self._evacuations.finish(src, msg.number)
+        return self._process_actions(out, now)
+
     def _on_read_request(
         self, src: str, msg: messages.ReadRequest, now: float
     ) -> Actions:
@@ -348,14 +429,21 @@
         return self._send_reply(src, reply)
 
     def _send_reply(
-        self, dst: str, reply: messages.ReplaceReply | messages.ReadReply
+        self,
+        dst: str,
+        reply: (
+            messages.ReplaceReply | messages.ReadReply | messages.EvacuateReply
+        ),
     ) -> Actions:
         if dst == self.name:
             return self._on_reply(reply)
         return [core.Send(dst=dst, msg=reply)]
 
     def _on_reply(
-        self, msg: messages.ReplaceReply | messages.ReadReply
+        self,
+        msg: messages.ReplaceReply
+        | messages.ReadReply
+        | messages.EvacuateReply,
     ) -> Actions:
         pending = self._pending.get(msg.number)
         if pending is None:
@@ -372,6 +460,27 @@
                     return []
                 del self._pending[msg.number]
                 return [Described(number=msg.number, declared=declared)]
+            case messages.EvacuateReply():
+                return self._on_evacuate_reply(pending, msg)
+
+    def _on_evacuate_reply(
+        self, pending: PendingRequest, msg: messages.EvacuateReply
+    ) -> Actions:
+        request = pending.request
+        if not isinstance(request, messages.EvacuateRequest):
+            return []
+        if msg.code == result_codes.Code.ACCEPTED:
+            del self._pending[msg.number]
+            return [
+                evacuations_lib.Evacuated(
+                    number=msg.number, place=request.place, orders=msg.orders
+                )
+            ]
+        if msg.code == result_codes.Code.STALE_PARENT:
+            # The next tick resends it unless the operator's call has ended.
+            pending.request = request._replace(expected=msg.orders)
+            pending.sent_to = ""
+        return []
 
     def _has_enough_seats(self, now: float) -> bool:
         """Return whether there are enough voters to accept a configuration.
@@ -398,9 +507,11 @@
                     before = self.machine.declared().version
                     self.machine.load(act.snapshot.data)
                     out += self._announce_version(before)
+                    out += self._announce_evacuations()
                 case actions.RoleChanged():
                     if act.role != voter_lib.LEADER:
                         self._waiters.clear()
+                        self._evacuations.clear_started()
                     out.append(act)
                 case _:
                     out.append(act)
@@ -416,12 +527,15 @@
             answer = self.machine.apply(entry.idx, entry.data)
             op_id = codec.unpack(entry.data, ops.Request).op_id
             for waiter in self._waiters.pop(op_id, ()):
-                reply = messages.ReplaceReply(
-                    number=waiter.number, version=answer.version
-                )
+                reply = evacuations_lib.make_reply(op_id, waiter.number, answer)
+                self._evacuations.finish(waiter.src, waiter.number)
                 out += self._send_reply(waiter.src, reply)
         # Notify the nodes before the operator gets its reply.
-        return self._announce_version(before) + out
+        notices = self._announce_version(before) + self._announce_evacuations()
+        return notices + out
+
+    def _announce_evacuations(self) -> Actions:
+        return self._evacuations.announce(self.discovery.nodes.entry_names())
 
     def _announce_version(self, before: int) -> Actions:
         version = self.machine.declared().version
--- a/jasperweir/components/configctl/node_tracker.py
+++ b/jasperweir/components/configctl/node_tracker.py
@@ -61,6 +61,10 @@
         """Return the data centre of a known node."""
         return self._reports[name].node.place
 
+    def knows_place(self, place: str) -> bool:
+        """Return whether a known node is in a data centre."""
+        return any(r.node.place == place for r in self._reports.values())
+
     def live_nodes(self, kind: str, now: float) -> list[records.Node]:
         """Return the nodes of a kind with a recent heartbeat."""
         silent_s = directory_const.NODE_SILENT_SECONDS
--- a/jasperweir/components/directory/records.py
+++ b/jasperweir/components/directory/records.py
@@ -101,6 +101,9 @@
         nodes_digest: Digest of the entries that callers may use.
         leader: Name of the leader, or empty.
         term: Term of that leader.
+        evacuations_revision: Revision of the list of evacuated data centres,
+            0 if there never was one or the sender does not report it.
+        evacuated: Evacuated data centres.
     """
 
     place: str
@@ -113,6 +116,8 @@
     nodes_digest: int
     leader: str
     term: int
+    evacuations_revision: int = 0
+    evacuated: tuple[str, ...] = ()
 
 
 @codec.message("directory.nodes")
--- a/jasperweir/components/discovery/client.py
+++ b/jasperweir/components/discovery/client.py
@@ -10,6 +10,7 @@
 from jasperweir.components.directory import directory as directory_lib
 from jasperweir.components.directory import incarnation
 from jasperweir.components.directory import records
+from jasperweir.components.registry import ops
 
 Actions = list[Any]
 
@@ -47,6 +48,12 @@
     data: bytes
 
 
+class ApplyEvacuations(NamedTuple):
+    """Action: send nothing more to the targets of evacuated data centres."""
+
+    evacuations: ops.EvacuationList
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Control:
     """State of one control VM as this node sees it.
@@ -85,6 +92,7 @@
         node: Own record, as announced to the control VMs.
         directory: Known targets.
         version: Configuration version in force, 0 before the first.
+        evacuations: Evacuated data centres, as last announced.
     """
 
     def __init__(
@@ -99,6 +107,7 @@
         self.node = node
         self.directory = directory_lib.Directory()
         self.version = 0
+        self.evacuations = ops.EvacuationList()
         self._controls = {seed: Control() for seed in seeds}
         self._seed_count = len(seeds)
         self._wants_content = wants_content
@@ -283,6 +292,8 @@
             case messages.VersionNotice():
                 self._record_announced_version(src, msg.version, now)
                 return self._pull(now)
+            case messages.EvacuationNotice():
+                return self._apply_evacuations(msg.revision, msg.places)
             case messages.Content():
                 if msg.version > self.version:
                     self.version = msg.version
@@ -369,7 +380,18 @@
         for name in msg.controls:
             self._controls.setdefault(name, Control())
         self._record_announced_version(src, msg.version, now)
-        return self._pull(now)
+        return self._pull(now) + self._apply_evacuations(
+            msg.evacuations_revision, msg.evacuated
+        )
+
+    def _apply_evacuations(
+        self, revision: int, places: tuple[str, ...]
+    ) -> Actions:
+        """Apply a list of evacuated data centres unless it is outdated."""
+        if not self._wants_content or revision <= self.evacuations.revision:
+            return []
+        self.evacuations = ops.EvacuationList(revision, places)
+        return [ApplyEvacuations(evacuations=self.evacuations)]
 
     def _on_targets(
         self, src: str, msg: records.TargetList, now: float
--- a/jasperweir/components/registry/const.py
+++ b/jasperweir/components/registry/const.py
@@ -3,4 +3,6 @@
 # Answers kept for resent operations, eight days of them at 1,200 a day.
 MAX_ANSWERS = 10_000
 MAX_AUDIT_RECORDS = 1_000
+# Data centres with evacuation records, so that the state stays bounded.
+MAX_EVACUATION_RECORDS = 256
 EVERYWHERE = "*"
--- a/jasperweir/components/registry/ops.py
+++ b/jasperweir/components/registry/ops.py
@@ -114,6 +114,47 @@
     data: bytes
 
 
+@codec.message("op.evacuate")
+class Evacuate(NamedTuple):
+    """Evacuates a data centre or withdraws its evacuation.
+
+    Attributes:
+        place: The data centre.
+        evacuated: Wanted state.
+        expected: Number of orders of this data centre that the accepting
+            control VM knew. An order with another number is refused unless
+            the wanted state holds, so a delayed copy changes nothing.
+    """
+
+    place: str
+    evacuated: bool
+    expected: int
+
+
+class Evacuation(NamedTuple):
+    """State of one data centre.
+
+    Attributes:
+        evacuated: Whether its targets get no requests.
+        orders: Number of accepted orders.
+    """
+
+    evacuated: bool = False
+    orders: int = 0
+
+
+class EvacuationList(NamedTuple):
+    """Evacuated data centres.
+
+    Attributes:
+        revision: Log index of the last accepted order, 0 before the first.
+        places: The data centres, sorted.
+    """
+
+    revision: int = 0
+    places: tuple[str, ...] = ()
+
+
 class Declared(NamedTuple):
     """Applied configuration, compressed."""
 
--- a/jasperweir/components/registry/state_machine.py
+++ b/jasperweir/components/registry/state_machine.py
@@ -94,6 +94,21 @@
         found: ops.Declared = codec.unpack(data, ops.Declared)
         return found
 
+    def evacuation(self, place: str) -> ops.Evacuation:
+        """Return the evacuation state of a data centre."""
+        data = self.table.get(f"{config_const.PREFIX_EVACUATION}{place}")
+        return codec.unpack(data, ops.Evacuation) if data else ops.Evacuation()
+
+    def evacuations(self) -> ops.EvacuationList:
+        """Return the evacuated data centres."""
+        prefix = config_const.PREFIX_EVACUATION
+        keys = self.table.keys(prefix)
+        places = [key[len(prefix) :] for key in keys]
+        return ops.EvacuationList(
+            revision=max(map(self.table.revision_of, keys), default=0),
+            places=tuple(p for p in places if self.evacuation(p).evacuated),
+        )
+
     def content(self, version: int) -> flat_content.Content:
         """Return the flat content of a version that has not been pruned."""
         return history.content_at(self.table, version)
@@ -198,6 +213,8 @@
                 return self._appoint(index, op)
             case ops.Replace():
                 return self._replace(index, op)
+            case ops.Evacuate():
+                return self._evacuate(index, op)
         return ops.Answer(Code.BAD_REQUEST, 0, type(op).__name__)
 
     def _sign_off(
@@ -374,6 +391,23 @@
         self.table.put(config_const.KEY_DECLARED, codec.pack(record), index)
         return ops.Answer(Code.ACCEPTED, op.version, "")
 
+    def _evacuate(self, index: int, op: ops.Evacuate) -> ops.Answer:
+        held = self.evacuation(op.place)
+        holds = op.evacuated == held.evacuated
+        if not holds and op.expected != held.orders:
+            return ops.Answer(Code.STALE_PARENT, held.orders, "order passed")
+        key = f"{config_const.PREFIX_EVACUATION}{op.place}"
+        if not held.orders and (
+            len(self.table.keys(config_const.PREFIX_EVACUATION))
+            >= const.MAX_EVACUATION_RECORDS
+        ):
+            return ops.Answer(Code.BAD_REQUEST, 0, "too many data centres")
+        # An order whose state already holds is counted as well: it makes
+        # copies of earlier opposite orders stale.
+        new = ops.Evacuation(evacuated=op.evacuated, orders=held.orders + 1)
+        self.table.put(key, codec.pack(new), index)
+        return ops.Answer(Code.ACCEPTED, new.orders, "")
+
     def _put_version(self, index: int, record: ops.Version) -> None:
         key = f"{config_const.PREFIX_VERSION}{record.version}"
         self.table.put(key, codec.pack(record), index)
--- a/jasperweir/daemons/node_settings.py
+++ b/jasperweir/daemons/node_settings.py
@@ -47,6 +47,7 @@
         lost_at_once: Number of control VMs that may fail together without
             loss of service.
         bounds: Time limits and retry budget.
+        data_centres: All data centres of the deployment, empty if unknown.
     """
 
     machine: str
@@ -65,6 +66,7 @@
     service: str
     lost_at_once: int
     bounds: Bounds
+    data_centres: tuple[str, ...] = ()
 
     @property
     def wanted_seats(self) -> int:
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -10,6 +10,7 @@
 from jasperweir.components.configctl import const
 from jasperweir.components.configctl import control_calls as calls_lib
 from jasperweir.components.configctl import discovery_server
+from jasperweir.components.configctl import evacuations as evacuations_lib
 from jasperweir.components.configctl import node as node_lib
 from jasperweir.components.deployment import model
 from jasperweir.components.directory import const as directory_const
@@ -37,6 +38,8 @@
 
 # Delay until storage is opened again after an error, seconds.
 DISK_RETRY_SECONDS = 0.5
+# Bits of the first request number after a start.
+REQUEST_NUMBER_BITS = 48
 # Interval at which changed soft state is saved, seconds.
 SAVE_SOFT_STATE_SECONDS = 0.5
 # Interval at which the leader updates the coordinator's agents and entries,
@@ -66,7 +69,9 @@
         self._dialect = dialect
         self._host = loop_host.LoopHost(cfg=cfg, on_frame=self._on_frame)
         self._storage = _make_storage(cfg.data_folder)
-        self._calls = control_calls.ControlCalls(dialect=dialect)
+        self._calls = control_calls.ControlCalls(
+            dialect=dialect, data_centres=cfg.data_centres
+        )
         self._stopping = asyncio.Event()
         self._storage_retry_at = 0.0
         self._node: node_lib.ConfigNode | None = None
@@ -134,6 +139,7 @@
             seeds=self._cfg.seeds,
             wanted_seats=self._cfg.wanted_seats,
             has_disk=bool(self._cfg.data_folder),
+            first_number=self._host.rng.getrandbits(REQUEST_NUMBER_BITS),
         )
         soft_state = self._storage.load_soft_state()
         self._perform(
@@ -331,8 +337,13 @@
                 _log.info("expert map planned", **act._asdict())
             case mapswitch_actions.SwitchCompleted():
                 self._record_switch(act)
+            case evacuations_lib.EvacuationsChanged():
+                _log.info("evacuations committed", **act.evacuations._asdict())
+                # After a power loss the list is known before an election.
+                self._save_soft_state()
             case (
                 node_lib.Replaced()
+                | evacuations_lib.Evacuated()
                 | node_lib.Described()
                 | discovery_server.Acknowledged()
                 | discovery_server.Unconfirmed()
--- a/jasperweir/result_codes.py
+++ b/jasperweir/result_codes.py
@@ -30,6 +30,7 @@
     REVOKED = 2008
     ENDS_TARGETS = 2009
     BACKPRESSURE = 2010
+    EVACUATED = 2011
 
     BROKEN_OFF = 3001
     DEADLINE_PASSED = 3002
@@ -66,6 +67,7 @@
     LOG_EXISTS = 5013
     BAD_DEPLOYMENT = 5014
     NOT_CONFIRMED = 5015
+    UNKNOWN_DATA_CENTRE = 5016
 
 
 class Row(NamedTuple):
@@ -122,6 +124,9 @@
     Code.BACKPRESSURE: Row(
         503, _NOT_RUN, True, "Targets want nothing more before Retry-After."
     ),
+    Code.EVACUATED: Row(
+        503, _NOT_RUN, True, "The data centres of all targets are evacuated."
+    ),
     Code.BROKEN_OFF: Row(
         502, _UNKNOWN, False, "The target broke off after the request left."
     ),
@@ -205,4 +210,7 @@
     Code.NOT_CONFIRMED: Row(
         503, None, True, "No majority confirms it now; ask again."
     ),
+    Code.UNKNOWN_DATA_CENTRE: Row(
+        404, None, False, "No data centre has this name."
+    ),
 }
--- a/script/check_names.py
+++ b/script/check_names.py
@@ -15,6 +15,7 @@
     r"Attempt-Id|Deadline-Ms|Target-Instance|Server-Signature|Not-Executed"
     r"|Instance-Load|Token-Usage|Prefix-Hash|Request-Priority"
     r"|Instances[.](Heartbeat|Deregister)|Configuration[.](Replace|Describe)"
+    r"|Drain[.](Create|Terminate)"
     r"|coldRemainingMs|maxAttempts|pathPrefix|itlTargetMs|ttlS"
 )
 
