Send nothing to the targets of evacuated data centres

Cause: entries received the list of evacuated data centres but didn't use it.

Change: one filter in available_targets for every choice of a target, and a check before a request is written to a connection that was being opened. Free slots, forecasts and the limit on streams see the filtered list. What runs at the targets runs to completion. on_evacuation_ended is called when an evacuation ends.

--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -7,6 +7,11 @@
     When the withdrawal is ordered at each control VM
     Then no entry has the data centre evacuated within 0.2 s
 
+  Scenario: An entry learns of an evacuation only from its next heartbeat
+    Given a site with committed version 9
+    When the leader acknowledges an evacuation
+    Then every entry has the data centre evacuated within 0.05 s
+
   Scenario: The leader is killed between the commit and the acknowledgement
     Given a site with committed version 9
     When the leader is killed as it replies to the order sent to a follower
@@ -94,7 +99,7 @@
     Given a site with committed version 9
     And an acknowledged evacuation
     When the evacuation is withdrawn and an entry gets the earlier list again
-    Then no entry has the data centre evacuated within 0.2 s
+    Then no entry has the data centre evacuated within 0 s
 
   Scenario: Randomly drawn faults lose or revert an acknowledged order
     Then the last acknowledged order is in force after 30 drawn schedules
--- a/features/harness/hop.py
+++ b/features/harness/hop.py
@@ -169,6 +169,7 @@
         self._route = route
         self._retries = retries
         self._clock = clock or core.SystemClock()
+        self.metrics = metrics.Metrics(labels={})
 
     async def prepare(self):
         self.directory = directory.Directory()
@@ -183,7 +184,7 @@
             cell=entry_cell.EntryCell(name="e1", place="p"),
             bounds=bounds,
             times=http_client.ClientTimeouts(),
-            metrics=metrics.Metrics(labels={}),
+            metrics=self.metrics,
         )
         self.forwarder.index = index.DeploymentIndex(
             deployment=model.Deployment(
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -78,6 +78,12 @@
     assert set(found.values()) == {()}, found
 
 
+@when("the leader acknowledges an evacuation")
+def step_leader_acknowledges(context):
+    site = context.site
+    evacuations.carry_out(site, True, [site.leader()])
+
+
 @when("the leader is killed as it replies to the order sent to a follower")
 def step_kill_leader(context):
     site = context.site
@@ -348,6 +354,8 @@
     site.run(0.5)
     notice = messages.EvacuationNotice(*earlier)
     site.queue.append(("c1", "e1", notice))
+    # Before a heartbeat can correct what the notice has changed.
+    site.deliver()
 
 
 @then("the last acknowledged order is in force after {count:d} drawn schedules")
--- a/jasperweir/components/forward/admission.py
+++ b/jasperweir/components/forward/admission.py
@@ -112,6 +112,9 @@
         self, exchange: exchange_lib.Exchange, now: float
     ) -> None:
         """Queue a request until a target is available, or reject it."""
+        if self._targets.are_all_evacuated(exchange.service, now):
+            exchange.fail(Code.EVACUATED)
+            return
         state = exchange.state
         ahead = len(self._queues.get(exchange.service).wait_queue)
         available_in_s = self._targets.seconds_until_available(
--- a/jasperweir/components/forward/available_targets.py
+++ b/jasperweir/components/forward/available_targets.py
@@ -1,4 +1,11 @@
-"""Targets of a service that accept requests now."""
+"""Targets of a service that accept requests now.
+
+Load: while data centres are evacuated, the targets of the others serve all
+requests; capacity and forecasts count only these.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
 
 from jasperweir.components.backpressure import backpressure as backpressure_lib
 from jasperweir.components.balance import outage as outage_lib
@@ -6,14 +13,29 @@
 from jasperweir.components.directory import records
 
 
+class ServingTargets(NamedTuple):
+    """Targets of a service without those in evacuated data centres.
+
+    Attributes:
+        announced: The list that they were selected from.
+        targets: The targets.
+    """
+
+    announced: list[records.Target]
+    targets: list[records.Target]
+
+
 class AvailableTargets:
-    """Announced targets, filtered by backpressure.
+    """Announced targets, filtered by evacuations and backpressure.
 
     Used for every choice of a target: first attempts, retries, queued requests
     and streams that move.
 
     Attributes:
         backpressure: Backpressure state of all targets.
+        evacuated: Evacuated data centres.
+        on_evacuation_ended: Called with a data centre and monotonic seconds
+            when its evacuation ends.
     """
 
     def __init__(
@@ -31,13 +53,62 @@
             name: Name of this entry.
         """
         self.backpressure = backpressure_lib.Backpressure(name=name)
+        self.evacuated: frozenset[str] = frozenset()
+        self.on_evacuation_ended: Callable[[str, float], None] = (
+            lambda place, now: None
+        )
+        # Filtered lists by service, while any data centre is evacuated.
+        self._serving: dict[str, ServingTargets] = {}
         self._directory = directory
         self._outages = outages
 
+    def set_evacuated(self, places: frozenset[str], now: float) -> None:
+        """Replace the set of evacuated data centres."""
+        ended = self.evacuated - places
+        self.evacuated = places
+        self._serving.clear()
+        for place in sorted(ended):
+            self.on_evacuation_ended(place, now)
+
+    def list_ready(self, service: str, now: float) -> list[records.Target]:
+        """Return the announced targets outside evacuated data centres.
+
+        The list stays the same object while nothing changes, since callers
+        cache what they derive from it.
+        """
+        announced = self._directory.list_ready(service, now)
+        if not self.evacuated:
+            return announced
+        cached = self._serving.get(service)
+        if cached is None or cached.announced is not announced:
+            cached = ServingTargets(
+                announced, self._exclude_evacuated(announced)
+            )
+            self._serving[service] = cached
+        return cached.targets
+
+    def are_all_evacuated(self, service: str, now: float) -> bool:
+        """Return whether a service has targets, all of them evacuated."""
+        if not self.evacuated or not self._directory.list_ready(service, now):
+            return False
+        return not self.list_ready(service, now)
+
+    def is_closed(self, target: records.Target, now: float) -> bool:
+        """Return whether a chosen target must not get its request any more."""
+        if target.place in self.evacuated:
+            return True
+        return self.backpressure.is_blocked(target, now)
+
+    def _exclude_evacuated(
+        self, targets: list[records.Target]
+    ) -> list[records.Target]:
+        kept = [t for t in targets if t.place not in self.evacuated]
+        return targets if len(kept) == len(targets) else kept
+
     def list_available(self, service: str, now: float) -> list[records.Target]:
         """Return the targets of a service that accept requests."""
-        announced = self._directory.list_ready(service, now)
-        return self.filter_available(announced, service, now)
+        ready = self.list_ready(service, now)
+        return self.filter_available(ready, service, now)
 
     def filter_available(
         self, targets: list[records.Target], service: str, now: float
@@ -48,6 +119,8 @@
         that were not tried yet would appear full, and requests would queue for
         them in vain.
         """
+        if self.evacuated:
+            targets = self._exclude_evacuated(targets)
         if self._outages.get(service).is_active(now):
             return self.backpressure.list_unblocked(targets, now)
         return self.backpressure.list_available(targets, now)
@@ -66,7 +139,7 @@
         Returns:
             Infinity if no untried target is announced.
         """
-        announced = self._directory.list_ready(service, now)
+        announced = self.list_ready(service, now)
         untried = [t for t in announced if t.target_id not in tried]
         return self.backpressure.available_in_s(untried, now, ahead)
 
--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -118,8 +118,8 @@
         assert self._target is not None
         now = self._forwarder.now()
         state = self.state
-        if self._forwarder.targets.backpressure.is_blocked(self._target, now):
-            # The target sent backpressure while the connection was opened.
+        if self._forwarder.targets.is_closed(self._target, now):
+            # Backpressure or an evacuation began while it was connecting.
             self._forwarder.pool.release(_pool_key(self._target), conn)
             self._release_slot()
             self._apply(state.on_target_unavailable(self._target.target_id))
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -32,6 +32,7 @@
 from jasperweir.components.forward import request_state
 from jasperweir.components.forward import startup_grace as startup_grace_lib
 from jasperweir.components.forward import stragglers
+from jasperweir.components.registry import ops
 from jasperweir.helpers import http_client
 from jasperweir.helpers import http_server
 from jasperweir.helpers import metrics as metrics_lib
@@ -139,7 +140,9 @@
         )
         self.admission.on_work = lambda: self.on_work()
         self.pass_monitor = pass_monitor.PassMonitor(
-            capacity=self.capacity, directory=directory, recorder=self._recorder
+            capacity=self.capacity,
+            directory=self.targets,
+            recorder=self._recorder,
         )
 
     def now(self) -> float:
@@ -381,6 +384,9 @@
     def _serve_queue(self, service: str, now: float) -> None:
         """Send the admitted requests of a queue and reject the expired ones."""
         wait_queue = self._queues.get(service).wait_queue
+        if self.targets.are_all_evacuated(service, now):
+            self._reject_evacuated(wait_queue.numbers())
+            return
         targets = self.targets.list_available(service, now)
         candidates = self._find_candidates(service, targets, now)
         is_starting = self._startup_grace.is_active(now)
@@ -401,6 +407,23 @@
             if exchange is not None:
                 exchange.fail(Code.OVERLOADED)
 
+    def _reject_evacuated(self, numbers: list[int]) -> None:
+        for number in numbers:
+            exchange = self._open_exchanges.get(number)
+            if exchange is not None:
+                exchange.fail(Code.EVACUATED)
+
+    def on_evacuations(self, evacuations: ops.EvacuationList) -> None:
+        """Send nothing more to the targets of evacuated data centres.
+
+        Requests that run there run to completion.
+        """
+        before = self.targets.evacuated
+        places = frozenset(evacuations.places)
+        self._recorder.record_evacuations(before, evacuations)
+        self.targets.set_evacuated(places, self.now())
+        self.on_work()
+
     def _send_within_budget(
         self,
         exchange: exchange_lib.Exchange,
--- a/jasperweir/components/forward/pass_monitor.py
+++ b/jasperweir/components/forward/pass_monitor.py
@@ -1,7 +1,7 @@
 """Limits on the streams of engine groups, derived from their pass times."""
 
 from jasperweir.components.balance import passes as passes_lib
-from jasperweir.components.directory import directory as directory_lib
+from jasperweir.components.forward import available_targets
 from jasperweir.components.forward import capacity as capacity_lib
 from jasperweir.components.forward import recorder as recorder_lib
 
@@ -17,7 +17,7 @@
         self,
         *,
         capacity: capacity_lib.CapacityFinder,
-        directory: directory_lib.Directory,
+        directory: available_targets.AvailableTargets,
         recorder: recorder_lib.Recorder,
     ) -> None:
         self.limits = passes_lib.PassLimits()
--- a/jasperweir/components/forward/recorder.py
+++ b/jasperweir/components/forward/recorder.py
@@ -12,6 +12,7 @@
 from jasperweir.components.forward import request_state
 from jasperweir.components.quarantine import ledger as ledger_lib
 from jasperweir.components.quarantine import suspects as suspects_lib
+from jasperweir.components.registry import ops
 from jasperweir.helpers import logs
 from jasperweir.helpers import metrics as metrics_lib
 
@@ -152,6 +153,22 @@
         self._metrics.gauge("entries_known", float(count))
         _log.info("entries known", before=before, entries=count)
 
+    def record_evacuations(
+        self, before: frozenset[str], evacuations: ops.EvacuationList
+    ) -> None:
+        """Record a list of evacuated data centres when it comes into force."""
+        self._metrics.gauge(
+            "data_centres_evacuated", float(len(evacuations.places))
+        )
+        places = frozenset(evacuations.places)
+        _log.info(
+            "evacuations in force",
+            revision=evacuations.revision,
+            evacuated=list(evacuations.places),
+            begun=sorted(places - before),
+            ended=sorted(before - places),
+        )
+
     def record_end(
         self,
         exchange: exchange_lib.Exchange,
--- a/jasperweir/components/forward/rejections.py
+++ b/jasperweir/components/forward/rejections.py
@@ -59,6 +59,6 @@
             return self._advice.while_starting()
         if code is Code.BACKPRESSURE:
             return self._advice.after_backoff(expected_wait_s)
-        if outage or code is Code.NO_TARGET:
+        if outage or code in (Code.NO_TARGET, Code.EVACUATED):
             return self._advice.during_outage()
         return self._advice.after_refusal(now, expected_wait_s)
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -254,6 +254,8 @@
                     self._host.send(act)
                 case discovery_client.ApplyConfiguration():
                     self._apply_configuration(act)
+                case discovery_client.ApplyEvacuations():
+                    self._forwarder.on_evacuations(act.evacuations)
 
     def _apply_configuration(
         self, act: discovery_client.ApplyConfiguration
--- a/script/guards.py
+++ b/script/guards.py
@@ -10,6 +10,7 @@
 
 import guard as guard_lib
 import guards_backpressure
+import guards_evacuation
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PARTS = (
@@ -406,6 +407,11 @@
           "self._tokens = tokens\n", "self._tokens = burst\n",
           "retry_budget"),
 )  # fmt: skip
+ALL_GUARDS = (
+    *GUARDS,
+    *guards_backpressure.GUARDS,
+    *guards_evacuation.GUARDS,
+)
 
 
 def check(guard: Guard) -> tuple[Guard, str]:
@@ -451,7 +457,11 @@
     """Return the guards whose text is no longer in the code."""
     return [
         guard
-        for guard in (*GUARDS, *guards_backpressure.GUARDS)
+        for guard in (
+            *GUARDS,
+            *guards_backpressure.GUARDS,
+            *guards_evacuation.GUARDS,
+        )
         if guard.text not in (ROOT / guard.file).read_text(encoding="utf-8")
     ]
 
@@ -472,7 +482,11 @@
         return 1 if lost() else 0
     chosen = [
         g
-        for g in (*GUARDS, *guards_backpressure.GUARDS)
+        for g in (
+            *GUARDS,
+            *guards_backpressure.GUARDS,
+            *guards_evacuation.GUARDS,
+        )
         if not args.feature or g.feature == args.feature
     ]
     rows = ["| guard removed | test that goes red |", "| --- | --- |"]
