--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -135,3 +135,16 @@
       | the zones z1   | an entry in z3      | z3    | 503    | not_confirmed       |
       | no zones       | nothing             | z1    | 503    | not_confirmed       |
       | no zones       | a target in z2      | z9    | 404    | unknown_data_centre |
+
+  Scenario Outline: The own page misreads an operator's request
+    When the page of a control VM gets "<method> <target>"
+    Then its answer is "<answer>"
+
+    Examples:
+      | method | target                                     | answer                              |
+      | GET    | /evacuations                               | 200 {"revision":7,"evacuated":["z2"]} |
+      | POST   | /evacuations?place=z2&order=create         | order z2 True                       |
+      | POST   | /evacuations?place=z2&order=withdraw       | order z2 False                      |
+      | POST   | /evacuations?place=z2&order=other          | 400                                 |
+      | POST   | /evacuations?order=create                  | 400                                 |
+      | PUT    | /evacuations?place=z2&order=create         | 405                                 |
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -22,6 +22,7 @@
 from jasperweir.components.registry import ops
 from jasperweir.components.registry import state_machine as machine_lib
 from jasperweir.daemons import control_calls as daemon_calls
+from jasperweir.daemons import evacuation_page
 from jasperweir.helpers import codec
 from jasperweir.helpers import http_message
 
@@ -536,3 +537,25 @@
     found = (context.operator.status, context.operator.body)
     assert context.operator.status == status, found
     assert f'"{code.upper()}"'.encode() in context.operator.body, found
+
+
+@when('the page of a control VM gets "{method} {target}"')
+def step_page_gets(context, method, target):
+    context.orders = []
+    page = evacuation_page.EvacuationPage(
+        current=lambda: ops.EvacuationList(7, (PLACE,)),
+        start=lambda answering, call: context.orders.append(call),
+    )
+    context.operator = Operator(http(method, target))
+    page.handle(context.operator)
+
+
+@then('its answer is "{answer}"')
+def step_page_answers(context, answer):
+    found = f"{context.operator.status} {context.operator.body.decode()}"
+    for order in context.orders:
+        found = f"order {order.place} {order.evacuated}"
+    if answer.isdecimal():
+        assert found.startswith(answer) and not context.orders, found
+    else:
+        assert found == answer, found
--- a/jasperweir/cli/main.py
+++ b/jasperweir/cli/main.py
@@ -6,6 +6,7 @@
 from jasperweir import __version__
 from jasperweir import exceptions
 from jasperweir.cli import daemons
+from jasperweir.cli import evacuate
 from jasperweir.cli import operate
 from jasperweir.cli import quarantine
 from jasperweir.cli import report
@@ -23,6 +24,8 @@
   jasperweir report burn --entries 127.0.0.1:8080 --page burn.html
   jasperweir held list --entry 10.1.0.40:9101
   jasperweir held lift --entry 10.1.0.40:9101 --all
+  jasperweir evacuate create z2 --control 10.1.0.10:9102,10.2.0.10:9102
+  jasperweir evacuate list --control 10.1.0.10:9102
   jasperweir solo
 
 exit codes: 0 success, 1 rejected or failed, 2 invalid usage or settings,
@@ -44,6 +47,7 @@
     operate.add_commands(commands)
     report.add_commands(commands)
     quarantine.add_commands(commands)
+    evacuate.add_commands(commands)
     solo.add_commands(commands)
     return parser
 
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -26,8 +26,10 @@
 from jasperweir.components.quorum import null_storage
 from jasperweir.components.quorum import storage as storage_lib
 from jasperweir.components.quorum import voter as voter_lib
+from jasperweir.components.registry import ops
 from jasperweir.daemons import control_calls
 from jasperweir.daemons import engine_client
+from jasperweir.daemons import evacuation_page
 from jasperweir.daemons import group_loader
 from jasperweir.daemons import loop_host
 from jasperweir.daemons import node_settings
@@ -72,6 +74,10 @@
         self._calls = control_calls.ControlCalls(
             dialect=dialect, data_centres=cfg.data_centres
         )
+        page = evacuation_page.EvacuationPage(
+            current=self._get_evacuations, start=self._start_call
+        )
+        self._host.pages[evacuation_page.PATH] = page.handle
         self._stopping = asyncio.Event()
         self._storage_retry_at = 0.0
         self._node: node_lib.ConfigNode | None = None
@@ -395,6 +401,16 @@
         acts = self._calls.handle(answering, self._node, self._host.now())
         self._perform(acts)
 
+    def _start_call(
+        self, answering: http_server.ResponseWriter, call: calls_lib.Evacuate
+    ) -> None:
+        self._perform(
+            self._calls.start(answering, call, self._node, self._host.now())
+        )
+
+    def _get_evacuations(self) -> ops.EvacuationList | None:
+        return self._node.machine.evacuations() if self._node else None
+
 
 def _make_storage(
     folder: str,
