--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -148,3 +148,13 @@
       | POST   | /evacuations?place=z2&order=other          | 400                                 |
       | POST   | /evacuations?order=create                  | 400                                 |
       | PUT    | /evacuations?place=z2&order=create         | 405                                 |
+
+  Scenario Outline: The settings' table of data centres is not read
+    Then settings with <table> list the data centres "<places>"
+
+    Examples:
+      | table                     | places |
+      | zones = {z1 = "r", z2 = "r"} | z1,z2  |
+      | zones = {}                |        |
+      | zones = 3                 |        |
+      | region = "r"              |        |
--- a/features/harness/platform.py
+++ b/features/harness/platform.py
@@ -47,6 +47,9 @@
 retryBudgetRatio = 0.2
 retryWindowS = 10
 retryBurst = 96
+[zones]
+p = "r"
+q = "r"
 """
 
 
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -1,9 +1,11 @@
 """Steps on orders to evacuate data centres."""
 
 import itertools
+import os
 import pathlib
 import random
 import sys
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -31,6 +33,7 @@
 sys.path.append(str(ROOT / "platform"))
 
 from adapter import control_calls as dialect_lib  # noqa: E402
+from adapter import settings  # noqa: E402
 
 Code = result_codes.Code
 PLACE = evacuations.PLACE
@@ -559,3 +562,17 @@
         assert found.startswith(answer) and not context.orders, found
     else:
         assert found == answer, found
+
+
+@then('settings with {table} list the data centres "{places}"')
+@then('settings with {table} list the data centres ""')
+def step_settings(context, table, places=""):
+    path = context.folder / "settings.toml"
+    path.write_text(
+        'nodeName = "vm"\nzone = "z1"\nip = "127.0.0.1"\n'
+        f"internalPorts = [1, 2]\n{table}\n"
+    )
+    variables = {settings.PATH_VARIABLE: str(path)}
+    with mock.patch.dict(os.environ, variables):
+        found = settings.read("control").data_centres
+    assert ",".join(found) == places, found
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -30,6 +30,7 @@
         events: int,
         ends_on: bytes = b"",
         ends_file: str = "",
+        zone: str = "p",
     ) -> None:
         """Create a state without requests.
 
@@ -38,7 +39,9 @@
             events: Number of events in a stream.
             ends_on: Request body content that crashes the process.
             ends_file: File that gets the body of the crashing request.
+            zone: Data centre.
         """
+        self.zone = zone
         self.target_id = target_id
         self.events = events
         self.ends_on = ends_on
@@ -213,7 +216,7 @@
         beat = {
             "service": service,
             "address": address,
-            "zone": "p",
+            "zone": state.zone,
             "slots": 6,
             "state": state.presence,
             "sequence": state.sequence,
@@ -240,6 +243,7 @@
     parser.add_argument("--announced", default="")
     parser.add_argument("--service", required=True)
     parser.add_argument("--id", required=True)
+    parser.add_argument("--zone", default="p")
     parser.add_argument("--controls", required=True)
     parser.add_argument("--events", type=int, default=10)
     parser.add_argument("--ends-on", default="")
@@ -251,6 +255,7 @@
         events=args.events,
         ends_on=args.ends_on.encode(),
         ends_file=args.ends_file,
+        zone=args.zone,
     )
     state.events_before_end = args.events_before_end
     host, _, port = args.address.rpartition(":")
