--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -10,6 +10,7 @@
 from jasperweir.components.configctl import const
 from jasperweir.components.configctl import control_calls as calls_lib
 from jasperweir.components.configctl import discovery_server
+from jasperweir.components.configctl import evacuations as evacuations_lib
 from jasperweir.components.configctl import node as node_lib
 from jasperweir.components.deployment import model
 from jasperweir.components.directory import const as directory_const
@@ -25,8 +26,10 @@
 from jasperweir.components.quorum import null_storage
 from jasperweir.components.quorum import storage as storage_lib
 from jasperweir.components.quorum import voter as voter_lib
+from jasperweir.components.registry import ops
 from jasperweir.daemons import control_calls
 from jasperweir.daemons import engine_client
+from jasperweir.daemons import evacuation_page
 from jasperweir.daemons import group_loader
 from jasperweir.daemons import loop_host
 from jasperweir.daemons import node_settings
@@ -37,6 +40,8 @@
 
 # Delay until storage is opened again after an error, seconds.
 DISK_RETRY_SECONDS = 0.5
+# Bits of the first request number after a start.
+REQUEST_NUMBER_BITS = 48
 # Interval at which changed soft state is saved, seconds.
 SAVE_SOFT_STATE_SECONDS = 0.5
 # Interval at which the leader updates the coordinator's agents and entries,
@@ -66,7 +71,13 @@
         self._dialect = dialect
         self._host = loop_host.LoopHost(cfg=cfg, on_frame=self._on_frame)
         self._storage = _make_storage(cfg.data_folder)
-        self._calls = control_calls.ControlCalls(dialect=dialect)
+        self._calls = control_calls.ControlCalls(
+            dialect=dialect, data_centres=cfg.data_centres
+        )
+        page = evacuation_page.EvacuationPage(
+            current=self._get_evacuations, start=self._start_call
+        )
+        self._host.pages[evacuation_page.PATH] = page.handle
         self._stopping = asyncio.Event()
         self._storage_retry_at = 0.0
         self._node: node_lib.ConfigNode | None = None
@@ -134,6 +145,7 @@
             seeds=self._cfg.seeds,
             wanted_seats=self._cfg.wanted_seats,
             has_disk=bool(self._cfg.data_folder),
+            first_number=self._host.rng.getrandbits(REQUEST_NUMBER_BITS),
         )
         soft_state = self._storage.load_soft_state()
         self._perform(
@@ -333,8 +345,13 @@
                 _log.info("expert map planned", **act._asdict())
             case mapswitch_actions.SwitchCompleted():
                 self._record_switch(act)
+            case evacuations_lib.EvacuationsChanged():
+                _log.info("evacuations committed", **act.evacuations._asdict())
+                # After a power loss the list is known before an election.
+                self._save_soft_state()
             case (
                 node_lib.Replaced()
+                | evacuations_lib.Evacuated()
                 | node_lib.Described()
                 | discovery_server.Acknowledged()
                 | discovery_server.Unconfirmed()
@@ -400,6 +417,16 @@
         acts = self._calls.handle(answering, self._node, self._host.now())
         self._perform(acts)
 
+    def _start_call(
+        self, answering: http_server.ResponseWriter, call: calls_lib.Evacuate
+    ) -> None:
+        self._perform(
+            self._calls.start(answering, call, self._node, self._host.now())
+        )
+
+    def _get_evacuations(self) -> ops.EvacuationList | None:
+        return self._node.machine.evacuations() if self._node else None
+
 
 def _make_storage(
     folder: str,
--- a/script/guards.py
+++ b/script/guards.py
@@ -10,6 +10,7 @@
 
 import guard as guard_lib
 import guards_backpressure
+import guards_evacuation
 import guards_voters
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -409,6 +410,18 @@
           "self._tokens = tokens\n", "self._tokens = burst\n",
           "retry_budget"),
 )  # fmt: skip
+ALL_GUARDS = (
+    *GUARDS,
+    *guards_backpressure.GUARDS,
+    *guards_evacuation.GUARDS,
+)
+
+ALL_GUARDS = (
+    *GUARDS,
+    *guards_backpressure.GUARDS,
+    *guards_evacuation.GUARDS,
+    *guards_voters.GUARDS,
+)
 
 
 def check(guard: Guard) -> tuple[Guard, str]:
@@ -454,11 +467,7 @@
     """Return the guards whose text is no longer in the code."""
     return [
         guard
-        for guard in (
-            *GUARDS,
-            *guards_backpressure.GUARDS,
-            *guards_voters.GUARDS,
-        )
+        for guard in ALL_GUARDS
         if guard.text not in (ROOT / guard.file).read_text(encoding="utf-8")
     ]
 
@@ -478,9 +487,7 @@
             print(f"!! {guard.name}: not found in {guard.file}")
         return 1 if lost() else 0
     chosen = [
-        g
-        for g in (*GUARDS, *guards_backpressure.GUARDS, *guards_voters.GUARDS)
-        if not args.feature or g.feature == args.feature
+        g for g in ALL_GUARDS if not args.feature or g.feature == args.feature
     ]
     rows = ["| guard removed | test that goes red |", "| --- | --- |"]
     green = 0
