Cold targets: derive the cold time from heartbeats, answers and evacuations

Cause: the stated cold time was stripped from digests, so entries learnt of it only with the periodic lists, and an unreadable value refused the heartbeat. The presence of a cold time is part of a record's digest. Heartbeats with any cold time are accepted; unreadable ones count as not stated. Services have cold_start_s and warmup_per_s.

--- a/jasperweir/components/deployment/model.py
+++ b/jasperweir/components/deployment/model.py
@@ -125,11 +125,16 @@
         name: Name of the service.
         max_connections: Configured connection limit; not enforced.
         engine: Engine parameters, None if they are not configured.
+        cold_start_s: Time for which a target is cold after its start, seconds.
+        warmup_per_s: Requests per second that a cold target can take; 0 for no
+            limit.
     """
 
     name: str
     max_connections: int
     engine: Engine | None
+    cold_start_s: float = 0.0
+    warmup_per_s: float = 0.0
 
 
 class Limits(NamedTuple):
--- a/jasperweir/components/deployment/validation.py
+++ b/jasperweir/components/deployment/validation.py
@@ -11,6 +11,7 @@
     """
     problems_found = _find_route_problems(deployment)
     problems_found += _find_customer_problems(deployment)
+    problems_found += _find_service_problems(deployment)
     if deployment.version < 1:
         problems_found.append(f"version {deployment.version} must be above 0")
     return problems_found
@@ -51,6 +52,15 @@
     return problems_found
 
 
+def _find_service_problems(deployment: model.Deployment) -> list[str]:
+    return [
+        f"service {service.name}: cold time and warm-up rate must not be "
+        "negative"
+        for service in deployment.services
+        if service.cold_start_s < 0 or service.warmup_per_s < 0
+    ]
+
+
 def _is_prefix(prefix: str) -> bool:
     return prefix.startswith("/") and prefix.endswith("/")
 
--- a/jasperweir/components/directory/directory.py
+++ b/jasperweir/components/directory/directory.py
@@ -19,12 +19,15 @@
     Attributes:
         target: The record.
         received_at: Time of the newest heartbeat, monotonic seconds.
+        stated_at: Time of the heartbeat that the record is from, monotonic
+            seconds.
         first_received_at: When this process first received the record,
             monotonic seconds.
     """
 
     target: records.Target
     received_at: float
+    stated_at: float
     first_received_at: float
 
 
@@ -62,6 +65,10 @@
         tracked = self._tracked.get(target_id)
         return tracked.target if tracked else None
 
+    def get_tracked(self, target_id: str) -> TrackedTarget | None:
+        """Return the record of a target with its times, or None."""
+        return self._tracked.get(target_id)
+
     def targets(self) -> list[records.Target]:
         """Return all records, including those of targets that are gone."""
         return [tracked.target for tracked in self._tracked.values()]
@@ -119,7 +126,10 @@
             if age >= const.FORGET_SECONDS:
                 return False
             self._tracked[target.target_id] = TrackedTarget(
-                target=target, received_at=received_at, first_received_at=now
+                target=target,
+                received_at=received_at,
+                stated_at=received_at,
+                first_received_at=now,
             )
             self._on_change(None, target)
             return True
@@ -134,6 +144,8 @@
             self._ready_targets.clear()
         tracked.received_at = max(tracked.received_at, received_at)
         before, merged = tracked.target, _merge_records(tracked.target, target)
+        if target.sequence > before.sequence:
+            tracked.stated_at = received_at
         tracked.target = merged
         if _without_volatile_fields(merged) == _without_volatile_fields(before):
             return False
@@ -151,6 +163,7 @@
         before = tracked.target
         tracked.target = target
         tracked.received_at = received_at
+        tracked.stated_at = received_at
         tracked.first_received_at = now
         self._on_change(before, target)
         return True
@@ -172,7 +185,10 @@
                 target_id, "", "", "", 0, Presence.GONE, 0, born=born
             )  # fmt: skip
             tracked = TrackedTarget(
-                target=placeholder, received_at=now, first_received_at=now
+                target=placeholder,
+                received_at=now,
+                stated_at=now,
+                first_received_at=now,
             )
             self._tracked[target_id] = tracked
             self._on_change(None, placeholder)
@@ -251,8 +267,13 @@
 
 
 def _without_volatile_fields(target: records.Target) -> records.Target:
-    """Return a record without the fields that change with every heartbeat."""
-    return target._replace(sequence=0, cold_s=0.0)
+    """Return a record without the fields that change with every heartbeat.
+
+    Of the cold time only its presence is kept: entries must learn within a
+    second that a target turns cold or warm, but not the remaining time.
+    """
+    is_cold = target.cold_s > 0
+    return target._replace(sequence=0, cold_s=1.0 if is_cold else 0.0)
 
 
 def _get_retention_seconds(target: records.Target) -> float:
--- a/jasperweir/components/directory/records.py
+++ b/jasperweir/components/directory/records.py
@@ -5,6 +5,9 @@
 
 from jasperweir.helpers import codec
 
+# Remaining cold time of a target that states none.
+COLD_UNSTATED = -1.0
+
 
 class Presence(enum.IntEnum):
     """Lifecycle state of a target; it only increases."""
@@ -25,7 +28,8 @@
         slots: Number of requests that it runs at once.
         presence: Whether it accepts new requests.
         sequence: Number of the announcement, to detect delayed ones.
-        cold_s: Time after its start for which it is still slow, seconds.
+        cold_s: Remaining time for which it is cold, seconds, at its heartbeat;
+            0 if it is warm, COLD_UNSTATED if it states nothing readable.
         born: Start time by its own clock, Unix milliseconds; 0 if not stated.
             Together with the id this identifies its incarnation.
     """
--- a/jasperweir/components/forward/dialect.py
+++ b/jasperweir/components/forward/dialect.py
@@ -61,6 +61,8 @@
             not the target's own.
         load: Load that the target reports, if any.
         signals: Backpressure signals of the target.
+        cold_s: Time for which the target states that it is cold, seconds; 0 if
+            not stated.
     """
 
     request_id: str
@@ -70,6 +72,7 @@
     encoded: bool
     load: balancer_lib.Report | None
     signals: signals_lib.Signals = signals_lib.NONE
+    cold_s: float = 0.0
 
 
 class Dialect(Protocol):
--- a/script/check_names.py
+++ b/script/check_names.py
@@ -15,7 +15,7 @@
     r"Attempt-Id|Deadline-Ms|Target-Instance|Server-Signature|Not-Executed"
     r"|Instance-Load|Token-Usage|Prefix-Hash|Request-Priority"
     r"|Instances[.](Heartbeat|Deregister)|Configuration[.](Replace|Describe)"
-    r"|coldRemainingMs|maxAttempts|pathPrefix|itlTargetMs|ttlS"
+    r"|coldRemainingMs|coldStartS|warmupPerS|Cold-Start-Ms|maxAttempts|pathPrefix|itlTargetMs|ttlS"
 )
 
 
