Cold targets: one rate that all entries keep, also for their free slots

Cause: a cold target crashes well above its warm-up rate, and entries had no limit on it. Free slots of a cold target count up to the requests that this entry may send it. Services without warmup_per_s are not limited. Gauge targets_cold; log lines target cold and target warm.

--- /dev/null
+++ b/features/cold_limit.feature
@@ -0,0 +1,61 @@
+Feature: All entries together keep a cold target's rate
+
+  Scenario Outline: At least nine tenths of the rate are used, and no second exceeds its bound
+    Given <entries> entries and a cold target that takes <rate> requests a second
+    When callers ask for <times> times the rate for 60 s, over 3 seeds
+    Then no second exceeds the bound of the cold target
+    And at least <used> of its rate is used once the entries have settled
+
+    Examples:
+      | entries | rate | times | used |
+      | 1       | 26   | 3     | 0.9  |
+      | 3       | 26   | 3     | 0.9  |
+      | 22      | 26   | 20    | 0.9  |
+      | 43      | 26   | 30    | 0.9  |
+      | 103     | 26   | 60    | 0.9  |
+      | 43      | 3    | 60    | 0.9  |
+      | 43      | 0.5  | 300   | 0.9  |
+
+  Scenario Outline: Starts, cuts, freezes and elections make no second exceed the bound
+    Given <entries> entries and a cold target that takes <rate> requests a second
+    And starts, cuts, freezes and elections at random
+    When callers ask for <times> times the rate for 60 s, over <seeds> seeds
+    Then no second exceeds the bound of the cold target
+
+    Examples:
+      | entries | rate | times | seeds |
+      | 2       | 26   | 6     | 15    |
+      | 5       | 26   | 10    | 15    |
+      | 22      | 26   | 25    | 10    |
+      | 43      | 26   | 40    | 8     |
+      | 43      | 4    | 150   | 4     |
+
+  Scenario Outline: A bound that leaves no room for a burst is kept as well
+    Given 10 entries and a cold target that takes <rate> requests a second
+    And a deployment that allows <overage> times the rate and <tolerance> more
+    When callers ask for 20 times the rate for 30 s, over 3 seeds
+    Then no second exceeds the bound of the cold target
+
+    Examples:
+      | rate | overage | tolerance |
+      | 26   | 1       | 0         |
+      | 26   | 1.5     | 0         |
+      | 2    | 1       | 0         |
+      | 0.5  | 1       | 0         |
+      | 10   | 0.5     | 0         |
+
+  Scenario: Entries that all start at once send nothing until they know each other
+    Given 43 entries and a cold target that takes 26 requests a second
+    When callers ask for 40 times the rate for 3 s, over 3 seeds
+    Then the cold target gets nothing
+
+  Scenario: Entries that hear from nobody send nothing
+    Given 43 entries and a cold target that takes 26 requests a second
+    And no entry reaches a control VM
+    When callers ask for 40 times the rate for 20 s, over 3 seeds
+    Then the cold target gets nothing
+
+  Scenario: A service without a warm-up rate is not limited
+    Given 3 entries and a cold target without a warm-up rate
+    When 500 requests arrive at an entry at once
+    Then all of them may go to the target
--- /dev/null
+++ b/features/steps/cold_limit_steps.py
@@ -0,0 +1,101 @@
+"""Steps on the rate that all entries keep for a cold target."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.harness import cold_entries
+from jasperweir.components.warmup import rate as rate_lib
+
+# Entries use their shares from here on, seconds.
+SETTLED_SECONDS = 8.0
+
+
+@given(
+    "{count:d} entries and a cold target that takes {rate:g} requests a second"
+)
+def step_world(context, count, rate):
+    context.count, context.rate = count, rate
+    context.bounds = rate_lib.Bounds()
+    context.prepare = lambda world, seconds: None
+
+
+@given("{count:d} entries and a cold target without a warm-up rate")
+def step_unlimited(context, count):
+    step_world(context, count, 0.0)
+
+
+@given("a deployment that allows {overage:g} times the rate and {more:g} more")
+def step_bounds(context, overage, more):
+    context.bounds = rate_lib.Bounds(overage=overage, tolerance=more)
+
+
+@given("starts, cuts, freezes and elections at random")
+def step_random(context):
+    context.prepare = lambda world, seconds: world.draw_disturbances(seconds)
+
+
+@given("no entry reaches a control VM")
+def step_alone(context):
+    def prepare(world, seconds):
+        for intervals in world.cuts.values():
+            intervals.append((0.0, seconds))
+
+    context.prepare = prepare
+
+
+@when(
+    "callers ask for {times:d} times the rate for {seconds:d} s,"
+    " over {seeds:d} seeds"
+)
+def step_run(context, times, seconds, seeds):
+    context.worlds = []
+    for seed in range(seeds):
+        world = cold_entries.World(
+            entries=context.count,
+            seed=seed,
+            warmup_per_s=context.rate,
+            bounds=context.bounds,
+        )
+        context.prepare(world, seconds)
+        world.run(seconds, times)
+        context.worlds.append(world)
+
+
+@then("no second exceeds the bound of the cold target")
+def step_bounded(context):
+    most = [world.most_in_window() for world in context.worlds]
+    assert max(most) <= context.worlds[0].allowed, most
+
+
+@then("at least {least:g} of its rate is used once the entries have settled")
+def step_used(context, least):
+    used = [w.used_share(SETTLED_SECONDS, 60.0) for w in context.worlds]
+    assert min(used) >= least, used
+
+
+@then("the cold target gets nothing")
+def step_nothing(context):
+    assert not any(world.arrivals for world in context.worlds)
+
+
+@when("{count:d} requests arrive at an entry at once")
+def step_burst(context, count):
+    world = cold_entries.World(entries=1, seed=0, warmup_per_s=0.0)
+    entry = cold_entries.Entry(
+        name="e1",
+        service=world.service,
+        bounds=world.bounds,
+        target=world.target,
+    )
+    entry.update(1.0)
+    context.served = []
+    for _ in range(count):
+        found = entry.warmup.list_available([entry.target], "s", 1.0)
+        entry.warmup.on_chosen(entry.target, 1.0)
+        context.served.append(found == [entry.target])
+
+
+@then("all of them may go to the target")
+def step_all(context):
+    assert all(context.served)
--- a/jasperweir/components/forward/capacity.py
+++ b/jasperweir/components/forward/capacity.py
@@ -9,6 +9,7 @@
 from jasperweir.components.balance import late_admission as late_admission_lib
 from jasperweir.components.balance import passes as passes_lib
 from jasperweir.components.directory import records
+from jasperweir.components.warmup import warmup as warmup_lib
 
 
 class Candidates(NamedTuple):
@@ -34,6 +35,7 @@
 
     Attributes:
         entry_count: Number of all entries, this one included.
+        warmup: Limits of requests to cold targets, None for none.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         rng: random.Random,
     ) -> None:
         self.entry_count = 1
+        self.warmup: warmup_lib.WarmUp | None = None
         self._balancer = balancer
         self._cell = cell
         self._rng = rng
@@ -96,7 +99,7 @@
     ) -> Candidates:
         """Return some targets with their free slots, given who shares them."""
         loads = self._balancer.loads(targets, now)
-        free_slots = loads.free
+        free_slots = loads.free - self._count_beyond_rate(targets, now)
         if limit is not None and free_slots >= 1:
             max_streams = limit.streams(now) * len(targets)
             if math.isfinite(max_streams):
@@ -114,6 +117,28 @@
             entry_count,
         )
 
+    def _count_beyond_rate(
+        self, targets: list[records.Target], now: float
+    ) -> int:
+        """Return the free slots of cold targets that their rates don't allow.
+
+        Args:
+            targets: Targets of one service.
+            now: Monotonic seconds.
+        """
+        warmup = self.warmup
+        if warmup is None or not targets:
+            return 0
+        if not warmup.has_cold(targets[0].service, now):
+            return 0
+        beyond = 0
+        for target in targets:
+            most = warmup.max_requests(target, now)
+            if math.isfinite(most):
+                free = self._balancer.loads([target], now).free
+                beyond += max(free - int(most), 0)
+        return beyond
+
     def count_open(self, targets: list[records.Target], now: float) -> int:
         """Return the open requests of all entries at some targets."""
         return self._balancer.loads(targets, now).open
--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -57,6 +57,7 @@
         self._target: records.Target | None = None
         self._conn: http_client.ClientConnection | None = None
         self._holds_slot = False
+        self._is_counted_cold = False
         self._connect_task: asyncio.Task[None] | None = None
         self._head: http_message.Head | None = None
         self._length: int | None = None
@@ -84,9 +85,18 @@
 
     # Sending to a target.
 
-    def send_to(self, target: records.Target) -> None:
-        """Send the request to a target, over an idle or a new connection."""
+    def send_to(
+        self, target: records.Target, *, is_counted_cold: bool = False
+    ) -> None:
+        """Send the request to a target, over an idle or a new connection.
+
+        Args:
+            target: The target.
+            is_counted_cold: Whether the request counts against the rate of a
+                cold target.
+        """
         self._target = target
+        self._is_counted_cold = is_counted_cold
         self._forwarder.balancer.begin(target.target_id)
         self._holds_slot = True
         max_idle_s = math.inf
@@ -118,8 +128,12 @@
         assert self._target is not None
         now = self._forwarder.now()
         state = self.state
-        if self._forwarder.targets.backpressure.is_blocked(self._target, now):
-            # The target sent backpressure while the connection was opened.
+        targets = self._forwarder.targets
+        if targets.backpressure.is_blocked(self._target, now) or not (
+            self._is_counted_cold or targets.warmup.try_count(self._target, now)
+        ):
+            # The target sent backpressure or turned cold while the connection
+            # was opened.
             self._forwarder.pool.release(_pool_key(self._target), conn)
             self._release_slot()
             self._apply(state.on_target_unavailable(self._target.target_id))
@@ -167,6 +181,9 @@
                 self.target_id, target_head.load, now
             )
         if self._target is not None and not target_head.other_target:
+            self._forwarder.targets.warmup.on_answer(
+                self._target, target_head.cold_s, now
+            )
             self._forwarder.outcomes.on_signals(
                 self._target, target_head.signals, self._sent_at
             )
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -32,6 +32,7 @@
 from jasperweir.components.forward import request_state
 from jasperweir.components.forward import startup_grace as startup_grace_lib
 from jasperweir.components.forward import stragglers
+from jasperweir.components.warmup import rate as rate_lib
 from jasperweir.helpers import http_client
 from jasperweir.helpers import http_server
 from jasperweir.helpers import metrics as metrics_lib
@@ -72,6 +73,7 @@
         times: http_client.ClientTimeouts,
         metrics: metrics_lib.Metrics,
         is_first_start: bool = False,
+        cold_bounds: rate_lib.Bounds = rate_lib.DEFAULT_BOUNDS,
     ) -> None:
         self.dialect = dialect
         self.balancer = balancer_lib.Balancer(rng=rng)
@@ -119,7 +121,9 @@
             directory=directory,
             outages=self._outages,
             name=cell.name,
+            cold_bounds=cold_bounds,
         )
+        self.capacity.warmup = self.targets.warmup
         self.outcomes = outcome_tracker.OutcomeTracker(
             clock=clock,
             targets=self.targets,
@@ -333,8 +337,8 @@
             ),
             now=now,
         )
-        self.targets.backpressure.on_chosen(target, now)
-        exchange.send_to(target)
+        is_cold = self.targets.on_chosen(target, now)
+        exchange.send_to(target, is_counted_cold=is_cold)
 
     def reject_quarantined(self, now: float) -> None:
         """Reject queued requests that are quarantined by now."""
@@ -459,8 +463,13 @@
         self.capacity.entry_count = count
         self._budget.on_entries(len(entries) if hears_leader else 0, now)
         self.cell.on_entries(entries)
-        names = (entry.name for entry in entries)
+        names = [entry.name for entry in entries]
         self.targets.backpressure.shares.on_entries(names, now)
+        self.targets.warmup.shares.on_entries(
+            names,
+            now,
+            is_confirmed=hears_leader and self.cell.name in names,
+        )
 
     def share(self) -> balance_messages.Share:
         """Return the load report for other entries."""
@@ -472,6 +481,7 @@
         now = self.now()
         self.balancer.on_share(src, msg, now)
         self.targets.backpressure.on_peer_refusals(msg.refusing, now)
+        self.targets.warmup.shares.on_heard(src, now)
 
     def tidy(self) -> None:
         """Close idle connections and drop expired backpressure state."""
@@ -481,6 +491,19 @@
         self._recorder.record_signal_counts(
             self.targets.backpressure.counts(now)
         )
+        warmup = self.targets.warmup
+        self._recorder.record_cold_changes(
+            warmup.tick(now), warmup.count_cold(), now
+        )
+
+    def on_evacuation_ended(self, place: str, now: float) -> None:
+        """Count a data centre's targets as cold until their next heartbeats.
+
+        Args:
+            place: Data centre whose evacuation was withdrawn.
+            now: Monotonic seconds.
+        """
+        self.targets.warmup.on_evacuation_ended(place, now)
 
     # Completion.
 
--- a/jasperweir/components/forward/recorder.py
+++ b/jasperweir/components/forward/recorder.py
@@ -12,6 +12,7 @@
 from jasperweir.components.forward import request_state
 from jasperweir.components.quarantine import ledger as ledger_lib
 from jasperweir.components.quarantine import suspects as suspects_lib
+from jasperweir.components.warmup import warmup as warmup_lib
 from jasperweir.helpers import logs
 from jasperweir.helpers import metrics as metrics_lib
 
@@ -242,6 +243,38 @@
         for signal, count in counts.items():
             self._metrics.gauge("targets_asking", float(count), signal=signal)
 
+    def record_cold_changes(
+        self,
+        changes: list[warmup_lib.Change],
+        counts: dict[str, int],
+        now: float,
+    ) -> None:
+        """Record the targets that have turned cold or warm.
+
+        Args:
+            changes: The changes.
+            counts: Cold targets by service with a warm-up rate.
+            now: Monotonic seconds.
+        """
+        for service, count in counts.items():
+            self._metrics.gauge("targets_cold", float(count), service=service)
+        for change in changes:
+            target, cold = change.target, change.cold
+            if cold is None:
+                _log.info("target warm", target=target.target_id)
+                continue
+            left_s = cold.until - now
+            _log.info(
+                "target cold",
+                target=target.target_id,
+                reason=cold.reason.value,
+                stated_ago_ms=round((now - cold.stated_at) * 1000),
+                left_ms=round(left_s * 1000) if math.isfinite(left_s) else None,
+                per_s=round(change.share.per_s, 2),
+                burst=round(change.share.burst, 2),
+                entries=change.entry_count,
+            )
+
     def record_probe(self, case: suspects_lib.Case, result: str) -> None:
         """Record the probe of a target whose connections broke.
 
--- a/jasperweir/daemons/node_settings.py
+++ b/jasperweir/daemons/node_settings.py
@@ -15,6 +15,9 @@
             stall, seconds.
         answer_kept_s: Longest time for which callers cache an address lookup,
             seconds.
+        cold_overage: Factor on the rate of a cold target that is allowed in one
+            second.
+        cold_tolerance: Requests beyond it that are allowed in one second.
     """
 
     grace_s: float
@@ -23,6 +26,8 @@
     retry_burst: float
     stall_s: float
     answer_kept_s: float
+    cold_overage: float = 1.5
+    cold_tolerance: float = 5.0
 
 
 class NodeSettings(NamedTuple):
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -24,6 +24,7 @@
 from jasperweir.components.quarantine import const as quarantine_const
 from jasperweir.components.quarantine import messages as quarantine_messages
 from jasperweir.components.quarantine import replication as replication_lib
+from jasperweir.components.warmup import rate as rate_lib
 from jasperweir.daemons import engine_client
 from jasperweir.daemons import loop_host
 from jasperweir.daemons import node_settings
@@ -124,6 +125,10 @@
             times=http_client.ClientTimeouts(),
             metrics=self._host.metrics,
             is_first_start=cfg.bootstrap,
+            cold_bounds=rate_lib.Bounds(
+                overage=cfg.bounds.cold_overage,
+                tolerance=cfg.bounds.cold_tolerance,
+            ),
         )
         self._share_scheduled = False
         self._forwarder.balancer.on_change = self._schedule_share
@@ -261,6 +266,7 @@
         deployment = self._dialect.deployment(zlib.decompress(act.data))
         index = index_lib.DeploymentIndex(deployment=deployment)
         self._forwarder.index = index
+        self._forwarder.targets.warmup.on_services(index.services)
         self._forwarder.pass_monitor.limits.on_bounds(index.get_pass_bounds())
         limits = deployment.limits
         if self._server is not None:
--- a/script/guards_backpressure.py
+++ b/script/guards_backpressure.py
@@ -14,9 +14,8 @@
           "        if state.draining:\n            return math.inf\n", "",
           "backpressure"),
     Guard("a last look before a request is written", F + "exchange.py",
-          "if self._forwarder.targets.backpressure.is_blocked("
-          "self._target, now):",
-          "if False:", "backpressure"),
+          "if targets.backpressure.is_blocked(self._target, now) or not (",
+          "if not (", "backpressure"),
     Guard("after a rest one request goes first", B + "state.py",
           "        return now - self.trial_at < const.TRIAL_SECONDS\n",
           "        return False\n", "backpressure"),
