Slow readers: backpressure in both directions, and bounds in bytes

Cause: a connection with more than 1 MiB unsent was reset, whatever the target could have done, and nothing bounded what all callers together hold. Change: reading from a target stops while its caller has more than 32 KiB unsent, and goes on below 8 KiB. Unsent answers (48 MiB) and request bodies (64 MiB) of all connections are bounded. A large body is sent as fast as its target reads. An answer that a target cuts off while its caller pauses ends as broken off, without blame for the target, and such a pause is no pass.

--- a/features/cold_targets.feature
+++ b/features/cold_targets.feature
@@ -52,7 +52,7 @@
   Scenario: An answer of an earlier start says nothing about a later one
     Given a target that starts at 100 s with a cold time of 0 s
     When an answer at 110 s states 2 s
-    And the target starts again at 110.5 s with a cold time of 0 s
+    And the target starts again at 109.9 s with a cold time of 0 s
     Then for a service with 3 s of cold time it is warm at 110.6 s
 
   Scenario: After an evacuation targets are cold until a heartbeat made later
--- a/features/steps/cold_limit_steps.py
+++ b/features/steps/cold_limit_steps.py
@@ -35,6 +35,16 @@
     context.prepare = lambda world, seconds: world.draw_disturbances(seconds)
 
 
+@given("half of them are suspended from {since:g} s to {until:g} s")
+def step_half(context, since, until):
+    def prepare(world, seconds):
+        half = world.rng.sample(world.names, len(world.names) // 2)
+        for name in half:
+            world.freezes[name].append((since, until))
+
+    context.prepare = prepare
+
+
 @given("no entry reaches a control VM")
 def step_alone(context):
     def prepare(world, seconds):
@@ -99,3 +109,39 @@
 @then("all of them may go to the target")
 def step_all(context):
     assert all(context.served)
+
+
+@given("a rate of {per_s:g} requests a second with a burst of {burst:g}")
+def step_rate(context, per_s, burst):
+    context.rate = rate_lib.Rate(per_s, burst)
+    context.bucket = rate_lib.Bucket(updated_at=0.0)
+
+
+@when("an entry has no share until {at:g} s, and then the whole rate")
+def step_takes_over(context, at):
+    for number in range(round(at / 0.5)):
+        context.bucket.update(rate_lib.Rate(0.0, 0.0), number * 0.5)
+    context.bucket.update(context.rate, at)
+
+
+@when(
+    "an entry has the whole rate from 0 s, and nothing is updated from"
+    " {since:g} s to {until:g} s"
+)
+def step_gap(context, since, until):
+    for number in range(round(since / 0.5) + 1):
+        context.bucket.update(context.rate, number * 0.5)
+    assert context.bucket.tokens == context.rate.burst
+    context.bucket.update(context.rate, until)
+
+
+@then(
+    "it may send {first:d} requests at 5 s, {second:d} at 5.1 s and {third:d}"
+    " at 6 s"
+)
+def step_tokens(context, first, second, third):
+    sent = [context.bucket.tokens]
+    for at in (5.1, 5.5, 6.0):
+        context.bucket.update(context.rate, at)
+        sent.append(round(context.bucket.tokens, 6))
+    assert [sent[0], sent[1], sent[3]] == [first, second, third], sent
--- a/jasperweir/components/forward/const.py
+++ b/jasperweir/components/forward/const.py
@@ -15,5 +15,12 @@
 MAX_BUFFERED_BYTES = 256 * 1024
 # Larger events are passed on in parts.
 MAX_EVENT_BYTES = 256 * 1024
+# Targets cut off answers that stay unread for some seconds. A connection that
+# breaks after a shorter pause of its caller, seconds, shows a fault of the
+# target.
+UNREAD_SECONDS = 1.0
+# A closed connection is noticed only once it is read. One that breaks so soon
+# after the caller has read again was cut off while it paused, seconds.
+HELD_UP_SECONDS = 0.5
 # Deadline of requests whose caller does not state one, seconds.
 DEFAULT_DEADLINE_SECONDS = 30.0
--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -58,6 +58,12 @@
         self._conn: http_client.ClientConnection | None = None
         self._holds_slot = False
         self._is_counted_cold = False
+        # Whether reading from the target pauses for the caller, when that last
+        # began and ended, monotonic seconds, and the longest pause, seconds.
+        self._is_caller_slow = False
+        self._slow_since = 0.0
+        self._resumed_at = float("-inf")
+        self._longest_pause_s = 0.0
         self._connect_task: asyncio.Task[None] | None = None
         self._head: http_message.Head | None = None
         self._length: int | None = None
@@ -72,6 +78,8 @@
         left_s = state.remaining_s(forwarder.now())
         self._timer = loop.call_later(left_s, self._on_timeout)
         answering.on_gone = self._on_caller_disconnected
+        answering.on_paused = self._on_caller_slow
+        answering.on_writable = self._on_caller_ready
 
     @property
     def request(self) -> http_message.Request:
@@ -159,7 +167,9 @@
         state.on_sent(self._target.target_id)
         self._conn = conn
         self._sent_at = now
-        conn.send(http_message.write_head(line, headers) + req.body, self)
+        conn.send(http_message.write_head(line, headers), self, req.body)
+        if self._is_caller_slow:
+            conn.pause_reading()
 
     # Handling of the response.
 
@@ -235,6 +245,8 @@
             self._buffered = []
 
     def _record_gap(self) -> None:
+        if self._is_caller_slow:
+            return
         now = self._forwarder.now()
         if self._last_event_at:
             gap_s = now - self._last_event_at
@@ -271,12 +283,48 @@
 
     def on_broken(self, reason: str) -> None:
         """Handle a connection that closed before the response was complete."""
+        if self._was_held_up and not self.done:
+            # The target cut off an answer that was not read; it has no fault.
+            self._forwarder.record_unread(self)
+            self._release_target()
+            self.state.may_have_run = True
+            self._apply(self.state.fail(Code.BROKEN_OFF))
+            return
         if not self.done and self._target is not None:
             self._forwarder.crash_detector.on_broken(
                 self, self._target, self._sent_at
             )
         self._on_fault(Fault.UNKNOWN, reason, hard=False)
 
+    # Backpressure of the caller.
+
+    def _on_caller_slow(self) -> None:
+        self._is_caller_slow = True
+        self._slow_since = self._forwarder.now()
+        if self._conn is not None:
+            self._conn.pause_reading()
+
+    def _on_caller_ready(self) -> None:
+        self._is_caller_slow = False
+        self._resumed_at = self._forwarder.now()
+        self._longest_pause_s = max(
+            self._longest_pause_s, self._resumed_at - self._slow_since
+        )
+        # The pause was the caller's and says nothing about the target's passes.
+        self._last_event_at = 0.0
+        if self._conn is not None:
+            self._conn.resume_reading()
+
+    @property
+    def _was_held_up(self) -> bool:
+        """Whether the target had to wait for the caller until just now."""
+        now = self._forwarder.now()
+        if self._is_caller_slow:
+            return now - self._slow_since >= const.UNREAD_SECONDS
+        if now - self._resumed_at > const.HELD_UP_SECONDS:
+            return False
+        return self._longest_pause_s >= const.UNREAD_SECONDS
+
     @property
     def _is_event_stream(self) -> bool:
         if not self.state.is_stream:
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -524,6 +524,10 @@
         """Configuration version in force, 0 before the first."""
         return self.index.deployment.version if self.index else 0
 
+    def record_unread(self, exchange: exchange_lib.Exchange) -> None:
+        """Record a target that cut off an answer its caller didn't read."""
+        self._recorder.record_unread(exchange)
+
     def record_pause(self, service: str, seconds: float) -> None:
         """Record the pause between two events of a stream."""
         if self.pass_monitor.limits.on_pause(service, seconds):
--- a/jasperweir/components/forward/recorder.py
+++ b/jasperweir/components/forward/recorder.py
@@ -320,6 +320,16 @@
             last_event=exchange.state.last_event_id,
         )
 
+    def record_unread(self, exchange: exchange_lib.Exchange) -> None:
+        """Record a target that cut off an answer its caller didn't read."""
+        self._metrics.inc("unread_answers", service=exchange.service)
+        _log.info(
+            "answer not read in time",
+            id=exchange.state.caller_headers.request_id,
+            target=exchange.target_id,
+            last_event=exchange.state.last_event_id,
+        )
+
     def record_timeout(self, exchange: exchange_lib.Exchange) -> None:
         """Record that the deadline of a request has passed."""
         _log.info(
--- a/jasperweir/helpers/http_client.py
+++ b/jasperweir/helpers/http_client.py
@@ -16,6 +16,15 @@
 
 # Statuses whose responses never have a body (RFC 9110).
 BODILESS_STATUSES = (204, 304)
+# Part of a request that is handed to the kernel at once; the rest follows when
+# the server has read most of it, so that a large body is not copied as a whole.
+WRITE_PART_BYTES = 64 * 1024
+# Most bytes that are read at once, so that little arrives after a pause has
+# been asked for.
+READ_BYTES = 32 * 1024
+# Receive buffer of a connection in the kernel, which would grow to several MB
+# while reading pauses.
+RECEIVE_BUFFER_BYTES = 64 * 1024
 
 
 class ResponseListener(Protocol):
@@ -85,6 +94,9 @@
         self._until_close = False
         self._complete = False
         self._clean_eof = False
+        self._unsent = memoryview(b"")
+        self._is_writable = True
+        self._is_paused = False
         self._keep_alive_s = times.idle
         self._keep_alive = True
         self.usable_until = 0.0
@@ -101,18 +113,52 @@
             return False
         return clocks.elapsed() < self.usable_until
 
-    def send(self, data: bytes, listener: ResponseListener) -> None:
-        """Send one request; the listener receives the response."""
+    def send(
+        self, data: bytes, listener: ResponseListener, body: bytes = b""
+    ) -> None:
+        """Send one request; the listener receives the response.
+
+        Args:
+            data: The head, or the whole request.
+            listener: Receives the response.
+            body: Body that follows; it is sent as fast as the server reads.
+        """
         assert self._transport is not None
         self._listener = listener
         self._complete = False
         self.received = False
+        self._unsent = memoryview(body)
         self._transport.write(data)
+        self._send_more()
+
+    def _send_more(self) -> None:
+        assert self._transport is not None
+        while self._unsent and self._is_writable and not self.closed:
+            part = self._unsent[:WRITE_PART_BYTES]
+            self._unsent = self._unsent[WRITE_PART_BYTES:]
+            self._transport.write(part)
+
+    def pause_reading(self) -> None:
+        """Stop reading the response, so that the server has to wait."""
+        if self.closed or self._is_paused or self._transport is None:
+            return
+        self._is_paused = True
+        if not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read the response again."""
+        if not self._is_paused or self._transport is None:
+            return
+        self._is_paused = False
+        if not self.closed and not self._transport.is_closing():
+            self._transport.resume_reading()
 
     def close(self) -> None:
         """Close the connection at once, without a call to the listener."""
         self._listener = None
         self.closed = True
+        self._unsent = memoryview(b"")
         if self._transport is not None:
             self._transport.abort()
 
@@ -122,8 +168,15 @@
         """Set the socket options of a new connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        transport.set_write_buffer_limits(WRITE_PART_BYTES)
+        if hasattr(transport, "max_size"):
+            # asyncio's transports read up to 256 KiB at once otherwise.
+            transport.max_size = READ_BYTES
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         timeout_ms = int(self._times.dead_peer * 1000)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
         # Keep-alive probes close a connection whose peer is unreachable before
@@ -157,6 +210,15 @@
         if self._complete:
             self._finish_response()
 
+    def pause_writing(self) -> None:
+        """Hold the rest of the request until the server reads."""
+        self._is_writable = False
+
+    def resume_writing(self) -> None:
+        """Send the next parts of the request."""
+        self._is_writable = True
+        self._send_more()
+
     def eof_received(self) -> bool:
         """Record that the server closed the connection cleanly."""
         self._clean_eof = True
@@ -237,7 +299,8 @@
         listener = self._listener
         self._listener = None
         assert self._transport is not None
-        unsent = self._transport.get_write_buffer_size()
+        unsent = len(self._unsent) + self._transport.get_write_buffer_size()
+        self.resume_reading()
         if not self._keep_alive or unsent:
             self.close()
         else:
--- a/jasperweir/helpers/http_server.py
+++ b/jasperweir/helpers/http_server.py
@@ -12,13 +12,28 @@
 
 import httptools
 
+from jasperweir.helpers import byte_totals
 from jasperweir.helpers import clocks
 from jasperweir.helpers import http_message
 
 # Most pipelined requests of a connection that wait for an earlier response.
 MAX_PIPELINED = 16
-# Most unsent bytes of a connection; above it the connection is reset.
+# Most unsent bytes of a streamed response; above it the connection is reset.
+# Handlers that heed ``on_paused`` stay below it.
 WRITE_BUFFER_BYTES = 1 << 20
+# A handler is asked to pause above so many unsent bytes of a connection, and to
+# go on below so many.
+HIGH_WATER_BYTES = 32 * 1024
+LOW_WATER_BYTES = 8 * 1024
+# Send buffer of a connection in the kernel, which would grow to several MB for
+# a caller that doesn't read.
+SEND_BUFFER_BYTES = 64 * 1024
+# Most unsent bytes of all connections of a server, a quarter of an entry's
+# memory; above it the connections with the most are reset.
+UNSENT_TOTAL_BYTES = 48 * 1024 * 1024
+# Request bodies of all connections above which none are read on, until the
+# responses to earlier requests release some.
+BODY_TOTAL_BYTES = 64 * 1024 * 1024
 BACKLOG = 512
 
 
@@ -38,6 +53,9 @@
         request: Request to respond to.
         on_gone: Called when the caller disconnects before the response is
             complete.
+        on_paused: Called when the caller reads more slowly than the response is
+            written.
+        on_writable: Called when the caller has read most of it.
         started: Whether the head has been written.
         done: Whether the response is complete or was aborted.
     """
@@ -47,6 +65,8 @@
     ) -> None:
         self.request = req
         self.on_gone: Callable[[], None] | None = None
+        self.on_paused: Callable[[], None] | None = None
+        self.on_writable: Callable[[], None] | None = None
         self.started = False
         self.done = False
         self._conn = conn
@@ -94,6 +114,7 @@
         if self.done or not data:
             return
         self._conn.write(http_message.chunk(data) if self._chunked else data)
+        self._conn.check_unsent()
 
     def end(self) -> None:
         """Complete a streamed response."""
@@ -138,6 +159,7 @@
         )
         self._current: ResponseWriter | None = None
         self._closing = False
+        self._is_writable = True
         self._idle_since = clocks.elapsed()
         self._reading_since = 0.0
         self._head_bytes = 0
@@ -153,8 +175,10 @@
         """Set the socket options and register the connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        transport.set_write_buffer_limits(HIGH_WATER_BYTES, LOW_WATER_BYTES)
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         user_timeout_ms = int(self._server.dead_peer_s * 1000)
         sock.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms
@@ -167,10 +191,12 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the disconnect to the handler of the current request."""
         self._server.connections.discard(self)
+        self._server.unsent.set(self, 0)
         self._closing = True
         current = self._current
         self._current = None
         self._queue.clear()
+        self._release_body(self._server.bodies.get(self))
         if current is not None and not current.done:
             current.done = True
             if current.on_gone is not None:
@@ -193,6 +219,21 @@
         if self._in_head and self._head_bytes > self._limits.header_bytes:
             self._reject(431)
 
+    def pause_writing(self) -> None:
+        """Ask the handler of the current request to pause."""
+        self._is_writable = False
+        current = self._current
+        if current is not None and current.on_paused is not None:
+            current.on_paused()
+
+    def resume_writing(self) -> None:
+        """Tell the handler of the current request to go on."""
+        self._is_writable = True
+        self._server.unsent.set(self, self.unsent_bytes)
+        current = self._current
+        if current is not None and current.on_writable is not None:
+            current.on_writable()
+
     def eof_received(self) -> bool:
         """Close the connection when the caller half-closes it."""
         return False
@@ -237,6 +278,12 @@
             self._reject(413)
             return
         self._body.append(body)
+        bodies = self._server.bodies
+        bodies.set(self, bodies.get(self) + len(body))
+        is_pipelined = self._current is not None or bool(self._queue)
+        is_large = bodies.get(self) > self._limits.body_bytes
+        if bodies.is_exceeded or (is_pipelined and is_large):
+            self._server.hold_back(self)
 
     def on_message_complete(self) -> None:
         """Queue a complete request."""
@@ -261,13 +308,36 @@
     # Called by response writers and by the server.
 
     def write(self, data: bytes) -> None:
-        """Write bytes; a connection whose caller reads too slowly is reset."""
+        """Write bytes."""
         if self._transport is None or self._transport.is_closing():
             return
         self._transport.write(data)
-        if self._transport.get_write_buffer_size() > WRITE_BUFFER_BYTES:
+        unsent = self._transport.get_write_buffer_size()
+        if unsent:
+            self._server.on_unsent(self, unsent)
+
+    def check_unsent(self) -> None:
+        """Reset the connection if a response outruns its caller too far."""
+        if self.unsent_bytes > WRITE_BUFFER_BYTES:
             self.abort()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that are written but not sent."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    def pause_reading(self) -> None:
+        """Stop reading from the caller."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read from the caller again."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
     def keeps_alive(self, req: http_message.Request) -> bool:
         """Return whether the connection stays open after a response."""
         return req.keep_alive and not self._server.stopping
@@ -277,6 +347,7 @@
         if self._current is not answering:
             return
         self._current = None
+        self._release_body(len(answering.request.body))
         self._idle_since = clocks.elapsed()
         if not self.keeps_alive(answering.request):
             self.close()
@@ -324,6 +395,18 @@
         req = self._queue.popleft()
         self._current = ResponseWriter(conn=self, req=req)
         self._server.handler(self._current)
+        if not self._is_writable:
+            # The caller hasn't read the previous response.
+            self.pause_writing()
+
+    def _release_body(self, size: int) -> None:
+        """Count the body of an answered request no longer."""
+        if not size:
+            return
+        bodies = self._server.bodies
+        bodies.set(self, max(bodies.get(self) - size, 0))
+        if not bodies.is_exceeded:
+            self._server.release_held_back()
 
     def _reject(self, status: int) -> None:
         """Reject a request with a status and close the connection.
@@ -351,6 +434,8 @@
         limits: Limits on callers; may be replaced at any time.
         stopping: Whether connections close after their next response.
         connections: Open connections.
+        unsent: Unsent bytes by connection.
+        bodies: Bytes of request bodies by connection.
         dead_peer_s: A connection with bytes unacknowledged for so many seconds
             is closed.
         on_first: Called when a connection opens while no other is open.
@@ -364,6 +449,13 @@
         self.limits = ServerLimits()
         self.stopping = False
         self.connections: set[Connection] = set()
+        self.unsent: byte_totals.ByteTotal[Connection] = byte_totals.ByteTotal(
+            limit=UNSENT_TOTAL_BYTES
+        )
+        self.bodies: byte_totals.ByteTotal[Connection] = byte_totals.ByteTotal(
+            limit=BODY_TOTAL_BYTES
+        )
+        self._held_back: set[Connection] = set()
         self.on_first: Callable[[], None] = lambda: None
         self.dead_peer_s = dead_peer_s
         self._server: asyncio.Server | None = None
@@ -384,6 +476,28 @@
             reuse_address=True,
         )
 
+    def on_unsent(self, conn: Connection, size: int) -> None:
+        """Count unsent bytes; reset the largest holders beyond the total."""
+        self.unsent.set(conn, size)
+        if not self.unsent.is_exceeded:
+            return
+        self.unsent.refresh(lambda holder: holder.unsent_bytes)
+        while self.unsent.is_exceeded:
+            largest = self.unsent.find_largest()
+            self.unsent.set(largest, 0)
+            largest.abort()
+
+    def hold_back(self, conn: Connection) -> None:
+        """Stop reading a request body until others are released."""
+        self._held_back.add(conn)
+        conn.pause_reading()
+
+    def release_held_back(self) -> None:
+        """Read the held back request bodies again."""
+        held_back, self._held_back = self._held_back, set()
+        for conn in held_back:
+            conn.resume_reading()
+
     def check_ages(self) -> None:
         """Close connections that exceed the idle or header timeout."""
         now = clocks.elapsed()
