--- a/features/cold_limit.feature
+++ b/features/cold_limit.feature
@@ -30,6 +30,18 @@
       | 43      | 26   | 40    | 8     |
       | 43      | 4    | 150   | 4     |
 
+  Scenario Outline: Callers that come in bursts after pauses make no second exceed the bound
+    Given <entries> entries and a cold target that takes 26 requests a second
+    And callers that come for <open> s of every 3 s
+    When callers ask for 60 times the rate for 60 s, over 3 seeds
+    Then no second exceeds the bound of the cold target
+
+    Examples:
+      | entries | open |
+      | 1       | 1.2  |
+      | 22      | 0.3  |
+      | 43      | 1.2  |
+
   Scenario Outline: A bound that leaves no room for a burst is kept as well
     Given 10 entries and a cold target that takes <rate> requests a second
     And a deployment that allows <overage> times the rate and <tolerance> more
--- a/features/harness/cold_entries.py
+++ b/features/harness/cold_entries.py
@@ -65,6 +65,8 @@
         cuts: Intervals by entry in which it reaches no control VM.
         freezes: Intervals by entry in which its process is suspended.
         elections: Times at which a new leader starts with an empty list.
+        every_s: Interval at which callers come, seconds.
+        open_s: Time of each such interval in which they come, seconds.
         arrivals: When requests reached the target.
     """
 
@@ -83,6 +85,7 @@
         self.cuts = {name: [] for name in self.names}
         self.freezes = {name: [] for name in self.names}
         self.elections = []
+        self.every_s, self.open_s = 1.0, 1.0
         self.arrivals = []
         self._entries = {}
         # Entries by the time at which the leader last heard from them.
@@ -113,7 +116,8 @@
         rate = times * max(self.warmup_per_s, 1.0)
         while at < seconds:
             at += self.rng.expovariate(rate)
-            self._push(at, "call", self.rng.choice(self.names))
+            if at % self.every_s < self.open_s:
+                self._push(at, "call", self.rng.choice(self.names))
         for at in self.elections:
             self._push(at, "elect", "")
         for name, at in self.starts.items():
--- a/features/steps/cold_limit_steps.py
+++ b/features/steps/cold_limit_steps.py
@@ -45,6 +45,14 @@
     context.prepare = prepare
 
 
+@given("callers that come for {open_s:g} s of every {every_s:g} s")
+def step_bursts(context, open_s, every_s):
+    def prepare(world, seconds):
+        world.every_s, world.open_s = every_s, open_s
+
+    context.prepare = prepare
+
+
 @given("no entry reaches a control VM")
 def step_alone(context):
     def prepare(world, seconds):
