--- a/features/steps/cold_forward_steps.py
+++ b/features/steps/cold_forward_steps.py
@@ -212,5 +212,5 @@
     targets = forwarder.targets.list_available("s", now)
     candidates = forwarder.capacity.find_candidates(targets, None, now)
     cold = next(t for t in targets if t.target_id == "t0")
-    most = forwarder.targets.warmup.max_requests(cold, now)
+    most = forwarder.targets.warmup.max_requests([cold], now)["t0"]
     assert 1 <= candidates.free_slots <= most < cold.slots, (candidates, most)
--- a/jasperweir/components/forward/capacity.py
+++ b/jasperweir/components/forward/capacity.py
@@ -126,17 +126,16 @@
             targets: Targets of one service.
             now: Monotonic seconds.
         """
-        warmup = self.warmup
-        if warmup is None or not targets:
+        if self.warmup is None:
             return 0
-        if not warmup.has_cold(targets[0].service, now):
+        limits = self.warmup.max_requests(targets, now)
+        if not limits:
             return 0
         beyond = 0
         for target in targets:
-            most = warmup.max_requests(target, now)
-            if math.isfinite(most):
+            if target.target_id in limits:
                 free = self._balancer.loads([target], now).free
-                beyond += max(free - int(most), 0)
+                beyond += max(free - limits[target.target_id], 0)
         return beyond
 
     def count_open(self, targets: list[records.Target], now: float) -> int:
--- a/jasperweir/components/warmup/rate.py
+++ b/jasperweir/components/warmup/rate.py
@@ -101,6 +101,11 @@
         """Whether a request may be sent now."""
         return self.tokens >= 1 - _ROUNDING
 
+    @property
+    def requests(self) -> int:
+        """Number of requests that may be sent now."""
+        return math.floor(self.tokens + _ROUNDING)
+
     def wait_s(self) -> float:
         """Return the time until a request may be sent, seconds."""
         if self.has_token:
--- a/jasperweir/components/warmup/warmup.py
+++ b/jasperweir/components/warmup/warmup.py
@@ -36,7 +36,18 @@
 
 
 class _ColdTargets(NamedTuple):
+    """Cached cold targets of a service.
+
+    Attributes:
+        colds: The cold targets by id.
+        owned: Ids of those of which this entry has a share. Only their buckets
+            are looked at for each request.
+        source: List of announced targets that it was made from.
+        valid_until: When it must be made again, monotonic seconds.
+    """
+
     colds: dict[str, coldness_lib.Cold]
+    owned: set[str]
     source: list[records.Target]
     valid_until: float
 
@@ -145,11 +156,15 @@
         colds = self._find_colds(service, now)
         if not colds:
             return targets
+        owned = self._cached[service].owned
         return [
             target
             for target in targets
             if target.target_id not in colds
-            or self._get_bucket(target, now).has_token
+            or (
+                target.target_id in owned
+                and self._get_bucket(target, now).has_token
+            )
         ]
 
     def wait_s(self, target: records.Target, now: float) -> float:
@@ -165,12 +180,28 @@
             return min(left_s, const.SETTLE_SECONDS)
         return min(self._get_bucket(target, now).wait_s(), left_s)
 
-    def max_requests(self, target: records.Target, now: float) -> float:
-        """Return how many requests a target may get of this entry now."""
-        if target.target_id not in self._find_colds(target.service, now):
-            return math.inf
-        bucket = self._get_bucket(target, now)
-        return float(max(math.floor(bucket.tokens), int(bucket.has_token)))
+    def max_requests(
+        self, targets: list[records.Target], now: float
+    ) -> dict[str, int]:
+        """Return how many requests each cold target may get of this entry now.
+
+        Args:
+            targets: Targets of one service.
+            now: Monotonic seconds.
+
+        Returns:
+            Numbers by the ids of the cold targets.
+        """
+        if not targets or not self._find_colds(targets[0].service, now):
+            return {}
+        colds, owned, _, _ = self._cached[targets[0].service]
+        return {
+            target.target_id: self._get_bucket(target, now).requests
+            if target.target_id in owned
+            else 0
+            for target in targets
+            if target.target_id in colds
+        }
 
     def has_cold(self, service: str, now: float) -> bool:
         """Return whether a limited service has cold targets."""
@@ -240,7 +271,15 @@
             if cold is not None:
                 colds[target.target_id] = cold
                 valid_until = min(valid_until, cold.until)
-        self._cached[service] = _ColdTargets(colds, announced, valid_until)
+        rate = self._rates[service]
+        owned = {
+            target_id
+            for target_id in colds
+            if self.shares.share(target_id, rate, now).per_s > 0
+        }
+        self._cached[service] = _ColdTargets(
+            colds, owned, announced, valid_until
+        )
         return colds
 
     def _get_bucket(
