--- a/jasperweir/components/forward/available_targets.py
+++ b/jasperweir/components/forward/available_targets.py
@@ -5,12 +5,15 @@
 """
 
 from collections.abc import Callable
+import math
 from typing import NamedTuple
 
 from jasperweir.components.backpressure import backpressure as backpressure_lib
 from jasperweir.components.balance import outage as outage_lib
 from jasperweir.components.directory import directory as directory_lib
 from jasperweir.components.directory import records
+from jasperweir.components.warmup import rate as rate_lib
+from jasperweir.components.warmup import warmup as warmup_lib
 
 
 class ServingTargets(NamedTuple):
@@ -36,6 +39,7 @@
         evacuated: Evacuated data centres.
         on_evacuation_ended: Called with a data centre and monotonic seconds
             when its evacuation ends.
+        warmup: Limits of requests to cold targets.
     """
 
     def __init__(
@@ -44,14 +48,19 @@
         directory: directory_lib.Directory,
         outages: outage_lib.Outages,
         name: str,
+        cold_bounds: rate_lib.Bounds = rate_lib.DEFAULT_BOUNDS,
     ) -> None:
-        """Initialize without backpressure.
+        """Initialize without backpressure and limited services.
 
         Args:
             directory: Announced targets.
             outages: Services whose targets all refuse requests.
             name: Name of this entry.
+            cold_bounds: Bounds on requests to cold targets.
         """
+        self.warmup = warmup_lib.WarmUp(
+            directory=directory, name=name, bounds=cold_bounds
+        )
         self.backpressure = backpressure_lib.Backpressure(name=name)
         self.evacuated: frozenset[str] = frozenset()
         self.on_evacuation_ended: Callable[[str, float], None] = (
@@ -127,6 +136,7 @@
         that were not tried yet would appear full, and requests would queue for
         them in vain.
         """
+        targets = self.warmup.list_available(targets, service, now)
         if self._outages.get(service).is_active(now):
             return self.backpressure.list_unblocked(targets, now)
         return self.backpressure.list_available(targets, now)
@@ -147,7 +157,28 @@
         """
         announced = self.list_ready(service, now)
         untried = [t for t in announced if t.target_id not in tried]
-        return self.backpressure.available_in_s(untried, now, ahead)
+        if not self.warmup.has_cold(service, now):
+            return self.backpressure.available_in_s(untried, now, ahead)
+        waits = [(self.warmup.wait_s(t, now), t) for t in untried]
+        ready = [t for wait_s, t in waits if wait_s <= 0]
+        return min(
+            self.backpressure.available_in_s(ready, now, ahead),
+            min(
+                max(wait_s, self.backpressure.available_in_s([t], now))
+                for wait_s, t in waits
+            )
+            if waits
+            else math.inf,
+        )
+
+    def on_chosen(self, target: records.Target, now: float) -> bool:
+        """Count a request to a target against its limits.
+
+        Returns:
+            Whether it counts against the rate of a cold target.
+        """
+        self.backpressure.on_chosen(target, now)
+        return self.warmup.on_chosen(target, now)
 
     def on_service_recovered(self, service: str, now: float) -> None:
         """Clear the refusals of a service's targets after an outage."""
--- a/jasperweir/components/forward/const.py
+++ b/jasperweir/components/forward/const.py
@@ -23,5 +23,12 @@
 RETURNS_SENT_MAX = 256
 # Longest time that is read of another entry's refused request, seconds.
 RETURN_MAX_SECONDS = 60.0
+# Targets cut off answers that stay unread for some seconds. A connection that
+# breaks after a shorter pause of its caller, seconds, shows a fault of the
+# target.
+UNREAD_SECONDS = 1.0
+# A closed connection is noticed only once it is read. One that breaks so soon
+# after the caller has read again was cut off while it paused, seconds.
+HELD_UP_SECONDS = 0.5
 # Deadline of requests whose caller does not state one, seconds.
 DEFAULT_DEADLINE_SECONDS = 30.0
--- a/script/check_names.py
+++ b/script/check_names.py
@@ -16,7 +16,8 @@
     r"|Instance-Load|Token-Usage|Prefix-Hash|Request-Priority"
     r"|Instances[.](Heartbeat|Deregister)|Configuration[.](Replace|Describe)"
     r"|Drain[.](Create|Terminate)"
-    r"|coldRemainingMs|maxAttempts|pathPrefix|itlTargetMs|ttlS"
+    r"|coldRemainingMs|coldStartS|warmupPerS|Cold-Start-Ms|maxAttempts"
+    r"|pathPrefix|itlTargetMs|ttlS"
 )
 
 
--- a/script/guards.py
+++ b/script/guards.py
@@ -12,6 +12,7 @@
 import guards_backpressure
 import guards_evacuation
 import guards_voters
+import guards_warmup
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PARTS = (
@@ -421,6 +422,7 @@
     *guards_backpressure.GUARDS,
     *guards_evacuation.GUARDS,
     *guards_voters.GUARDS,
+    *guards_warmup.GUARDS,
 )
 
 
