Tell entries which target belongs to which group of ranks

Cause: entries treated all targets of a service as one unit, as they did not know which ranks run their passes together. Change: the leader of the control VMs builds a list of groups from the engine states that agents report and sends it (groups.list: term, sequence, groups) on change and once to an entry that has started or was silent. Entries keep the newest list in a directory. Nothing uses it for load decisions yet.

--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -32,6 +32,8 @@
 from jasperweir.components.forward import request_state
 from jasperweir.components.forward import startup_grace as startup_grace_lib
 from jasperweir.components.forward import stragglers
+from jasperweir.components.groups import directory as group_directory
+from jasperweir.components.groups import messages as groups_messages
 from jasperweir.helpers import http_client
 from jasperweir.helpers import http_server
 from jasperweir.helpers import metrics as metrics_lib
@@ -46,6 +48,7 @@
         balancer: Open requests and health of targets.
         cell: Entries and targets in the same cell as this entry.
         capacity: Free slots at targets, nearby ones first.
+        groups: Groups of ranks that run passes together.
         pass_monitor: Pass times of engine groups and the resulting limits.
         outcomes: Updates of shared state after each attempt.
         crash_detector: Detection of crashed targets and of the requests that
@@ -82,6 +85,7 @@
         self._clock = clock
         self._rng = rng
         self.cell = cell
+        self.groups = group_directory.GroupDirectory()
         self.capacity = capacity_lib.CapacityFinder(
             balancer=self.balancer, cell=cell, rng=rng
         )
@@ -462,6 +466,14 @@
         names = (entry.name for entry in entries)
         self.targets.backpressure.shares.on_entries(names, now)
 
+    def on_groups(self, msg: groups_messages.GroupList) -> None:
+        """Use a list of groups unless a newer one is known."""
+        changes = self.groups.on_list(msg)
+        if changes is None:
+            return
+        for change in changes:
+            self._recorder.record_group(change)
+
     def share(self) -> balance_messages.Share:
         """Return the load report for other entries."""
         refusing = self.targets.backpressure.refusing(self.now())
--- a/jasperweir/components/forward/recorder.py
+++ b/jasperweir/components/forward/recorder.py
@@ -10,6 +10,7 @@
 from jasperweir.components.forward import dialect as dialect_lib
 from jasperweir.components.forward import exchange as exchange_lib
 from jasperweir.components.forward import request_state
+from jasperweir.components.groups import directory as group_directory
 from jasperweir.components.quarantine import ledger as ledger_lib
 from jasperweir.components.quarantine import suspects as suspects_lib
 from jasperweir.helpers import logs
@@ -130,6 +131,24 @@
             service=service,
         )
 
+    def record_group(self, change: group_directory.Change) -> None:
+        """Record a group that is listed, opens, closes or has formed anew."""
+        group = change.group
+        labels = {"service": group.service, "group": group.name}
+        self._metrics.gauge("group_open", float(group.is_open), **labels)
+        self._metrics.gauge("group_epoch", float(group.epoch), **labels)
+        _log.info(
+            "group listed as open"
+            if group.is_open
+            else "group listed as closed",
+            service=group.service,
+            group=group.name,
+            epoch=group.epoch,
+            ranks=len(group.addresses),
+            switching=group.is_switching,
+            formed_anew=change.has_reformed,
+        )
+
     def record_retry(
         self,
         exchange: exchange_lib.Exchange,
--- a/jasperweir/components/mapswitch/coordinator.py
+++ b/jasperweir/components/mapswitch/coordinator.py
@@ -8,6 +8,8 @@
 
 from jasperweir import core
 from jasperweir.components.deployment import model
+from jasperweir.components.groups import const as groups_const
+from jasperweir.components.groups import messages as groups_messages
 from jasperweir.components.mapswitch import const
 from jasperweir.components.mapswitch import messages
 from jasperweir.components.mapswitch import relays as relays_lib
@@ -162,6 +164,19 @@
             )
         )
 
+    def list_groups(self, now: float) -> tuple[groups_messages.Group, ...]:
+        """Return all groups for the entries' directories.
+
+        A group is open while a rank of its newest epoch that was heard from
+        recently says so. One whose agents are all silent keeps its last state:
+        silence of agents is no evidence against the targets.
+        """
+        return tuple(
+            _describe_group(name, group, now)
+            for name, group in sorted(self._groups.items())
+            if group.members.all()
+        )[: groups_const.GROUPS_MAX]
+
     def _send_rate_requests(self, now: float) -> Actions:
         busy = any(group.busy for group in self._groups.values())
         counted = self._select_counted_agents()
@@ -225,3 +240,25 @@
             )
             self._groups[name] = group
         return group.on_heartbeat(src, msg, now)
+
+
+def _describe_group(
+    name: str, group: "group_lib.Group", now: float
+) -> groups_messages.Group:
+    members = group.members.all()
+    epoch = max(m.state.epoch for m in members)
+    newest = [m for m in members if m.state.epoch == epoch]
+    recent = [
+        m for m in newest if now - m.heard_at < const.HEARTBEAT_MAX_AGE_SECONDS
+    ]
+    service = members[0].heartbeat.service
+    return groups_messages.Group(
+        service=service,
+        name=name.removeprefix(f"{service}/"),
+        epoch=epoch,
+        is_open=any(m.state.is_open for m in recent or newest),
+        is_switching=group.busy,
+        addresses=tuple(
+            m.heartbeat.address for m in members[: groups_const.RANKS_MAX]
+        ),
+    )
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -13,6 +13,8 @@
 from jasperweir.components.configctl import node as node_lib
 from jasperweir.components.deployment import model
 from jasperweir.components.directory import const as directory_const
+from jasperweir.components.groups import const as groups_const
+from jasperweir.components.groups import notifier as group_notifier
 from jasperweir.components.mapswitch import actions as mapswitch_actions
 from jasperweir.components.mapswitch import const as mapswitch_const
 from jasperweir.components.mapswitch import coordinator as coordinator_lib
@@ -88,6 +90,7 @@
         # Whether planning continues before the next tick.
         self._plan_scheduled = False
         self._slow_target_notifier = slow_target_notifier.SlowTargetNotifier()
+        self._group_notifier = group_notifier.GroupNotifier()
         # Commit index and directory digest that were saved last.
         self._saved_state = (0, 0)
 
@@ -106,6 +109,7 @@
         self._host.call_every(
             SLOW_TARGET_CHECK_SECONDS, self._send_slow_targets
         )
+        self._host.call_every(groups_const.CHECK_SECONDS, self._send_groups)
         await self._stopping.wait()
         await asyncio.sleep(STOP_DELAY_SECONDS)
         self._host.stop()
@@ -368,6 +372,37 @@
         ):
             self._host.send(core.Send(dst=entry.name, msg=slow))
 
+    def _send_groups(self) -> None:
+        """Send the list of groups to the entries for which it is due."""
+        node = self._node
+        if node is None:
+            return
+        now = self._host.now()
+        due = self._group_notifier.tick(
+            term=self._get_leader_term(now),
+            groups=self._coordinator.list_groups(now),
+            entries=node.discovery.nodes.live_nodes(
+                directory_const.KIND_ENTRY, now
+            ),
+            now=now,
+        )
+        for act in due:
+            self._host.send(act)
+        if due:
+            _log.info(
+                "groups sent",
+                entries=len(due),
+                sequence=due[0].msg.sequence,
+                groups={
+                    f"{g.service}/{g.name}": [
+                        g.epoch,
+                        len(g.addresses),
+                        "open" if g.is_open else "closed",
+                    ]
+                    for g in due[0].msg.groups
+                },
+            )
+
     def _apply_configuration(self, version: int) -> None:
         _log.info("version in force", version=version)
         assert self._node is not None
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -20,6 +20,7 @@
 from jasperweir.components.forward import crash_detector
 from jasperweir.components.forward import dialect as dialect_lib
 from jasperweir.components.forward import forwarder as forwarder_lib
+from jasperweir.components.groups import messages as groups_messages
 from jasperweir.components.mapswitch import messages as mapswitch_messages
 from jasperweir.components.quarantine import const as quarantine_const
 from jasperweir.components.quarantine import messages as quarantine_messages
@@ -216,6 +217,9 @@
                 slowdowns = {t.address: t.pace for t in msg.targets}
                 self._forwarder.update_slowdowns(slowdowns, now)
                 return
+            case groups_messages.GroupList():
+                self._forwarder.on_groups(msg)
+                return
         self._perform(self._discovery.receive(src, msg, now))
         if not self._discovery.node.open and not self._stop_requested_at:
             # The message may complete what the entry needs to open.
