Limit streams, outages and choice by group of ranks

Cause: one pass limit, one outage and one set of free slots stood for a whole service. The slowest of several groups limited the others, and refusals of a group with a dead rank closed all groups. Change: with two or more listed groups each has its own pass limit, outage and probes. A closed group gets only probes, shared by all entries; a list that has it open again or an accepted probe ends that. A group that forms anew admits streams slowly. A request goes to a group of its data centre with capacity, then to the group with the most capacity for each rank; an entry that doesn't know a group's callers estimates its load from reports and fills its part of it. A service with fewer than two groups takes the code path of before.

--- a/features/groups.feature
+++ b/features/groups.feature
@@ -50,3 +50,89 @@
   Scenario: A service with one group has no units
     When an entry gets a list with one group of 4 ranks
     Then its ranks stand for the service
+
+  # The replays without a list follow today's rule, one unit for the service.
+
+  Scenario: A slow group makes the streams of the other group late
+    Given groups of 24 ranks in one data centre, of which one is 1.8 times slower
+    When 50 requests a second arrive for 12 s with and without the list
+    Then without the list at most 0.8 are in time, and passes exceed 0.12 s
+    And with the list at least 0.93 are in time, and no pass exceeds 0.12 s
+
+  Scenario: A service with one group is served exactly as before
+    Given one group of 24 ranks in one data centre
+    When 60 requests a second arrive for 6 s with and without the list
+    Then each request has the same outcome and target with and without it
+    And the outcomes are those of the code before groups
+
+  Scenario: A service without groups is served exactly as before
+    Given three groups of 24 ranks in three data centres with 36 entries
+    When 75 requests a second arrive for 4 s without the list
+    Then the outcomes are those of the code before groups
+
+  Scenario: One group loses a rank, and the whole service is taken for out
+    Given an entry with groups g0 and g1 of 4 targets
+    When the targets of g1 refuse, and 6 requests at once arrive for 4 s without the list
+    Then some callers are refused
+    When the targets of g1 refuse, and 6 requests at once arrive for 4 s with the list
+    Then all callers but those of the first 0.5 s are answered 200
+    And at most 12 requests a second reach g1, and at most 3 after the first second
+
+  Scenario: A group that is listed as closed gets only probes
+    Given an entry with groups g0 and g1 of 4 targets
+    When the list closes g1, whose targets refuse, and requests arrive for 6 s
+    Then every caller of a group is answered 200
+    And between 8 and 13 requests reach g1
+
+  Scenario: A group whose list entry is outdated is used again after a probe
+    Given an entry with groups g0 and g1 of 4 targets
+    When the list closes g1, whose targets accept, and requests arrive for 6 s
+    Then every caller of a group is answered 200
+    And at least 30 requests reach g1
+
+  Scenario: A group that refused is used at once when it is listed as formed anew
+    Given an entry with groups g0 and g1 of 4 targets
+    When the targets of g1 refuse for 2 s and it is listed with a new epoch
+    Then at least 15 requests reach g1 in the next second
+
+  Scenario: All groups are closed by the list, whose leader is lost
+    Given an entry with groups g0 and g1 of 4 targets
+    When the list closes both groups, whose targets accept, and requests arrive for 2 s
+    Then every caller of a group is answered 200
+
+  Scenario: Probes of a closed group grow with the number of entries
+    Given an entry with groups g0 and g1 of 4 targets, which knows of 40 entries
+    When the list closes g1, whose targets refuse, and requests arrive for 6 s
+    Then every caller of a group is answered 200
+    And between 1 and 1 requests reach g1
+
+  Scenario: A group that forms anew is flooded before its map fits
+    Given a limit for a group of 24 ranks with 5 slots that has formed anew
+    When 2.4 streams per rank run in passes of 0.05 s for 0.2 s
+    Then it admits 1.25 streams per rank
+    When 1.2 streams per rank run in passes of 0.16 s for 1 s
+    Then it admits at most 1.25 streams per rank
+    When 0.2 streams per rank run in passes of 0.03 s for 1 s
+    Then it admits at most 1.25 streams per rank
+    When 4.8 streams per rank run in passes of 0.05 s for 1.5 s
+    Then it has no limit
+
+  Scenario: The slow passes of one group don't limit another
+    Given limits of a service whose group g1 makes passes of 0.15 s and g0 of 0.04 s
+    Then g1 has a limit and g0 has none
+    When g1 is no longer listed
+    Then the limits hold g0 only
+
+  Scenario Outline: The group for a request
+    Given groups with this capacity and ranks: <groups>
+    Then the next request goes to <chosen>
+
+    Examples:
+      | groups                                         | chosen |
+      | a local 1/24, b distant 90/24                  | a      |
+      | a local 0/24, b distant 9/24                   | b      |
+      | a local 6/24, b local 5/8                      | b      |
+      | a local 0/24, b distant 9/24, c distant 10/24  | c      |
+      | a local -3/24, b distant 9/24 without allowance | none  |
+      | a local 1/24, b unlisted 4/4                   | a      |
+      | a local 0/24, b unlisted 4/4                   | b      |
--- a/features/harness/scripted_targets.py
+++ b/features/harness/scripted_targets.py
@@ -25,6 +25,8 @@
             None if it answers them.
         draining: Whether its answers say that it is leaving.
         limit: Rate limit that its answers state; None for none.
+        delay_s: Real time after which it answers a request that it accepts;
+            it refuses at once.
         is_other: Whether another target has taken over its address.
         arrivals: When requests arrived, by the entry's clock.
         refused_at: When it refused requests.
@@ -35,6 +37,7 @@
         self.backoff = None
         self.draining = False
         self.limit = None
+        self.delay_s = 0.0
         self.is_other = False
         self.arrivals = []
         self.refused_at = []
@@ -52,6 +55,8 @@
             while True:
                 await reader.readuntil(b"\r\n\r\n")
                 self.arrivals.append(self._clock.now)
+                if self.delay_s and self.backoff is None:
+                    await asyncio.sleep(self.delay_s)
                 writer.write(self._answer())
         writer.close()
 
--- a/jasperweir/components/balance/balancer.py
+++ b/jasperweir/components/balance/balancer.py
@@ -67,6 +67,20 @@
     free: int
 
 
+class GroupLoad(NamedTuple):
+    """Estimated load of a group whose callers this entry doesn't all know.
+
+    Attributes:
+        open: Open requests of all entries.
+        free: Free slots of ranks that aren't slow.
+        reports: Number of ranks with a recent report.
+    """
+
+    open: float
+    free: float
+    reports: int
+
+
 class UntrackedLoad(NamedTuple):
     """Requests at a target that no entry has reported.
 
@@ -273,6 +287,34 @@
         )
         return TotalLoad(open=sum(counts), free=free)
 
+    def estimate_group(
+        self, targets: list[records.Target], now: float
+    ) -> GroupLoad:
+        """Return the load of a group from the reports of some of its ranks.
+
+        Requests that no entry has reported are extrapolated from the ranks with
+        a recent report to the others: entries of other cells or data centres
+        spread their requests over all ranks.
+        """
+        self._drop_stale(now)
+        reports = [
+            report.unknown
+            for target in targets
+            if (report := self._reports.get(target.target_id)) is not None
+            and now - report.at <= const.REPORT_TTL_SECONDS
+        ]
+        unknown = sum(reports) / len(reports) if reports else 0.0
+        counts = [
+            self._count_tracked(target.target_id, now) + unknown
+            for target in targets
+        ]
+        free = sum(
+            max(0.0, target.slots - count)
+            for target, count in zip(targets, counts, strict=True)
+            if self.get_slowdown(target, now) < const.SLOWDOWN_MAX
+        )
+        return GroupLoad(open=sum(counts), free=free, reports=len(reports))
+
     def _count_open(
         self, targets: list[records.Target], now: float
     ) -> list[int]:
--- a/jasperweir/components/balance/const.py
+++ b/jasperweir/components/balance/const.py
@@ -63,6 +63,20 @@
 # and overestimates the cost of each.
 STREAMS_MIN_SHARE = 0.25
 
+# A group that has formed anew admits streams up to STREAMS_MIN_SHARE of its
+# slots at first, and more by this factor for each step in which its passes are
+# short: the passes of a group whose map doesn't fit exceed the allowed pause
+# with few streams already.
+RAMP_FACTOR = 1.5
+# Shortest time between two steps, seconds: some passes with the new streams.
+RAMP_STEP_SECONDS = 0.25
+# A step needs at least this share of the admitted streams; short passes with
+# fewer streams show nothing.
+RAMP_USED_SHARE = 0.5
+# Time after which the streams of such a group are no longer limited this way,
+# seconds; with little load there is nothing to measure.
+RAMP_MAX_SECONDS = 5.0
+
 # A late request that has received nothing of its answer is admitted only while
 # fewer than this share of the slots are used, so that new requests stay in
 # time.
@@ -144,3 +158,22 @@
 # Interval at which an entry sends a waiting request as a probe in an outage if
 # no new requests arrive, seconds.
 OUTAGE_PROBE_SECONDS = 0.5
+# Longest interval between two probes of a closed group by one entry while other
+# groups of the service are open, seconds. Each probe may cost its caller the
+# time for which a group with a dead rank holds requests up, so all entries
+# together probe once in OUTAGE_PROBE_SECONDS as far as this bound allows.
+GROUP_PROBE_MAX_SECONDS = 20.0
+# A group that refuses is taken for closed for this long without further
+# refusals, seconds; longer than the interval between two probes.
+GROUP_SILENT_SECONDS = 45.0
+
+# Share of a distant group's slots that overflow from other data centres leaves
+# to the group's own callers.
+OVERFLOW_RESERVE_SHARE = 0.1
+# Time in which all entries together may fill the capacity that each of them
+# sees at a distant group, seconds: a report of the load comes back with the
+# first byte of an answer, some 0.1 to 0.3 s after its request.
+OVERFLOW_SECONDS = 0.3
+# Interval at which an entry sends a request to a distant group of which it has
+# no recent report, seconds.
+OVERFLOW_BLIND_SECONDS = 0.5
--- a/jasperweir/components/balance/entry_cell.py
+++ b/jasperweir/components/balance/entry_cell.py
@@ -6,6 +6,9 @@
 exchanges loads within its cell, a part of its data centre, and sends to the
 targets of that cell. Callers spread evenly over all entries: a data centre with
 a larger share of the entries than of the slots sends the surplus elsewhere.
+
+A service with several groups doesn't use these shares: its requests go to other
+data centres by the capacity of the groups there, see forward/group_capacity.py.
 """
 
 import collections
@@ -105,6 +108,32 @@
         # Among few targets a faulty one would get a large part of the requests.
         return near if len(near) >= const.CELL_TARGETS_MIN else targets
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether the entry exchanges loads with every other entry."""
+        return not self._entry_counts
+
+    def local_targets(self, targets: Targets) -> Targets:
+        """Return the targets in the entry's data centre."""
+        return [t for t in targets if t.place == self._data_centre]
+
+    def near_targets(self, targets: Targets) -> Targets:
+        """Return the targets in the entry's cell, or in its data centre.
+
+        Args:
+            targets: Targets of a group.
+
+        Returns:
+            None of them if the group has too few there.
+        """
+        local = self.local_targets(targets)
+        near = [
+            t for t in local if self._find_cell(t.address) == self._own_cell
+        ]
+        if len(near) < const.CELL_TARGETS_MIN:
+            near = local
+        return near if len(near) >= const.CELL_TARGETS_MIN else []
+
     def _group_targets(self, targets: Targets) -> GroupedTargets:
         by_data_centre: dict[str, Targets] = {self._data_centre: []}
         for target in targets:
--- a/jasperweir/components/balance/passes.py
+++ b/jasperweir/components/balance/passes.py
@@ -11,6 +11,10 @@
 a stream depends on the expert map; while the map doesn't fit the demand no new
 streams are admitted, since reading their prompts would make passes longer.
 Every entry sees the same passes and streams and computes the same limit.
+
+Load: too many streams for the passes of a group; a group that has formed anew
+with a map that may not fit. A service with several groups has one limit for
+each, since each group runs its passes by itself.
 """
 
 import math
@@ -49,11 +53,36 @@
         # passes are short.
         self._stream_cost_s = 0.0
         self._updated_at = float("-inf")
+        # Streams per target that a group that has formed anew admits.
+        self._ramp_streams = math.inf
+        self._ramp_began_at = float("-inf")
+        self._ramp_step_at = float("-inf")
 
     def on_pause(self, seconds: float) -> None:
         """Record the pause between two events of a stream."""
         self._pauses.append(seconds)
 
+    def begin_ramp(self, now: float) -> None:
+        """Admit streams slowly, since the group has formed anew."""
+        if now - self._ramp_began_at < const.RAMP_MAX_SECONDS:
+            return
+        self._ramp_streams = const.STREAMS_MIN_SHARE * self.bounds.slots
+        self._ramp_began_at = now
+        self._ramp_step_at = now
+
+    def _advance_ramp(self, streams: float, now: float) -> None:
+        """Admit more streams if the passes with the admitted ones are short."""
+        if (
+            now - self._ramp_step_at < const.RAMP_STEP_SECONDS
+            or streams < const.RAMP_USED_SHARE * self._ramp_streams
+            or self.pass_s >= const.PASS_UNLIMITED_SHARE * self.bounds.pause_s
+        ):
+            return
+        self._ramp_step_at = now
+        self._ramp_streams *= const.RAMP_FACTOR
+        if self._ramp_streams >= self.bounds.slots:
+            self._ramp_streams = math.inf
+
     @property
     def has_pauses(self) -> bool:
         """Whether pauses were recorded since the last update."""
@@ -83,6 +112,8 @@
             and streams > 0
         ):
             self._stream_cost_s = (self.pass_s - self.bounds.fixed_s) / streams
+        if math.isfinite(self._ramp_streams):
+            self._advance_ramp(streams, now)
 
     def is_stale(self, now: float) -> bool:
         """Return whether there are no recent passes."""
@@ -90,6 +121,12 @@
 
     def streams(self, now: float) -> float:
         """Return the limit of streams per target, infinite if unlimited."""
+        if now - self._ramp_began_at >= const.RAMP_MAX_SECONDS:
+            self._ramp_streams = math.inf
+        return min(self._find_pass_limit(now), self._ramp_streams)
+
+    def _find_pass_limit(self, now: float) -> float:
+        """Return the streams per target for which passes stay short."""
         if self.is_stale(now):
             return math.inf
         if self._stream_cost_s <= 0:
@@ -101,38 +138,72 @@
         return max(available_s / self._stream_cost_s, min_streams)
 
 
+class DueLimit(NamedTuple):
+    """A limit that needs an update.
+
+    Attributes:
+        service: Service of the unit.
+        unit: Group of targets that the limit is for, or the whole service.
+        limit: The limit.
+    """
+
+    service: str
+    unit: str
+    limit: PassLimit
+
+
 class PassLimits:
     """Stream limits of all services whose engines run passes together."""
 
     def __init__(self) -> None:
-        self._limits: dict[str, PassLimit] = {}
+        self._bounds: dict[str, PassBounds] = {}
+        self._limits: dict[str, DueLimit] = {}
 
     def on_bounds(self, bounds: dict[str, PassBounds]) -> None:
         """Replace the services and their bounds."""
-        for name in self._limits.keys() - bounds.keys():
-            del self._limits[name]
-        for name, found in bounds.items():
-            if name in self._limits:
-                self._limits[name].bounds = found
+        self._bounds = bounds
+        for unit, found in list(self._limits.items()):
+            if found.service not in bounds:
+                del self._limits[unit]
             else:
-                self._limits[name] = PassLimit(bounds=found)
+                found.limit.bounds = bounds[found.service]
 
-    def get(self, service: str) -> PassLimit | None:
-        """Return the stream limit of a service, None if it has none."""
-        return self._limits.get(service)
+    def get(self, service: str, unit: str = "") -> PassLimit | None:
+        """Return the stream limit of a unit, None if it has none.
 
-    def on_pause(self, service: str, seconds: float) -> bool:
+        Args:
+            service: Its service.
+            unit: A group of the service; the whole service if empty.
+        """
+        unit = unit or service
+        found = self._limits.get(unit)
+        if found is not None:
+            return found.limit
+        bounds = self._bounds.get(service)
+        if bounds is None:
+            return None
+        limit = PassLimit(bounds=bounds)
+        self._limits[unit] = DueLimit(service, unit, limit)
+        return limit
+
+    def keep_units(self, units: set[str]) -> None:
+        """Drop the limits of groups that are no longer listed."""
+        for unit, found in list(self._limits.items()):
+            if unit != found.service and unit not in units:
+                del self._limits[unit]
+
+    def on_pause(self, service: str, seconds: float, unit: str = "") -> bool:
         """Record the pause between two events of a stream.
 
         Returns:
             Whether the service has a stream limit.
         """
-        limit = self._limits.get(service)
+        limit = self.get(service, unit)
         if limit is None:
             return False
         limit.on_pause(seconds)
         return True
 
-    def due(self) -> list[tuple[str, PassLimit]]:
-        """Return the services and limits that need an update."""
-        return [item for item in self._limits.items() if item[1].has_pauses]
+    def due(self) -> list[DueLimit]:
+        """Return the limits that need an update."""
+        return [d for d in self._limits.values() if d.limit.has_pauses]
--- a/jasperweir/components/forward/capacity.py
+++ b/jasperweir/components/forward/capacity.py
@@ -9,6 +9,8 @@
 from jasperweir.components.balance import late_admission as late_admission_lib
 from jasperweir.components.balance import passes as passes_lib
 from jasperweir.components.directory import records
+from jasperweir.components.forward import group_capacity
+from jasperweir.components.groups import directory as group_directory
 
 
 class Candidates(NamedTuple):
@@ -21,12 +23,15 @@
             others stay free for timely ones.
         entry_count: Number of entries that share these slots, this one
             included.
+        unit: Group of the targets; empty if the service has no groups or none
+            of them has capacity.
     """
 
     targets: list[records.Target]
     free_slots: int
     late_slots: int
     entry_count: int
+    unit: str = ""
 
 
 class CapacityFinder:
@@ -34,6 +39,7 @@
 
     Attributes:
         entry_count: Number of all entries, this one included.
+        by_group: Capacity of services with several groups.
     """
 
     def __init__(
@@ -42,8 +48,12 @@
         balancer: balancer_lib.Balancer,
         cell: entry_cell_lib.EntryCell,
         rng: random.Random,
+        groups: group_directory.GroupDirectory,
     ) -> None:
         self.entry_count = 1
+        self.by_group = group_capacity.GroupCapacity(
+            balancer=balancer, cell=cell, groups=groups, rng=rng
+        )
         self._balancer = balancer
         self._cell = cell
         self._rng = rng
@@ -71,6 +81,30 @@
             return candidates
         return self._count_capacity(targets, limit, self.entry_count, now)
 
+    def find_in_groups(
+        self,
+        service: str,
+        targets: list[records.Target],
+        limits: passes_lib.PassLimits,
+        now: float,
+    ) -> Candidates:
+        """Return ranks of the group of a service that gets the next request.
+
+        Args:
+            service: A service with several groups.
+            targets: Its available targets.
+            limits: Limits on the streams of its groups.
+            now: Monotonic seconds.
+        """
+        found = self.by_group.find(
+            service,
+            targets,
+            lambda unit: limits.get(service, unit),
+            self.entry_count,
+            now,
+        )
+        return Candidates(*found)
+
     def update_limit(
         self,
         targets: list[records.Target],
--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -222,7 +222,7 @@
         if self._last_event_at:
             gap_s = now - self._last_event_at
             self.longest_gap_s = max(self.longest_gap_s, gap_s)
-            self._forwarder.record_pause(self.service, gap_s)
+            self._forwarder.record_pause(self.service, self._target, gap_s)
         self._last_event_at = now
 
     def on_end(self) -> None:
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -87,7 +87,7 @@
         self.cell = cell
         self.groups = group_directory.GroupDirectory()
         self.capacity = capacity_lib.CapacityFinder(
-            balancer=self.balancer, cell=cell, rng=rng
+            balancer=self.balancer, cell=cell, rng=rng, groups=self.groups
         )
         self._directory = directory
         self._budget = budget_lib.RetryBudget(
@@ -106,7 +106,7 @@
             dialect=dialect, rng=rng
         )
         self._patience = wait_estimate_lib.WaitEstimator()
-        self._outages = outage_lib.Outages()
+        self._outages = outage_lib.Outages(groups=self.groups)
         self._early_requests = early_requests.EarlyRequestBuffer()
         self._startup_grace = startup_grace_lib.StartupGrace(
             started_at=clock.monotonic()
@@ -143,7 +143,10 @@
         )
         self.admission.on_work = lambda: self.on_work()
         self.pass_monitor = pass_monitor.PassMonitor(
-            capacity=self.capacity, directory=directory, recorder=self._recorder
+            capacity=self.capacity,
+            directory=directory,
+            recorder=self._recorder,
+            groups=self.groups,
         )
 
     def now(self) -> float:
@@ -284,6 +287,8 @@
     def _admit(self, exchange: exchange_lib.Exchange, now: float) -> None:
         if self.crash_detector.reject_if_quarantined(exchange, now):
             return
+        if self._probe_group(exchange, now):
+            return
         targets = self.targets.list_available(exchange.service, now)
         if not targets:
             self.admission.wait_for_available_target(exchange, now)
@@ -295,9 +300,41 @@
         running = self.capacity.count_open(targets, now)
         self.admission.wait_for_slot(exchange, candidates, running, now)
 
+    def _probe_group(self, exchange: exchange_lib.Exchange, now: float) -> bool:
+        """Send a request to a closed group if a probe is due.
+
+        A caller that is unlikely to try again is not used for it.
+
+        Returns:
+            Whether the request was sent.
+        """
+        service = exchange.service
+        if (
+            not self.groups.list_units(service)
+            or exchange.state.is_last_attempt
+        ):
+            return False
+        probe = self.targets.take_probe(service, self.capacity.entry_count, now)
+        if probe is None:
+            return False
+        target = self.balancer.choose(probe.targets, set(), now)
+        if target is None:
+            return False
+        group = probe.unit[len(service) + 1 :]
+        self._recorder.record_group_probe(service, group, probe.interval_s)
+        candidates = capacity_lib.Candidates(
+            probe.targets, 0, 0, self.capacity.entry_count, probe.unit
+        )
+        self._send_to(exchange, target, candidates, now)
+        return True
+
     def _find_candidates(
         self, service: str, targets: list[records.Target], now: float
     ) -> capacity_lib.Candidates:
+        if self.groups.list_units(service):
+            return self.capacity.find_in_groups(
+                service, targets, self.pass_monitor.limits, now
+            )
         return self.capacity.find_candidates(
             targets, self.pass_monitor.limits.get(service), now
         )
@@ -323,8 +360,21 @@
         if target is None:
             self.admission.wait_for_available_target(exchange, now)
             return
+        self._send_to(exchange, target, candidates, now)
+
+    def _send_to(
+        self,
+        exchange: exchange_lib.Exchange,
+        target: records.Target,
+        candidates: capacity_lib.Candidates,
+        now: float,
+    ) -> None:
+        """Send a request to a target that was chosen from candidates."""
         target_id = target.target_id
-        self._outages.get(exchange.service).on_sent(now)
+        service = exchange.service
+        unit = self.groups.find_unit(service, target.address)
+        self._outages.get_unit(service, unit).on_sent(now)
+        self.capacity.by_group.on_chosen(unit)
         self._recorder.record_choice(
             exchange,
             target,
@@ -336,6 +386,7 @@
                 target, now
             ),
             now=now,
+            group=unit[len(service) + 1 :],
         )
         self.targets.backpressure.on_chosen(target, now)
         exchange.send_to(target)
@@ -471,8 +522,24 @@
         changes = self.groups.on_list(msg)
         if changes is None:
             return
+        now = self.now()
         for change in changes:
             self._recorder.record_group(change)
+            if not change.group.is_open:
+                continue
+            if change.has_reformed or change.was_open is False:
+                self.pass_monitor.on_formed_anew(
+                    change.service, change.unit, now
+                )
+                # Refusals of the earlier epoch say nothing about this one.
+                self._outages.reset(change.unit)
+                self.targets.on_service_recovered(
+                    change.service, now, change.unit
+                )
+        units = self.groups.all_units()
+        self._outages.keep_units(units)
+        self.pass_monitor.keep_units(units)
+        self.capacity.by_group.keep_units(units)
 
     def share(self) -> balance_messages.Share:
         """Return the load report for other entries."""
@@ -513,9 +580,11 @@
         """Configuration version in force, 0 before the first."""
         return self.index.deployment.version if self.index else 0
 
-    def record_pause(self, service: str, seconds: float) -> None:
-        """Record the pause between two events of a stream."""
-        if self.pass_monitor.limits.on_pause(service, seconds):
+    def record_pause(
+        self, service: str, target: records.Target | None, seconds: float
+    ) -> None:
+        """Record the pause between two events of a stream of a target."""
+        if self.pass_monitor.on_pause(service, target, seconds):
             self.on_work()
 
     def reject(self, exchange: exchange_lib.Exchange, code: Code) -> None:
--- a/jasperweir/components/forward/outcome_tracker.py
+++ b/jasperweir/components/forward/outcome_tracker.py
@@ -79,8 +79,13 @@
             threshold = const.OUTAGE_REFUSALS
             if self._startup_grace.is_active(now):
                 threshold = const.START_REFUSALS
-            if self._outages.get(exchange.service).on_refusal(now, threshold):
-                self._recorder.record_outage(exchange.service, begins=True)
+            service = exchange.service
+            unit = self._outages.groups.find_unit(service, target.address)
+            outage = self._outages.get_unit(service, unit)
+            if outage.on_refusal(now, threshold):
+                self._recorder.record_outage(
+                    service, begins=True, group=unit[len(service) + 1 :]
+                )
         at_target = self._balancer.count_at(target.target_id, now)
         self._recorder.record_fault(exchange, target, fault, reason, at_target)
 
@@ -91,9 +96,15 @@
         now = self._clock.monotonic()
         if self._targets.backpressure.on_taken(target, now):
             self._recorder.record_recovery(target)
-        if self._outages.get(exchange.service).on_answer(now):
-            self._targets.on_service_recovered(exchange.service, now)
-            self._recorder.record_outage(exchange.service, begins=False)
+        service = exchange.service
+        unit = self._outages.groups.find_unit(service, target.address)
+        was_listed_closed = self._outages.groups.on_accepted(unit)
+        ended = self._outages.get_unit(service, unit).on_answer(now)
+        if ended or was_listed_closed:
+            self._targets.on_service_recovered(service, now, unit)
+            self._recorder.record_outage(
+                service, begins=False, group=unit[len(service) + 1 :]
+            )
 
     def on_completed(
         self, exchange: exchange_lib.Exchange, sent_at: float
--- a/jasperweir/components/forward/pass_monitor.py
+++ b/jasperweir/components/forward/pass_monitor.py
@@ -2,8 +2,10 @@
 
 from jasperweir.components.balance import passes as passes_lib
 from jasperweir.components.directory import directory as directory_lib
+from jasperweir.components.directory import records
 from jasperweir.components.forward import capacity as capacity_lib
 from jasperweir.components.forward import recorder as recorder_lib
+from jasperweir.components.groups import directory as group_directory
 
 
 class PassMonitor:
@@ -19,34 +21,78 @@
         capacity: capacity_lib.CapacityFinder,
         directory: directory_lib.Directory,
         recorder: recorder_lib.Recorder,
+        groups: group_directory.GroupDirectory,
     ) -> None:
         self.limits = passes_lib.PassLimits()
         self._capacity = capacity
         self._directory = directory
         self._recorder = recorder
-        # Services whose pass time leaves no room for another stream.
-        self._saturated_services: set[str] = set()
+        self._groups = groups
+        # Units whose pass time leaves no room for another stream.
+        self._saturated_units: set[str] = set()
 
     def tick(self, now: float) -> None:
         """Update the limits from the stream pauses since the last call."""
-        for service, limit in self.limits.due():
-            self._update_limit(service, limit, now)
+        for service, unit, limit in self.limits.due():
+            self._update_limit(service, unit, limit, now)
+
+    def on_pause(
+        self, service: str, target: records.Target | None, seconds: float
+    ) -> bool:
+        """Record the pause between two events of a stream.
+
+        Args:
+            service: Service of the stream.
+            target: Target that sends it.
+            seconds: The pause, seconds.
+
+        Returns:
+            Whether the service has a stream limit.
+        """
+        unit = service
+        if target is not None:
+            unit = self._groups.find_unit(service, target.address)
+        return self.limits.on_pause(service, seconds, unit)
+
+    def on_formed_anew(self, service: str, unit: str, now: float) -> None:
+        """Admit streams slowly to a group that has formed anew."""
+        limit = self.limits.get(service, unit)
+        if limit is not None:
+            limit.begin_ramp(now)
+
+    def keep_units(self, units: set[str]) -> None:
+        """Drop the limits of groups that are no longer listed."""
+        self.limits.keep_units(units)
+        self._saturated_units = {
+            unit
+            for unit in self._saturated_units
+            if unit in units or not self._groups.list_units(unit)
+        }
 
     def _update_limit(
-        self, service: str, limit: passes_lib.PassLimit, now: float
+        self, service: str, unit: str, limit: passes_lib.PassLimit, now: float
     ) -> None:
         targets = self._directory.list_ready(service, now)
-        streams = self._capacity.update_limit(targets, limit, now)
-        self._recorder.record_pass(service, limit.pass_s, streams)
+        if unit == service:
+            streams = self._capacity.update_limit(targets, limit, now)
+        else:
+            streams = self._capacity.by_group.streams_per_rank(
+                service, unit, targets, now
+            )
+            limit.update(streams, now)
+        group = unit[len(service) + 1 :]
+        self._recorder.record_pass(service, limit.pass_s, streams, group)
         max_streams = limit.streams(now)
         is_saturated = streams >= max_streams
-        if is_saturated == (service in self._saturated_services):
+        self._recorder.record_limit(service, group, max_streams)
+        if is_saturated == (unit in self._saturated_units):
             return
-        self._saturated_services.symmetric_difference_update({service})
+        self._saturated_units.symmetric_difference_update({unit})
         self._recorder.record_saturation(
             service,
             begins=is_saturated,
             pass_s=limit.pass_s,
             streams=streams,
             max_streams=max_streams,
+            group=group,
         )
--- a/jasperweir/components/forward/recorder.py
+++ b/jasperweir/components/forward/recorder.py
@@ -36,6 +36,7 @@
         candidate_count: int,
         backoff_left_s: float,
         now: float,
+        group: str = "",
     ) -> None:
         """Record the choice of a target.
 
@@ -49,12 +50,15 @@
             backoff_left_s: Time left of the back-off that the target requested,
                 seconds.
             now: Monotonic seconds.
+            group: Group of the target, empty if the service is one unit.
         """
         state = exchange.state
+        labels = {"group": group} if group else {}
         _log.info(
             "target chosen",
             id=state.caller_headers.request_id,
             target=target.target_id,
+            **labels,
             open=open_requests,
             unknown=unreported,
             free=free_slots,
@@ -97,6 +101,7 @@
         pass_s: float,
         streams: float,
         max_streams: float,
+        group: str = "",
     ) -> None:
         """Record that the pass time starts or stops to block new streams.
 
@@ -106,31 +111,60 @@
             pass_s: Smoothed time of a pass, seconds.
             streams: Open streams per target.
             max_streams: Maximum number of streams per target.
+            group: Group of the engines, empty if the service is one unit.
         """
         if begins:
-            self._metrics.inc("passes_too_long", service=service)
+            self._metrics.inc(
+                "passes_too_long", 1, **_unit_labels(service, group)
+            )
         _log.info(
             "passes too long" if begins else "passes short again",
-            service=service,
+            **_unit_labels(service, group),
             pass_ms=round(pass_s * 1000),
             streams=round(streams, 2),
             limit=round(max_streams, 2) if math.isfinite(max_streams) else None,
         )
 
-    def record_pass(self, service: str, pass_s: float, streams: float) -> None:
+    def record_pass(
+        self, service: str, pass_s: float, streams: float, group: str = ""
+    ) -> None:
         """Update the metrics of pass time and streams per target."""
-        self._metrics.gauge("pass_seconds", pass_s, service=service)
-        self._metrics.gauge("streams_per_target", streams, service=service)
+        labels = _unit_labels(service, group)
+        self._metrics.gauge("pass_seconds", pass_s, **labels)
+        self._metrics.gauge("streams_per_target", streams, **labels)
+
+    def record_limit(
+        self, service: str, group: str, max_streams: float
+    ) -> None:
+        """Update the metric of a group's limit; -1 without a limit."""
+        if group:
+            self._metrics.gauge(
+                "streams_per_target_limit",
+                max_streams if math.isfinite(max_streams) else -1.0,
+                **_unit_labels(service, group),
+            )
 
-    def record_outage(self, service: str, *, begins: bool) -> None:
-        """Record the start or end of an outage of all targets of a service."""
+    def record_outage(
+        self, service: str, *, begins: bool, group: str = ""
+    ) -> None:
+        """Record the start or end of an outage of a service or a group."""
+        labels = _unit_labels(service, group)
         if begins:
-            self._metrics.inc("outages", service=service)
+            self._metrics.inc("outages", 1, **labels)
+        if group:
+            self._metrics.gauge("group_refuses", float(begins), **labels)
         _log.info(
-            "targets refuse" if begins else "targets accept again",
-            service=service,
+            "targets refuse" if begins else "targets accept again", **labels
         )
 
+    def record_group_probe(
+        self, service: str, group: str, interval_s: float
+    ) -> None:
+        """Record that a request probes a group that is closed."""
+        labels = _unit_labels(service, group)
+        self._metrics.inc("group_probes", 1, **labels)
+        _log.info("group probed", every_s=round(interval_s, 1), **labels)
+
     def record_group(self, change: group_directory.Change) -> None:
         """Record a group that is listed, opens, closes or has formed anew."""
         group = change.group
@@ -331,3 +365,10 @@
             detail=detail,
             version=version,
         )
+
+
+def _unit_labels(service: str, group: str) -> dict[str, str]:
+    """Return the labels of a group, or of a service that is one unit."""
+    if not group:
+        return {"service": service}
+    return {"service": service, "group": group}
--- a/jasperweir/components/groups/directory.py
+++ b/jasperweir/components/groups/directory.py
@@ -46,6 +46,7 @@
     def __init__(self) -> None:
         self.version = (0, 0)
         self._groups: dict[str, messages.Group] = {}
+        self._closed: set[str] = set()
         self._units_by_service: dict[str, tuple[str, ...]] = {}
         self._unit_by_address: dict[tuple[str, str], str] = {}
 
@@ -61,6 +62,7 @@
         before = self._groups
         self.version = version
         self._groups = {}
+        self._closed = set()
         self._unit_by_address = {}
         by_service: dict[str, list[str]] = {}
         for group in msg.groups[: const.GROUPS_MAX]:
@@ -68,11 +70,13 @@
             if not group.service or not group.name or unit in self._groups:
                 continue
             self._groups[unit] = group
+            if not group.is_open:
+                self._closed.add(unit)
             by_service.setdefault(group.service, []).append(unit)
             for address in group.addresses[: const.RANKS_MAX]:
                 self._unit_by_address[group.service, address] = unit
         self._units_by_service = {
-            service: (*units, make_unit(service, const.UNLISTED))
+            service: tuple(units)
             for service, units in by_service.items()
             if len(units) > 1
         }
@@ -83,12 +87,15 @@
         ]
 
     def list_units(self, service: str) -> tuple[str, ...]:
-        """Return the units of a service, empty if it is one unit."""
+        """Return the listed groups of a service, empty if it is one unit."""
         return self._units_by_service.get(service, ())
 
     def all_units(self) -> set[str]:
         """Return the units of all services with several groups."""
-        return {u for units in self._units_by_service.values() for u in units}
+        units = {u for found in self._units_by_service.values() for u in found}
+        for service in self._units_by_service:
+            units.add(make_unit(service, const.UNLISTED))
+        return units
 
     def find_unit(self, service: str, address: str) -> str:
         """Return the unit of a target; the service if that is one unit."""
@@ -99,8 +106,21 @@
 
     def is_open(self, unit: str) -> bool:
         """Return whether a unit is open; one that isn't listed counts as so."""
-        group = self._groups.get(unit)
-        return group is None or group.is_open
+        return unit not in self._closed
+
+    def on_accepted(self, unit: str) -> bool:
+        """Record that a target of a unit accepted a request.
+
+        It refutes a list that has the group as closed: while no leader is
+        heard, nothing else would.
+
+        Returns:
+            Whether the unit was listed as closed.
+        """
+        if unit not in self._closed:
+            return False
+        self._closed.discard(unit)
+        return True
 
     def split(
         self, service: str, targets: Iterable[records.Target]
