Scenario: refusals close only their own group

Cause: the guard that refusals count for their group stayed green without it. Change: the scenario of a lost rank also checks which groups the entry has out.

--- a/features/groups.feature
+++ b/features/groups.feature
@@ -77,6 +77,7 @@
     When the targets of g1 refuse, and 6 requests at once arrive for 4 s with the list
     Then all callers but those of the first 0.5 s are answered 200
     And at most 12 requests a second reach g1, and at most 3 after the first second
+    And the entry takes g1 for out, and neither g0 nor the service
 
   Scenario: A group that is listed as closed gets only probes
     Given an entry with groups g0 and g1 of 4 targets
--- a/features/steps/groups_load_steps.py
+++ b/features/steps/groups_load_steps.py
@@ -260,6 +260,15 @@
     assert per_s <= later, per_s
 
 
+@then("the entry takes g1 for out, and neither g0 nor the service")
+def step_only_second_out(context):
+    now = context.entry.clock.now
+    outages = context.entry.one.forwarder._outages
+    assert outages.is_out(SERVICE, "s/g1", now)
+    assert not outages.is_out(SERVICE, "s/g0", now)
+    assert not outages.get(SERVICE).is_active(now)
+
+
 @when(
     "the list closes g1, whose targets {act}, and requests arrive for "
     "{seconds:g} s"
