--- a/features/steps/matrix_steps.py
+++ b/features/steps/matrix_steps.py
@@ -15,8 +15,8 @@
 # Kinds whose faults are met by processes, by the registry's scenarios or, for
 # the load that entries share, by those on balancing. Orders to engines travel
 # inside other messages. The list of groups is delayed and duplicated in
-# groups.feature; there an entry also acts on one that is out of date, as it does
-# when the next one is lost.
+# groups.feature; there an entry also acts on one that is out of date, as it
+# does when the next one is lost.
 ELSEWHERE = ("control.", "config.", "op.", "balance.", "order.", "groups.")
 
 
