--- a/features/harness/slow_readers.py
+++ b/features/harness/slow_readers.py
@@ -106,7 +106,9 @@
         await self.one.prepare()
         forwarder = self.one.forwarder
         forwarder.dialect = Dialect()
-        forwarder.record_pause = lambda service, s: self.pauses.append(s)
+        forwarder.record_pause = lambda service, target, s: self.pauses.append(
+            s
+        )
         await self.target.start()
         record = site.target(target_id="t0", address=self.target.address)
         self.one.directory.merge(record._replace(slots=2000), forwarder.now())
--- a/features/steps/evacuated_targets_steps.py
+++ b/features/steps/evacuated_targets_steps.py
@@ -281,7 +281,7 @@
         {"s": passes.PassBounds(pause_s=0.12, fixed_s=0.02, slots=6)}
     )
     for _ in range(1000):
-        forwarder.record_pause("s", 0.05)
+        forwarder.record_pause("s", None, 0.05)
     forwarder.pass_monitor.tick(forwarder.now())
     assert seen == [{place}], seen
 
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -32,6 +32,8 @@
 from jasperweir.components.forward import return_detector
 from jasperweir.components.forward import startup_grace as startup_grace_lib
 from jasperweir.components.forward import stragglers
+from jasperweir.components.groups import directory as group_directory
+from jasperweir.components.groups import messages as groups_messages
 from jasperweir.components.quarantine import fingerprint
 from jasperweir.components.registry import ops
 from jasperweir.components.warmup import rate as rate_lib
@@ -49,6 +51,7 @@
         balancer: Open requests and health of targets.
         cell: Entries and targets in the same cell as this entry.
         capacity: Free slots at targets, nearby ones first.
+        groups: Groups of ranks that run passes together.
         pass_monitor: Pass times of engine groups and the resulting limits.
         outcomes: Updates of shared state after each attempt.
         crash_detector: Detection of crashed targets and of the requests that
@@ -86,8 +89,9 @@
         self._clock = clock
         self._rng = rng
         self.cell = cell
+        self.groups = group_directory.GroupDirectory()
         self.capacity = capacity_lib.CapacityFinder(
-            balancer=self.balancer, cell=cell, rng=rng
+            balancer=self.balancer, cell=cell, rng=rng, groups=self.groups
         )
         self._directory = directory
         self._budget = budget_lib.RetryBudget(
@@ -108,7 +112,7 @@
         self._returns = return_detector.ReturnDetector(
             started_at=clock.monotonic()
         )
-        self._outages = outage_lib.Outages()
+        self._outages = outage_lib.Outages(groups=self.groups)
         self._early_requests = early_requests.EarlyRequestBuffer()
         self._startup_grace = startup_grace_lib.StartupGrace(
             started_at=clock.monotonic()
@@ -151,6 +155,7 @@
             capacity=self.capacity,
             directory=self.targets,
             recorder=self._recorder,
+            groups=self.groups,
         )
 
     def now(self) -> float:
@@ -297,6 +302,8 @@
     def _admit(self, exchange: exchange_lib.Exchange, now: float) -> None:
         if self.crash_detector.reject_if_quarantined(exchange, now):
             return
+        if self._probe_group(exchange, now):
+            return
         targets = self.targets.list_available(exchange.service, now)
         if not targets:
             self.admission.wait_for_available_target(exchange, now)
@@ -308,9 +315,41 @@
         running = self.capacity.count_open(targets, now)
         self.admission.wait_for_slot(exchange, candidates, running, now)
 
+    def _probe_group(self, exchange: exchange_lib.Exchange, now: float) -> bool:
+        """Send a request to a closed group if a probe is due.
+
+        A caller that is unlikely to try again is not used for it.
+
+        Returns:
+            Whether the request was sent.
+        """
+        service = exchange.service
+        if (
+            not self.groups.list_units(service)
+            or exchange.state.is_last_attempt
+        ):
+            return False
+        probe = self.targets.take_probe(service, self.capacity.entry_count, now)
+        if probe is None:
+            return False
+        target = self.balancer.choose(probe.targets, set(), now)
+        if target is None:
+            return False
+        group = probe.unit[len(service) + 1 :]
+        self._recorder.record_group_probe(service, group, probe.interval_s)
+        candidates = capacity_lib.Candidates(
+            probe.targets, 0, 0, self.capacity.entry_count, probe.unit
+        )
+        self._send_to(exchange, target, candidates, now)
+        return True
+
     def _find_candidates(
         self, service: str, targets: list[records.Target], now: float
     ) -> capacity_lib.Candidates:
+        if self.groups.list_units(service):
+            return self.capacity.find_in_groups(
+                service, targets, self.pass_monitor.limits, now
+            )
         return self.capacity.find_candidates(
             targets, self.pass_monitor.limits.get(service), now
         )
@@ -336,8 +375,21 @@
         if target is None:
             self.admission.wait_for_available_target(exchange, now)
             return
+        self._send_to(exchange, target, candidates, now)
+
+    def _send_to(
+        self,
+        exchange: exchange_lib.Exchange,
+        target: records.Target,
+        candidates: capacity_lib.Candidates,
+        now: float,
+    ) -> None:
+        """Send a request to a target that was chosen from candidates."""
         target_id = target.target_id
-        self._outages.get(exchange.service).on_sent(now)
+        service = exchange.service
+        unit = self.groups.find_unit(service, target.address)
+        self._outages.get_unit(service, unit).on_sent(now)
+        self.capacity.by_group.on_chosen(unit)
         self._recorder.record_choice(
             exchange,
             target,
@@ -349,6 +401,7 @@
                 target, now
             ),
             now=now,
+            group=unit[len(service) + 1 :],
         )
         is_cold = self.targets.on_chosen(target, now)
         exchange.send_to(target, is_counted_cold=is_cold)
@@ -504,6 +557,30 @@
             is_confirmed=hears_leader and self.cell.name in names,
         )
 
+    def on_groups(self, msg: groups_messages.GroupList) -> None:
+        """Use a list of groups unless a newer one is known."""
+        changes = self.groups.on_list(msg)
+        if changes is None:
+            return
+        now = self.now()
+        for change in changes:
+            self._recorder.record_group(change)
+            if not change.group.is_open:
+                continue
+            if change.has_reformed or change.was_open is False:
+                self.pass_monitor.on_formed_anew(
+                    change.service, change.unit, now
+                )
+                # Refusals of the earlier epoch say nothing about this one.
+                self._outages.reset(change.unit)
+                self.targets.on_service_recovered(
+                    change.service, now, change.unit
+                )
+        units = self.groups.all_units()
+        self._outages.keep_units(units)
+        self.pass_monitor.keep_units(units)
+        self.capacity.by_group.keep_units(units)
+
     def share(self) -> balance_messages.Share:
         """Return the load report for other entries."""
         now = self.now()
@@ -565,9 +642,11 @@
         """Record a target that cut off an answer its caller didn't read."""
         self._recorder.record_unread(exchange)
 
-    def record_pause(self, service: str, seconds: float) -> None:
-        """Record the pause between two events of a stream."""
-        if self.pass_monitor.limits.on_pause(service, seconds):
+    def record_pause(
+        self, service: str, target: records.Target | None, seconds: float
+    ) -> None:
+        """Record the pause between two events of a stream of a target."""
+        if self.pass_monitor.on_pause(service, target, seconds):
             self.on_work()
 
     def reject(self, exchange: exchange_lib.Exchange, code: Code) -> None:
--- a/script/guards.py
+++ b/script/guards.py
@@ -11,6 +11,7 @@
 import guard as guard_lib
 import guards_backpressure
 import guards_evacuation
+import guards_groups
 import guards_voters
 import guards_warmup
 
@@ -415,12 +416,14 @@
     *GUARDS,
     *guards_backpressure.GUARDS,
     *guards_evacuation.GUARDS,
+    *guards_groups.GUARDS,
 )
 
 ALL_GUARDS = (
     *GUARDS,
     *guards_backpressure.GUARDS,
     *guards_evacuation.GUARDS,
+    *guards_groups.GUARDS,
     *guards_voters.GUARDS,
     *guards_warmup.GUARDS,
 )
