Order of service over all entries: demand by priority, reserve, forecast, returns

Cause: entries told each other how many requests wait, not how urgent they are. A burst of the least urgent took slots that urgent requests needed.

Change: Share.demand holds waiting, running and arriving requests by service and priority band. Free slots go to the bands in order of urgency and within a band to the oldest, over all entries in view. A slot that comes free goes at once to a most urgent request waiting at the same entry. Forecasts count only what is served before. Refused callers get slots of their own as return times, and requests without a chance are refused at that point.

--- a/jasperweir/components/balance/balancer.py
+++ b/jasperweir/components/balance/balancer.py
@@ -235,8 +235,20 @@
         targets: list[records.Target],
         exclude: set[str],
         now: float,
+        *,
+        is_urgent: bool | None = None,
     ) -> records.Target | None:
-        """Return the least loaded healthy target, None if there is none."""
+        """Return the least loaded healthy target, None if there is none.
+
+        Args:
+            targets: Targets to choose from.
+            exclude: Ids of targets that are not chosen.
+            now: Monotonic seconds.
+            is_urgent: Whether the request is of the most urgent of several
+                competing priorities; None without competition. Entries that
+                choose at the same time then choose different targets for
+                urgent requests and for others, if several are equal.
+        """
         candidates = [t for t in targets if t.target_id not in exclude]
         healthy = [t for t in candidates if not self.ejected(t.target_id, now)]
         min_healthy = len(candidates) * (1 - const.EJECT_SHARE)
@@ -257,6 +269,10 @@
             for target, cost in zip(healthy, costs, strict=True)
             if cost == least_cost
         ]
+        if is_urgent is not None and len(cheapest) > 1:
+            cheapest.sort(key=lambda target: target.target_id)
+            half = (len(cheapest) + 1) // 2
+            cheapest = cheapest[:half] if is_urgent else cheapest[half:]
         return self._rng.choice(cheapest)
 
     def loads(self, targets: list[records.Target], now: float) -> TotalLoad:
--- a/jasperweir/components/balance/messages.py
+++ b/jasperweir/components/balance/messages.py
@@ -1,5 +1,6 @@
 """Messages by which entries exchange their open requests."""
 
+from typing import Any
 from typing import NamedTuple
 
 from jasperweir.helpers import codec
@@ -49,9 +50,14 @@
         loads: Open requests by target.
         queues: Requests that wait for a free slot by service; none is empty.
         refusing: Targets that refuse this entry's requests.
+        demand: Requests by service and priority band, each a
+            ``scheduling.demand.BandDemand``; empty from an older version. Not
+            typed, so that a field that a newer peer adds or an odd count
+            doesn't invalidate the whole message.
     """
 
     sequence: int
     loads: tuple[OpenLoad, ...]
     queues: tuple[Queue, ...] = ()
     refusing: tuple[Refusing, ...] = ()
+    demand: tuple[Any, ...] = ()
--- a/jasperweir/components/forward/admission.py
+++ b/jasperweir/components/forward/admission.py
@@ -13,6 +13,8 @@
 from jasperweir.components.forward import queues as queues_lib
 from jasperweir.components.forward import recorder as recorder_lib
 from jasperweir.components.forward import startup_grace as startup_grace_lib
+from jasperweir.components.scheduling import demand as demand_lib
+from jasperweir.components.scheduling import order as order_lib
 
 Code = result_codes.Code
 
@@ -58,6 +60,9 @@
             # The first requests serve as probes for the end of the outage.
             return True
         wait_queue = self._queues.get(exchange.service).wait_queue
+        order = self._queues.find_order(exchange.service, candidates, now)
+        if order is not None:
+            return self._may_overtake(exchange, order, now)
         if self._queues.is_timely(exchange, now):
             return not wait_queue.count_timely(now)
         if len(wait_queue):
@@ -66,6 +71,19 @@
             now
         )
 
+    def _may_overtake(
+        self,
+        exchange: exchange_lib.Exchange,
+        order: order_lib.Order,
+        now: float,
+    ) -> bool:
+        """Return whether the order over all entries lets a new request pass."""
+        band = demand_lib.find_band(exchange.state.match.priority)
+        own = order.own[band]
+        if self._queues.is_timely(exchange, now):
+            return not own.timely and order.may_overtake(band)
+        return not own.waiting and order.may_overtake(band)
+
     def wait_for_slot(
         self,
         exchange: exchange_lib.Exchange,
@@ -82,7 +100,11 @@
             now: Monotonic seconds.
         """
         wait_s = self._queues.estimate_wait_s(
-            exchange.service, candidates, running, now
+            exchange.service,
+            candidates,
+            running,
+            now,
+            priority=exchange.state.match.priority,
         )
         if not exchange.state.expect_wait(wait_s):
             exchange.fail(Code.OVERLOADED)
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -113,6 +113,7 @@
             balancer=self.balancer,
             cell=cell,
             outages=self._outages,
+            startup_grace=self._startup_grace,
             rng=rng,
         )
         self.targets = available_targets.AvailableTargets(
@@ -239,7 +240,6 @@
                 answering, caller_headers, Code.DRAINING, "stopping"
             )
             return
-        now = self.now()
         service = match.route.choose_service(self._rng)
         used_s = self._patience.estimate_waited_s(
             match.route, caller_headers.patience_s
@@ -258,9 +258,7 @@
             state=state,
             service=service,
         )
-        self._open_exchanges[exchange.number] = exchange
-        self._budget.count_first(service, now)
-        self._admit(exchange, now)
+        self.admit(exchange)
 
     def _deny(
         self,
@@ -277,7 +275,12 @@
 
     # Target selection.
 
-    def _admit(self, exchange: exchange_lib.Exchange, now: float) -> None:
+    def admit(self, exchange: exchange_lib.Exchange) -> None:
+        """Send, queue or reject a request that has arrived."""
+        now = self.now()
+        self._open_exchanges[exchange.number] = exchange
+        self._budget.count_first(exchange.service, now)
+        self._queues.on_arrival(exchange, now)
         if self.crash_detector.reject_if_quarantined(exchange, now):
             return
         targets = self.targets.list_available(exchange.service, now)
@@ -311,7 +314,12 @@
         available = self.targets.filter_available(
             candidates.targets, exchange.service, now
         )
-        target = self.balancer.choose(available, tried_target_ids, now)
+        target = self.balancer.choose(
+            available,
+            tried_target_ids,
+            now,
+            is_urgent=self._queues.is_most_urgent(exchange, now),
+        )
         if target is None:
             # All nearby targets have been tried.
             targets = self.targets.list_available(exchange.service, now)
@@ -334,6 +342,7 @@
             now=now,
         )
         self.targets.backpressure.on_chosen(target, now)
+        self._queues.on_sent(exchange)
         exchange.send_to(target)
 
     def reject_quarantined(self, now: float) -> None:
@@ -384,19 +393,14 @@
         targets = self.targets.list_available(service, now)
         candidates = self._find_candidates(service, targets, now)
         is_starting = self._startup_grace.is_active(now)
-        admissible = self._queues.count_admissible(
+        for number in self._queues.admit(
             service, candidates, now, is_starting=is_starting
-        )
-        # Late requests yield slots to timely ones only during startup. In any
-        # other overload this costs more rejections than it avoids.
-        yielding = admissible.yielding if is_starting else None
-        for number in wait_queue.admit(
-            admissible.total, now, yielding=yielding
         ):
             exchange = self._open_exchanges.get(number)
             if exchange is not None:
                 self._send_within_budget(exchange, candidates, now)
-        for number in wait_queue.expire(now):
+        hopeless = self._queues.find_hopeless(service, now)
+        for number in (*hopeless, *wait_queue.expire(now)):
             exchange = self._open_exchanges.get(number)
             if exchange is not None:
                 exchange.fail(Code.OVERLOADED)
@@ -464,13 +468,17 @@
 
     def share(self) -> balance_messages.Share:
         """Return the load report for other entries."""
-        refusing = self.targets.backpressure.refusing(self.now())
-        return self.balancer.share()._replace(refusing=refusing)
+        now = self.now()
+        return self.balancer.share()._replace(
+            refusing=self.targets.backpressure.refusing(now),
+            demand=self._queues.build_demand(now),
+        )
 
     def on_share(self, src: str, msg: balance_messages.Share) -> None:
         """Handle another entry's load report."""
         now = self.now()
         self.balancer.on_share(src, msg, now)
+        self._queues.on_share(src, msg, now)
         self.targets.backpressure.on_peer_refusals(msg.refusing, now)
 
     def tidy(self) -> None:
@@ -492,10 +500,26 @@
         if self._queues.remove(exchange):
             # The shorter queue must be published to the other entries.
             self.on_work()
+        elif exchange.target_id:
+            self._hand_over_slot(exchange.service)
         self._recorder.record_end(
             exchange, outcome, version=self._config_version, now=self.now()
         )
 
+    def _hand_over_slot(self, service: str) -> None:
+        """Send a waiting request to the slot of one that has ended."""
+        queue = self._queues.get(service)
+        # By today's rule slots are taken in ticks and by new requests only.
+        if queue.order is None or not len(queue.wait_queue):
+            return
+        now = self.now()
+        targets = self.targets.list_available(service, now)
+        candidates = self._find_candidates(service, targets, now)
+        for number in self._queues.hand_over(service, candidates, now):
+            exchange = self._open_exchanges.get(number)
+            if exchange is not None:
+                self._send_within_budget(exchange, candidates, now)
+
     @property
     def _config_version(self) -> int:
         """Configuration version in force, 0 before the first."""
@@ -516,6 +540,9 @@
             now,
             outage=self._outages.get(exchange.service).is_active(now),
             expected_wait_s=exchange.state.expected_wait_s,
+            return_s=self._queues.plan_return(exchange, now)
+            if code is Code.OVERLOADED
+            else None,
             quarantine_s=self.crash_detector.find_verdict(exchange, now).held_s,
         )
 
--- a/jasperweir/components/forward/queues.py
+++ b/jasperweir/components/forward/queues.py
@@ -1,5 +1,7 @@
 """Queues of requests that wait for a slot, by service; sans-I/O."""
 
+import collections
+from collections.abc import Sequence
 import math
 import random
 
@@ -12,6 +14,14 @@
 from jasperweir.components.balance import wait_queue as wait_queue_lib
 from jasperweir.components.forward import capacity as capacity_lib
 from jasperweir.components.forward import exchange as exchange_lib
+from jasperweir.components.forward import startup_grace as startup_grace_lib
+from jasperweir.components.scheduling import const as scheduling_const
+from jasperweir.components.scheduling import demand as demand_lib
+from jasperweir.components.scheduling import fairness
+from jasperweir.components.scheduling import order as order_lib
+from jasperweir.components.scheduling import own_demand
+from jasperweir.components.scheduling import returns
+from jasperweir.components.scheduling import view as view_lib
 
 
 class Queue:
@@ -20,11 +30,46 @@
     Attributes:
         wait_queue: Waiting requests by priority.
         forecast: Estimate of how long requests of this service take.
+        demand: Arrivals and running requests by priority.
+        virtual_time: Turns of the customers.
+        returns: Return times of refused callers.
+        order: Order of the last decision, None if today's rule applied.
+        order_at: Time of the last decision, monotonic seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, rng: random.Random) -> None:
         self.wait_queue = wait_queue_lib.WaitQueue()
         self.forecast = forecast_lib.Forecast()
+        self.demand = own_demand.OwnDemand()
+        self.virtual_time = fairness.VirtualTime()
+        self.returns = returns.ReturnSchedule(rng=rng)
+        self.order: order_lib.Order | None = None
+        self.order_at = -math.inf
+
+    def take(
+        self,
+        slots: Sequence[order_lib.BandSlots],
+        now: float,
+        customers: collections.Counter[str],
+    ) -> list[int]:
+        """Remove and return the requests to send now, in order.
+
+        Args:
+            slots: Slots for each priority band.
+            now: Monotonic seconds.
+            customers: Running requests by customer.
+        """
+        sent = self.wait_queue.admit_bands(slots, now, customers)
+        for request in sent:
+            self.virtual_time.on_served(request.start_tag)
+        return [request.number for request in sent]
+
+    def list_demand(self, now: float) -> list[own_demand.WaitingRequest]:
+        """Return what counts of the waiting requests."""
+        return [
+            own_demand.WaitingRequest(w.band, w.is_late(now), now - w.since)
+            for w in self.wait_queue.list_waiting()
+        ]
 
 
 class Queues:
@@ -36,9 +81,13 @@
         balancer: balancer_lib.Balancer,
         cell: entry_cell_lib.EntryCell,
         outages: outage_lib.Outages,
+        startup_grace: startup_grace_lib.StartupGrace,
         rng: random.Random,
     ) -> None:
         self._balancer = balancer
+        self._startup_grace = startup_grace
+        self._view = view_lib.DemandView()
+        self._sent_waiting: tuple[tuple[tuple[int, bool], ...], ...] = ()
         self._cell = cell
         self._outages = outages
         self._rng = rng
@@ -46,7 +95,11 @@
 
     def get(self, service: str) -> Queue:
         """Return the queue of a service."""
-        return self._by_service.setdefault(service, Queue())
+        queue = self._by_service.get(service)
+        if queue is None:
+            queue = Queue(rng=self._rng)
+            self._by_service[service] = queue
+        return queue
 
     def list_waiting_services(self) -> list[str]:
         """Return the services that have waiting requests."""
@@ -60,6 +113,8 @@
         candidates: capacity_lib.Candidates,
         running: int,
         now: float,
+        *,
+        priority: int,
     ) -> float:
         """Estimate when one more request would get a slot, in seconds.
 
@@ -68,8 +123,13 @@
             candidates: Targets that it may be sent to.
             running: Number of requests that run at the service's targets.
             now: Monotonic seconds.
+            priority: Its priority.
         """
         queue = self.get(service)
+        order = self.find_order(service, candidates, now)
+        if order is not None:
+            band = demand_lib.find_band(priority)
+            return order.forecast_wait_s(band, ahead=order.count_ahead(band))
         # Late requests are served after timely ones and do not count.
         ahead = queue.wait_queue.count_timely(now) - min(
             candidates.free_slots, 0
@@ -88,6 +148,8 @@
         """
         state = exchange.state
         queue = self.get(exchange.service)
+        queue.demand.on_ended(exchange.number)
+        busy = (w.customer for w in queue.wait_queue.list_waiting())
         queue.wait_queue.enqueue(
             wait_queue_lib.QueuedRequest(
                 priority=state.match.priority,
@@ -96,11 +158,15 @@
                 until=state.wait_deadline,
                 not_before=not_before,
                 timely_until=self._timely_until(exchange),
+                customer=state.customer_name,
+                is_return=state.is_last_attempt,
+                start_tag=queue.virtual_time.tag(state.customer_name, busy),
             )
         )
 
     def remove(self, exchange: exchange_lib.Exchange) -> bool:
         """Remove a finished request and return whether it was queued."""
+        self.get(exchange.service).demand.on_ended(exchange.number)
         return self.get(exchange.service).wait_queue.remove(exchange.number)
 
     def is_timely(self, exchange: exchange_lib.Exchange, now: float) -> bool:
@@ -116,6 +182,208 @@
         target_end = state.first_attempt_at + state.match.route.target_s
         return target_end - self.get(exchange.service).forecast.first_s
 
+    # Order of service over all entries.
+
+    def on_arrival(self, exchange: exchange_lib.Exchange, now: float) -> None:
+        """Count a new request."""
+        queue = self.get(exchange.service)
+        queue.demand.on_arrival(exchange.state.match.priority, now)
+
+    def on_sent(self, exchange: exchange_lib.Exchange) -> None:
+        """Count a request that is sent to a target."""
+        state = exchange.state
+        self.get(exchange.service).demand.on_sent(
+            exchange.number,
+            demand_lib.find_band(state.match.priority),
+            state.customer_name,
+        )
+
+    def on_share(self, src: str, msg: messages.Share, now: float) -> None:
+        """Handle another entry's load report."""
+        self._view.on_share(src, msg.sequence, msg.demand, msg.queues, now)
+
+    def build_demand(self, now: float) -> tuple[demand_lib.BandDemand, ...]:
+        """Return the demand to send to the other entries."""
+        return tuple(
+            item
+            for service, queue in self._by_service.items()
+            for item in queue.demand.build_message(
+                service, queue.list_demand(now), now
+            )
+        )
+
+    def find_order(
+        self, service: str, candidates: capacity_lib.Candidates, now: float
+    ) -> order_lib.Order | None:
+        """Return the order of service, None if today's rule applies.
+
+        Today's rule applies to requests of a single priority, after the start
+        of this entry, and to an entry that hears less than half of the entries
+        in its cell or no demand by priority.
+        """
+        queue = self.get(service)
+        queue.order = self._build_order(service, candidates, now)
+        queue.order_at = now
+        return queue.order
+
+    def _build_order(
+        self, service: str, candidates: capacity_lib.Candidates, now: float
+    ) -> order_lib.Order | None:
+        if self._startup_grace.is_active(now):
+            return None
+        known = 1 + len(self._cell.peers)
+        if self._cell.peers:
+            if 2 * (1 + self._view.count_peers(now)) <= known:
+                return None
+            if not self._view.has_demand(now):
+                return None
+        queue = self.get(service)
+        own = queue.demand.summarize(queue.list_demand(now), now)
+        elsewhere = self._view.sum_elsewhere(service, now)
+        order = order_lib.Order(
+            own=own,
+            elsewhere=elsewhere.bands,
+            supply=order_lib.Supply(
+                free=self._scale(candidates.free_slots, candidates),
+                whole_s=queue.forecast.whole_s,
+            ),
+            groups=elsewhere.groups,
+        )
+        return order if order_lib.has_several_bands(order.total) else None
+
+    def _scale(
+        self, slots: float, candidates: capacity_lib.Candidates
+    ) -> float:
+        """Return the part of some slots that the entries in view share."""
+        if slots <= 0:
+            return slots
+        # The queues of entries outside the own cell are unknown.
+        known_entries = 1 + len(self._cell.peers)
+        return slots * min(1.0, known_entries / max(candidates.entry_count, 1))
+
+    def admit(
+        self,
+        service: str,
+        candidates: capacity_lib.Candidates,
+        now: float,
+        *,
+        is_starting: bool,
+    ) -> list[int]:
+        """Remove and return the waiting requests to send now, in order.
+
+        Args:
+            service: Their service.
+            candidates: Targets that they may be sent to.
+            now: Monotonic seconds.
+            is_starting: Whether this entry, and so probably its targets, has
+                just started.
+        """
+        queue = self.get(service)
+        order = None
+        if not self._is_in_outage(service, now, is_starting=is_starting):
+            order = self.find_order(service, candidates, now)
+        if order is not None:
+            customers = self._count_customers(service, now)
+            oldest_s = own_demand.find_oldest(queue.list_demand(now))
+            slots = order.allocate(oldest_s, self._rng)
+            return queue.take(slots, now, customers)
+        admissible = self.count_admissible(
+            service, candidates, now, is_starting=is_starting
+        )
+        # Late requests yield slots to timely ones only during startup. In any
+        # other overload this costs more rejections than it avoids.
+        yielding = admissible.yielding if is_starting else None
+        return queue.wait_queue.admit(admissible.total, now, yielding=yielding)
+
+    def _count_customers(
+        self, service: str, now: float
+    ) -> collections.Counter[str]:
+        """Return the running requests by customer at all entries in view."""
+        elsewhere = self._view.sum_elsewhere(service, now).customers
+        own = self.get(service).demand.customers
+        return own + collections.Counter(elsewhere)
+
+    def hand_over(
+        self, service: str, candidates: capacity_lib.Candidates, now: float
+    ) -> list[int]:
+        """Remove and return the request that takes over a slot of this entry.
+
+        Args:
+            service: Service of the slot, which has just come free.
+            candidates: Targets that its requests may be sent to.
+            now: Monotonic seconds.
+        """
+        queue = self.get(service)
+        if self._outages.get(service).is_active(now):
+            return []
+        order = self.find_order(service, candidates, now)
+        if order is None:
+            return []
+        customers = self._count_customers(service, now)
+        return queue.take(order.hand_over(), now, customers)
+
+    def find_hopeless(self, service: str, now: float) -> list[int]:
+        """Return the waiting requests that will get no slot in their time.
+
+        To be called after ``admit``, whose order applies.
+        """
+        queue = self.get(service)
+        order = queue.order
+        if order is None or queue.order_at < now:
+            return []
+        customers = self._count_customers(service, now)
+        out = []
+        ahead = max(-order.supply.free, 0.0)
+        for band, own in enumerate(order.own):
+            if own.waiting:
+                out += queue.wait_queue.find_hopeless(
+                    band,
+                    now,
+                    customers,
+                    ahead=ahead,
+                    spacing=order.total[band].waiting / own.waiting,
+                    per_s=order.compute_rate(band),
+                )
+            ahead += order.total[band].waiting
+        return out
+
+    def is_most_urgent(
+        self, exchange: exchange_lib.Exchange, now: float
+    ) -> bool | None:
+        """Return whether no more urgent requests compete with a request.
+
+        Returns:
+            None if today's rule applies.
+        """
+        queue = self.get(exchange.service)
+        if queue.order is None or queue.order_at < now:
+            return None
+        band = demand_lib.find_band(exchange.state.match.priority)
+        return not any(b.is_present for b in queue.order.total[:band])
+
+    def plan_return(
+        self, exchange: exchange_lib.Exchange, now: float
+    ) -> float | None:
+        """Return the delay after which a refused caller should return, seconds.
+
+        Returns:
+            None if today's rule applies.
+        """
+        queue = self.get(exchange.service)
+        order = queue.order
+        is_recent = now - queue.order_at <= scheduling_const.ORDER_TTL_SECONDS
+        if order is None or not is_recent:
+            return None
+        band = demand_lib.find_band(exchange.state.match.priority)
+        per_s = order.compute_rate(band) / (1 + len(self._cell.peers))
+        return queue.returns.plan(
+            band,
+            now,
+            wait_s=order.forecast_wait_s(band, ahead=order.count_ahead(band)),
+            slots_per_s=per_s,
+            left_s=exchange.state.caller_deadline - now,
+        )
+
     def count_admissible(
         self,
         service: str,
@@ -173,6 +441,15 @@
         """Update the queue lengths in the load report for other entries."""
         for service in self._by_service:
             self._balancer.note_queue(self._summarize(service, now))
+        # The balancer doesn't notice when requests of one priority have taken
+        # the place of others.
+        waiting = tuple(
+            tuple(sorted((w.band, w.is_late) for w in queue.list_demand(now)))
+            for queue in self._by_service.values()
+        )
+        if waiting != self._sent_waiting:
+            self._sent_waiting = waiting
+            self._balancer.on_change()
 
     def _summarize(self, service: str, now: float) -> messages.Queue:
         wait_queue = self.get(service).wait_queue
--- a/jasperweir/components/forward/rejections.py
+++ b/jasperweir/components/forward/rejections.py
@@ -29,6 +29,7 @@
         outage: bool = False,
         expected_wait_s: float = 0.0,
         quarantine_s: float = 0.0,
+        return_s: float | None = None,
     ) -> None:
         """Send the response for a result code.
 
@@ -41,6 +42,8 @@
             outage: Whether all targets of the service refuse requests.
             expected_wait_s: Expected wait for a slot, seconds.
             quarantine_s: Remaining quarantine time of the request, seconds.
+            return_s: Planned delay before its caller's retry, seconds; None
+                without an order of service over all entries.
         """
         row = result_codes.TABLE[code]
         headers = self._dialect.build_own_headers(caller_headers)
@@ -49,6 +52,8 @@
             retry_after_s = quarantine_s or self._compute_retry_after_s(
                 code, now, outage=outage, expected_wait_s=expected_wait_s
             )
+            if return_s is not None and not quarantine_s and not outage:
+                retry_after_s = return_s
             headers.append((b"retry-after", b"%.3f" % retry_after_s))
         answering.reply(row.http, headers, b"")
 
--- /dev/null
+++ b/jasperweir/components/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Order of service of competing requests, over all entries."""
