Report requests by priority and customer; log fields and counters by priority

Cause: the report and the lines of a request didn't say whose requests were refused or waited.

Change: fields priority, customer and waited on the request's lines, counters waits and requests_by_priority, a line and a gauge when the order over all entries starts or stops to apply, and two tables in "report requests".

--- a/features/outcomes.feature
+++ b/features/outcomes.feature
@@ -33,3 +33,10 @@
     When "report requests" is run on a log with 3 served and 2 refused requests
     Then it prints a row of 3 in time and 2 refused
     And it names "overloaded" with 2
+
+  Scenario: The report hides which priority and customer was refused
+    Given a log with requests of priorities 0 and 2 of two customers
+    Then the row of priority 0 is "2 1 1 0"
+    And the row of priority 2 is "0 1 0 2 2001:1 2004:1"
+    And the row of customer "large" is "0 1 0 2 2001:1 2004:1"
+    And a line of an older version is in no row
--- a/features/steps/outcomes_steps.py
+++ b/features/steps/outcomes_steps.py
@@ -123,3 +123,48 @@
 @then('it names "overloaded" with 2')
 def step_outcome_count(context):
     assert ["2", "overloaded"] in [x.split() for x in context.page]
+
+
+@given("a log with requests of priorities 0 and 2 of two customers")
+def step_priorities(context):
+    def line(outcome, used_ms=0, **fields):
+        body = json.loads(request_line(outcome, used_ms=used_ms))
+        return json.dumps({**body, **fields})
+
+    small = {"priority": 0, "customer": "small"}
+    large = {"priority": 2, "customer": "large"}
+    context.summary = summary_lib.Summary()
+    context.summary.add(
+        [
+            line("answered 200", **small, waited=True),
+            line("answered 200", 900, **small, waited=False),
+            line("overloaded", **large, waited=True),
+            line("targets_refused", **large, waited=False),
+            request_line(),
+        ]
+    )
+    context.page = summary_lib.format_text(context.summary).splitlines()
+
+
+def find_row(context, title, name):
+    start = next(
+        n for n, row in enumerate(context.page) if row.startswith(title)
+    )
+    rows = [row.split() for row in context.page[start:]]
+    return " ".join(next(r for r in rows if r and r[0] == name)[1:])
+
+
+@then('the row of priority {name} is "{cells}"')
+def step_priority_row(context, name, cells):
+    assert find_row(context, "priority", name) == cells, context.page
+
+
+@then('the row of customer "{name}" is "{cells}"')
+def step_customer_row(context, name, cells):
+    assert find_row(context, "customer", name) == cells, context.page
+
+
+@then("a line of an older version is in no row")
+def step_older_line(context):
+    found = context.summary.priorities.values()
+    assert sum(s.admitted + s.refused.total() for s in found) == 4
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -116,6 +116,7 @@
             startup_grace=self._startup_grace,
             rng=rng,
         )
+        self._queues.on_order_change = self._recorder.record_order
         self.targets = available_targets.AvailableTargets(
             directory=directory,
             outages=self._outages,
--- a/jasperweir/components/forward/queues.py
+++ b/jasperweir/components/forward/queues.py
@@ -1,6 +1,7 @@
 """Queues of requests that wait for a slot, by service; sans-I/O."""
 
 import collections
+from collections.abc import Callable
 from collections.abc import Sequence
 import math
 import random
@@ -73,7 +74,12 @@
 
 
 class Queues:
-    """Waiting requests of this entry and its share of the free slots."""
+    """Waiting requests of this entry and its share of the free slots.
+
+    Attributes:
+        on_order_change: Called with a service when the order over all entries
+            starts or stops to apply to it; see ``Recorder.record_order``.
+    """
 
     def __init__(
         self,
@@ -87,6 +93,7 @@
         self._balancer = balancer
         self._startup_grace = startup_grace
         self._view = view_lib.DemandView()
+        self.on_order_change: Callable[..., None] = lambda *_, **__: None
         self._sent_waiting: tuple[tuple[tuple[int, bool], ...], ...] = ()
         self._cell = cell
         self._outages = outages
@@ -222,9 +229,18 @@
         in its cell or no demand by priority.
         """
         queue = self.get(service)
-        queue.order = self._build_order(service, candidates, now)
+        order = self._build_order(service, candidates, now)
+        if (order is None) != (queue.order is None):
+            bands = order.total if order else ()
+            self.on_order_change(
+                service,
+                applies=order is not None,
+                peers=self._view.count_peers(now),
+                bands=sum(band.is_present for band in bands),
+            )
+        queue.order = order
         queue.order_at = now
-        return queue.order
+        return order
 
     def _build_order(
         self, service: str, candidates: capacity_lib.Candidates, now: float
--- a/jasperweir/components/forward/recorder.py
+++ b/jasperweir/components/forward/recorder.py
@@ -12,6 +12,7 @@
 from jasperweir.components.forward import request_state
 from jasperweir.components.quarantine import ledger as ledger_lib
 from jasperweir.components.quarantine import suspects as suspects_lib
+from jasperweir.components.scheduling import demand as demand_lib
 from jasperweir.helpers import logs
 from jasperweir.helpers import metrics as metrics_lib
 
@@ -53,6 +54,8 @@
         _log.info(
             "target chosen",
             id=state.caller_headers.request_id,
+            priority=state.match.priority,
+            customer=state.customer_name,
             target=target.target_id,
             open=open_requests,
             unknown=unreported,
@@ -66,11 +69,18 @@
     def record_wait(self, exchange: exchange_lib.Exchange, now: float) -> None:
         """Record that a request waits for a slot or for a target."""
         state = exchange.state
-        self._metrics.inc("waits", last_try=str(state.is_last_attempt).lower())
+        self._metrics.inc(
+            "waits",
+            last_try=str(state.is_last_attempt).lower(),
+            priority=str(demand_lib.find_band(state.match.priority)),
+        )
+        state.has_waited = True
         _log.info(
             "request waits",
             id=state.caller_headers.request_id,
             service=exchange.service,
+            priority=state.match.priority,
+            customer=state.customer_name,
             sends=state.attempts,
             used_ms=round((state.arrived_at - state.first_attempt_at) * 1000),
             foreseen_ms=round(state.expected_wait_s * 1000),
@@ -121,6 +131,25 @@
         self._metrics.gauge("pass_seconds", pass_s, service=service)
         self._metrics.gauge("streams_per_target", streams, service=service)
 
+    def record_order(
+        self, service: str, *, applies: bool, peers: int, bands: int
+    ) -> None:
+        """Record that the order over all entries starts or stops to apply.
+
+        Args:
+            service: The service.
+            applies: Whether it applies from now on, instead of today's rule.
+            peers: Other entries that were heard from recently.
+            bands: Priorities that compete.
+        """
+        self._metrics.gauge("order_applies", float(applies), service=service)
+        _log.info(
+            "order over entries" if applies else "order of this entry",
+            service=service,
+            peers=peers,
+            bands=bands,
+        )
+
     def record_outage(self, service: str, *, begins: bool) -> None:
         """Record the start or end of an outage of all targets of a service."""
         if begins:
@@ -166,6 +195,11 @@
         self._metrics.inc(
             "requests", route=state.match.route.name, outcome=outcome
         )
+        self._metrics.inc(
+            "requests_by_priority",
+            priority=str(demand_lib.find_band(state.match.priority)),
+            outcome=outcome,
+        )
         self._metrics.observe("request_seconds", now - state.arrived_at)
         if first_byte_at:
             self._metrics.observe(
@@ -176,6 +210,8 @@
             id=state.caller_headers.request_id,
             route=state.match.route.name,
             customer=state.customer_name,
+            priority=state.match.priority,
+            waited=state.has_waited,
             service=exchange.service,
             target=exchange.target_id,
             sends=state.attempts,
--- a/jasperweir/components/forward/request_state.py
+++ b/jasperweir/components/forward/request_state.py
@@ -68,6 +68,7 @@
         last_event_id: Id of the last event that the caller has received, or
             empty.
         expected_wait_s: Expected time from arrival to a free slot, seconds.
+        has_waited: Whether the request has waited for a slot or a target.
         startup_deadline: Until when the request stays queued because the entry
             has just started, monotonic seconds.
     """
@@ -105,6 +106,7 @@
         self.response_started = False
         self.last_event_id = caller_headers.resume_after
         self.expected_wait_s = 0.0
+        self.has_waited = False
         self.startup_deadline = float("-inf")
 
     @property
--- a/jasperweir/components/outcomes/const.py
+++ b/jasperweir/components/outcomes/const.py
@@ -33,3 +33,5 @@
         "started",
     }
 )
+# Most customers that the report lists.
+CUSTOMERS_SHOWN = 24
--- a/jasperweir/components/outcomes/lines.py
+++ b/jasperweir/components/outcomes/lines.py
@@ -5,6 +5,7 @@
 from typing import Any
 from typing import NamedTuple
 
+from jasperweir import result_codes
 from jasperweir.components.outcomes import const
 
 
@@ -27,6 +28,10 @@
         outcome: Outcome for its caller.
         detail: The outcome as it was logged.
         is_return: Whether its caller retried after a rejection.
+        priority: Its priority, -1 if an older version wrote the line.
+        customer: Name of its customer, or empty.
+        code: Result code of a rejection, 0 if there is none.
+        waited: Whether it waited for a slot.
     """
 
     at: float
@@ -34,6 +39,10 @@
     outcome: Outcome
     detail: str
     is_return: bool
+    priority: int = -1
+    customer: str = ""
+    code: int = 0
+    waited: bool = False
 
 
 class Change(NamedTuple):
@@ -92,9 +101,19 @@
         outcome=_classify(body),
         detail=str(body.get("outcome", "")),
         is_return=int(body.get("used_ms", 0)) > 0,
+        priority=int(body.get("priority", -1)),
+        customer=str(body.get("customer", "")),
+        code=_find_code(str(body.get("outcome", ""))),
+        waited=bool(body.get("waited", False)),
     )
 
 
+def _find_code(detail: str) -> int:
+    """Return the result code that an outcome names, 0 if it names none."""
+    code = result_codes.Code.__members__.get(detail.upper())
+    return int(code) if code is not None else 0
+
+
 def _classify(body: dict[str, Any]) -> Outcome:
     detail = str(body.get("outcome", ""))
     if detail == "caller gone":
--- a/jasperweir/components/outcomes/summary.py
+++ b/jasperweir/components/outcomes/summary.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 
 from jasperweir.components.outcomes import const
@@ -28,6 +29,34 @@
     )
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Service:
+    """How the requests of one priority or customer were served.
+
+    Attributes:
+        admitted: Requests that were sent to a target.
+        waited: Requests that waited for a slot.
+        returned: Requests retried after a rejection.
+        refused: Rejected requests by result code.
+    """
+
+    admitted: int = 0
+    waited: int = 0
+    returned: int = 0
+    refused: collections.Counter[int] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+    def add(self, ended: lines_lib.EndedRequest) -> None:
+        """Count a request."""
+        self.waited += ended.waited
+        self.returned += ended.is_return
+        if ended.outcome is Outcome.REFUSED:
+            self.refused[ended.code] += 1
+        elif ended.outcome is not Outcome.LEFT:
+            self.admitted += 1
+
+
 class Summary:
     """Totals that the report shows.
 
@@ -35,12 +64,16 @@
         routes: Requests by route and outcome.
         details: Rejected and failed requests by their logged outcome.
         returns: Requests retried after a rejection, by outcome.
+        priorities: Requests by priority.
+        customers: Requests by customer.
     """
 
     def __init__(self, *, window_s: float = const.WINDOW_SECONDS) -> None:
         self.routes: dict[str, Counts] = {}
         self.details: collections.Counter[str] = collections.Counter()
         self.returns: Counts = collections.Counter()
+        self.priorities: dict[int, Service] = {}
+        self.customers: dict[str, Service] = {}
         self._window_s = window_s
         self._windows: dict[int, Window] = {}
 
@@ -68,6 +101,10 @@
         route[ended.outcome] += 1
         if ended.outcome in (Outcome.REFUSED, Outcome.FAILED):
             self.details[ended.detail] += 1
+        if ended.priority >= 0:
+            self.priorities.setdefault(ended.priority, Service()).add(ended)
+        if ended.customer:
+            self.customers.setdefault(ended.customer, Service()).add(ended)
         if ended.is_return:
             self.returns[ended.outcome] += 1
         self._window(ended.at).counts[ended.outcome] += 1
@@ -88,6 +125,8 @@
     for name in sorted(summary.routes):
         out.append(_counts_row(name, summary.routes[name]))
     out.append(_counts_row("(retried)", summary.returns))
+    out += _list_service("priority", summary.priorities)
+    out += _list_service("customer", summary.customers)
     out.append("")
     out.append("not served, by outcome:")
     for detail, count in summary.details.most_common():
@@ -101,6 +140,32 @@
     return "\n".join(out) + "\n"
 
 
+def _list_service(
+    title: str, groups: Mapping[int, Service] | Mapping[str, Service]
+) -> list[str]:
+    """Return the rows of priorities or customers, the largest first."""
+    if not groups:
+        return []
+    out = ["", _row(title, ["admitted", "waited", "returned", "refused"])]
+    rows = sorted(groups.items(), key=lambda item: str(item[0]))
+    if len(rows) > const.CUSTOMERS_SHOWN:
+        rows.sort(key=lambda item: -item[1].admitted)
+        del rows[const.CUSTOMERS_SHOWN :]
+    for name, service in rows:
+        counts = (
+            service.admitted,
+            service.waited,
+            service.returned,
+            service.refused.total(),
+        )
+        codes = " ".join(
+            f"{code}:{count}" for code, count in sorted(service.refused.items())
+        )
+        row = _row(str(name), [str(count) for count in counts])
+        out.append(f"{row}  {codes}".rstrip())
+    return out
+
+
 def _counts_row(name: str, counts: Counts) -> str:
     return _row(name, [str(counts[outcome]) for outcome in Outcome])
 
