Order of service: turns of customers; today's rule without a view

Cause: one customer that floods took the slots of the others in its priority.

Requests of a customer clearly over an equal share count as late in the demand, so they go after those of others at all entries. The order needs more than half of the cell's entries in view.

--- a/features/harness/order_simulation.py
+++ b/features/harness/order_simulation.py
@@ -235,6 +235,10 @@
                 what(*args)
         return self
 
+    def advance(self, seconds):
+        """Let time pass without events."""
+        self._clock.now += seconds
+
     def _schedule_tick(self, number):
         if number not in self._ticking:
             self._ticking.add(number)
--- a/features/order.feature
+++ b/features/order.feature
@@ -132,3 +132,67 @@
     Given 4 targets with one free slot each
     When an urgent and another request are sent 20 times at the same time
     Then they never choose the same target
+
+  Scenario Outline: One flooding customer makes the others' requests late
+    Given six small customers and a large one that sends at <reach>
+    When the large one sends three times its rate for 8 s
+    Then the small ones are in time at least 15 points more than by today's rule
+    And no fewer requests are served
+
+    Examples:
+      | reach       |
+      | all entries |
+      | 4 entries   |
+
+  Scenario: A customer with an equal share waits behind others
+    Given customers with 9, 10, 11 and 30 running requests
+    Then only the one with 30 is over its share
+
+  Scenario: A single customer is over its share
+    Given customers with 30 running requests
+    Then none is over its share
+
+  Scenario: The slot of a customer that sends little is not used by others
+    Given a queue where only a customer over its share waits
+    When the order gives one slot to their priority
+    Then it gets the slot
+
+  Scenario: A flooding customer is served in order of arrival
+    Given 3 waiting requests of one customer and a later one of another
+    When the order gives 2 slots and neither runs anything
+    Then each of the two customers gets one
+
+  Scenario: What a customer runs at other entries doesn't count
+    Given 1 waiting requests of one customer and a later one of another
+    When the order gives 1 slots and the first runs 5 at other entries
+    Then the other customer gets it
+
+  Scenario: The memory of customers grows with their number
+    When 15000 customers send one request each
+    Then at most 4096 of them are remembered
+
+  Scenario: An entry that has just started decides by a view that it can't have
+    Given entries that have all just started, seed 1
+    When the least urgent requests arrive at 2.5 times their rate at once
+    Then for 3 s the decisions are those of today's rule
+
+  Scenario: An entry that is cut off reserves slots for requests it can't see
+    Given an entry that hears none of 11 others
+    Then today's rule applies to it
+
+  Scenario: An entry in the smaller side of a partition keeps its view
+    Given an entry that hears 5 of 11 others
+    Then today's rule applies to it
+
+  Scenario: An entry in the larger side of a partition loses the order
+    Given an entry that hears 6 of 11 others
+    Then the order over all entries applies to it
+
+  Scenario: An entry whose view is older than 1.5 s still uses it
+    Given an entry that heard 11 of 11 others 1.6 s ago
+    Then today's rule applies to it
+
+  Scenario: Callers that retry at once take the slots of urgent requests
+    Given 12 entries that serve three priorities with 120 slots, seeds 1 to 1
+    When refused callers retry at once during the burst
+    Then the most urgent are in time 10 points more than by today's rule
--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -14,7 +14,9 @@
 from features.harness import site
 from jasperweir.components.balance import balancer
 from jasperweir.components.balance import wait_queue
+from jasperweir.components.scheduling import const
 from jasperweir.components.scheduling import demand
+from jasperweir.components.scheduling import fairness
 from jasperweir.components.scheduling import order
 from jasperweir.components.scheduling import own_demand
 from jasperweir.components.scheduling import returns
@@ -457,3 +459,234 @@
 @then("they never choose the same target")
 def step_apart(context):
     assert all(one != other for one, other in context.pairs), context.pairs
+
+
+@given("six small customers and a large one that sends at {reach}")
+def step_customers(context, reach):
+    context.entries = None if reach == "all entries" else 4
+
+
+@when("the large one sends three times its rate for 8 s")
+def step_flood(context):
+    def make():
+        small = [
+            order_simulation.Stream(priority=1, per_s=2.0, customer=f"s{n}")
+            for n in range(1, 6)
+        ]
+        return [
+            order_simulation.Stream(priority=0, per_s=10.0, customer="s0"),
+            order_simulation.Stream(
+                priority=1,
+                per_s=20.0,
+                factor=3.0,
+                customer="large",
+                entries=context.entries,
+            ),
+            *small,
+        ]
+
+    context.today, context.ordered = (
+        order_simulation.Simulation(
+            streams=make(),
+            seed=1,
+            has_demand=has_demand,
+            seconds=14.0,
+            burst=(3.0, 11.0),
+        ).run()
+        for has_demand in (False, True)
+    )
+
+
+def share_of_small(simulation):
+    found = [
+        call
+        for call in simulation.calls
+        if call.stream.priority == 1 and call.stream.customer != "large"
+    ]
+    return sum(call.outcome == "in time" for call in found) / len(found)
+
+
+@then(
+    "the small ones are in time at least {points:d} points more than by today's"
+    " rule"
+)
+def step_small(context, points):
+    ordered = share_of_small(context.ordered)
+    today = share_of_small(context.today)
+    assert ordered >= today + points / 100, (ordered, today)
+
+
+@then("no fewer requests are served")
+def step_flood_served(context):
+    ordered, today = context.ordered.served, context.today.served
+    assert ordered >= today, (ordered, today)
+
+
+@given("customers with {counts} running requests")
+def step_running_customers(context, counts):
+    found = counts.replace(" and", ",").split(", ")
+    context.over = fairness.find_over_share({n: int(n) for n in found})
+
+
+@then("only the one with {count:d} is over its share")
+def step_over(context, count):
+    assert context.over == {str(count)}, context.over
+
+
+@then("none is over its share")
+def step_none_over(context):
+    assert not context.over, context.over
+
+
+@given("a queue where only a customer over its share waits")
+def step_over_waits(context):
+    context.queue = wait_queue.WaitQueue()
+    context.queue.enqueue(make_waiting(1)._replace(customer="large"))
+
+
+@then("it gets the slot")
+def step_over_served(context):
+    assert [w.number for w in context.sent] == [1], context.sent
+
+
+@given("{count:d} waiting requests of one customer and a later one of another")
+def step_two_customers(context, count):
+    context.queue = wait_queue.WaitQueue()
+    for number in range(count):
+        one = make_waiting(number, since=NOW - 0.2)._replace(customer="one")
+        context.queue.enqueue(one)
+    context.queue.enqueue(make_waiting(9)._replace(customer="other"))
+
+
+def serve(context, slots, running):
+    granted = [order.BandSlots(slots * (band == 1), 0) for band in range(10)]
+    sent = context.queue.admit_bands(granted, NOW, running)
+    context.served = [w.customer for w in sent]
+
+
+@when("the order gives {slots:d} slots and neither runs anything")
+def step_serve(context, slots):
+    serve(context, slots, {})
+
+
+@when(
+    "the order gives {slots:d} slots and the first runs {count:d} at other"
+    " entries"
+)
+def step_serve_running(context, slots, count):
+    serve(context, slots, {"one": count})
+
+
+@then("each of the two customers gets one")
+def step_each(context):
+    assert sorted(context.served) == ["one", "other"], context.served
+
+
+@then("the other customer gets it")
+def step_other(context):
+    assert context.served == ["other"], context.served
+
+
+@when("{count:d} customers send one request each")
+def step_many_customers(context, count):
+    context.virtual_time = fairness.VirtualTime()
+    for number in range(count):
+        context.virtual_time.tag(f"c{number}", ())
+
+
+@then("at most {count:d} of them are remembered")
+def step_remembered(context, count):
+    assert count == const.CUSTOMERS_MAX
+    assert len(context.virtual_time) <= count, len(context.virtual_time)
+
+
+@given("entries that have all just started, seed {seed:d}")
+def step_started(context, seed):
+    context.seed = seed
+
+
+@when("the least urgent requests arrive at {factor:g} times their rate at once")
+def step_started_burst(context, factor):
+    context.today, context.ordered = (
+        order_simulation.Simulation(
+            streams=make_streams(factor),
+            seed=context.seed,
+            has_demand=has_demand,
+            seconds=4.0,
+            burst=(0.0, 4.0),
+            settle_s=0.0,
+        ).run()
+        for has_demand in (False, True)
+    )
+
+
+@then("for {seconds:g} s the decisions are those of today's rule")
+def step_started_today(context, seconds):
+    today, ordered = (
+        [d for d in s.decisions if d[2] < order_simulation.START + seconds]
+        for s in (context.today, context.ordered)
+    )
+    assert today, "no decision was made"
+    assert today == ordered
+
+
+def order_after(heard, known, age_s):
+    """Return the order of an entry that heard some others a while ago."""
+    simulation = order_simulation.Simulation(
+        streams=[], seed=1, entries=known + 1
+    )
+    entry = simulation.entries[0]
+    now = entry.now()
+    items = tuple(demand.BandDemand("s", band, 1, 0, 9) for band in (0, 2))
+    for number in range(1, heard + 1):
+        share = entry.share()._replace(demand=items)
+        entry.on_share(f"e{number}", share)
+    simulation.advance(age_s)
+    now += age_s
+    targets = entry.targets.list_available("s", now)
+    candidates = entry.capacity.find_candidates(targets, None, now)
+    return entry.queues.find_order("s", candidates, now)
+
+
+@given("an entry that hears none of {known:d} others")
+def step_hears_none(context, known):
+    context.found = order_after(0, known, 0.0)
+
+
+@given("an entry that hears {heard:d} of {known:d} others")
+def step_hears(context, heard, known):
+    context.found = order_after(heard, known, 0.0)
+
+
+@given("an entry that heard {heard:d} of {known:d} others {age_s:g} s ago")
+def step_heard(context, heard, known, age_s):
+    context.found = order_after(heard, known, age_s)
+
+
+@then("today's rule applies to it")
+def step_today_applies(context):
+    assert context.found is None
+
+
+@then("the order over all entries applies to it")
+def step_order_applies(context):
+    assert context.found is not None
+
+
+@when("refused callers retry at once during the burst")
+def step_retry_at_once(context):
+    found = []
+    for has_demand in (True, False):
+        simulation = order_simulation.Simulation(
+            streams=make_streams(2.5),
+            seed=context.seeds[0],
+            has_demand=has_demand,
+        )
+        simulation.flood_returns = True
+        found.append([simulation.run()])
+    context.ordered, context.today = found
+
+
+@then("the most urgent are in time {points:d} points more than by today's rule")
+def step_retry_share(context, points):
+    step_today_worse(context, points)
--- a/jasperweir/components/balance/wait_queue.py
+++ b/jasperweir/components/balance/wait_queue.py
@@ -111,6 +111,7 @@
         slots: Sequence[order_lib.BandSlots],
         now: float,
         running: Mapping[str, int],
+        over_share: frozenset[str] = frozenset(),
     ) -> list[QueuedRequest]:
         """Remove and return the requests to send now, in order.
 
@@ -118,17 +119,22 @@
             slots: Slots for each priority band.
             now: Monotonic seconds.
             running: Running requests by customer.
+            over_share: Customers whose requests go after those of others.
         """
         chosen = []
         for band, granted in enumerate(slots):
             if not granted.total:
                 continue
-            numbers = self.sort_band(band, now, running)
+            numbers = self.sort_band(band, now, running, over_share)
             chosen += numbers[: granted.total]
         return [self._waiting.pop(number) for number in chosen]
 
     def sort_band(
-        self, band: int, now: float, running: Mapping[str, int]
+        self,
+        band: int,
+        now: float,
+        running: Mapping[str, int],
+        over_share: frozenset[str] = frozenset(),
     ) -> list[int]:
         """Return the due requests of a band in order of service.
 
@@ -139,7 +145,10 @@
                 fairness.FairRequest(
                     number=w.number,
                     customer=w.customer,
-                    rank=(w.is_late(now), w.is_late(now) and not w.is_return),
+                    rank=(
+                        w.is_late(now) or w.customer in over_share,
+                        w.is_late(now) and not w.is_return,
+                    ),
                     start_tag=w.start_tag,
                     since=w.since,
                 )
@@ -154,6 +163,7 @@
         band: int,
         now: float,
         running: Mapping[str, int],
+        over_share: frozenset[str] = frozenset(),
         *,
         ahead: float,
         spacing: float,
@@ -168,11 +178,12 @@
             band: The band.
             now: Monotonic seconds.
             running: Running requests by customer.
+            over_share: Customers whose requests go after those of others.
             ahead: Requests that are served before the first of the band here.
             spacing: Requests of the band at all entries for each one here.
             per_s: Slots that come free for the band in a second.
         """
-        numbers = self.sort_band(band, now, running)
+        numbers = self.sort_band(band, now, running, over_share)
         out = []
         for number in numbers:
             waiting = self._waiting[number]
--- a/jasperweir/components/forward/admission.py
+++ b/jasperweir/components/forward/admission.py
@@ -80,7 +80,8 @@
         """Return whether the order over all entries lets a new request pass."""
         band = demand_lib.find_band(exchange.state.match.priority)
         own = order.own[band]
-        if self._queues.is_timely(exchange, now):
+        is_timely = self._queues.is_timely(exchange, now)
+        if is_timely and not self._queues.is_over_share(exchange):
             return not own.timely and order.may_overtake(band)
         return not own.waiting and order.may_overtake(band)
 
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -50,6 +50,7 @@
         outcomes: Updates of shared state after each attempt.
         crash_detector: Detection of crashed targets and of the requests that
             ran there.
+        queues: Waiting requests and their order of service.
         targets: Targets that accept requests now.
         admission: Policy on sending, queueing and rejecting requests.
         pool: Connections to targets.
@@ -109,14 +110,14 @@
         )
         self._exchange_numbers = itertools.count(1)
         self._open_exchanges: dict[int, exchange_lib.Exchange] = {}
-        self._queues = queues_lib.Queues(
+        self.queues = queues_lib.Queues(
             balancer=self.balancer,
             cell=cell,
             outages=self._outages,
             startup_grace=self._startup_grace,
             rng=rng,
         )
-        self._queues.on_order_change = self._recorder.record_order
+        self.queues.on_order_change = self._recorder.record_order
         self.targets = available_targets.AvailableTargets(
             directory=directory,
             outages=self._outages,
@@ -127,13 +128,13 @@
             targets=self.targets,
             balancer=self.balancer,
             outages=self._outages,
-            queues=self._queues,
+            queues=self.queues,
             recorder=self._recorder,
             startup_grace=self._startup_grace,
         )
         self.admission = admission_lib.AdmissionPolicy(
             clock=clock,
-            queues=self._queues,
+            queues=self.queues,
             outages=self._outages,
             startup_grace=self._startup_grace,
             targets=self.targets,
@@ -281,7 +282,7 @@
         now = self.now()
         self._open_exchanges[exchange.number] = exchange
         self._budget.count_first(exchange.service, now)
-        self._queues.on_arrival(exchange, now)
+        self.queues.on_arrival(exchange, now)
         if self.crash_detector.reject_if_quarantined(exchange, now):
             return
         targets = self.targets.list_available(exchange.service, now)
@@ -319,7 +320,7 @@
             available,
             tried_target_ids,
             now,
-            is_urgent=self._queues.is_most_urgent(exchange, now),
+            is_urgent=self.queues.is_most_urgent(exchange, now),
         )
         if target is None:
             # All nearby targets have been tried.
@@ -343,13 +344,13 @@
             now=now,
         )
         self.targets.backpressure.on_chosen(target, now)
-        self._queues.on_sent(exchange)
+        self.queues.on_sent(exchange)
         exchange.send_to(target)
 
     def reject_quarantined(self, now: float) -> None:
         """Reject queued requests that are quarantined by now."""
-        for service in self._queues.list_waiting_services():
-            for number in self._queues.get(service).wait_queue.numbers():
+        for service in self.queues.list_waiting_services():
+            for number in self.queues.get(service).wait_queue.numbers():
                 exchange = self._open_exchanges.get(number)
                 if exchange is not None:
                     self.crash_detector.reject_if_quarantined(exchange, now)
@@ -368,7 +369,7 @@
     @property
     def has_work(self) -> bool:
         """Whether ``tick`` has queues or measured passes to process."""
-        if len(self._early_requests) or self._queues.list_waiting_services():
+        if len(self._early_requests) or self.queues.list_waiting_services():
             return True
         return bool(self.pass_monitor.limits.due())
 
@@ -384,23 +385,23 @@
             self._early_requests.release(
                 now, accept=self._accept_early, reject=self._reject_early
             )
-        for service in self._queues.list_waiting_services():
+        for service in self.queues.list_waiting_services():
             self._serve_queue(service, now)
-        self._queues.publish(now)
+        self.queues.publish(now)
 
     def _serve_queue(self, service: str, now: float) -> None:
         """Send the admitted requests of a queue and reject the expired ones."""
-        wait_queue = self._queues.get(service).wait_queue
+        wait_queue = self.queues.get(service).wait_queue
         targets = self.targets.list_available(service, now)
         candidates = self._find_candidates(service, targets, now)
         is_starting = self._startup_grace.is_active(now)
-        for number in self._queues.admit(
+        for number in self.queues.admit(
             service, candidates, now, is_starting=is_starting
         ):
             exchange = self._open_exchanges.get(number)
             if exchange is not None:
                 self._send_within_budget(exchange, candidates, now)
-        hopeless = self._queues.find_hopeless(service, now)
+        hopeless = self.queues.find_hopeless(service, now)
         for number in (*hopeless, *wait_queue.expire(now)):
             exchange = self._open_exchanges.get(number)
             if exchange is not None:
@@ -472,14 +473,14 @@
         now = self.now()
         return self.balancer.share()._replace(
             refusing=self.targets.backpressure.refusing(now),
-            demand=self._queues.build_demand(now),
+            demand=self.queues.build_demand(now),
         )
 
     def on_share(self, src: str, msg: balance_messages.Share) -> None:
         """Handle another entry's load report."""
         now = self.now()
         self.balancer.on_share(src, msg, now)
-        self._queues.on_share(src, msg, now)
+        self.queues.on_share(src, msg, now)
         self.targets.backpressure.on_peer_refusals(msg.refusing, now)
 
     def tidy(self) -> None:
@@ -498,7 +499,7 @@
     ) -> None:
         """Remove a finished request and record its outcome."""
         self._open_exchanges.pop(exchange.number, None)
-        if self._queues.remove(exchange):
+        if self.queues.remove(exchange):
             # The shorter queue must be published to the other entries.
             self.on_work()
         elif exchange.target_id:
@@ -509,14 +510,14 @@
 
     def _hand_over_slot(self, service: str) -> None:
         """Send a waiting request to the slot of one that has ended."""
-        queue = self._queues.get(service)
+        queue = self.queues.get(service)
         # By today's rule slots are taken in ticks and by new requests only.
         if queue.order is None or not len(queue.wait_queue):
             return
         now = self.now()
         targets = self.targets.list_available(service, now)
         candidates = self._find_candidates(service, targets, now)
-        for number in self._queues.hand_over(service, candidates, now):
+        for number in self.queues.hand_over(service, candidates, now):
             exchange = self._open_exchanges.get(number)
             if exchange is not None:
                 self._send_within_budget(exchange, candidates, now)
@@ -541,7 +542,7 @@
             now,
             outage=self._outages.get(exchange.service).is_active(now),
             expected_wait_s=exchange.state.expected_wait_s,
-            return_s=self._queues.plan_return(exchange, now)
+            return_s=self.queues.plan_return(exchange, now)
             if code is Code.OVERLOADED
             else None,
             quarantine_s=self.crash_detector.find_verdict(exchange, now).held_s,
--- a/jasperweir/components/forward/queues.py
+++ b/jasperweir/components/forward/queues.py
@@ -36,6 +36,8 @@
         returns: Return times of refused callers.
         order: Order of the last decision, None if today's rule applied.
         order_at: Time of the last decision, monotonic seconds.
+        over_share: Customers whose requests go after those of others.
+        over_share_at: When these were found, monotonic seconds.
     """
 
     def __init__(self, *, rng: random.Random) -> None:
@@ -46,6 +48,8 @@
         self.returns = returns.ReturnSchedule(rng=rng)
         self.order: order_lib.Order | None = None
         self.order_at = -math.inf
+        self.over_share: frozenset[str] = frozenset()
+        self.over_share_at = -math.inf
 
     def take(
         self,
@@ -60,7 +64,9 @@
             now: Monotonic seconds.
             customers: Running requests by customer.
         """
-        sent = self.wait_queue.admit_bands(slots, now, customers)
+        sent = self.wait_queue.admit_bands(
+            slots, now, customers, self.over_share
+        )
         for request in sent:
             self.virtual_time.on_served(request.start_tag)
         return [request.number for request in sent]
@@ -68,7 +74,11 @@
     def list_demand(self, now: float) -> list[own_demand.WaitingRequest]:
         """Return what counts of the waiting requests."""
         return [
-            own_demand.WaitingRequest(w.band, w.is_late(now), now - w.since)
+            own_demand.WaitingRequest(
+                w.band,
+                w.is_late(now) or w.customer in self.over_share,
+                now - w.since,
+            )
             for w in self.wait_queue.list_waiting()
         ]
 
@@ -176,6 +186,11 @@
         self.get(exchange.service).demand.on_ended(exchange.number)
         return self.get(exchange.service).wait_queue.remove(exchange.number)
 
+    def is_over_share(self, exchange: exchange_lib.Exchange) -> bool:
+        """Return whether requests of other customers go before a request."""
+        over_share = self.get(exchange.service).over_share
+        return exchange.state.customer_name in over_share
+
     def is_timely(self, exchange: exchange_lib.Exchange, now: float) -> bool:
         """Return whether a request sent now can meet its target time."""
         return now <= self._timely_until(exchange)
@@ -254,6 +269,11 @@
             if not self._view.has_demand(now):
                 return None
         queue = self.get(service)
+        if now - queue.over_share_at >= scheduling_const.SUM_TTL_SECONDS:
+            queue.over_share_at = now
+            queue.over_share = fairness.find_over_share(
+                self._count_customers(service, now)
+            )
         own = queue.demand.summarize(queue.list_demand(now), now)
         elsewhere = self._view.sum_elsewhere(service, now)
         order = order_lib.Order(
@@ -336,7 +356,8 @@
         if order is None:
             return []
         customers = self._count_customers(service, now)
-        return queue.take(order.hand_over(), now, customers)
+        slots = order.hand_over(is_flooded=bool(queue.over_share))
+        return queue.take(slots, now, customers)
 
     def find_hopeless(self, service: str, now: float) -> list[int]:
         """Return the waiting requests that will get no slot in their time.
@@ -356,6 +377,7 @@
                     band,
                     now,
                     customers,
+                    queue.over_share,
                     ahead=ahead,
                     spacing=order.total[band].waiting / own.waiting,
                     per_s=order.compute_rate(band),
@@ -374,6 +396,8 @@
         queue = self.get(exchange.service)
         if queue.order is None or queue.order_at < now:
             return None
+        if self.is_over_share(exchange):
+            return False
         band = demand_lib.find_band(exchange.state.match.priority)
         return not any(b.is_present for b in queue.order.total[:band])
 
--- a/jasperweir/components/scheduling/const.py
+++ b/jasperweir/components/scheduling/const.py
@@ -49,3 +49,8 @@
 RETURNS_PER_S_MIN = 0.5
 # The order of the last decision is used for a refusal for this long, seconds.
 ORDER_TTL_SECONDS = 0.1
+
+# Running requests of a customer above which its next ones go after those of
+# others, as a multiple of an equal share. At 1, customers with equal demand
+# would be over their share half of the time.
+CUSTOMER_SHARE_SLACK = 1.25
--- a/jasperweir/components/scheduling/fairness.py
+++ b/jasperweir/components/scheduling/fairness.py
@@ -67,6 +67,23 @@
         return len(self._finish_tags)
 
 
+def find_over_share(running: Mapping[str, int]) -> frozenset[str]:
+    """Return the customers that use clearly more than an equal share.
+
+    Their waiting requests go after those of the others, like late ones. With
+    nobody else waiting they get every slot.
+
+    Args:
+        running: Running requests by customer, as far as they are known.
+    """
+    named = {name: count for name, count in running.items() if name}
+    if len(named) < 2:
+        return frozenset()
+    share = sum(named.values()) / len(named)
+    most = const.CUSTOMER_SHARE_SLACK * share + 1
+    return frozenset(name for name, count in named.items() if count > most)
+
+
 def sort_fairly(
     requests: Iterable[FairRequest], running: Mapping[str, int]
 ) -> list[int]:
--- a/jasperweir/components/scheduling/order.py
+++ b/jasperweir/components/scheduling/order.py
@@ -142,7 +142,7 @@
             ahead += self.compute_reserve(band)
         return free - ahead >= 1
 
-    def hand_over(self) -> list[BandSlots]:
+    def hand_over(self, *, is_flooded: bool = False) -> list[BandSlots]:
         """Return the slots for a request that takes over a slot of this entry.
 
         A slot that has just come free at this entry is not seen by the others
@@ -150,12 +150,20 @@
         here, it gets the slot without the delay until all entries see it. No
         reserve is kept from it: the slot would otherwise stay unused while a
         request waits for it.
+
+        Args:
+            is_flooded: Whether a customer is over its share. The requests that
+                count as late are then mostly of that customer, and the slot is
+                left to requests in time that wait elsewhere.
         """
         out = [BandSlots(0, 0)] * const.BANDS
         for band, total in enumerate(self.total):
             if not total.waiting:
                 continue
             own = self.own[band]
+            in_time_elsewhere = total.timely > own.timely
+            if is_flooded and in_time_elsewhere and not own.timely:
+                break
             if own.waiting and self.supply.free >= 1:
                 out[band] = BandSlots(int(own.timely >= 1), int(not own.timely))
             break
