--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -491,6 +491,7 @@
         self._recorder.record_signal_counts(
             self.targets.backpressure.counts(now)
         )
+        self._recorder.record_clamped(self.queues.count_clamped())
 
     # Completion.
 
--- a/jasperweir/components/forward/queues.py
+++ b/jasperweir/components/forward/queues.py
@@ -2,7 +2,6 @@
 
 import collections
 from collections.abc import Callable
-from collections.abc import Sequence
 import math
 import random
 
@@ -15,74 +14,16 @@
 from jasperweir.components.balance import wait_queue as wait_queue_lib
 from jasperweir.components.forward import capacity as capacity_lib
 from jasperweir.components.forward import exchange as exchange_lib
+from jasperweir.components.forward import service_queue
 from jasperweir.components.forward import startup_grace as startup_grace_lib
 from jasperweir.components.scheduling import const as scheduling_const
 from jasperweir.components.scheduling import demand as demand_lib
 from jasperweir.components.scheduling import fairness
 from jasperweir.components.scheduling import order as order_lib
 from jasperweir.components.scheduling import own_demand
-from jasperweir.components.scheduling import returns
 from jasperweir.components.scheduling import view as view_lib
 
 
-class Queue:
-    """Waiting requests of one service at this entry.
-
-    Attributes:
-        wait_queue: Waiting requests by priority.
-        forecast: Estimate of how long requests of this service take.
-        demand: Arrivals and running requests by priority.
-        virtual_time: Turns of the customers.
-        returns: Return times of refused callers.
-        order: Order of the last decision, None if today's rule applied.
-        order_at: Time of the last decision, monotonic seconds.
-        over_share: Customers whose requests go after those of others.
-        over_share_at: When these were found, monotonic seconds.
-    """
-
-    def __init__(self, *, rng: random.Random) -> None:
-        self.wait_queue = wait_queue_lib.WaitQueue()
-        self.forecast = forecast_lib.Forecast()
-        self.demand = own_demand.OwnDemand()
-        self.virtual_time = fairness.VirtualTime()
-        self.returns = returns.ReturnSchedule(rng=rng)
-        self.order: order_lib.Order | None = None
-        self.order_at = -math.inf
-        self.over_share: frozenset[str] = frozenset()
-        self.over_share_at = -math.inf
-
-    def take(
-        self,
-        slots: Sequence[order_lib.BandSlots],
-        now: float,
-        customers: collections.Counter[str],
-    ) -> list[int]:
-        """Remove and return the requests to send now, in order.
-
-        Args:
-            slots: Slots for each priority band.
-            now: Monotonic seconds.
-            customers: Running requests by customer.
-        """
-        sent = self.wait_queue.admit_bands(
-            slots, now, customers, self.over_share
-        )
-        for request in sent:
-            self.virtual_time.on_served(request.start_tag)
-        return [request.number for request in sent]
-
-    def list_demand(self, now: float) -> list[own_demand.WaitingRequest]:
-        """Return what counts of the waiting requests."""
-        return [
-            own_demand.WaitingRequest(
-                w.band,
-                w.is_late(now) or w.customer in self.over_share,
-                now - w.since,
-            )
-            for w in self.wait_queue.list_waiting()
-        ]
-
-
 class Queues:
     """Waiting requests of this entry and its share of the free slots.
 
@@ -108,13 +49,13 @@
         self._cell = cell
         self._outages = outages
         self._rng = rng
-        self._by_service: dict[str, Queue] = {}
+        self._by_service: dict[str, service_queue.Queue] = {}
 
-    def get(self, service: str) -> Queue:
+    def get(self, service: str) -> service_queue.Queue:
         """Return the queue of a service."""
         queue = self._by_service.get(service)
         if queue is None:
-            queue = Queue(rng=self._rng)
+            queue = service_queue.Queue(rng=self._rng)
             self._by_service[service] = queue
         return queue
 
@@ -364,26 +305,8 @@
 
         To be called after ``admit``, whose order applies.
         """
-        queue = self.get(service)
-        order = queue.order
-        if order is None or queue.order_at < now:
-            return []
         customers = self._count_customers(service, now)
-        out = []
-        ahead = max(-order.supply.free, 0.0)
-        for band, own in enumerate(order.own):
-            if own.waiting:
-                out += queue.wait_queue.find_hopeless(
-                    band,
-                    now,
-                    customers,
-                    queue.over_share,
-                    ahead=ahead,
-                    spacing=order.total[band].waiting / own.waiting,
-                    per_s=order.compute_rate(band),
-                )
-            ahead += order.total[band].waiting
-        return out
+        return self.get(service).find_hopeless(now, customers)
 
     def is_most_urgent(
         self, exchange: exchange_lib.Exchange, now: float
@@ -393,13 +316,10 @@
         Returns:
             None if today's rule applies.
         """
-        queue = self.get(exchange.service)
-        if queue.order is None or queue.order_at < now:
-            return None
-        if self.is_over_share(exchange):
-            return False
-        band = demand_lib.find_band(exchange.state.match.priority)
-        return not any(b.is_present for b in queue.order.total[:band])
+        state = exchange.state
+        return self.get(exchange.service).is_most_urgent(
+            state.match.priority, state.customer_name, now
+        )
 
     def plan_return(
         self, exchange: exchange_lib.Exchange, now: float
@@ -409,21 +329,17 @@
         Returns:
             None if today's rule applies.
         """
-        queue = self.get(exchange.service)
-        order = queue.order
-        is_recent = now - queue.order_at <= scheduling_const.ORDER_TTL_SECONDS
-        if order is None or not is_recent:
-            return None
-        band = demand_lib.find_band(exchange.state.match.priority)
-        per_s = order.compute_rate(band) / (1 + len(self._cell.peers))
-        return queue.returns.plan(
-            band,
+        return self.get(exchange.service).plan_return(
+            exchange.state.match.priority,
             now,
-            wait_s=order.forecast_wait_s(band, ahead=order.count_ahead(band)),
-            slots_per_s=per_s,
             left_s=exchange.state.caller_deadline - now,
+            entries=1 + len(self._cell.peers),
         )
 
+    def count_clamped(self) -> int:
+        """Return how many requests had a priority outside the bands."""
+        return sum(q.demand.clamped for q in self._by_service.values())
+
     def count_admissible(
         self,
         service: str,
--- a/jasperweir/components/forward/recorder.py
+++ b/jasperweir/components/forward/recorder.py
@@ -131,6 +131,10 @@
         self._metrics.gauge("pass_seconds", pass_s, service=service)
         self._metrics.gauge("streams_per_target", streams, service=service)
 
+    def record_clamped(self, count: int) -> None:
+        """Update the metric of requests with a priority outside 0 to 9."""
+        self._metrics.gauge("priorities_clamped", float(count))
+
     def record_order(
         self, service: str, *, applies: bool, peers: int, bands: int
     ) -> None:
