--- a/features/harness/group_load.py
+++ b/features/harness/group_load.py
@@ -27,6 +27,7 @@
 from jasperweir.components.forward import pass_monitor
 from jasperweir.components.forward import queues as queues_lib
 from jasperweir.components.forward import recorder as recorder_lib
+from jasperweir.components.forward import startup_grace as startup_grace_lib
 from jasperweir.components.groups import directory as group_directory
 from jasperweir.components.groups import messages as groups_messages
 from jasperweir.helpers import metrics
@@ -163,6 +164,9 @@
             balancer=self.balancer,
             cell=self.cell,
             outages=outage_lib.Outages(groups=self.groups),
+            startup_grace=startup_grace_lib.StartupGrace(
+                started_at=float("-inf")
+            ),
             rng=self.rng,
         )
         self.waiting = {}
@@ -186,7 +190,9 @@
         running = self.capacity.count_open(
             self.directory.list_ready(SERVICE, now), now
         )
-        wait_s = self.queues.estimate_wait_s(SERVICE, found, running, now)
+        wait_s = self.queues.estimate_wait_s(
+            SERVICE, found, running, now, priority=1
+        )
         if wait_s > balance_const.WAIT_SHARE * TARGET_SECONDS:
             self.refuse(stream, now)
             return
--- a/jasperweir/components/balance/messages.py
+++ b/jasperweir/components/balance/messages.py
@@ -1,5 +1,6 @@
 """Messages by which entries exchange their open requests."""
 
+from typing import Any
 from typing import NamedTuple
 
 from jasperweir.helpers import codec
@@ -64,6 +65,10 @@
         queues: Requests that wait for a free slot by service; none is empty.
         refusing: Targets that refuse this entry's requests.
         refused: Requests that this entry has refused since its last message.
+        demand: Requests by service and priority band, each a
+            ``scheduling.demand.BandDemand``; empty from an older version. Not
+            typed, so that a field that a newer peer adds or an odd count
+            doesn't invalidate the whole message.
     """
 
     sequence: int
@@ -71,3 +76,4 @@
     queues: tuple[Queue, ...] = ()
     refusing: tuple[Refusing, ...] = ()
     refused: tuple[RefusedCaller, ...] = ()
+    demand: tuple[Any, ...] = ()
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -56,6 +56,7 @@
         outcomes: Updates of shared state after each attempt.
         crash_detector: Detection of crashed targets and of the requests that
             ran there.
+        queues: Waiting requests and their order of service.
         targets: Targets that accept requests now.
         admission: Policy on sending, queueing and rejecting requests.
         pool: Connections to targets.
@@ -119,12 +120,14 @@
         )
         self._exchange_numbers = itertools.count(1)
         self._open_exchanges: dict[int, exchange_lib.Exchange] = {}
-        self._queues = queues_lib.Queues(
+        self.queues = queues_lib.Queues(
             balancer=self.balancer,
             cell=cell,
             outages=self._outages,
+            startup_grace=self._startup_grace,
             rng=rng,
         )
+        self.queues.on_order_change = self._recorder.record_order
         self.targets = available_targets.AvailableTargets(
             directory=directory,
             outages=self._outages,
@@ -138,13 +141,13 @@
             targets=self.targets,
             balancer=self.balancer,
             outages=self._outages,
-            queues=self._queues,
+            queues=self.queues,
             recorder=self._recorder,
             startup_grace=self._startup_grace,
         )
         self.admission = admission_lib.AdmissionPolicy(
             clock=clock,
-            queues=self._queues,
+            queues=self.queues,
             outages=self._outages,
             startup_grace=self._startup_grace,
             targets=self.targets,
@@ -255,7 +258,6 @@
                 answering, caller_headers, Code.DRAINING, "stopping"
             )
             return
-        now = self.now()
         service = match.route.choose_service(self._rng)
         customer = match.customer
         used_s = self._returns.estimate_used_s(
@@ -264,7 +266,7 @@
             subject=fingerprint.subject(
                 answering.request, customer.name if customer else ""
             ),
-            now=now,
+            now=self.now(),
         )
         state = request_state.RequestState(
             match=match,
@@ -280,9 +282,7 @@
             state=state,
             service=service,
         )
-        self._open_exchanges[exchange.number] = exchange
-        self._budget.count_first(service, now)
-        self._admit(exchange, now)
+        self.admit(exchange)
 
     def _deny(
         self,
@@ -299,7 +299,12 @@
 
     # Target selection.
 
-    def _admit(self, exchange: exchange_lib.Exchange, now: float) -> None:
+    def admit(self, exchange: exchange_lib.Exchange) -> None:
+        """Send, queue or reject a request that has arrived."""
+        now = self.now()
+        self._open_exchanges[exchange.number] = exchange
+        self._budget.count_first(exchange.service, now)
+        self.queues.on_arrival(exchange, now)
         if self.crash_detector.reject_if_quarantined(exchange, now):
             return
         if self._probe_group(exchange, now):
@@ -367,7 +372,12 @@
         available = self.targets.filter_available(
             candidates.targets, exchange.service, now
         )
-        target = self.balancer.choose(available, tried_target_ids, now)
+        target = self.balancer.choose(
+            available,
+            tried_target_ids,
+            now,
+            is_urgent=self.queues.is_most_urgent(exchange, now),
+        )
         if target is None:
             # All nearby targets have been tried.
             targets = self.targets.list_available(exchange.service, now)
@@ -404,12 +414,13 @@
             group=unit[len(service) + 1 :],
         )
         is_cold = self.targets.on_chosen(target, now)
+        self.queues.on_sent(exchange)
         exchange.send_to(target, is_counted_cold=is_cold)
 
     def reject_quarantined(self, now: float) -> None:
         """Reject queued requests that are quarantined by now."""
-        for service in self._queues.list_waiting_services():
-            for number in self._queues.get(service).wait_queue.numbers():
+        for service in self.queues.list_waiting_services():
+            for number in self.queues.get(service).wait_queue.numbers():
                 exchange = self._open_exchanges.get(number)
                 if exchange is not None:
                     self.crash_detector.reject_if_quarantined(exchange, now)
@@ -428,7 +439,7 @@
     @property
     def has_work(self) -> bool:
         """Whether ``tick`` has queues or measured passes to process."""
-        if len(self._early_requests) or self._queues.list_waiting_services():
+        if len(self._early_requests) or self.queues.list_waiting_services():
             return True
         return bool(self.pass_monitor.limits.due())
 
@@ -444,32 +455,27 @@
             self._early_requests.release(
                 now, accept=self._accept_early, reject=self._reject_early
             )
-        for service in self._queues.list_waiting_services():
+        for service in self.queues.list_waiting_services():
             self._serve_queue(service, now)
-        self._queues.publish(now)
+        self.queues.publish(now)
 
     def _serve_queue(self, service: str, now: float) -> None:
         """Send the admitted requests of a queue and reject the expired ones."""
-        wait_queue = self._queues.get(service).wait_queue
+        wait_queue = self.queues.get(service).wait_queue
         if self.targets.are_all_evacuated(service, now):
             self._reject_evacuated(wait_queue.numbers())
             return
         targets = self.targets.list_available(service, now)
         candidates = self._find_candidates(service, targets, now)
         is_starting = self._startup_grace.is_active(now)
-        admissible = self._queues.count_admissible(
+        for number in self.queues.admit(
             service, candidates, now, is_starting=is_starting
-        )
-        # Late requests yield slots to timely ones only during startup. In any
-        # other overload this costs more rejections than it avoids.
-        yielding = admissible.yielding if is_starting else None
-        for number in wait_queue.admit(
-            admissible.total, now, yielding=yielding
         ):
             exchange = self._open_exchanges.get(number)
             if exchange is not None:
                 self._send_within_budget(exchange, candidates, now)
-        for number in wait_queue.expire(now):
+        hopeless = self.queues.find_hopeless(service, now)
+        for number in (*hopeless, *wait_queue.expire(now)):
             exchange = self._open_exchanges.get(number)
             if exchange is not None:
                 exchange.fail(Code.OVERLOADED)
@@ -587,12 +593,14 @@
         return self.balancer.share()._replace(
             refusing=self.targets.backpressure.refusing(now),
             refused=self._returns.take_unsent(now),
+            demand=self.queues.build_demand(now),
         )
 
     def on_share(self, src: str, msg: balance_messages.Share) -> None:
         """Handle another entry's load report."""
         now = self.now()
         self.balancer.on_share(src, msg, now)
+        self.queues.on_share(src, msg, now)
         self.targets.backpressure.on_peer_refusals(msg.refusing, now)
         self._returns.on_peer_refused(msg.refused, now)
         self.targets.warmup.shares.on_heard(src, now)
@@ -605,6 +613,7 @@
         self._recorder.record_signal_counts(
             self.targets.backpressure.counts(now)
         )
+        self._recorder.record_clamped(self.queues.count_clamped())
         warmup = self.targets.warmup
         self._recorder.record_cold_changes(
             warmup.tick(now), warmup.count_cold(), now
@@ -626,13 +635,29 @@
     ) -> None:
         """Remove a finished request and record its outcome."""
         self._open_exchanges.pop(exchange.number, None)
-        if self._queues.remove(exchange):
+        if self.queues.remove(exchange):
             # The shorter queue must be published to the other entries.
             self.on_work()
+        elif exchange.target_id:
+            self._hand_over_slot(exchange.service)
         self._recorder.record_end(
             exchange, outcome, version=self._config_version, now=self.now()
         )
 
+    def _hand_over_slot(self, service: str) -> None:
+        """Send a waiting request to the slot of one that has ended."""
+        queue = self.queues.get(service)
+        # By today's rule slots are taken in ticks and by new requests only.
+        if queue.order is None or not len(queue.wait_queue):
+            return
+        now = self.now()
+        targets = self.targets.list_available(service, now)
+        candidates = self._find_candidates(service, targets, now)
+        for number in self.queues.hand_over(service, candidates, now):
+            exchange = self._open_exchanges.get(number)
+            if exchange is not None:
+                self._send_within_budget(exchange, candidates, now)
+
     @property
     def _config_version(self) -> int:
         """Configuration version in force, 0 before the first."""
@@ -669,6 +694,9 @@
             now,
             outage=self._outages.get(exchange.service).is_active(now),
             expected_wait_s=exchange.state.expected_wait_s,
+            return_s=self.queues.plan_return(exchange, now)
+            if code is Code.OVERLOADED
+            else None,
             quarantine_s=self.crash_detector.find_verdict(exchange, now).held_s,
         )
 
--- a/script/guards.py
+++ b/script/guards.py
@@ -12,6 +12,7 @@
 import guards_backpressure
 import guards_evacuation
 import guards_groups
+import guards_order
 import guards_voters
 import guards_warmup
 
@@ -417,6 +418,7 @@
     *guards_backpressure.GUARDS,
     *guards_evacuation.GUARDS,
     *guards_groups.GUARDS,
+    *guards_order.GUARDS,
 )
 
 ALL_GUARDS = (
@@ -424,6 +426,7 @@
     *guards_backpressure.GUARDS,
     *guards_evacuation.GUARDS,
     *guards_groups.GUARDS,
+    *guards_order.GUARDS,
     *guards_voters.GUARDS,
     *guards_warmup.GUARDS,
 )
