--- a/jasperweir/components/scheduling/demand.py
+++ b/jasperweir/components/scheduling/demand.py
@@ -71,6 +71,9 @@
         return self.timely + self.late + self.running > 0
 
 
+_SEQUENCES = (list, tuple)
+_NUMBERS = (int, float)
+
 # One total for each band, the most urgent first.
 Bands = tuple[BandTotal, ...]
 
@@ -101,7 +104,7 @@
     """
     found = []
     for item in raw:
-        if not isinstance(item, list | tuple) or len(item) < 2:
+        if not isinstance(item, _SEQUENCES) or len(item) < 2:
             continue
         if not isinstance(item[0], str) or not _is_number(item[1]):
             continue
@@ -122,25 +125,28 @@
 
 
 def _parse_customers(raw: Any) -> tuple[CustomerLoad, ...]:
-    if not isinstance(raw, list | tuple):
+    if not isinstance(raw, _SEQUENCES):
         return ()
     return tuple(
         CustomerLoad(item[0], int(_clamp(item[1])))
         for item in raw[: const.CUSTOMERS_SENT]
-        if isinstance(item, list | tuple)
+        if isinstance(item, _SEQUENCES)
         and len(item) >= 2
         and isinstance(item[0], str)
     )
 
 
 def _is_number(value: Any) -> bool:
-    if isinstance(value, bool) or not isinstance(value, int | float):
+    if isinstance(value, bool) or not isinstance(value, _NUMBERS):
         return False
     return math.isfinite(value)
 
 
 def _clamp(value: Any) -> float:
     """Return a count within its range, 0 if it is no number."""
+    # Most counts are valid; the checks below take several times as long.
+    if type(value) is int and 0 <= value <= const.COUNT_MAX:
+        return float(value)
     if not _is_number(value):
         return 0.0
     return float(min(max(value, 0), const.COUNT_MAX))
