Order of service: not computed while slots are plentiful

Cause: each request summed the demand of all entries, also where every entry had free slots. Change: with 4 free slots for each entry that shares them and no waiting request today's rule applies without the sums.

--- a/features/order.feature
+++ b/features/order.feature
@@ -158,6 +158,15 @@
     Given an entry that hears 6 of 11 others
     Then the order over all entries applies to it
 
+  Scenario Outline: The demand of all entries is summed while no request waits
+    Given an entry with <free> free slots that hears 11 others
+    Then <rule> applies to it
+
+    Examples:
+      | free | rule                       |
+      | 48   | today's rule               |
+      | 47   | the order over all entries |
+
   Scenario: An entry whose view is older than 1.5 s still uses it
     Given an entry that heard 11 of 11 others 1.6 s ago
     Then today's rule applies to it
--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -630,7 +630,7 @@
     assert today == ordered
 
 
-def order_after(heard, known, age_s):
+def order_after(heard, known, age_s, free_slots=1):
     """Return the order of an entry that heard some others a while ago."""
     simulation = order_simulation.Simulation(
         streams=[], seed=1, entries=known + 1
@@ -645,6 +645,7 @@
     now += age_s
     targets = entry.targets.list_available("s", now)
     candidates = entry.capacity.find_candidates(targets, None, now)
+    candidates = candidates._replace(free_slots=free_slots)
     return entry.queues.find_order("s", candidates, now)
 
 
@@ -658,6 +659,11 @@
     context.found = order_after(heard, known, 0.0)
 
 
+@given("an entry with {free:d} free slots that hears {heard:d} others")
+def step_hears_all(context, free, heard):
+    context.found = order_after(heard, heard, 0.0, free)
+
+
 @given("an entry that heard {heard:d} of {known:d} others {age_s:g} s ago")
 def step_heard(context, heard, known, age_s):
     context.found = order_after(heard, known, age_s)
--- a/jasperweir/components/forward/queues.py
+++ b/jasperweir/components/forward/queues.py
@@ -180,13 +180,19 @@
     ) -> order_lib.Order | None:
         """Return the order of service, None if today's rule applies.
 
-        Today's rule applies to requests of a single priority, after the start
-        of this entry, and to an entry that hears less than half of the entries
-        in its cell or no demand by priority.
+        Today's rule applies to requests of a single priority, while there are
+        slots for all, after the start of this entry, and to an entry that hears
+        less than half of the entries in its cell or no demand by priority.
         """
         queue = self.get(service)
+        if self._has_plenty(queue, candidates):
+            # The demand of all entries need not be summed for each request.
+            queue.order = None
+            queue.order_at = now
+            return None
         order = self._build_order(service, candidates, now)
-        if (order is None) != (queue.order is None):
+        if (order is None) == queue.order_applied:
+            queue.order_applied = order is not None
             bands = order.total if order else ()
             self.on_order_change(
                 service,
@@ -198,6 +204,15 @@
         queue.order_at = now
         return order
 
+    def _has_plenty(
+        self, queue: service_queue.Queue, candidates: capacity_lib.Candidates
+    ) -> bool:
+        """Return whether each entry can send its next requests at once."""
+        if len(queue.wait_queue):
+            return False
+        slots = scheduling_const.PLENTY_SLOTS_PER_ENTRY
+        return candidates.free_slots >= slots * candidates.entry_count
+
     def _build_order(
         self, service: str, candidates: capacity_lib.Candidates, now: float
     ) -> order_lib.Order | None:
--- a/jasperweir/components/forward/service_queue.py
+++ b/jasperweir/components/forward/service_queue.py
@@ -26,6 +26,8 @@
         returns: Return times of refused callers.
         order: Order of the last decision, None if today's rule applied.
         order_at: Time of the last decision, monotonic seconds.
+        order_applied: Whether the order over all entries applied when slots
+            were last scarce.
         over_share: Customers whose requests go after those of others.
         over_share_at: When these were found, monotonic seconds.
     """
@@ -38,6 +40,7 @@
         self.returns = returns.ReturnSchedule(rng=rng)
         self.order: order_lib.Order | None = None
         self.order_at = -math.inf
+        self.order_applied = False
         self.over_share: frozenset[str] = frozenset()
         self.over_share_at = -math.inf
 
--- a/jasperweir/components/scheduling/const.py
+++ b/jasperweir/components/scheduling/const.py
@@ -54,3 +54,6 @@
 # others, as a multiple of an equal share. At 1, customers with equal demand
 # would be over their share half of the time.
 CUSTOMER_SHARE_SLACK = 1.25
+# With as many free slots for each of the entries that share them no request
+# waits, whatever its priority.
+PLENTY_SLOTS_PER_ENTRY = 4
