--- a/jasperweir/components/forward/group_capacity.py
+++ b/jasperweir/components/forward/group_capacity.py
@@ -111,30 +111,50 @@
             now: Monotonic seconds.
         """
         units = self._list_units(service, targets, "available")
-        best = 0 if not units else -len(targets)
-        for is_local in (True, False):
-            found = {
-                unit.name: (unit, self._find_load(unit, find_limit, now))
-                for unit in units
-                if unit.is_local == is_local
-            }
-            chosen = choice_lib.choose_unit(
-                (
-                    self._describe(unit, load, find_limit, entry_count, now)
-                    for unit, load in found.values()
-                ),
-                self._rng,
+        own = {
+            unit.name: (unit, self._find_load(unit, find_limit, now))
+            for unit in units
+            if unit.is_local
+        }
+        best = self._choose(own, find_limit, entry_count, now)
+        if best and not _has_long_passes(find_limit(best), now):
+            unit, load = own[best]
+            return self._make_candidates(
+                unit, load, find_limit, entry_count, now
             )
-            if chosen is not None:
-                unit, load = found[chosen.unit]
-                return self._make_candidates(
-                    unit, load, find_limit, entry_count, now
-                )
-            for _, load in found.values():
-                best = max(best, load.capacity)
-        free = min(best, 0)
+        # Another stream would make those of the own group late.
+        others = {
+            unit.name: (unit, self._find_load(unit, find_limit, now))
+            for unit in units
+            if not unit.is_local
+        }
+        best = self._choose(others, find_limit, entry_count, now) or best
+        if best:
+            unit, load = (own | others)[best]
+            return self._make_candidates(
+                unit, load, find_limit, entry_count, now
+            )
+        loads = [load for _, load in (*own.values(), *others.values())]
+        free = min(0, max((load.capacity for load in loads), default=0))
         return GroupCandidates(targets, free, free, entry_count, "")
 
+    def _choose(
+        self,
+        found: dict[str, tuple[Unit, UnitLoad]],
+        find_limit: FindLimit,
+        entry_count: int,
+        now: float,
+    ) -> str:
+        """Return the best of some groups, empty if none has capacity."""
+        chosen = choice_lib.choose_unit(
+            (
+                self._describe(unit, load, find_limit, entry_count, now)
+                for unit, load in found.values()
+            ),
+            self._rng,
+        )
+        return chosen.unit if chosen is not None else ""
+
     def on_chosen(self, unit: str) -> None:
         """Count a request that is sent to a group."""
         self._allowances.take(unit)
@@ -253,11 +273,8 @@
 
         None without a recent report of its load.
         """
-        limit = find_limit(unit.name)
-        if limit is not None and not limit.is_stale(now):
-            long_s = const.PASS_UNLIMITED_SHARE * limit.bounds.pause_s
-            if limit.pass_s >= long_s:
-                return 0.0
+        if _has_long_passes(find_limit(unit.name), now):
+            return 0.0
         if not load.reports:
             return None
         slots = sum(target.slots for target in unit.ranks)
@@ -296,3 +313,13 @@
         return GroupCandidates(
             targets, free_slots, min(free_slots, late_slots), sharing, unit.name
         )
+
+
+def _has_long_passes(limit: passes_lib.PassLimit | None, now: float) -> bool:
+    """Return whether the passes of a group come near the longest pause.
+
+    Another stream would soon make every stream of the group late.
+    """
+    if limit is None or limit.is_stale(now):
+        return False
+    return limit.pass_s >= const.PASS_UNLIMITED_SHARE * limit.bounds.pause_s
