--- a/jasperweir/components/balance/const.py
+++ b/jasperweir/components/balance/const.py
@@ -130,7 +130,7 @@
 # taken for one that retries, seconds: the shortest Retry-After delay less the
 # spread of network delays.
 RETRY_MIN_SECONDS = 0.15
-# Callers of a route choose their own time if less than this share of the last
+# Callers choose their own time if less than this share of the last
 # requests states the longest one, up to the tolerance in seconds. In a storm of
 # retries where all callers state the same time, first attempts are a larger
 # share.
@@ -138,7 +138,7 @@
 # The share at which they are taken to state the same time again.
 STATED_COMMON_AGAIN_SHARE = 0.5
 STATED_TOLERANCE_SECONDS = 0.02
-# Requests of a route by which this is decided, and the least number of them.
+# Requests by which this is decided, and the least number of them.
 STATED_SAMPLES = 64
 STATED_SAMPLES_MIN = 16
 # An entry expects its configuration and its targets within this time after its
--- a/jasperweir/components/balance/wait_estimate.py
+++ b/jasperweir/components/balance/wait_estimate.py
@@ -25,10 +25,12 @@
         """
         self._counted_from = started_at + const.START_SECONDS
         self._longest_by_route: dict[str, float] = {}
-        # Whether the last requests stated the longest time, by route.
-        self._near_longest: dict[str, collections.deque[bool]] = {}
-        # Routes whose callers choose their own time.
-        self._varied_routes: set[str] = set()
+        # Whether the last requests stated the longest time. Routes with the
+        # same time-out are counted together: an entry sees few requests of
+        # each.
+        self._near_longest: dict[float, collections.deque[bool]] = {}
+        # Time-outs of routes whose callers choose their own time.
+        self._varied: set[float] = set()
 
     def estimate_waited_s(
         self, route: model.Route, stated_s: float | None, now: float = 0.0
@@ -64,17 +66,17 @@
 
         Assumed until enough callers have stated theirs.
         """
-        return route.name not in self._varied_routes
+        return route.timeout_s not in self._varied
 
     def _add_sample(self, route: model.Route, *, is_longest: bool) -> None:
         samples = self._near_longest.setdefault(
-            route.name, collections.deque(maxlen=const.STATED_SAMPLES)
+            route.timeout_s, collections.deque(maxlen=const.STATED_SAMPLES)
         )
         samples.append(is_longest)
         if len(samples) < const.STATED_SAMPLES_MIN:
             return
         share = sum(samples) / len(samples)
         if share < const.STATED_COMMON_SHARE:
-            self._varied_routes.add(route.name)
+            self._varied.add(route.timeout_s)
         elif share >= const.STATED_COMMON_AGAIN_SHARE:
-            self._varied_routes.discard(route.name)
+            self._varied.discard(route.timeout_s)
