Faults that a review of groups, order and cold targets found

Cause: (1) the order refused all waiting requests while no answer had shown how slots come free; (2) a listed group without targets kept a service from being out, and unlisted targets that serve did not count; (3) refusals of a moment closed a group at an entry for up to 20 s; (4) a lost list of groups was never repeated; (5) the capacity of a group left out the rates of cold targets; (6) a refused request that got a freed slot handed it over in nested calls. Change: each as above; probes of a group that is listed as open come after 2 s at most, lists are repeated each 2 s. The scenario of the notifier allowed no repeat in 5 s; it now allows none within 2 s and asks for one each 2 s. Open: the order takes the free slots of one group for the supply of the service; a connection that takes over 0.25 s to a cold target is not counted anew.

--- a/features/groups.feature
+++ b/features/groups.feature
@@ -32,13 +32,18 @@
 
   Scenario: A list is sent on change, and once to an entry that has started
     Given a notifier that has sent a list to entries e1 and e2
-    When nothing changes for 5 seconds
+    When nothing changes for 1.9 s
     Then nothing is sent
     When e2 starts again
     Then the same list is sent to e2 only
     When g1 closes
     Then a list with a higher sequence is sent to e1 and e2
 
+  Scenario: An entry that has missed a list never gets it
+    Given a notifier that has sent a list to entries e1 and e2
+    When nothing changes for 5 s
+    Then the same list is sent 2 times to e1 and e2
+
   Scenario: A list with too many groups and ranks is cut, not refused
     When an entry gets a list of 100 groups of 300 ranks
     Then it holds 64 groups of 256 ranks
@@ -155,3 +160,14 @@
     Then the estimate is 96 open requests and 24 free slots
     When the reports are 2 s old
     Then the estimate is 0 open requests and 120 free slots
+
+  Scenario Outline: A group without targets keeps a service from being out, or unlisted targets don't count
+    Given lists of groups in which <closed> are closed, and targets of <present>
+    Then the service is <state>
+
+    Examples:
+      | closed | present     | state   |
+      | g0,g1  | g0,g1       | out     |
+      | g0,g1  | g0,unlisted | not out |
+      | g1     | g1          | out     |
+      | g1     | g0,g1       | not out |
--- a/features/order.feature
+++ b/features/order.feature
@@ -170,3 +170,14 @@
   Scenario: An entry whose view is older than 1.5 s still uses it
     Given an entry that heard 11 of 11 others 1.6 s ago
     Then today's rule applies to it
+
+  Scenario Outline: Waiting requests are refused though nothing shows how slots come free
+    Given <running> running requests of priority 0 and 0 of priority 2 that take <whole_s> s
+    When 6 requests of priority 1 wait without a free slot
+    Then <hopeless> of the waiting requests count as hopeless
+
+    Examples:
+      | running | whole_s | hopeless |
+      | 100     | 0       | 0        |
+      | 0       | 1       | 0        |
+      | 2       | 60      | 6        |
--- a/features/steps/groups_list_steps.py
+++ b/features/steps/groups_list_steps.py
@@ -7,6 +7,7 @@
 from behave import when
 
 from features.harness import engines
+from jasperweir.components.balance import outage as outage_lib
 from jasperweir.components.directory import const as directory_const
 from jasperweir.components.directory import records
 from jasperweir.components.groups import directory as directory_lib
@@ -155,7 +156,7 @@
 @when("it hears of g0 at 10.2 s and of g1 at 11.0 s, with entries e1 and e2")
 def step_hears(context):
     both = (make_group("g0"), make_group("g1"))
-    for tenth in range(1, 50):
+    for tenth in range(1, 34):
         count = (tenth >= 2) + (tenth >= 10)
         context.sent += tick(context, 10.0 + tenth / 10, both[:count])
 
@@ -175,13 +176,19 @@
     context.first = context.sent[0].msg
 
 
-@when("nothing changes for 5 seconds")
-def step_no_change(context):
+@when("nothing changes for {seconds:g} s")
+def step_no_change(context, seconds):
     context.sent = []
-    for tenth in range(50):
+    for tenth in range(1, round(seconds * 10) + 1):
         context.sent += tick(context, 12.0 + tenth / 10, context.listed)
 
 
+@then("the same list is sent {count:d} times to e1 and e2")
+def step_repeated(context, count):
+    sent = [(act.dst, act.msg) for act in context.sent]
+    assert sent == [("e1", context.first), ("e2", context.first)] * count, sent
+
+
 @then("nothing is sent")
 def step_nothing(context):
     assert not context.sent, context.sent
@@ -190,8 +197,8 @@
 @when("e2 starts again")
 def step_starts(context):
     entries = (("e1", 1), ("e2", 2))
-    context.sent = tick(context, 18.0, context.listed, entries=entries)
-    context.sent += tick(context, 18.1, context.listed, entries=entries)
+    context.sent = tick(context, 13.92, context.listed, entries=entries)
+    context.sent += tick(context, 13.95, context.listed, entries=entries)
 
 
 @then("the same list is sent to e2 only")
@@ -203,7 +210,7 @@
 @when("g1 closes")
 def step_closes(context):
     listed = (context.listed[0], make_group("g1", is_open=False))
-    context.sent = tick(context, 19.0, listed)
+    context.sent = tick(context, 13.97, listed)
 
 
 @then("a list with a higher sequence is sent to e1 and e2")
@@ -254,3 +261,24 @@
 def step_stand(context):
     assert context.groups.find_unit("s", "g0:1") == "s"
     assert not context.groups.list_units("s")
+
+
+@given("lists of groups in which {closed} are closed, and targets of {present}")
+def step_closed_present(context, closed, present):
+    closed = closed.split(",")
+    groups = directory_lib.GroupDirectory()
+    listed = tuple(
+        make_group(name, is_open=name not in closed) for name in ("g0", "g1")
+    )
+    groups.on_list(messages.GroupList(1, 1, listed))
+    context.outages = outage_lib.Outages(groups=groups)
+    units = [
+        directory_lib.make_unit("s", "" if name == "unlisted" else name)
+        for name in present.split(",")
+    ]
+    context.outages.list_present_units = lambda service, now: units
+
+
+@then("the service is {state}")
+def step_service_state(context, state):
+    assert context.outages.get("s").is_active(0.0) == (state == "out")
--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -1,5 +1,6 @@
 """Steps on the order of service over all entries."""
 
+import collections
 import functools
 import hashlib
 import json
@@ -14,6 +15,7 @@
 from features.harness import site
 from jasperweir.components.balance import balancer
 from jasperweir.components.balance import wait_queue
+from jasperweir.components.forward import service_queue
 from jasperweir.components.scheduling import const
 from jasperweir.components.scheduling import demand
 from jasperweir.components.scheduling import fairness
@@ -696,3 +698,26 @@
 @then("the most urgent are in time {points:d} points more than by today's rule")
 def step_retry_share(context, points):
     step_today_worse(context, points)
+
+
+@when("{count:d} requests of priority 1 wait without a free slot")
+def step_wait_without_slot(context, count):
+    context.queue = service_queue.Queue(rng=random.Random(1))
+    for number in range(count):
+        context.queue.wait_queue.enqueue(make_waiting(number))
+    own = make_bands(
+        p0=demand.BandTotal(0, 0, context.running[0], 0),
+        p1=demand.BandTotal(count, 0, 0, 0),
+    )
+    context.queue.order = order.Order(
+        own=own,
+        elsewhere=make_bands(),
+        supply=order.Supply(free=0, whole_s=context.whole_s),
+    )
+    context.queue.order_at = NOW
+
+
+@then("{count:d} of the waiting requests count as hopeless")
+def step_count_hopeless(context, count):
+    found = context.queue.find_hopeless(NOW, collections.Counter())
+    assert len(found) == count, found
--- a/jasperweir/components/balance/const.py
+++ b/jasperweir/components/balance/const.py
@@ -177,6 +177,9 @@
 # time for which a group with a dead rank holds requests up, so all entries
 # together probe once in OUTAGE_PROBE_SECONDS as far as this bound allows.
 GROUP_PROBE_MAX_SECONDS = 20.0
+# The same for a group that refuses an entry while the list has it as open: it
+# may have refused for a moment only, and no change of the list will tell.
+GROUP_OPEN_PROBE_MAX_SECONDS = 2.0
 # A group that refuses is taken for closed for this long without further
 # refusals, seconds; longer than the interval between two probes.
 GROUP_SILENT_SECONDS = 45.0
--- a/jasperweir/components/balance/outage.py
+++ b/jasperweir/components/balance/outage.py
@@ -7,6 +7,9 @@
 group has its own outage; the service is out if all of its groups are.
 """
 
+from collections.abc import Callable
+from collections.abc import Iterable
+
 from jasperweir.components.balance import const
 from jasperweir.components.groups import directory as group_directory
 
@@ -103,10 +106,15 @@
         self._probed = Outage()
 
     def is_active(self, now: float) -> bool:
-        """Return whether all groups of the service are out."""
+        """Return whether all groups of the service that have targets are out.
+
+        Targets that no list names count as a group.
+        """
+        units = self._outages.list_present_units(
+            self._service, now
+        ) or self._outages.groups.list_units(self._service)
         return all(
-            self._outages.is_out(self._service, unit, now)
-            for unit in self._outages.groups.list_units(self._service)
+            self._outages.is_out(self._service, unit, now) for unit in units
         )
 
     def seems_over(self, now: float) -> bool:
@@ -128,10 +136,15 @@
 
     Attributes:
         groups: Groups of the services.
+        list_present_units: Returns the units of a service that have targets
+            which serve requests, at a monotonic time; empty if unknown.
     """
 
     def __init__(self, *, groups: group_directory.GroupDirectory) -> None:
         self.groups = groups
+        self.list_present_units: Callable[[str, float], Iterable[str]] = (
+            lambda service, now: ()
+        )
         self._by_unit: dict[str, Outage] = {}
         self._group_units: set[str] = set()
         self._by_service: dict[str, ServiceOutage] = {}
--- a/jasperweir/components/forward/available_targets.py
+++ b/jasperweir/components/forward/available_targets.py
@@ -43,6 +43,20 @@
     interval_s: float
 
 
+class PresentUnits(NamedTuple):
+    """Units of the ready targets of a service.
+
+    Attributes:
+        ready: The list of targets that they were computed from.
+        version: Version of the groups that they were computed from.
+        units: The units.
+    """
+
+    ready: list[records.Target]
+    version: tuple[int, int]
+    units: frozenset[str]
+
+
 class AvailableTargets:
     """Announced targets less the evacuated, blocked and closed ones.
 
@@ -83,8 +97,10 @@
         )
         # Filtered lists by service, while any data centre is evacuated.
         self._serving: dict[str, ServingTargets] = {}
+        self._present: dict[str, PresentUnits] = {}
         self._directory = directory
         self._outages = outages
+        outages.list_present_units = self._list_present_units
 
     def set_evacuated(self, places: frozenset[str], now: float) -> None:
         """Replace the set of evacuated data centres."""
@@ -179,6 +195,23 @@
             if self._outages.is_out(service, unit, now)
         ]
 
+    def _list_present_units(self, service: str, now: float) -> frozenset[str]:
+        """Return the units of the targets outside evacuated data centres."""
+        ready = self.list_ready(service, now)
+        groups = self._outages.groups
+        cached = self._present.get(service)
+        if (
+            cached is None
+            or cached.ready is not ready
+            or cached.version != groups.version
+        ):
+            units = frozenset(
+                groups.find_unit(service, t.address) for t in ready
+            )
+            cached = PresentUnits(ready, groups.version, units)
+            self._present[service] = cached
+        return cached.units
+
     def take_probe(
         self, service: str, entry_count: int, now: float
     ) -> GroupProbe | None:
@@ -195,10 +228,7 @@
         closed = self._list_closed(service, now)
         if not closed or self._outages.get(service).is_active(now):
             return None
-        interval_s = min(
-            const.OUTAGE_PROBE_SECONDS * max(entry_count, 1),
-            const.GROUP_PROBE_MAX_SECONDS,
-        )
+        shared_s = const.OUTAGE_PROBE_SECONDS * max(entry_count, 1)
         ready = self.warmup.list_available(
             self.list_ready(service, now), service, now
         )
@@ -208,6 +238,12 @@
                 by_unit.get(unit, []), now
             )
             outage = self._outages.get_unit(service, unit)
+            interval_s = min(
+                shared_s,
+                const.GROUP_OPEN_PROBE_MAX_SECONDS
+                if self._outages.groups.is_open(unit)
+                else const.GROUP_PROBE_MAX_SECONDS,
+            )
             if targets and outage.take_probe(now, interval_s):
                 return GroupProbe(unit, targets, interval_s)
         return None
--- a/jasperweir/components/forward/capacity.py
+++ b/jasperweir/components/forward/capacity.py
@@ -55,7 +55,11 @@
         self.entry_count = 1
         self.warmup: warmup_lib.WarmUp | None = None
         self.by_group = group_capacity.GroupCapacity(
-            balancer=balancer, cell=cell, groups=groups, rng=rng
+            balancer=balancer,
+            cell=cell,
+            groups=groups,
+            rng=rng,
+            count_beyond_rate=self._count_beyond_rate,
         )
         self._balancer = balancer
         self._cell = cell
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -120,6 +120,7 @@
         )
         self._exchange_numbers = itertools.count(1)
         self._open_exchanges: dict[int, exchange_lib.Exchange] = {}
+        self._is_handing_over = False
         self.queues = queues_lib.Queues(
             balancer=self.balancer,
             cell=cell,
@@ -650,13 +651,21 @@
         # By today's rule slots are taken in ticks and by new requests only.
         if queue.order is None or not len(queue.wait_queue):
             return
+        if self._is_handing_over:
+            # A request that is refused meanwhile would hand over in turn.
+            self.on_work()
+            return
         now = self.now()
         targets = self.targets.list_available(service, now)
         candidates = self._find_candidates(service, targets, now)
-        for number in self.queues.hand_over(service, candidates, now):
-            exchange = self._open_exchanges.get(number)
-            if exchange is not None:
-                self._send_within_budget(exchange, candidates, now)
+        self._is_handing_over = True
+        try:
+            for number in self.queues.hand_over(service, candidates, now):
+                exchange = self._open_exchanges.get(number)
+                if exchange is not None:
+                    self._send_within_budget(exchange, candidates, now)
+        finally:
+            self._is_handing_over = False
 
     @property
     def _config_version(self) -> int:
--- a/jasperweir/components/forward/group_capacity.py
+++ b/jasperweir/components/forward/group_capacity.py
@@ -84,8 +84,11 @@
         cell: entry_cell_lib.EntryCell,
         groups: group_directory.GroupDirectory,
         rng: random.Random,
+        count_beyond_rate: Callable[[Targets, float], int],
     ) -> None:
         self.groups = groups
+        # Returns the free slots of cold targets that their rates don't allow.
+        self._count_beyond_rate = count_beyond_rate
         self._rng = rng
         self._balancer = balancer
         self._cell = cell
@@ -229,6 +232,9 @@
             load = UnitLoad(
                 math.ceil(found.open), math.floor(found.free), found.reports
             )
+        beyond = self._count_beyond_rate(unit.ranks, now)
+        if beyond:
+            load = load._replace(capacity=load.capacity - beyond)
         limit = find_limit(unit.name)
         if limit is None:
             return load
--- a/jasperweir/components/forward/service_queue.py
+++ b/jasperweir/components/forward/service_queue.py
@@ -87,6 +87,9 @@
         order = self.order
         if order is None or self.order_at < now:
             return []
+        if order.releases_per_s <= 0:
+            # No forecast: no answer was completed yet, or nothing runs.
+            return []
         out = []
         ahead = max(-order.supply.free, 0.0)
         for band, own in enumerate(order.own):
--- a/jasperweir/components/groups/const.py
+++ b/jasperweir/components/groups/const.py
@@ -12,3 +12,6 @@
 # Name of the unit of the targets that no group lists, in a service that has
 # several groups.
 UNLISTED = ""
+# Interval at which all entries get an unchanged list again, seconds. A lost
+# message would leave an entry with a group that it takes for closed.
+RESEND_SECONDS = 2.0
--- a/jasperweir/components/groups/notifier.py
+++ b/jasperweir/components/groups/notifier.py
@@ -13,14 +13,15 @@
 class GroupNotifier:
     """Decides which entries get the list of groups.
 
-    All get it when it changes; an entry that has started, or that was silent,
-    gets it once.
+    All get it when it changes and every RESEND_SECONDS; an entry that has
+    started, or that was silent, gets it at once.
     """
 
     def __init__(self) -> None:
         self._term = 0
         self._term_began_at = float("-inf")
         self._sequence = 0
+        self._resent_at = float("-inf")
         self._groups: Groups | None = None
         # Incarnation of each entry that was sent the current list.
         self._informed: dict[str, int] = {}
@@ -48,6 +49,10 @@
             self._groups = None
         if not term or now - self._term_began_at < const.COLLECT_SECONDS:
             return []
+        if now - self._resent_at >= const.RESEND_SECONDS:
+            # Messages may be lost; entries that have the list ignore it.
+            self._resent_at = now
+            self._informed = {}
         if groups != self._groups:
             if not groups and self._groups is None:
                 return []
--- a/script/guards_groups.py
+++ b/script/guards_groups.py
@@ -33,8 +33,8 @@
     Guard("a closed group is probed", F + "forwarder.py",
           "if self._probe_group(exchange, now):", "if False:", "groups"),
     Guard("entries share the probes", F + "available_targets.py",
-          "const.OUTAGE_PROBE_SECONDS * max(entry_count, 1),",
-          "const.OUTAGE_PROBE_SECONDS,", "groups"),
+          "const.OUTAGE_PROBE_SECONDS * max(entry_count, 1)",
+          "const.OUTAGE_PROBE_SECONDS", "groups"),
     Guard("refusals close their group only", F + "outcome_tracker.py",
           "unit = self._outages.groups.find_unit(service, target.address)\n"
           "            outage",
--- a/script/guards_returns.py
+++ b/script/guards_returns.py
@@ -20,6 +20,8 @@
           "jasperweir/components/balance/wait_estimate.py",
           "if share < const.STATED_COMMON_SHARE:",
           "if share < 0.6:", "returns"),
+    Guard("nothing is given up without a forecast", F + "service_queue.py",
+          "if order.releases_per_s <= 0:", "if False:", "order"),
     Guard("no sums of demand while slots are plentiful", F + "queues.py",
           "if self._has_plenty(queue, candidates):",
           "if False:", "order"),
