--- a/features/order.feature
+++ b/features/order.feature
@@ -144,15 +144,15 @@
   Scenario: An entry that has just started decides by a view that it can't have
     Given entries that have all just started, seed 1
     When the least urgent requests arrive at 2.5 times their rate at once
-    Then for 3 s the decisions are those of today's rule
+    Then for 3 s the decisions are those of the entry's own order
 
   Scenario: An entry that is cut off reserves slots for requests it can't see
     Given an entry that hears none of 11 others
-    Then today's rule applies to it
+    Then the entry's own order applies to it
 
   Scenario: An entry in the smaller side of a partition keeps its view
     Given an entry that hears 5 of 11 others
-    Then today's rule applies to it
+    Then the entry's own order applies to it
 
   Scenario: An entry in the larger side of a partition loses the order
     Given an entry that hears 6 of 11 others
@@ -164,12 +164,12 @@
 
     Examples:
       | free | rule                       |
-      | 48   | today's rule               |
+      | 48   | the entry's own order               |
       | 47   | the order over all entries |
 
   Scenario: An entry whose view is older than 1.5 s still uses it
     Given an entry that heard 11 of 11 others 1.6 s ago
-    Then today's rule applies to it
+    Then the entry's own order applies to it
 
   Scenario Outline: Waiting requests are refused though nothing shows how slots come free
     Given <running> running requests of priority 0 and 0 of priority 2 that take <whole_s> s
--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -84,14 +84,16 @@
     assert ordered >= quiet - points / 100, (quiet, ordered)
 
 
-@then("by today's rule they are at least {points:d} points worse")
+@then("by the entry's own order they are at least {points:d} points worse")
 def step_today_worse(context, points):
     ordered = share_of_urgent(context.ordered)
     today = share_of_urgent(context.today)
     assert today <= ordered - points / 100, (today, ordered)
 
 
-@then("with each seed no fewer requests are served than by today's rule")
+@then(
+    "with each seed no fewer requests are served than by the entry's own order"
+)
 def step_served(context):
     ordered = [s.served for s in context.ordered]
     today = [s.served for s in context.today]
@@ -622,7 +624,7 @@
     )
 
 
-@then("for {seconds:g} s the decisions are those of today's rule")
+@then("for {seconds:g} s the decisions are those of the entry's own order")
 def step_started_today(context, seconds):
     today, ordered = (
         [d for d in s.decisions if d[2] < order_simulation.START + seconds]
@@ -671,7 +673,7 @@
     context.found = order_after(heard, known, age_s)
 
 
-@then("today's rule applies to it")
+@then("the entry's own order applies to it")
 def step_today_applies(context):
     assert context.found is None
 
@@ -695,7 +697,10 @@
     context.ordered, context.today = found
 
 
-@then("the most urgent are in time {points:d} points more than by today's rule")
+@then(
+    "the most urgent are in time {points:d} points more than by the entry's"
+    " own order"
+)
 def step_retry_share(context, points):
     step_today_worse(context, points)
 
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -648,7 +648,7 @@
     def _hand_over_slot(self, service: str) -> None:
         """Send a waiting request to the slot of one that has ended."""
         queue = self.queues.get(service)
-        # By today's rule slots are taken in ticks and by new requests only.
+        # Otherwise slots are taken in ticks and by new requests only.
         if queue.order is None or not len(queue.wait_queue):
             return
         if self._is_handing_over:
--- a/jasperweir/components/forward/queues.py
+++ b/jasperweir/components/forward/queues.py
@@ -178,11 +178,12 @@
     def find_order(
         self, service: str, candidates: capacity_lib.Candidates, now: float
     ) -> order_lib.Order | None:
-        """Return the order of service, None if today's rule applies.
+        """Return the order of service, None if the entry's own order applies.
 
-        Today's rule applies to requests of a single priority, while there are
-        slots for all, after the start of this entry, and to an entry that hears
-        less than half of the entries in its cell or no demand by priority.
+        The entry's own order applies to requests of a single priority, while
+        there are slots for all, after the start of this entry, and to an entry
+        that hears less than half of the entries in its cell or no demand by
+        priority.
         """
         queue = self.get(service)
         if self._has_plenty(queue, candidates):
@@ -333,7 +334,7 @@
         """Return whether no more urgent requests compete with a request.
 
         Returns:
-            None if today's rule applies.
+            None if the entry's own order applies.
         """
         state = exchange.state
         return self.get(exchange.service).is_most_urgent(
@@ -346,7 +347,7 @@
         """Return the delay after which a refused caller should return, seconds.
 
         Returns:
-            None if today's rule applies.
+            None if the entry's own order applies.
         """
         return self.get(exchange.service).plan_return(
             exchange.state.match.priority,
--- a/jasperweir/components/forward/recorder.py
+++ b/jasperweir/components/forward/recorder.py
@@ -156,7 +156,7 @@
 
         Args:
             service: The service.
-            applies: Whether it applies from now on, instead of today's rule.
+            applies: Whether it applies from now on, instead of the entry's own.
             peers: Other entries that were heard from recently.
             bands: Priorities that compete.
         """
--- a/jasperweir/components/forward/service_queue.py
+++ b/jasperweir/components/forward/service_queue.py
@@ -24,7 +24,7 @@
         demand: Arrivals and running requests by priority.
         virtual_time: Turns of the customers.
         returns: Return times of refused callers.
-        order: Order of the last decision, None if today's rule applied.
+        order: Order of the last decision, None if the entry's own applied.
         order_at: Time of the last decision, monotonic seconds.
         order_applied: Whether the order over all entries applied when slots
             were last scarce.
@@ -117,7 +117,7 @@
             now: Monotonic seconds.
 
         Returns:
-            None if today's rule applies.
+            None if the entry's own order applies.
         """
         if self.order is None or self.order_at < now:
             return None
@@ -138,7 +138,7 @@
             entries: Entries that share the slots.
 
         Returns:
-            None if today's rule applies.
+            None if the entry's own order applies.
         """
         order = self.order
         is_recent = now - self.order_at <= const.ORDER_TTL_SECONDS
--- a/jasperweir/components/scheduling/view.py
+++ b/jasperweir/components/scheduling/view.py
@@ -2,7 +2,8 @@
 
 Load: entries come and go, are cut off, and run different versions. What they
 said last is used for a short time only, with a weight that falls with its age,
-so that a wrong view ends in today's rule and not in slots that nobody takes.
+so that a wrong view ends in the entry's own order and not in slots that nobody
+takes.
 """
 
 import dataclasses
