--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -511,8 +511,8 @@
 
 
 @then(
-    "the small ones are in time at least {points:d} points more than by today's"
-    " rule"
+    "the small ones are in time at least {points:d} points more than by the"
+    " entry's own order"
 )
 def step_small(context, points):
     ordered = share_of_small(context.ordered)
