Load messages carry demand only where requests wait, or four times a second

Change: without waiting requests the demand goes out each 0.25 s; a message without it keeps what the peer sent before; switches alone send no list.

--- a/jasperweir/components/forward/queues.py
+++ b/jasperweir/components/forward/queues.py
@@ -45,6 +45,8 @@
         self._startup_grace = startup_grace
         self._view = view_lib.DemandView()
         self.on_order_change: Callable[..., None] = lambda *_, **__: None
+        self._demand_sent_at = -math.inf
+        self._has_sent_waiting = False
         self._sent_waiting: tuple[tuple[tuple[int, bool], ...], ...] = ()
         self._cell = cell
         self._outages = outages
@@ -166,7 +168,19 @@
         self._view.on_share(src, msg.sequence, msg.demand, msg.queues, now)
 
     def build_demand(self, now: float) -> tuple[demand_lib.BandDemand, ...]:
-        """Return the demand to send to the other entries."""
+        """Return the demand to send to the other entries.
+
+        Without waiting requests it is left out of most messages: it would
+        double their size, and running requests change slowly.
+        """
+        is_waiting = any(len(q.wait_queue) for q in self._by_service.values())
+        since_s = now - self._demand_sent_at
+        if not (is_waiting or self._has_sent_waiting) and (
+            since_s < scheduling_const.DEMAND_INTERVAL_SECONDS
+        ):
+            return ()
+        self._has_sent_waiting = is_waiting
+        self._demand_sent_at = now
         return tuple(
             item
             for service, queue in self._by_service.items()
--- a/jasperweir/components/groups/notifier.py
+++ b/jasperweir/components/groups/notifier.py
@@ -22,7 +22,7 @@
         self._term_began_at = float("-inf")
         self._sequence = 0
         self._resent_at = float("-inf")
-        self._groups: Groups | None = None
+        self._listed: Groups | None = None
         # Incarnation of each entry that was sent the current list.
         self._informed: dict[str, int] = {}
 
@@ -46,17 +46,19 @@
             self._term = term
             self._term_began_at = now
             self._sequence = 0
-            self._groups = None
+            self._listed = None
         if not term or now - self._term_began_at < const.COLLECT_SECONDS:
             return []
         if now - self._resent_at >= const.RESEND_SECONDS:
             # Messages may be lost; entries that have the list ignore it.
             self._resent_at = now
             self._informed = {}
-        if groups != self._groups:
-            if not groups and self._groups is None:
+        # A switch of the expert map alone is no reason to send the list.
+        listed = tuple(group._replace(is_switching=False) for group in groups)
+        if listed != self._listed:
+            if not groups and self._listed is None:
                 return []
-            self._groups = groups
+            self._listed = listed
             self._sequence += 1
             self._informed = {}
         msg = messages.GroupList(
--- a/jasperweir/components/scheduling/const.py
+++ b/jasperweir/components/scheduling/const.py
@@ -59,3 +59,5 @@
 PLENTY_SLOTS_PER_ENTRY = 4
 # While no slot is free the order is computed at this interval, seconds.
 ORDER_REUSE_SECONDS = 0.1
+# Interval at which an entry without waiting requests sends its demand, seconds.
+DEMAND_INTERVAL_SECONDS = 0.25
--- a/jasperweir/components/scheduling/view.py
+++ b/jasperweir/components/scheduling/view.py
@@ -82,8 +82,16 @@
         peer = self._peers.get(src)
         if peer is not None and sequence <= peer.sequence:
             return
+        bands = None
+        if not raw and not queues and peer is not None and peer.raw:
+            # Left out, since nothing waits there.
+            raw, bands = peer.raw, peer.bands
         self._peers[src] = PeerDemand(
-            sequence=sequence, received_at=now, raw=raw, queues=queues
+            sequence=sequence,
+            received_at=now,
+            raw=raw,
+            queues=queues,
+            bands=bands,
         )
         self._stale_at = min(self._stale_at, now + const.DEMAND_STALE_SECONDS)
 
