--- a/jasperweir/components/warmup/const.py
+++ b/jasperweir/components/warmup/const.py
@@ -19,8 +19,8 @@
 # Window of the bound on requests to a cold target, seconds.
 WINDOW_SECONDS = 1.0
 # Requests of a longer time may arrive within a window, seconds: they are
-# counted when their target is chosen, and a new connection to it takes up to
-# a few hundred ms.
+# counted when their target is chosen. A connection that takes longer to open,
+# up to 0.6 s, is not covered.
 JITTER_SECONDS = 0.25
 # Smallest burst of an owner of a rate. With 1 an owner would lose what it
 # leaves unused for less than a request's interval.
