Log how a response was framed and what ended it

'request ended' and 'send failed' now have framing, end, body_bytes, events and pending_bytes (bytes after the last complete event), and a counter responses_ended has framing and end. No decision changes.

Ruled out: logging the bytes themselves; they are the callers'.

--- a/features/harness/order_simulation.py
+++ b/features/harness/order_simulation.py
@@ -23,6 +23,7 @@
 from jasperweir.components.forward import dialect
 from jasperweir.components.forward import forwarder
 from jasperweir.components.forward import request_state
+from jasperweir.components.forward import response_progress
 from jasperweir.helpers import http_client
 from jasperweir.helpers import metrics
 
@@ -85,6 +86,7 @@
         self.done = False
         self.first_byte_at = 0.0
         self.longest_gap_s = 0.0
+        self.progress = response_progress.ResponseProgress()
         self.target_id = ""
         self.answering = hop.Answering()
         self.call = call
--- a/jasperweir/components/forward/events.py
+++ b/jasperweir/components/forward/events.py
@@ -11,12 +11,19 @@
     Attributes:
         last_id: Id of the last complete event, initially the id after which the
             stream resumes.
+        count: Number of complete events.
     """
 
     def __init__(self, *, last_id: str) -> None:
         self.last_id = last_id
+        self.count = 0
         self._buffer = b""
 
+    @property
+    def pending_bytes(self) -> int:
+        """Number of bytes after the last complete event."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return the events completed by them."""
         self._buffer += data
@@ -26,6 +33,7 @@
                 return b""
             end = len(self._buffer)
         complete, self._buffer = self._buffer[:end], self._buffer[end:]
+        self.count += sum(complete.count(mark) for mark in _TERMINATORS)
         self._update_last_id(complete)
         return complete
 
--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -10,6 +10,7 @@
 from jasperweir.components.forward import dialect as dialect_lib
 from jasperweir.components.forward import events as events_lib
 from jasperweir.components.forward import request_state
+from jasperweir.components.forward import response_progress
 from jasperweir.helpers import http_client
 from jasperweir.helpers import http_message
 from jasperweir.helpers import http_server
@@ -37,6 +38,7 @@
         first_byte_at: When the first byte of a response arrived, monotonic
             seconds; 0 before.
         longest_gap_s: Longest pause between two events, seconds.
+        progress: What has arrived of the response to the latest attempt.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         self._buffered: list[bytes] = []
         self._buffered_bytes = 0
         self._splitter = events_lib.EventSplitter(last_id=state.last_event_id)
+        self.progress = response_progress.ResponseProgress()
         self._sent_at = 0.0
         self._last_event_at = 0.0
         self.first_byte_at = 0.0
@@ -165,6 +168,7 @@
             headers.append((b"content-length", b"%d" % len(req.body)))
         line = req.method + b" " + req.target + b" HTTP/1.1"
         state.on_sent(self._target.target_id)
+        self.progress = response_progress.ResponseProgress()
         self._conn = conn
         self._sent_at = now
         conn.send(http_message.write_head(line, headers), self, req.body)
@@ -185,6 +189,7 @@
             and target_head.request_id != self.state.caller_headers.request_id
         ):
             return False
+        self.progress.framing = head.framing
         now = self._forwarder.now()
         if target_head.load is not None:
             self._forwarder.balancer.on_report(
@@ -226,8 +231,11 @@
             return
         if not self.first_byte_at:
             self.first_byte_at = self._forwarder.now()
+        self.progress.body_bytes += len(data)
         if self._is_event_stream:
             events = self._splitter.feed(data)
+            self.progress.events = self._splitter.count
+            self.progress.pending_bytes = self._splitter.pending_bytes
             if events:
                 self._record_gap()
                 self.state.last_event_id = self._splitter.last_id
@@ -259,6 +267,7 @@
         conn = self._conn
         if self.done or conn is None or self._target is None:
             return
+        self.progress.on_end()
         self._forwarder.pool.release(_pool_key(self._target), conn)
         self._forwarder.outcomes.on_completed(self, self._sent_at)
         if self._head is not None and self._head.status < 300:
@@ -283,6 +292,7 @@
 
     def on_broken(self, reason: str) -> None:
         """Handle a connection that closed before the response was complete."""
+        self.progress.on_broken(reason)
         if self._was_held_up and not self.done:
             # The target cut off an answer that was not read; it has no fault.
             self._forwarder.record_unread(self)
--- a/jasperweir/components/forward/recorder.py
+++ b/jasperweir/components/forward/recorder.py
@@ -275,6 +275,12 @@
             priority=str(demand_lib.find_band(state.match.priority)),
             outcome=outcome,
         )
+        progress = exchange.progress
+        self._metrics.inc(
+            "responses_ended",
+            framing=progress.framing.value if progress.framing else "none",
+            end=progress.end.value,
+        )
         self._metrics.observe("request_seconds", now - state.arrived_at)
         if first_byte_at:
             self._metrics.observe(
@@ -301,6 +307,7 @@
             used_ms=round((state.arrived_at - state.first_attempt_at) * 1000),
             target_ms=round(state.match.route.target_s * 1000),
             gap_target_ms=round(state.match.route.gap_s * 1000),
+            **exchange.progress.log_fields(),
         )
 
     def record_fault(
@@ -321,6 +328,7 @@
             fault=fault.value,
             reason=reason,
             open=open_requests,
+            **exchange.progress.log_fields(),
         )
 
     def record_signals(
--- a/jasperweir/helpers/http_client.py
+++ b/jasperweir/helpers/http_client.py
@@ -264,10 +264,19 @@
         coding = http_message.find(self._headers, b"transfer-encoding")
         length = int(length_text) if length_text is not None else None
         bodiless = status in BODILESS_STATUSES
-        self._until_close = length is None and coding is None and not bodiless
+        framing = http_message.Framing.CLOSE
+        if bodiless:
+            framing = http_message.Framing.NONE
+        elif length is not None:
+            framing = http_message.Framing.LENGTH
+        elif coding is not None:
+            framing = http_message.Framing.CHUNKS
+        self._until_close = framing is http_message.Framing.CLOSE
         self._keep_alive = self._parser.should_keep_alive()
         self._keep_alive_s = self._read_keep_alive()
-        head = http_message.Head(status=status, headers=self._headers)
+        head = http_message.Head(
+            status=status, headers=self._headers, framing=framing
+        )
         wanted = self._listener.on_head(head, 0 if bodiless else length)
         self._skipping = not wanted
         if self._skipping and self._until_close:
--- a/jasperweir/helpers/http_message.py
+++ b/jasperweir/helpers/http_message.py
@@ -1,5 +1,6 @@
 """HTTP message types and functions shared by the server and the client."""
 
+import enum
 import http
 from typing import NamedTuple
 
@@ -55,11 +56,23 @@
         return find(self.headers, name)
 
 
+class Framing(enum.Enum):
+    """How the end of a message body is found (RFC 9112, section 6.3)."""
+
+    # The status allows no body.
+    NONE = "none"
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    # The body lasts until the connection closes.
+    CLOSE = "close"
+
+
 class Head(NamedTuple):
-    """Status and headers of a response."""
+    """Status, headers and framing of a response."""
 
     status: int
     headers: Headers
+    framing: Framing
 
 
 def find(headers: Headers, name: bytes) -> bytes | None:
