A stream that ends inside an event is broken off, however it is framed

Cause: the end of the bytes was taken for the end of the answer. When the target's framing was complete, or a connection without framing closed in order, Exchange.on_end handed on what was left of an unfinished event and ended the caller's response. The rest of the class, found by the table: - an event larger than the buffer was handed on in part and its break then resumed, so that pieces of two runs were joined; - an error that answered a resumed attempt was appended to the stream; - a stream whose last event has no id was resumed after an older one; - a stream that closed before its first event looked like an empty one.

Now ResponseBody, sans-I/O, says whether a body that ended is complete as far as can be told, and Exchange treats one that is not like a broken connection: resumed where the route allows and the point is known, else cut off. Lines may end with CR, LF or CRLF; complete comments and empty lines are no event. A body of another media type is not read as events.

Ruled out: relaying an answer without framing without framing, which tells callers no more; probing the target after each close, which delays whole answers and opens connections.

The table's expectation for plain bodies larger than the buffer was wrong and is corrected: they are passed on in part, so they can't be sent to another target; they must still be seen as incomplete.

What no one can tell apart stays: a cut between events without framing, a plain body without framing that closes in order, framing that is complete.

--- a/features/harness/cut_answers.py
+++ b/features/harness/cut_answers.py
@@ -103,9 +103,10 @@
         attempts: Number of requests that it ran.
     """
 
-    def __init__(self, *, cut):
+    def __init__(self, *, cut, body=None):
         self.attempts = 0
         self._cut = cut
+        self._body = body
 
     def on_request(self, transport, head):
         """Answer a request."""
@@ -120,6 +121,8 @@
         self._send(transport, pieces, full, framing, is_cut, is_complete)
 
     def _list_pieces(self, after, cut):
+        if self._body is not None:
+            return [self._body]
         pieces = []
         cut_event = max(cut.event, after + 1) if cut and cut.event else 0
         if cut and not cut.event:
@@ -138,6 +141,8 @@
         loop = asyncio.get_running_loop()
         line = b"HTTP/1.0" if framing == "http/1.0" else b"HTTP/1.1"
         fields = b"Content-Type: text/event-stream\r\n"
+        if self._body is not None:
+            fields = b"Content-Type: application/json\r\n"
         is_chunked = framing in ("chunks", "torn chunk")
         if framing == "length":
             size = sum(map(len, pieces)) if is_complete else len(full)
@@ -212,16 +217,22 @@
     attempts: int
 
 
-def play(route_name, cut):
-    """Return what a caller gets through an entry on virtual time."""
+def play(route_name, cut, body=None):
+    """Return what a caller gets through an entry on virtual time.
+
+    Args:
+        route_name: Key of ROUTES.
+        cut: How the target cuts its answers off.
+        body: JSON body that it answers with instead of events.
+    """
     loop = virtual_loop.VirtualLoop()
     try:
-        return loop.run_until_complete(_play(loop, route_name, cut))
+        return loop.run_until_complete(_play(loop, route_name, cut, body))
     finally:
         loop.close()
 
 
-async def _play(loop, route_name, cut):
+async def _play(loop, route_name, cut, body):
     kind, resumable, attempts = ROUTES[route_name]
     route = hop.route(
         kind=kind,
@@ -252,7 +263,7 @@
         )
     )
     entry.on_entries((), hears_leader=False)
-    target = Target(cut=cut)
+    target = Target(cut=cut, body=body)
 
     async def open_connection(address):
         return virtual_loop.open_connection(target.on_request)
@@ -326,11 +337,12 @@
         return f"ran {outcome.attempts} times"
     if cut.tries > 1 or cut.end == "silence":
         return "whole" if looks_complete else None
+    # What exceeds every buffer has been passed on in part.
+    is_partly_passed_on = cut.is_huge and not outcome.is_whole and outcome.body
     if route_name == "safe" and not looks_complete:
-        return "was not sent to another target"
+        return None if is_partly_passed_on else "was not sent elsewhere"
     if route_name == "resumable stream" and not looks_complete:
-        passed = outcome.body and cut.is_huge
-        return None if passed else "was not resumed at another target"
+        return None if is_partly_passed_on else "was not resumed elsewhere"
     if looks_complete and route_name in ("unsafe", "stream"):
         return "is complete, but ran once and was cut off"
     return None
--- a/features/steps/cut_answers_steps.py
+++ b/features/steps/cut_answers_steps.py
@@ -6,6 +6,10 @@
 from behave import when
 
 from features.harness import cut_answers
+from jasperweir.components.forward import events
+from jasperweir.components.forward import response_body
+from jasperweir.components.forward import response_progress
+from jasperweir.helpers import http_message
 
 SHOWN = 12
 
@@ -55,3 +59,69 @@
         assert outcome.status == 200, (route, cut, outcome.status)
         assert outcome.body == cut_answers.full_body(cut), (route, cut)
         assert outcome.attempts == 1, (route, cut, outcome.attempts)
+
+
+@when('an event stream "{text}" arrives byte by byte')
+def step_bytes(context, text):
+    context.splitter = events.EventSplitter(last_id="")
+    data = text.replace("~", "\n").replace("^", "\r").encode()
+    passed = b"".join(
+        context.splitter.feed(data[at : at + 1]) for at in range(len(data))
+    )
+    assert data.startswith(passed), passed
+
+
+@then(
+    "{count:d} events are complete, the stream {ends} and {resumes} "
+    'after "{last}"'
+)
+def step_stream_state(context, count, ends, resumes, last):
+    splitter = context.splitter
+    assert splitter.count == count, splitter.count
+    assert splitter.is_inside_event == (ends == "is cut")
+    assert splitter.has_resume_point == (resumes == "can be resumed")
+    assert splitter.last_id == last, splitter.last_id
+
+
+@then('{count:d} events are complete, the stream {ends} and {resumes} after ""')
+def step_stream_state_empty(context, count, ends, resumes):
+    step_stream_state(context, count, ends, resumes, "")
+
+
+@when("part of its response has been passed on")
+def step_passed_on(context):
+    context.state.response_started = True
+
+
+@when("a resumed stream of 0 events ends after {what}")
+def step_empty_rest(context, what):
+    progress = response_progress.ResponseProgress()
+    progress.framing = http_message.Framing.CHUNKS
+    context.body = response_body.ResponseBody(
+        progress=progress,
+        is_event_stream=True,
+        last_event_id="3",
+        expects_event=what == "an event had begun",
+    )
+
+
+@then('it is cut off: "{reason}"')
+def step_is_cut(context, reason):
+    assert context.body.find_cut() == reason, context.body.find_cut()
+
+
+@then("it is complete")
+def step_is_complete(context):
+    assert not context.body.find_cut(), context.body.find_cut()
+
+
+@when("a target answers a request for a stream with a JSON body")
+def step_json(context):
+    cut = cut_answers.Cut("chunks", tries=0)
+    context.outcome = cut_answers.play("stream", cut, body=b'{"a": 1}')
+
+
+@then("the JSON body reaches the caller whole")
+def step_json_whole(context):
+    assert context.outcome.is_whole
+    assert context.outcome.body == b'{"a": 1}', context.outcome.body
--- a/jasperweir/components/forward/events.py
+++ b/jasperweir/components/forward/events.py
@@ -1,8 +1,14 @@
-"""Splitting of a server-sent event stream into complete events."""
+"""Splitting of a server-sent event stream into complete events.
+
+Source: WHATWG HTML, section 9.2.6, "Interpreting an event stream".
+"""
 
 from jasperweir.components.forward import const
 
-_TERMINATORS = (b"\n\n", b"\r\n\r\n")
+# Lines end with LF, CRLF or CR. Two line ends in a row contain one of these, an
+# LF may follow the last two.
+_EVENT_ENDS = (b"\n\n", b"\n\r", b"\r\r")
+_LINE_ENDS = (b"\n", b"\r")
 
 
 class EventSplitter:
@@ -18,35 +24,112 @@
         self.last_id = last_id
         self.count = 0
         self._buffer = b""
+        # Bytes of the buffer that contain no event end.
+        self._searched = 0
+        self._is_last_identified = True
+        # Whether a part of an event larger than the buffer was returned, and
+        # the id in that part.
+        self._is_split = False
+        self._split_id: bytes | None = None
 
     @property
     def pending_bytes(self) -> int:
-        """Number of bytes after the last complete event."""
+        """Number of buffered bytes after the last complete event."""
         return len(self._buffer)
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the stream so far ends inside an event or a line.
+
+        Complete comments and empty lines are no part of an event.
+        """
+        if self._is_split:
+            return True
+        return any(
+            not line.endswith(_LINE_ENDS) or not _is_ignored(line)
+            for line in self._buffer.splitlines(keepends=True)
+        )
+
+    @property
+    def has_resume_point(self) -> bool:
+        """Whether ``last_id`` names the end of what was returned."""
+        return self._is_last_identified and not self._is_split
+
     def feed(self, data: bytes) -> bytes:
-        """Add received bytes and return the events completed by them."""
+        """Add received bytes and return the events completed by them.
+
+        An event of more than MAX_EVENT_BYTES is returned in parts.
+        """
         self._buffer += data
-        end = max(self._buffer.rfind(mark) + len(mark) for mark in _TERMINATORS)
-        if not any(mark in self._buffer for mark in _TERMINATORS):
-            if len(self._buffer) <= const.MAX_EVENT_BYTES:
+        end = self._find_end()
+        if not end:
+            self._searched = len(self._buffer)
+            if self._searched <= const.MAX_EVENT_BYTES:
                 return b""
-            end = len(self._buffer)
-        complete, self._buffer = self._buffer[:end], self._buffer[end:]
-        self.count += sum(complete.count(mark) for mark in _TERMINATORS)
-        self._update_last_id(complete)
+            return self._split_event()
+        complete = self._take(end)
+        self._read_events(complete)
         return complete
 
     def flush(self) -> bytes:
         """Return the remaining bytes after a regular end of the stream."""
-        rest, self._buffer = self._buffer, b""
-        return rest
-
-    def _update_last_id(self, events: bytes) -> None:
-        start = events.rfind(b"id:")
-        while start > 0 and events[start - 1 : start] != b"\n":
-            start = events.rfind(b"id:", 0, start)
-        if start < 0:
-            return
-        line = events[start + 3 :].split(b"\n", 1)[0]
-        self.last_id = line.strip().decode("latin-1")
+        return self._take(len(self._buffer))
+
+    def _take(self, end: int) -> bytes:
+        taken, self._buffer = self._buffer[:end], self._buffer[end:]
+        self._searched = 0
+        return taken
+
+    def _find_end(self) -> int:
+        """Return where the last complete event ends, 0 without one."""
+        if self._buffer.endswith(b"\n\n"):
+            return len(self._buffer)
+        start = max(self._searched - 1, 0)
+        found = max(self._buffer.rfind(mark, start) for mark in _EVENT_ENDS)
+        if found < 0:
+            return 0
+        end = found + 2
+        if self._buffer[found + 1 : end + 1] == b"\r\n":
+            end += 1
+        return end
+
+    def _split_event(self) -> bytes:
+        # Line ends are kept, as they may be the beginning of the event's end.
+        part = self._take(len(self._buffer.rstrip(b"\r\n")))
+        # The last line is incomplete, and so is the first one of a later part.
+        lines = part.splitlines()[1 if self._is_split else 0 : -1]
+        found = _find_id(lines)
+        self._split_id = self._split_id if found is None else found
+        self._is_split = True
+        return part
+
+    def _read_events(self, complete: bytes) -> None:
+        if b"\r" in complete:
+            complete = complete.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+        for block in complete.split(b"\n\n"):
+            lines = block.split(b"\n")
+            found = None
+            if self._is_split:
+                lines, found = lines[1:], self._split_id
+                self._is_split, self._split_id = False, None
+            elif all(_is_ignored(line) for line in lines):
+                continue
+            last = _find_id(lines)
+            found = found if last is None else last
+            self.count += 1
+            self._is_last_identified = bool(found)
+            if found is not None:
+                self.last_id = found.decode("latin-1")
+
+
+def _is_ignored(line: bytes) -> bool:
+    """Return whether a line is a comment or empty."""
+    return line.startswith((b":", *_LINE_ENDS)) or not line
+
+
+def _find_id(lines: list[bytes]) -> bytes | None:
+    """Return the last id in some lines of an event, None without one."""
+    for line in reversed(lines):
+        if line == b"id" or line.startswith(b"id:"):
+            return line[len(b"id:") :].strip()
+    return None
--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -8,8 +8,8 @@
 from jasperweir.components.directory import records
 from jasperweir.components.forward import const
 from jasperweir.components.forward import dialect as dialect_lib
-from jasperweir.components.forward import events as events_lib
 from jasperweir.components.forward import request_state
+from jasperweir.components.forward import response_body
 from jasperweir.components.forward import response_progress
 from jasperweir.helpers import http_client
 from jasperweir.helpers import http_message
@@ -69,9 +69,9 @@
         self._connect_task: asyncio.Task[None] | None = None
         self._head: http_message.Head | None = None
         self._length: int | None = None
-        self._buffered: list[bytes] = []
-        self._buffered_bytes = 0
-        self._splitter = events_lib.EventSplitter(last_id=state.last_event_id)
+        self._body: response_body.ResponseBody | None = None
+        # Whether an earlier attempt began an event that it didn't complete.
+        self._expects_event = False
         self.progress = response_progress.ResponseProgress()
         self._sent_at = 0.0
         self._last_event_at = 0.0
@@ -218,6 +218,15 @@
             )
         else:
             self._forwarder.balancer.failed(self.target_id, now, hard=False)
+        is_success = 200 <= head.status < 300
+        self._body = response_body.ResponseBody(
+            progress=self.progress,
+            is_event_stream=self.state.is_stream
+            and is_success
+            and response_body.is_event_stream(head.headers),
+            last_event_id=self.state.last_event_id,
+            expects_event=self._expects_event,
+        )
         if self.state.response_started:
             # A resumed stream keeps the first target's response head.
             return True
@@ -227,30 +236,34 @@
 
     def on_data(self, data: bytes) -> None:
         """Pass on complete events, or buffer a body until it is complete."""
-        if self.done or self._conn is None:
+        if self.done or self._conn is None or self._body is None:
             return
         if not self.first_byte_at:
             self.first_byte_at = self._forwarder.now()
-        self.progress.body_bytes += len(data)
-        if self._is_event_stream:
-            events = self._splitter.feed(data)
-            self.progress.events = self._splitter.count
-            self.progress.pending_bytes = self._splitter.pending_bytes
-            if events:
-                self._record_gap()
-                self.state.last_event_id = self._splitter.last_id
-                self._start_response(None)
-                self.answering.send(events)
-            return
-        if self.state.response_started:
-            self.answering.send(data)
+        ready = self._body.feed(data)
+        if not ready:
             return
-        self._buffered.append(data)
-        self._buffered_bytes += len(data)
-        if self._buffered_bytes > const.MAX_BUFFERED_BYTES:
-            self._start_response(self._length)
-            self.answering.send(b"".join(self._buffered))
-            self._buffered = []
+        if self._body.is_event_stream:
+            self._record_gap()
+            self.state.on_events(
+                self._body.last_event_id,
+                has_resume_point=self._body.has_resume_point,
+            )
+        self._pass_on(ready, self._length)
+
+    def _pass_on(self, data: bytes, length: int | None) -> None:
+        """Send a part of the body to the caller, after the head.
+
+        Args:
+            data: The part.
+            length: Bytes of the whole body, None if unknown.
+        """
+        if not self.state.response_started:
+            assert self._head is not None
+            self.state.response_started = True
+            headers = http_message.end_to_end(self._head.headers)
+            self.answering.start(self._head.status, headers, length)
+        self.answering.send(data)
 
     def _record_gap(self) -> None:
         if self._is_caller_slow:
@@ -263,36 +276,38 @@
         self._last_event_at = now
 
     def on_end(self) -> None:
-        """Complete the caller's response."""
-        conn = self._conn
-        if self.done or conn is None or self._target is None:
+        """Complete the caller's response, unless the target's is cut off."""
+        conn, body = self._conn, self._body
+        if self.done or conn is None or body is None or self._target is None:
             return
         self.progress.on_end()
+        cut = body.find_cut()
+        if cut:
+            self._on_cut_off(cut)
+            return
         self._forwarder.pool.release(_pool_key(self._target), conn)
         self._forwarder.outcomes.on_completed(self, self._sent_at)
-        if self._head is not None and self._head.status < 300:
+        assert self._head is not None
+        if self._head.status < 300:
             self._forwarder.crash_detector.on_completed(self)
         self._conn = None
         self._release_slot()
-        if self._is_event_stream:
-            self._start_response(None)
-            self.answering.send(self._splitter.flush())
-            self.answering.end()
-        elif self.state.response_started:
+        rest = body.take_rest()
+        if body.is_event_stream or self.state.response_started:
+            self._pass_on(rest, None)
             self.answering.end()
         else:
-            assert self._head is not None
-            self.answering.reply(
-                self._head.status,
-                http_message.end_to_end(self._head.headers),
-                b"".join(self._buffered),
-            )
-        assert self._head is not None
+            headers = http_message.end_to_end(self._head.headers)
+            self.answering.reply(self._head.status, headers, rest)
         self._finish(f"answered {self._head.status}")
 
     def on_broken(self, reason: str) -> None:
         """Handle a connection that closed before the response was complete."""
         self.progress.on_broken(reason)
+        self._on_cut_off(reason)
+
+    def _on_cut_off(self, reason: str) -> None:
+        """Handle a response that ended before it was complete."""
         if self._was_held_up and not self.done:
             # The target cut off an answer that was not read; it has no fault.
             self._forwarder.record_unread(self)
@@ -335,22 +350,6 @@
             return False
         return self._longest_pause_s >= const.UNREAD_SECONDS
 
-    @property
-    def _is_event_stream(self) -> bool:
-        if not self.state.is_stream:
-            return False
-        return self.state.response_started or (
-            self._head is not None and 200 <= self._head.status < 300
-        )
-
-    def _start_response(self, length: int | None) -> None:
-        if self.state.response_started:
-            return
-        assert self._head is not None
-        self.state.response_started = True
-        headers = http_message.end_to_end(self._head.headers)
-        self.answering.start(self._head.status, headers, length)
-
     # Handling of faults.
 
     def _on_connect_failed(self, reason: str) -> None:
@@ -374,10 +373,9 @@
         self._close_connection()
         self._release_slot()
         self._head = self._head if self.state.response_started else None
-        self._buffered, self._buffered_bytes = [], 0
-        self._splitter = events_lib.EventSplitter(
-            last_id=self.state.last_event_id
-        )
+        if self._body is not None:
+            self._expects_event = self._body.has_open_event
+            self._body = None
 
     @property
     def can_move(self) -> bool:
--- a/jasperweir/components/forward/request_state.py
+++ b/jasperweir/components/forward/request_state.py
@@ -67,6 +67,8 @@
         response_started: Whether the caller has received part of the response.
         last_event_id: Id of the last event that the caller has received, or
             empty.
+        has_resume_point: Whether that event is the end of what the caller has
+            received.
         expected_wait_s: Expected time from arrival to a free slot, seconds.
         has_waited: Whether the request has waited for a slot or a target.
         startup_deadline: Until when the request stays queued because the entry
@@ -105,6 +107,7 @@
         self.may_have_run = False
         self.response_started = False
         self.last_event_id = caller_headers.resume_after
+        self.has_resume_point = True
         self.expected_wait_s = 0.0
         self.has_waited = False
         self.startup_deadline = float("-inf")
@@ -139,8 +142,21 @@
         route = self.match.route
         if not self.is_stream or not route.resumable:
             return False
+        if not self.can_continue:
+            return False
         return 0 < self.attempts < route.max_attempts
 
+    @property
+    def can_continue(self) -> bool:
+        """Whether another target's response may follow what was passed on."""
+        if not self.response_started:
+            return True
+        return (
+            self.is_stream
+            and self.match.route.resumable
+            and self.has_resume_point
+        )
+
     @property
     def max_wait_s(self) -> float:
         """Longest wait for a slot on a caller's first attempt, seconds."""
@@ -189,6 +205,16 @@
         self.deliveries += 1
         self.tried_target_ids.add(target_id)
 
+    def on_events(self, last_event_id: str, *, has_resume_point: bool) -> None:
+        """Record events that were passed on to the caller.
+
+        Args:
+            last_event_id: Id of the last complete event.
+            has_resume_point: Whether nothing was passed on after it.
+        """
+        self.last_event_id = last_event_id
+        self.has_resume_point = has_resume_point
+
     def on_moved(self) -> None:
         """Record that the request was cancelled at its target."""
         self.may_have_run = True
@@ -218,7 +244,7 @@
             return self.fail(Code.TARGETS_REFUSED)
         if self.remaining_s(now) < const.MIN_ATTEMPT_SECONDS:
             return self.fail(Code.DEADLINE_PASSED)
-        if self.response_started and not self.match.route.resumable:
+        if not self.can_continue:
             return self.fail(Code.BROKEN_OFF)
         return Retry(resume_after=self.last_event_id)
 
@@ -255,7 +281,11 @@
             return Fault.REPLACED
         if head.not_run:
             return Fault.NOT_RUN
-        if 200 <= status < 300:
+        is_success = 200 <= status < 300
+        if self.response_started and not is_success:
+            # An error is no continuation of the stream.
+            return Fault.UNKNOWN
+        if is_success:
             if not head.signed or head.encoded:
                 return Fault.UNKNOWN
             return None
