--- a/features/asking.feature
+++ b/features/asking.feature
@@ -1,3 +1,4 @@
+@real-processes
 Feature: Targets that ask for something, with real processes
 
   Scenario: A target of four that asks for rest
--- a/features/environment.py
+++ b/features/environment.py
@@ -1,5 +1,6 @@
 """Set up each scenario, and end what it started."""
 
+import fcntl
 import pathlib
 import sys
 import tempfile
@@ -8,6 +9,23 @@
 sys.path.insert(0, str(ROOT))
 
 
+# Tests with real processes use the same loopback addresses.
+REAL_PROCESSES = "real-processes"
+LOCK = pathlib.Path(tempfile.gettempdir()) / "jasperweir-loopback.lock"
+
+
+def before_feature(context, feature):
+    context.lock = None
+    if REAL_PROCESSES in feature.tags:
+        context.lock = LOCK.open("w")
+        fcntl.flock(context.lock, fcntl.LOCK_EX)
+
+
+def after_feature(context, feature):
+    if context.lock is not None:
+        context.lock.close()
+
+
 def before_scenario(context, scenario):
     context.folder = pathlib.Path(tempfile.mkdtemp(prefix="jasperweir-test-"))
     context.local = None
--- a/features/evacuated_site.feature
+++ b/features/evacuated_site.feature
@@ -1,3 +1,4 @@
+@real-processes
 Feature: A data centre is evacuated by its operator, with real processes
 
   Scenario: An evacuation is refused, comes late or is lost with all processes
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -1,3 +1,4 @@
+@real-processes
 Feature: The whole path under the platform, with real processes
 
   Scenario: A calm day in small
--- a/features/processes.feature
+++ b/features/processes.feature
@@ -1,3 +1,4 @@
+@real-processes
 Feature: Real processes on loopback keep the promises through failures
 
   Scenario: The leader freezes for longer than its lease and thaws
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -1,3 +1,4 @@
+@real-processes
 Feature: A request under which targets end is kept from the others
 
   Targets of one service ended one after the other, some four seconds apart,
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -1,3 +1,4 @@
+@real-processes
 Feature: Real processes keep their invariants under random faults
 
   # Seeds that have failed stay here, with their cause. Every fourth seed does
--- a/features/suspended.feature
+++ b/features/suspended.feature
@@ -1,3 +1,4 @@
+@real-processes
 Feature: A VM that is suspended knows afterwards that time has passed
 
   The steady clock of a VM stands still while it is suspended. What is timed by
--- a/script/run_tests.py
+++ b/script/run_tests.py
@@ -1,5 +1,6 @@
 """Run formatter, linter, types and behave; print what passed and failed."""
 
+import concurrent.futures
 import json
 import pathlib
 import subprocess
@@ -11,6 +12,9 @@
 BIN = pathlib.Path(sys.executable).parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 KNOWN_RED_MAX = 3
+REAL_PROCESSES_TAG = "@real-processes"
+# Groups of features without real processes that run at the same time.
+PARALLEL_GROUPS = 3
 CHECKS = (
     ("names", [sys.executable, str(ROOT / "script" / "check_names.py")]),
     (
@@ -64,35 +68,83 @@
             print("\n".join(seen) if isinstance(seen, list) else seen)
 
 
-def run_behave(args: list[str]) -> tuple[int, list[str]]:
-    """Run the features; return how many scenarios passed, which failed."""
-    print("== behave", flush=True)
-    with tempfile.TemporaryDirectory() as folder:
-        report = pathlib.Path(folder) / "report.json"
-        command = [
-            str(BIN / "behave"),
-            *("--format", "progress", "--outfile", "-"),
-            *("--format", "json", "--outfile", str(report)),
-            *args,
-        ]
-        code = subprocess.run(command, cwd=ROOT, check=False).returncode
-        features: list[Any] = []
-        if report.exists():
-            features = json.loads(report.read_text(encoding="utf-8") or "[]")
-    scenarios = [
-        (element["name"], element["status"])
+def split_features() -> list[list[str]]:
+    """Return groups of features that run at the same time.
+
+    Tests with real processes use the same loopback addresses, so they form one
+    group and run one after the other.
+    """
+    real, other = [], []
+    for path in sorted((ROOT / "features").glob("*.feature")):
+        text = path.read_text(encoding="utf-8")
+        (real if REAL_PROCESSES_TAG in text else other).append(str(path))
+    return [real, *(other[n::PARALLEL_GROUPS] for n in range(PARALLEL_GROUPS))]
+
+
+def run_group(args: list[str], folder: pathlib.Path) -> list[Any]:
+    """Run some features and print their progress; return their results.
+
+    A feature that did not run counts as failed.
+    """
+    report = folder / "report.json"
+    command = [
+        str(BIN / "behave"),
+        *("--format", "progress", "--outfile", "-"),
+        *("--format", "json", "--outfile", str(report)),
+        *args,
+    ]
+    done = subprocess.run(
+        command, cwd=ROOT, check=False, capture_output=True, text=True
+    )
+    print(done.stdout + done.stderr, flush=True)
+    features: list[Any] = []
+    if report.exists():
+        features = json.loads(report.read_text(encoding="utf-8") or "[]")
+    ran = {feature["location"].rpartition(":")[0] for feature in features}
+    missed = [arg for arg in args if not any(arg.endswith(r) for r in ran)]
+    for name in (m for m in missed if m.endswith(".feature")):
+        failure = {"name": f"{name} did not run", "status": "failed"}
+        features.append({"elements": [{**failure, "type": "scenario"}]})
+    if done.returncode and not any(
+        element["status"] != "passed" for element in list_scenarios(features)
+    ):
+        name = f"behave ended with {done.returncode}"
+        failure = {"name": name, "type": "scenario", "status": "failed"}
+        features.append({"elements": [failure]})
+    return features
+
+
+def list_scenarios(features: list[Any]) -> list[Any]:
+    """Return the scenarios of some features."""
+    return [
+        element
         for feature in features
         for element in feature.get("elements", [])
         if element["type"] != "background"
     ]
+
+
+def run_behave(args: list[str]) -> tuple[int, list[str]]:
+    """Run the features; return how many scenarios passed, which failed."""
+    print("== behave", flush=True)
+    groups = [args] if args else split_features()
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        concurrent.futures.ThreadPoolExecutor(len(groups)) as pool,
+    ):
+        folders = [pathlib.Path(tempfile.mkdtemp(dir=folder)) for _ in groups]
+        features = [
+            feature
+            for found in pool.map(run_group, groups, folders)
+            for feature in found
+        ]
+    scenarios = list_scenarios(features)
     for feature in features:
         print_failures(feature)
-    passed = sum(1 for _, status in scenarios if status == "passed")
-    failed = [name for name, status in scenarios if status != "passed"]
+    passed = sum(1 for found in scenarios if found["status"] == "passed")
+    failed = [f["name"] for f in scenarios if f["status"] != "passed"]
     if not scenarios:
         failed.append("no scenario was run")
-    elif code and not failed:
-        failed.append(f"behave ended with {code}")
     return passed, failed
 
 
