Warm targets are found without computing three reasons for each

Cause: the cold targets of a service are found anew every 0.1 s from all its targets, with three records and two lists for each, though a heartbeat alone says that nearly all are warm. Change: a target without an answer or an evacuation that counts, whose stated cold time is over, is warm at once. Ruled out: caching for longer, which would change when a target turns cold.

--- a/jasperweir/components/warmup/coldness.py
+++ b/jasperweir/components/warmup/coldness.py
@@ -106,6 +106,15 @@
         tracked = self._directory.get_tracked(target.target_id)
         if tracked is None:
             return None
+        stated = tracked.target
+        if (
+            stated.target_id not in self._answers
+            and stated.place not in self._evacuation_ends
+            and 0 <= stated.cold_s <= const.COLD_MAX_SECONDS
+            and tracked.stated_at + stated.cold_s <= now
+        ):
+            # True of nearly all targets, and all are looked at together.
+            return None
         found = [
             self._by_heartbeat(tracked, cold_start_s),
             self._by_answer(tracked, cold_start_s),
