Load reports change only the counts that differ

Cause: each of some 140 reports a second removed all counts of its sender from the sums by target and added them again, and the load of a group looked up slowdown, own and peers' requests of each rank by a call each. Change: only targets whose count differs are touched, the sums of the loads read the tables directly, and the slow targets are found when slowdowns come. Ruled out: keeping the load of a group between requests, since a report changes it 140 times a second.

--- a/jasperweir/components/balance/balancer.py
+++ b/jasperweir/components/balance/balancer.py
@@ -1,6 +1,5 @@
 """Choice of the least loaded target; sans-I/O."""
 
-import collections
 from collections.abc import Callable
 import dataclasses
 import math
@@ -108,12 +107,14 @@
         self._peers: dict[str, PeerLoad] = {}
         # Sum of the peers' open requests by target, kept up to date so that a
         # choice doesn't iterate over the peers.
-        self._peer_requests: collections.Counter[str] = collections.Counter()
+        self._peer_requests: dict[str, int] = {}
         # Earliest time at which the data of a peer become stale.
         self._stale_at = math.inf
         self._health: dict[str, TargetHealth] = {}
         self._reports: dict[str, UntrackedLoad] = {}
         self._slowdowns: dict[str, float] = {}
+        # Addresses of the targets that are too slow to count their free slots.
+        self._slow_addresses: frozenset[str] = frozenset()
         self._slowdowns_at = float("-inf")
         self._sequence = 0
 
@@ -177,14 +178,14 @@
         peer = self._peers.get(src)
         if peer is not None and msg.sequence <= peer.sequence:
             return
-        self.remove_peer(src)
+        counts = {load.target_id: load.requests for load in msg.loads}
+        self._replace_counts(peer.counts if peer is not None else {}, counts)
         self._peers[src] = PeerLoad(
             sequence=msg.sequence,
             received_at=now,
-            counts={load.target_id: load.requests for load in msg.loads},
+            counts=counts,
             queues={queue.service: queue for queue in msg.queues},
         )
-        self._peer_requests.update(self._peers[src].counts)
         self._stale_at = min(self._stale_at, now + const.SHARE_STALE_SECONDS)
 
     def remove_peer(self, src: str) -> None:
@@ -192,10 +193,29 @@
         peer = self._peers.pop(src, None)
         if peer is None:
             return
-        for target_id, count in peer.counts.items():
-            self._peer_requests[target_id] -= count
-            if not self._peer_requests[target_id]:
-                del self._peer_requests[target_id]
+        self._replace_counts(peer.counts, {})
+
+    def _replace_counts(
+        self, before: dict[str, int], after: dict[str, int]
+    ) -> None:
+        """Replace the counts of a peer in the sums by target.
+
+        Most targets keep their counts from one message to the next.
+        """
+        for target_id, count in after.items():
+            change = count - before.get(target_id, 0)
+            if change:
+                self._add_peer_requests(target_id, change)
+        for target_id, count in before.items():
+            if target_id not in after:
+                self._add_peer_requests(target_id, -count)
+
+    def _add_peer_requests(self, target_id: str, change: int) -> None:
+        total = self._peer_requests.get(target_id, 0) + change
+        if total:
+            self._peer_requests[target_id] = total
+        else:
+            self._peer_requests.pop(target_id, None)
 
     def _drop_stale(self, now: float) -> None:
         """Drop the loads of entries that haven't sent any for too long."""
@@ -296,10 +316,11 @@
         and each tick.
         """
         counts = self._count_open(targets, now)
+        slow = self._find_slow_addresses(now)
         free = sum(
-            max(0, target.slots - count)
+            target.slots - count
             for target, count in zip(targets, counts, strict=True)
-            if self.get_slowdown(target, now) < const.SLOWDOWN_MAX
+            if target.slots > count and target.address not in slow
         )
         return TotalLoad(open=sum(counts), free=free)
 
@@ -313,21 +334,26 @@
         spread their requests over all ranks.
         """
         self._drop_stale(now)
+        known = self._reports
         reports = [
             report.unknown
             for target in targets
-            if (report := self._reports.get(target.target_id)) is not None
+            if (report := known.get(target.target_id)) is not None
             and now - report.at <= const.REPORT_TTL_SECONDS
         ]
         unknown = sum(reports) / len(reports) if reports else 0.0
+        own, peers = self._own_requests, self._peer_requests
         counts = [
-            self._count_tracked(target.target_id, now) + unknown
+            own.get(target.target_id, 0)
+            + peers.get(target.target_id, 0)
+            + unknown
             for target in targets
         ]
+        slow = self._find_slow_addresses(now)
         free = sum(
-            max(0.0, target.slots - count)
+            target.slots - count
             for target, count in zip(targets, counts, strict=True)
-            if self.get_slowdown(target, now) < const.SLOWDOWN_MAX
+            if target.slots > count and target.address not in slow
         )
         return GroupLoad(open=sum(counts), free=free, reports=len(reports))
 
@@ -337,12 +363,17 @@
         """Return the open requests of all entries at each target."""
         self._drop_stale(now)
         own, peers = self._own_requests, self._peer_requests
-        return [
-            own.get(target.target_id, 0)
-            + peers.get(target.target_id, 0)
-            + self.unknown_at(target.target_id, now)
-            for target in targets
-        ]
+        reports = self._reports
+        ttl_s = const.REPORT_TTL_SECONDS
+        counts = []
+        for target in targets:
+            target_id = target.target_id
+            count = own.get(target_id, 0) + peers.get(target_id, 0)
+            report = reports.get(target_id)
+            if report is not None and now - report.at <= ttl_s:
+                count += report.unknown
+            counts.append(count)
+        return counts
 
     def count_at(self, target_id: str, now: float) -> int:
         """Return the open requests of all entries at a target."""
@@ -369,6 +400,11 @@
     def update_slowdowns(self, paces: dict[str, float], now: float) -> None:
         """Replace the slowdown factors of targets, by address."""
         self._slowdowns = paces
+        self._slow_addresses = frozenset(
+            address
+            for address, pace in paces.items()
+            if not pace < const.SLOWDOWN_MAX
+        )
         self._slowdowns_at = now
 
     def get_slowdown(self, target: records.Target, now: float) -> float:
@@ -377,6 +413,12 @@
             return 1.0
         return self._slowdowns.get(target.address, 1.0)
 
+    def _find_slow_addresses(self, now: float) -> frozenset[str]:
+        """Return the targets whose free slots don't count, by address."""
+        if now - self._slowdowns_at > const.SLOWDOWN_TTL_SECONDS:
+            return frozenset()
+        return self._slow_addresses
+
     def _count_tracked(self, target_id: str, now: float) -> int:
         self._drop_stale(now)
         own = self._own_requests.get(target_id, 0)
