Groups are split again only if the targets that are left have changed

Cause: while any target is left out (cold, refusing, closed) each request and tick has a new list of targets, and what was derived from the list was kept by its identity: groups were split and cells looked up anew each time. Ruled out: comparing the peers by content, since the number of cells depends on entries that the peers don't show.

--- a/jasperweir/components/backpressure/backpressure.py
+++ b/jasperweir/components/backpressure/backpressure.py
@@ -159,19 +159,31 @@
         """Return the targets that may get a request now.
 
         Targets that refuse without asking for a back-off are included only if
-        there is no other.
+        there is no other. Like ``list_unblocked`` it returns the same list
+        object if it leaves none out, since callers cache what they derive.
         """
         if not self._states:
             return targets
         available = self.list_unblocked(targets, now)
-        preferred = [t for t in available if not self._is_avoided(t, now)]
+        preferred = [
+            t
+            for t in available
+            if t.target_id not in self._states or not self._is_avoided(t, now)
+        ]
+        if len(preferred) == len(available):
+            return available
         return preferred or available
 
     def list_unblocked(
         self, targets: list[records.Target], now: float
     ) -> list[records.Target]:
         """Return the targets without back-off, draining or a used-up limit."""
-        return [t for t in targets if self._wait_s(t, now) <= 0]
+        unblocked = [
+            t
+            for t in targets
+            if t.target_id not in self._states or self._wait_s(t, now) <= 0
+        ]
+        return targets if len(unblocked) == len(targets) else unblocked
 
     def available_in_s(
         self, targets: list[records.Target], now: float, ahead: int = 0
--- a/jasperweir/components/balance/entry_cell.py
+++ b/jasperweir/components/balance/entry_cell.py
@@ -96,7 +96,9 @@
         if not self._entry_counts:
             return targets
         grouped = self._grouped
-        if grouped is None or grouped.targets is not targets:
+        if grouped is None or (
+            grouped.targets is not targets and grouped.targets != targets
+        ):
             grouped = self._group_targets(targets)
             self._grouped = grouped
         place = self._pick_data_centre(grouped, draw)
--- a/jasperweir/components/forward/group_capacity.py
+++ b/jasperweir/components/forward/group_capacity.py
@@ -44,11 +44,39 @@
 
 
 class CachedUnits(NamedTuple):
-    """Units, and the objects that they were computed from."""
+    """Units, and what they were computed from.
 
-    source: tuple[object, ...]
+    Attributes:
+        targets: The targets.
+        version: Version of the list of groups.
+        peers: Entries of the cell.
+        units: The units.
+    """
+
+    targets: Targets
+    version: tuple[int, int]
+    peers: tuple[records.Node, ...]
     units: list[Unit]
 
+    def is_valid(
+        self,
+        targets: Targets,
+        version: tuple[int, int],
+        peers: tuple[records.Node, ...],
+    ) -> bool:
+        """Return whether the units of some targets are still the same.
+
+        The lists of targets are compared by content: while any target is left
+        out, each request has a list of its own. The peers are replaced whenever
+        the cell changes, which they don't show in full, so that only their
+        identity counts.
+        """
+        return (
+            self.version == version
+            and self.peers is peers
+            and (self.targets is targets or self.targets == targets)
+        )
+
 
 class UnitLoad(NamedTuple):
     """Load of one group.
@@ -191,17 +219,10 @@
     def _list_units(
         self, service: str, targets: Targets, purpose: str
     ) -> list[Unit]:
-        """Return the units of targets; cached, since each request needs them.
-
-        The lists of targets, of peers and the version of the groups are
-        replaced when they change, so that their identity shows a change. The
-        cache keeps them alive.
-        """
-        source = (targets, self.groups.version, self._cell.peers)
+        """Return the units of targets, cached for the next requests."""
+        version, peers = self.groups.version, self._cell.peers
         cached = self._cache.get((service, purpose))
-        if cached is not None and all(
-            old is new for old, new in zip(cached.source, source, strict=True)
-        ):
+        if cached is not None and cached.is_valid(targets, version, peers):
             return cached.units
         listed = set(self.groups.list_units(service))
         units = []
@@ -217,7 +238,9 @@
                     is_listed=name in listed,
                 )
             )
-        self._cache[service, purpose] = CachedUnits(source, units)
+        self._cache[service, purpose] = CachedUnits(
+            targets, version, peers, units
+        )
         return units
 
     def _find_load(
--- a/jasperweir/components/warmup/warmup.py
+++ b/jasperweir/components/warmup/warmup.py
@@ -152,12 +152,16 @@
     def list_available(
         self, targets: list[records.Target], service: str, now: float
     ) -> list[records.Target]:
-        """Return the targets that are warm or may get a request now."""
+        """Return the targets that are warm or may get a request now.
+
+        It is the same list object if all are, since callers cache what they
+        derive from it.
+        """
         colds = self._find_colds(service, now)
         if not colds:
             return targets
         owned = self._cached[service].owned
-        return [
+        available = [
             target
             for target in targets
             if target.target_id not in colds
@@ -166,6 +170,7 @@
                 and self._get_bucket(target, now).has_token
             )
         ]
+        return targets if len(available) == len(targets) else available
 
     def wait_s(self, target: records.Target, now: float) -> float:
         """Return the time until a target may get a request, seconds."""
