--- a/features/harness/cut_answers.py
+++ b/features/harness/cut_answers.py
@@ -13,8 +13,8 @@
 from jasperweir.components.deployment import index
 from jasperweir.components.deployment import model
 from jasperweir.components.directory import directory
-from jasperweir.components.forward import const
 from jasperweir.components.forward import forwarder
+from jasperweir.helpers import event_stream
 from jasperweir.helpers import http_client
 from jasperweir.helpers import metrics
 
@@ -23,7 +23,8 @@
 CUT_EVENT = 3
 PATIENCE_SECONDS = 5.0
 PIECE_SECONDS = 0.01
-HUGE_BYTES = const.MAX_EVENT_BYTES + 100_000
+MAX_EVENT_BYTES = event_stream.MAX_EVENT_BYTES
+HUGE_BYTES = MAX_EVENT_BYTES + 100_000
 SENT_AT_ONCE_BYTES = 32 * 1024
 
 FRAMINGS = ("length", "chunks", "torn chunk", "close", "http/1.0")
@@ -74,7 +75,7 @@
     places += [
         (CUT_EVENT, offset, True)
         for offset in (
-            6, 40, const.MAX_EVENT_BYTES - 1, const.MAX_EVENT_BYTES + 50_000,
+            6, 40, MAX_EVENT_BYTES - 1, MAX_EVENT_BYTES + 50_000,
             huge - 2, huge - 1,
         )
     ]  # fmt: skip
--- a/features/steps/cut_answers_steps.py
+++ b/features/steps/cut_answers_steps.py
@@ -6,9 +6,9 @@
 from behave import when
 
 from features.harness import cut_answers
-from jasperweir.components.forward import events
 from jasperweir.components.forward import response_body
 from jasperweir.components.forward import response_progress
+from jasperweir.helpers import event_stream
 from jasperweir.helpers import http_message
 
 SHOWN = 12
@@ -63,7 +63,7 @@
 
 @when('an event stream "{text}" arrives byte by byte')
 def step_bytes(context, text):
-    context.splitter = events.EventSplitter(last_id="")
+    context.splitter = event_stream.EventSplitter(last_id="")
     data = text.replace("~", "\n").replace("^", "\r").encode()
     passed = b"".join(
         context.splitter.feed(data[at : at + 1]) for at in range(len(data))
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -23,9 +23,9 @@
 from jasperweir.components.deployment import model
 from jasperweir.components.directory import records
 from jasperweir.components.forward import dialect
-from jasperweir.components.forward import events
 from jasperweir.components.forward import rejections
 from jasperweir.components.forward import request_state
+from jasperweir.helpers import event_stream
 
 KINDS = {
     "safe": (model.RouteKind.SAFE, 2, False),
@@ -123,7 +123,7 @@
 
 
 def split(context, parts):
-    splitter = events.EventSplitter(last_id="")
+    splitter = event_stream.EventSplitter(last_id="")
     out = [splitter.feed(p.replace("|", "\n").encode()) for p in parts]
     context.events = b"".join(out).count(b"\n\n")
     context.last_id = splitter.last_id
--- a/jasperweir/components/forward/const.py
+++ b/jasperweir/components/forward/const.py
@@ -13,8 +13,6 @@
 # Responses of routes without streams are buffered up to this size, so that a
 # broken response can still be replaced by a retry.
 MAX_BUFFERED_BYTES = 256 * 1024
-# Larger events are passed on in parts.
-MAX_EVENT_BYTES = 256 * 1024
 # Largest difference between the ends of a caller's time, as it states them at
 # two attempts, seconds: delays of the network and of a busy entry.
 RETURN_TOLERANCE_SECONDS = 0.25
--- a/jasperweir/components/forward/response_body.py
+++ b/jasperweir/components/forward/response_body.py
@@ -6,8 +6,8 @@
 """
 
 from jasperweir.components.forward import const
-from jasperweir.components.forward import events as events_lib
 from jasperweir.components.forward import response_progress
+from jasperweir.helpers import event_stream
 from jasperweir.helpers import http_message
 
 EVENT_STREAM_TYPE = b"text/event-stream"
@@ -43,7 +43,7 @@
         self.is_event_stream = is_event_stream
         self._progress = progress
         self._expects_event = expects_event
-        self._splitter = events_lib.EventSplitter(last_id=last_event_id)
+        self._splitter = event_stream.EventSplitter(last_id=last_event_id)
         self._buffered: list[bytes] = []
         self._buffered_bytes = 0
         self._is_passing_on = False
--- a/jasperweir/components/forward/events.py
+++ b/jasperweir/helpers/event_stream.py
@@ -3,7 +3,11 @@
 Source: WHATWG HTML, section 9.2.6, "Interpreting an event stream".
 """
 
-from jasperweir.components.forward import const
+# Larger events are returned in parts.
+MAX_EVENT_BYTES = 256 * 1024
+MEDIA_TYPE = "text/event-stream"
+# Data of the event that ends a stream of the own interface.
+_TERMINATOR = b"[DONE]"
 
 # Lines end with LF, CRLF or CR. Two line ends in a row contain one of these, an
 # LF may follow the last two.
@@ -31,6 +35,8 @@
         # the id in that part.
         self._is_split = False
         self._split_id: bytes | None = None
+        # Lines of the last complete event, none if it was returned in parts.
+        self._last_lines: list[bytes] = []
 
     @property
     def pending_bytes(self) -> int:
@@ -55,6 +61,19 @@
         """Whether ``last_id`` names the end of what was returned."""
         return self._is_last_identified and not self._is_split
 
+    @property
+    def last_data(self) -> bytes | None:
+        """Data of the last complete event, None without any.
+
+        It is None, too, for an event of more than MAX_EVENT_BYTES.
+        """
+        found = [
+            line[len(b"data:") :].removeprefix(b" ")
+            for line in self._last_lines
+            if line == b"data" or line.startswith(b"data:")
+        ]
+        return b"\n".join(found) if found else None
+
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return the events completed by them.
 
@@ -64,7 +83,7 @@
         end = self._find_end()
         if not end:
             self._searched = len(self._buffer)
-            if self._searched <= const.MAX_EVENT_BYTES:
+            if self._searched <= MAX_EVENT_BYTES:
                 return b""
             return self._split_event()
         complete = self._take(end)
@@ -112,8 +131,11 @@
             if self._is_split:
                 lines, found = lines[1:], self._split_id
                 self._is_split, self._split_id = False, None
+                self._last_lines = []
             elif all(_is_ignored(line) for line in lines):
                 continue
+            else:
+                self._last_lines = lines
             last = _find_id(lines)
             found = found if last is None else last
             self.count += 1
@@ -122,6 +144,44 @@
                 self.last_id = found.decode("latin-1")
 
 
+class TerminatedStream:
+    """Stream of events that ends with the event ``data: [DONE]``.
+
+    Bytes may be passed on before their event is complete, so the end of the
+    framing doesn't show that the stream is complete.
+    """
+
+    def __init__(self) -> None:
+        self._splitter = EventSplitter(last_id="")
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the last event is the terminator, and nothing follows."""
+        return (
+            self._splitter.last_data == _TERMINATOR
+            and not self._splitter.is_inside_event
+        )
+
+    @property
+    def is_between_events(self) -> bool:
+        """Whether the stream so far ends with a complete event or is empty."""
+        return not self._splitter.is_inside_event
+
+    @property
+    def last_data(self) -> bytes | None:
+        """Data of the last complete event, None without any."""
+        return self._splitter.last_data
+
+    def feed(self, data: bytes) -> None:
+        """Add received bytes."""
+        self._splitter.feed(data)
+
+
+def is_event_stream(content_type: str) -> bool:
+    """Return whether a content type is that of an event stream."""
+    return content_type.partition(";")[0].strip().lower() == MEDIA_TYPE
+
+
 def _is_ignored(line: bytes) -> bool:
     """Return whether a line is a comment or empty."""
     return line.startswith((b":", *_LINE_ENDS)) or not line
