A stream of the own interface is complete only with its terminator

Callers got streams with status 200 that ended before their end, framed as complete, and the agent kept such runs as done.

Cause: the agent and the entry looked for [DONE] in the last 32 bytes, so that a stream cut inside its terminator, or after [DONE] in an answer's text, was complete. The Python client took any end of the body for complete, and asked for the rest of a run after the bytes of an entry's error, which belong to no run. An error that an entry wrote after half an event completed that event. Cancelling a run ends a body without a length like a close: it was kept as done.

Now event_stream.TerminatedStream decides on whole events: the last one is data: [DONE], and nothing follows. The media type is compared, not searched. An entry's error follows complete events only; the client resumes no stream that ends with one, and checks a resumed stream's end.

--- a/jasperweir/client.py
+++ b/jasperweir/client.py
@@ -10,6 +10,7 @@
 import urllib3
 
 from jasperweir.helpers import clocks
+from jasperweir.helpers import event_stream
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 MAX_ATTEMPTS = 4
@@ -19,6 +20,10 @@
 RUN_HEADER = "Jasperweir-Run"
 
 
+class IncompleteStreamError(Exception):
+    """A stream ended before its terminator."""
+
+
 class Answer(NamedTuple):
     """Response to a request, with timing and attempts.
 
@@ -166,6 +171,8 @@
         times: list[float] = []
         run = ""
         received = b""
+        status = 0
+        is_stream = False
         try:
             resp = self._http.request(
                 method,
@@ -178,16 +185,22 @@
                 ),
             )
             run = resp.headers.get(RUN_HEADER, "")
+            status = resp.status
+            is_stream = event_stream.is_event_stream(
+                resp.headers.get("Content-Type", "")
+            )
             for chunk in resp.stream(65536):
                 times.append(clocks.elapsed())
                 received += chunk
             resp.release_conn()
-        except urllib3.exceptions.HTTPError as exc:
+            if is_stream and not _read_stream(received).is_complete:
+                raise IncompleteStreamError("ended before its terminator")
+        except (urllib3.exceptions.HTTPError, IncompleteStreamError) as exc:
             self._addresses_expire_at = 0.0
-            if run and received:
-                rest = self._resume(run, received, address)
-                if rest is not None:
-                    done = _make_answer(200, received + rest, attempt)
+            if run and received and not (is_stream and _has_error(received)):
+                body = self._resume(run, received, address, status, is_stream)
+                if body is not None:
+                    done = _make_answer(status, body, attempt)
                     return (
                         done._replace(code=1000, outcome="completed"),
                         (False),
@@ -206,8 +219,26 @@
             return answer, False, 0.0
         return (answer, *_retry_advice(answer, key))
 
-    def _resume(self, run: str, received: bytes, failed: str) -> bytes | None:
-        """Return the rest of a broken stream, read through another entry."""
+    def _resume(
+        self,
+        run: str,
+        received: bytes,
+        failed: str,
+        status: int,
+        is_stream: bool,
+    ) -> bytes | None:
+        """Return a broken body, its rest read through another entry.
+
+        Args:
+            run: The run that the entry named.
+            received: What was received of the body.
+            failed: Address of the entry that it came from.
+            status: HTTP status of the response.
+            is_stream: Whether the body is an event stream.
+
+        Returns:
+            The complete body, None if it cannot be completed.
+        """
         for _ in range(MAX_ATTEMPTS):
             address = self._choose_address({failed})
             url = f"http://{address}/v1/runs/{run}?offset={len(received)}"
@@ -216,9 +247,12 @@
             except urllib3.exceptions.HTTPError:
                 time.sleep(0.1)
                 continue
-            if resp.status != 200:
+            if resp.status != status:
                 return None
-            return resp.data
+            body = received + resp.data
+            if not is_stream or _read_stream(body).is_complete:
+                return body
+            time.sleep(0.1)
         return None
 
     def _choose_address(self, avoid: set[str]) -> str:
@@ -256,6 +290,24 @@
                 return
 
 
+def _read_stream(received: bytes) -> event_stream.TerminatedStream:
+    stream = event_stream.TerminatedStream()
+    stream.feed(received)
+    return stream
+
+
+def _has_error(received: bytes) -> bool:
+    """Return whether a stream ends with an entry's error.
+
+    It belongs to no run, so the run's bytes can't follow it.
+    """
+    stream = _read_stream(received)
+    try:
+        return "error" in json.loads(stream.last_data or b"{}")
+    except (ValueError, TypeError):
+        return False
+
+
 def _make_answer(status: int, body: bytes, tries: int) -> Answer:
     return Answer(0, "unknown", status, body, tries)
 
--- a/jasperweir/components/agent/run_executor.py
+++ b/jasperweir/components/agent/run_executor.py
@@ -11,14 +11,12 @@
 from jasperweir.components.agent import response_buffer
 from jasperweir.components.runs import const
 from jasperweir.components.runs import run_table as run_table_lib
+from jasperweir.helpers import event_stream
 
 CONNECT_SECONDS = 1.0
 READ_SECONDS = 60.0
 HEAD_WAIT_SECONDS = 60.0
 PLAIN_CHUNK_BYTES = 64 * 1024
-STREAM_TYPE = "text/event-stream"
-STREAM_END = b"[DONE]"
-TAIL_BYTES = 32
 # Interval of the scan of all runs, which takes about a millisecond.
 TIDY_SECONDS = 1.0
 
@@ -212,8 +210,9 @@
         buf: response_buffer.ResponseBuffer,
         resp: urllib3.BaseHTTPResponse,
     ) -> Iterator[bytes]:
-        streamed = STREAM_TYPE in buf.content_type
-        tail = b""
+        stream: event_stream.TerminatedStream | None = None
+        if event_stream.is_event_stream(buf.content_type):
+            stream = event_stream.TerminatedStream()
         whole = False
         size = 0
         try:
@@ -222,12 +221,15 @@
                     break
                 buf.append(chunk)
                 size += len(chunk)
-                tail = (tail + chunk)[-TAIL_BYTES:]
+                if stream is not None:
+                    stream.feed(chunk)
                 yield chunk
             else:
-                # A stream without its end marker is incomplete, even if the
-                # connection was closed cleanly.
-                whole = not streamed or STREAM_END in tail
+                # A stream without its terminator is incomplete, even if the
+                # connection was closed cleanly. Cancelling ends a body without
+                # a length like a clean close.
+                is_ended = stream is None or stream.is_complete
+                whole = is_ended and rid not in self._cancelled
         except (urllib3.exceptions.HTTPError, OSError):
             whole = False
             if rid not in self._cancelled:
--- a/jasperweir/components/entry/request_driver.py
+++ b/jasperweir/components/entry/request_driver.py
@@ -21,11 +21,14 @@
 from jasperweir.components.request import events
 from jasperweir.components.request import state_machine as state_machine_lib
 from jasperweir.components.runs import const as run_const
+from jasperweir.helpers import event_stream
 from jasperweir.helpers import web
 
 Code = result_codes.Code
 H_REQUEST_ID = "Jasperweir-Request-Id"
 H_RUN = "Jasperweir-Run"
+# Content types of an answer whose target stated none.
+UNSTATED_TYPES = ("", "application/octet-stream")
 
 
 class AnswerBrokenError(Exception):
@@ -66,7 +69,8 @@
         self._quarantine = quarantine_gate.QuarantineGate(
             context=context, request=request
         )
-        self._stream_tail = b""
+        # What the caller received, over all attempts.
+        self._relayed_stream = event_stream.TerminatedStream()
         self._stored_chunks: list[bytes] = []
         self._has_ended = False
 
@@ -277,6 +281,11 @@
             if self._context.now() >= self._deadline:
                 return events.Expired()
             return events.Broke(relayed=0)
+        if event_stream.is_event_stream(self._stream.content_type):
+            stream = event_stream.TerminatedStream()
+            stream.feed(b"".join(self._stored_chunks))
+            if not stream.is_complete:
+                return events.Broke(relayed=0, ended=True)
         return events.Whole()
 
     def _stream_response(self) -> web.Resp:
@@ -303,7 +312,9 @@
                     yield action.record.answer
                     self._record_end(Code.REPLAYED)
                 case actions.Answer():
-                    yield _error_event(action)
+                    if self._relayed_stream.is_between_events:
+                        # It would complete an event that was cut off.
+                        yield _error_event(action)
                     self._record_end(action.code)
                     raise AnswerBrokenError(action.code.name)
         finally:
@@ -321,7 +332,7 @@
             for chunk in stream.chunks:
                 self._timing.record_chunk(self._context.now())
                 self._relayed_bytes += len(chunk)
-                self._stream_tail = (self._stream_tail + chunk)[-32:]
+                self._relayed_stream.feed(chunk)
                 if self._request.keyed:
                     self._store_chunk(chunk)
                 yield chunk
@@ -338,8 +349,7 @@
         except GeneratorExit:
             stream.close()
             raise
-        is_complete = stream.status != 200 or b"[DONE]" in self._stream_tail
-        if is_complete:
+        if self._relayed_stream.is_complete or not _has_terminator(stream):
             self._relay_end = events.Whole()
         else:
             self._relay_end = events.Broke(
@@ -445,6 +455,16 @@
         )
 
 
+def _has_terminator(stream: agent_client_lib.Stream) -> bool:
+    """Return whether an answer to a request for a stream ends with an event.
+
+    An error or another media type may answer it, too.
+    """
+    if event_stream.is_event_stream(stream.content_type):
+        return True
+    return stream.status == 200 and stream.content_type in UNSTATED_TYPES
+
+
 def _error_event(action: actions.Answer) -> bytes:
     """Return the event that reports an error at the end of a stream."""
     resp = web.code_resp(action.code, retry_after=action.retry_after)
