A response whose head is cut off is broken, and so is a cut chunk size

Callers and the agent got an empty answer with status 200, framed as complete, for an engine or an agent that was gone while it sent the head.

Cause: http.client takes the end of the connection for the end of the head and half a line for a line. Without the length, the body then ends at once. urllib3 takes the first 0 of a chunk size like 00001f for the last chunk.

All blocking clients use it: agent, entry, Python client, command line. A missing line end after the last chunk is accepted as before, since the body is whole.

Ruled out: own reading of responses; the hook is response_class of http.client and the pool classes of urllib3, both meant for it.

--- a/features/cut_answers_own.feature
+++ b/features/cut_answers_own.feature
@@ -10,6 +10,30 @@
       | entry  |
       | client |
 
+  Scenario: A cancelled run without a length is kept as done
+    When a run is cancelled while its engine sends a body without a length
+    Then the run is broken
+
+  Scenario: An entry's error completes an event that was cut off
+    When an agent sends half an event and is gone
+    Then the entry appends nothing to the half event
+
+  Scenario: An entry's error follows complete events
+    When an agent sends an event and is gone
+    Then the entry appends its error as an event
+
+  Scenario: The rest of a run is appended to an entry's error
+    When an entry ends a stream with an error and others have the run
+    Then the client asks none of them for the rest
+
+  Scenario: A resumed stream ends before its terminator
+    When a stream is cut off and its rest is cut off, too
+    Then the client reads the rest until the stream is complete
+
+  Scenario: A broken error response is not resumed
+    When an error response is cut off and its rest is received
+    Then the client's answer has the status of the error
+
   Scenario Outline: Whole answers reach the <reader> whole, however they are framed
     When peers answer the <reader> whole
     Then every answer is complete and unaltered
--- a/features/steps/cut_answers_own_steps.py
+++ b/features/steps/cut_answers_own_steps.py
@@ -1,6 +1,7 @@
 """Steps for cut_answers_own.feature."""
 
 import collections
+import json
 
 from behave import then
 from behave import when
@@ -8,6 +9,7 @@
 from features.harness import cut_answers_own
 
 SHOWN = 12
+EVENTS = cut_answers_own.EVENTS
 
 
 @when("peers cut their answers to the {reader} off at every place")
@@ -35,3 +37,107 @@
     shown = "\n".join(f"{fault}: {cut}" for cut, fault in faults[:SHOWN])
     count = len(context.outcomes)
     assert not faults, f"{len(faults)} of {count}: {counts}\n{shown}"
+
+
+def read_as_entry(size):
+    cut = cut_answers_own.Cut("stream", "close", size, "close")
+    return cut_answers_own.read_as_entry(cut)
+
+
+@when("a run is cancelled while its engine sends a body without a length")
+def step_cancel(context):
+    context.buffer = cut_answers_own.cancel_during_answer()
+
+
+@then("the run is broken")
+def step_run_broken(context):
+    assert not context.buffer.is_complete
+
+
+@when("an agent sends half an event and is gone")
+def step_half_event(context):
+    context.sent = EVENTS[0] + EVENTS[1][:-5]
+    context.outcome = read_as_entry(len(context.sent))
+
+
+@then("the entry appends nothing to the half event")
+def step_nothing_appended(context):
+    assert context.outcome == (context.sent, False), context.outcome
+
+
+@when("an agent sends an event and is gone")
+def step_one_event(context):
+    context.sent = EVENTS[0]
+    context.outcome = read_as_entry(len(context.sent))
+
+
+@then("the entry appends its error as an event")
+def step_error_appended(context):
+    assert not context.outcome.is_complete
+    rest = context.outcome.body.removeprefix(context.sent)
+    error = json.loads(rest.removeprefix(b"data: "))["error"]
+    assert error["name"] == "broken_off", error
+
+
+def make_cut_stream(text):
+    return cut_answers_own.Cut("stream", "close", len(text), "close", text=text)
+
+
+def play_client(context, cut, rests):
+    """Let a client read a body that is cut off, and then its rests.
+
+    Args:
+        context: Receives ``asked``, the number of rests that it asked for.
+        cut: How the body is cut off.
+        rests: Bytes of the rests, in their order.
+    """
+    left = list(rests)
+
+    def script(line):
+        if b"/runs/" not in line:
+            return cut
+        text = left.pop(0)
+        return cut._replace(
+            framing="length", size=len(text), end="complete", text=text
+        )
+
+    context.answer = cut_answers_own.call_client(script)
+    context.asked = len(rests) - len(left)
+
+
+@when("an entry ends a stream with an error and others have the run")
+def step_error_event(context):
+    error = b'data: {"error": {"code": 3002}}\n\n'
+    play_client(context, make_cut_stream(EVENTS[0] + error), [EVENTS[2]])
+
+
+@then("the client asks none of them for the rest")
+def step_not_asked(context):
+    assert not context.asked
+    assert context.answer.error, context.answer
+
+
+@when("a stream is cut off and its rest is cut off, too")
+def step_rest_cut(context):
+    cut = make_cut_stream(EVENTS[0] + EVENTS[1][:6])
+    rest = EVENTS[1][6:] + EVENTS[2]
+    play_client(context, cut, [rest[:-1], rest])
+
+
+@then("the client reads the rest until the stream is complete")
+def step_rest_whole(context):
+    assert context.asked == 2, context.asked
+    assert context.answer.body == cut_answers_own.STREAM, context.answer
+    assert not context.answer.error
+
+
+@when("an error response is cut off and its rest is received")
+def step_error_response(context):
+    cut = cut_answers_own.Cut("plain", "chunks", 9, "close", status=400)
+    play_client(context, cut, [cut_answers_own.PLAIN[9:]])
+
+
+@then("the client's answer has the status of the error")
+def step_error_status(context):
+    assert context.answer.status == 400, context.answer
+    assert context.answer.body == cut_answers_own.PLAIN
--- a/jasperweir/cli/evacuate.py
+++ b/jasperweir/cli/evacuate.py
@@ -10,6 +10,7 @@
 import urllib3
 
 from jasperweir.helpers import clocks
+from jasperweir.helpers import http_pool
 
 PATH = "/evacuations"
 EXIT_REFUSED = 1
@@ -48,7 +49,7 @@
         {"place": args.data_centre, "order": args.verb}
     )
     addresses = args.control.split(",")
-    http = urllib3.PoolManager(retries=False)
+    http = http_pool.create()
     deadline = clocks.elapsed() + RETRY_TIMEOUT_SECONDS
     while clocks.elapsed() < deadline:
         for address in addresses:
@@ -68,7 +69,7 @@
 
 def _list(args: argparse.Namespace) -> int:
     """Print the list with the highest revision."""
-    http = urllib3.PoolManager(retries=False)
+    http = http_pool.create()
     found: list[dict[str, Any]] = []
     for address in args.control.split(","):
         resp = _request(http, "GET", address, PATH)
--- a/jasperweir/cli/operate.py
+++ b/jasperweir/cli/operate.py
@@ -14,6 +14,7 @@
 from jasperweir import result_codes
 from jasperweir.components.bundle import flat_content
 from jasperweir.helpers import clocks
+from jasperweir.helpers import http_pool
 
 Code = result_codes.Code
 EXIT_REFUSED = 1
@@ -37,7 +38,7 @@
     def __init__(self, *, addresses: list[str], token: str) -> None:
         self._addresses = addresses
         self._headers = {"Authorization": f"Bearer {token}"}
-        self._http = urllib3.PoolManager(retries=False)
+        self._http = http_pool.create()
 
     def get(self, path: str) -> dict[str, Any]:
         """Return the response with the highest revision.
--- a/jasperweir/cli/quarantine.py
+++ b/jasperweir/cli/quarantine.py
@@ -8,6 +8,8 @@
 
 import urllib3
 
+from jasperweir.helpers import http_pool
+
 PATH = "/held-back"
 TIMEOUT_SECONDS = 5.0
 EXIT_REFUSED = 1
@@ -47,7 +49,7 @@
 
 
 def _call(method: str, entry: str, path: str) -> int:
-    http = urllib3.PoolManager(retries=False)
+    http = http_pool.create()
     try:
         resp = http.request(
             method, f"http://{entry}{path}", timeout=TIMEOUT_SECONDS
--- a/jasperweir/cli/report.py
+++ b/jasperweir/cli/report.py
@@ -11,6 +11,7 @@
 from jasperweir.components.burn import report as burn_report
 from jasperweir.components.outcomes import const as outcomes_const
 from jasperweir.components.outcomes import summary as summary_lib
+from jasperweir.helpers import http_pool
 
 EXIT_UNREACHABLE = 4
 
@@ -53,7 +54,7 @@
 
 
 def _fetch(addresses: str, path: str) -> list[dict[str, Any]]:
-    http = urllib3.PoolManager(retries=False)
+    http = http_pool.create()
     found = []
     for address in addresses.split(","):
         try:
--- a/jasperweir/client.py
+++ b/jasperweir/client.py
@@ -11,6 +11,7 @@
 
 from jasperweir.helpers import clocks
 from jasperweir.helpers import event_stream
+from jasperweir.helpers import http_pool
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 MAX_ATTEMPTS = 4
@@ -84,9 +85,7 @@
         self._place = place
         self._service = service
         self._rng = random.Random(seed)
-        self._http = urllib3.PoolManager(
-            num_pools=32, maxsize=64, block=False, retries=False
-        )
+        self._http = http_pool.create(num_pools=32, maxsize=64, block=False)
         self._addresses: list[tuple[str, int]] = []
         self._addresses_expire_at = 0.0
 
@@ -198,9 +197,11 @@
         except (urllib3.exceptions.HTTPError, IncompleteStreamError) as exc:
             self._addresses_expire_at = 0.0
             if run and received and not (is_stream and _has_error(received)):
-                body = self._resume(run, received, address, status, is_stream)
-                if body is not None:
-                    done = _make_answer(status, body, attempt)
+                resumed = self._resume(
+                    run, received, address, status, is_stream
+                )
+                if resumed is not None:
+                    done = _make_answer(status, resumed, attempt)
                     return (
                         done._replace(code=1000, outcome="completed"),
                         (False),
--- a/jasperweir/components/agent/engine.py
+++ b/jasperweir/components/agent/engine.py
@@ -13,6 +13,7 @@
 from jasperweir.components.experts import messages
 from jasperweir.components.experts import step_gate
 from jasperweir.helpers import codec
+from jasperweir.helpers import http_pool
 
 POLL_SECONDS = 0.25
 CALL_TIMEOUT_SECONDS = 2.0
@@ -41,7 +42,7 @@
         self._call = call
         self._perform_all = perform
         self._on_skew = on_skew
-        self._http = urllib3.PoolManager(maxsize=8, retries=False)
+        self._http = http_pool.create(maxsize=8)
         self._queue: queue.SimpleQueue[tuple[str, bytes]] = queue.SimpleQueue()
         self._stopping = threading.Event()
         self._loading: set[int] = set()
--- a/jasperweir/components/agent/run_executor.py
+++ b/jasperweir/components/agent/run_executor.py
@@ -12,6 +12,7 @@
 from jasperweir.components.runs import const
 from jasperweir.components.runs import run_table as run_table_lib
 from jasperweir.helpers import event_stream
+from jasperweir.helpers import http_pool
 
 CONNECT_SECONDS = 1.0
 READ_SECONDS = 60.0
@@ -62,9 +63,7 @@
         self._buffers: dict[str, response_buffer.ResponseBuffer] = {}
         self._cancelled: set[str] = set()
         self._responses: dict[str, urllib3.BaseHTTPResponse] = {}
-        self._http = urllib3.PoolManager(
-            num_pools=4, maxsize=threads, block=False, retries=False
-        )
+        self._http = http_pool.create(num_pools=4, maxsize=threads, block=False)
 
     def reserve(self, rid: str, service: str) -> run_table_lib.Verdict:
         """Reserve a run id."""
--- a/jasperweir/components/agent/target_poller.py
+++ b/jasperweir/components/agent/target_poller.py
@@ -9,6 +9,7 @@
 
 from jasperweir.components.orders import planner
 from jasperweir.components.runs import const as run_const
+from jasperweir.helpers import http_pool
 
 POLL_SECONDS = 0.5
 ORDER_SECONDS = 30.0
@@ -42,7 +43,7 @@
         self.skew = 0.0
         self.switching = False
         self._url = url
-        self._http = urllib3.PoolManager(num_pools=1, maxsize=2, retries=False)
+        self._http = http_pool.create(num_pools=1, maxsize=2)
         self._stopping = threading.Event()
 
     def run(self) -> None:
--- a/jasperweir/components/entry/agent_client.py
+++ b/jasperweir/components/entry/agent_client.py
@@ -9,6 +9,7 @@
 from jasperweir.components.entry import parsed_request as request_lib
 from jasperweir.components.request import events
 from jasperweir.components.runs import const as run_const
+from jasperweir.helpers import http_pool
 
 CONNECT_SECONDS = 0.5
 CONTROL_CALL_SECONDS = 2.0
@@ -84,8 +85,8 @@
         on_load: Callable[[str, Load], None],
     ) -> None:
         self._on_load = on_load
-        self._http = urllib3.PoolManager(
-            num_pools=256, maxsize=connections, block=False, retries=False
+        self._http = http_pool.create(
+            num_pools=256, maxsize=connections, block=False
         )
 
     def reserve(self, rid: str, service: str, target: Target) -> Result:
--- a/jasperweir/daemons/solo.py
+++ b/jasperweir/daemons/solo.py
@@ -9,8 +9,6 @@
 import time
 from typing import Any
 
-import urllib3
-
 from jasperweir import core
 from jasperweir.components.bundle import flat_content
 from jasperweir.daemons import agent as agent_daemon
@@ -18,6 +16,7 @@
 from jasperweir.daemons import control as control_daemon
 from jasperweir.daemons import entry as entry_daemon
 from jasperweir.helpers import clocks
+from jasperweir.helpers import http_pool
 from jasperweir.helpers import settings
 from jasperweir.helpers import web
 
@@ -139,7 +138,7 @@
         kernel.register("entry", entry)
         kernel.register("agent", agent)
         self._kernel = kernel
-        self._http = urllib3.PoolManager(retries=False)
+        self._http = http_pool.create()
 
     def start(self) -> None:
         """Start all components, then sign off and roll a bundle.
