--- a/script/guards_answers.py
+++ b/script/guards_answers.py
@@ -3,6 +3,7 @@
 import guard as guard_lib
 
 F = "jasperweir/components/forward/"
+EVENT_STREAM = "jasperweir/helpers/event_stream.py"
 Guard = guard_lib.Guard
 
 GUARDS = (
@@ -16,16 +17,16 @@
     Guard("an event that had begun must follow",
           F + "response_body.py", "        if self._expects_event:\n",
           "        if False:\n", "cut_answers"),
-    Guard("a large event in parts is no resume point", F + "events.py",
+    Guard("a large event in parts is no resume point", EVENT_STREAM,
           "return self._is_last_identified and not self._is_split",
           "return self._is_last_identified", "cut_answers"),
-    Guard("an event without an id is no resume point", F + "events.py",
+    Guard("an event without an id is no resume point", EVENT_STREAM,
           "return self._is_last_identified and not self._is_split",
           "return not self._is_split", "cut_answers"),
-    Guard("a large event in parts is an open event", F + "events.py",
+    Guard("a large event in parts is an open event", EVENT_STREAM,
           "        if self._is_split:\n            return True\n", "",
           "cut_answers"),
-    Guard("CR and CRLF end lines", F + "events.py",
+    Guard("CR and CRLF end lines", EVENT_STREAM,
           '_EVENT_ENDS = (b"\\n\\n", b"\\n\\r", b"\\r\\r")',
           '_EVENT_ENDS = (b"\\n\\n",)', "cut_answers"),
     Guard("only a known point is resumed", F + "request_state.py",
