Red: a body of another media type is appended to a resumed stream

A resumed attempt that answers 200, signed, with a body that is no event stream: classify_response sees no fault, ResponseBody.find_cut returns '' for every body without events, and on_end hands it on after the events, framed as complete.

Found in review, not fixed.

--- a/features/cut_answers_review.feature
+++ b/features/cut_answers_review.feature
@@ -17,3 +17,16 @@
     And a target that sends "2, 3" as chunks of events
     When a caller asks for a resumable stream
     Then the caller reads "1, 2, 3" framed as complete and nothing after it
+
+  Scenario: A body of another media type is no continuation of a stream
+    Given a target that sends "1" as chunks of events and resets
+    And a target that sends "{}" as chunks of JSON
+    When a caller asks for a resumable stream
+    Then the caller's answer does not look complete
+
+  Scenario: After a body of another media type the stream is resumed at another target
+    Given a target that sends "1" as chunks of events and resets
+    And a target that sends "{}" as chunks of JSON
+    And a target that sends "2, 3" as chunks of events
+    When a caller asks for a resumable stream
+    Then the caller reads "1, 2, 3" framed as complete and nothing after it
