Red: a body without events that was passed on in part is joined to another run

On a resumable stream route, a JSON body or an error larger than MAX_BUFFERED_BYTES is handed on in part. RequestState.has_resume_point stays true, as on_events is called for event streams only, so can_continue and can_move hold: after a break, or a move away from a slow target, another run follows the first part, framed as complete.

Found in review, not fixed.

--- a/features/cut_answers_review.feature
+++ b/features/cut_answers_review.feature
@@ -30,3 +30,24 @@
     And a target that sends "2, 3" as chunks of events
     When a caller asks for a resumable stream
     Then the caller reads "1, 2, 3" framed as complete and nothing after it
+
+  Scenario: A body without events that was passed on in part is not joined to another run
+    Given a target that sends "large text" as chunks of JSON and resets
+    And a target that sends "large text" as chunks of JSON
+    When a caller asks for a resumable stream
+    Then the caller's answer does not look complete
+    And the entry has closed the caller's connection
+
+  Scenario: An error that was passed on in part is not joined to a stream
+    Given a target that responds with 404, sends "large text" as chunks of plain text and resets
+    And a target that sends "1, 2" as chunks of events
+    When a caller asks for a resumable stream
+    Then the caller's answer does not look complete
+    And the entry has closed the caller's connection
+
+  Scenario: A body without events that was passed on in part stays at its slow target
+    Given a target that sends "large text" as unfinished chunks of JSON
+    And a target that sends "large text" as chunks of JSON
+    When a caller asks for a resumable stream and its target turns slow
+    Then the caller's answer does not look complete
+    And 1 target has received the request
--- a/features/harness/answer_scripts.py
+++ b/features/harness/answer_scripts.py
@@ -26,6 +26,7 @@
 RESET = ConnectionResetError(104, "reset")
 MAX_TARGETS = 4
 STEP_SECONDS = 0.01
+SLOW_AFTER_SECONDS = 0.5
 
 
 class Script(NamedTuple):
@@ -140,6 +141,20 @@
         return dialect.CallerHeaders("id", 5.0, "", 10, 10, self._resume_after)
 
 
+def turn_slow(entry, conn, loop):
+    """Report the first target as slow once it has answered in part."""
+
+    def report():
+        chosen = {open_.target_id for open_ in entry._open_exchanges.values()}
+        slowdowns = {
+            f"127.0.0.{number}:1": 5.0 if f"t{number}" in chosen else 1.0
+            for number in range(1, MAX_TARGETS + 1)
+        }
+        entry.update_slowdowns(slowdowns, entry.now())
+
+    loop.call_later(SLOW_AFTER_SECONDS, report)
+
+
 def run(
     route_name,
     *scripts,
--- a/features/steps/cut_answers_review_steps.py
+++ b/features/steps/cut_answers_review_steps.py
@@ -62,12 +62,26 @@
     add_script(context, head, body, end="reset")
 
 
+@given('a target that sends "{text}" as unfinished chunks of {media}')
+def step_unfinished(context, text, media):
+    head = answer_scripts.head(answer_scripts.CHUNKED, media=MEDIA[media])
+    body = answer_scripts.chunks(write_body(text), last=False)
+    add_script(context, head, body)
+
+
 @given('a target that sends "{text}" as chunks of {media}')
 def step_chunks(context, text, media):
     head = answer_scripts.head(answer_scripts.CHUNKED, media=MEDIA[media])
     add_script(context, head, answer_scripts.chunks(write_body(text)))
 
 
+@when("a caller asks for a {kind} and its target turns slow")
+def step_slow(context, kind):
+    context.received = answer_scripts.run(
+        kind, *context.scripts, attempts=3, on_entry=answer_scripts.turn_slow
+    )
+
+
 @when("a caller asks for a {kind}")
 def step_ask(context, kind):
     context.received = answer_scripts.run(kind, *context.scripts, attempts=3)
@@ -90,3 +104,8 @@
 @then("the entry has closed the caller's connection")
 def step_closed(context):
     assert context.received.closed, context.received
+
+
+@then("{count:d} target has received the request")
+def step_count(context, count):
+    assert len(context.received.asked) == count, context.received.asked
