Red: events that a resumed run repeats reach the caller twice

A target that ignores the resume point, or goes back, sends events whose ids the caller has. Nothing compares the ids of a resumed run with the last one passed on, though ids of a stream increase: the two runs are joined and framed as complete.

Found in review, not fixed.

--- a/features/cut_answers_review.feature
+++ b/features/cut_answers_review.feature
@@ -51,3 +51,9 @@
     When a caller asks for a resumable stream and its target turns slow
     Then the caller's answer does not look complete
     And 1 target has received the request
+
+  Scenario: A resumed run that repeats events does not reach the caller
+    Given a target that sends "1, 2" as chunks of events and resets
+    And a target that sends "1, 2, 3" as chunks of events
+    When a caller asks for a resumable stream
+    Then the caller's answer does not look complete
