Red: a 204 on a route of streams is followed by a last chunk

Exchange ends every successful answer of a stream route through start(None) and end(): a 204 gets Transfer-Encoding and '0 CRLF CRLF' after its head, which RFC 9112 section 6.3 forbids and a caller reads as the next answer of its connection.

Found in review, not fixed.

--- a/features/cut_answers_review.feature
+++ b/features/cut_answers_review.feature
@@ -57,3 +57,8 @@
     And a target that sends "1, 2, 3" as chunks of events
     When a caller asks for a resumable stream
     Then the caller's answer does not look complete
+
+  Scenario: A stream without content has no body on the wire
+    Given a target that responds with 204 and no body
+    When a caller asks for a resumable stream
+    Then the caller reads "nothing" framed as complete and nothing after it
--- a/features/steps/cut_answers_review_steps.py
+++ b/features/steps/cut_answers_review_steps.py
@@ -75,6 +75,11 @@
     add_script(context, head, answer_scripts.chunks(write_body(text)))
 
 
+@given("a target that responds with {status:d} and no body")
+def step_no_body(context, status):
+    add_script(context, answer_scripts.head(status=status, media=b""))
+
+
 @when("a caller asks for a {kind} and its target turns slow")
 def step_slow(context, kind):
     context.received = answer_scripts.run(
