Red: a cut comment counts as an event that has begun

EventSplitter.is_inside_event is true for an unfinished comment line, which is right for 'broken off', but Exchange keeps it as expects_event. When the rest of the stream is empty and framed as complete (all events had been passed on), find_cut says 'ended before an event that had begun' and the whole stream is cut off.

--- a/features/cut_answers_review.feature
+++ b/features/cut_answers_review.feature
@@ -62,3 +62,9 @@
     Given a target that responds with 204 and no body
     When a caller asks for a resumable stream
     Then the caller reads "nothing" framed as complete and nothing after it
+
+  Scenario: A comment that was cut off does not make a complete rest of a stream incomplete
+    Given a target that sends "1, 2, a comment's beginning" as chunks of events and resets
+    And a target that sends "nothing" as chunks of events
+    When a caller asks for a resumable stream
+    Then the caller reads "1, 2" framed as complete and nothing after it
--- a/features/harness/answer_scripts.py
+++ b/features/harness/answer_scripts.py
@@ -81,7 +81,7 @@
 
 def chunks(*datas, last=True):
     """Return data in the chunked coding."""
-    out = b"".join(b"%x\r\n%b\r\n" % (len(d), d) for d in datas)
+    out = b"".join(b"%x\r\n%b\r\n" % (len(d), d) for d in datas if d)
     return out + (b"0\r\n\r\n" if last else b"")
 
 
--- a/features/steps/cut_answers_review_steps.py
+++ b/features/steps/cut_answers_review_steps.py
@@ -9,6 +9,7 @@
 PIECES = {
     "an event's beginning": b"id: 2\ndat",
     "a version line": b"weight-versions: 7\n",
+    "a comment's beginning": b": pi",
     "large text": b"x" * 300_000,
     "nothing": b"",
 }
