A resumed stream is not framed by the length of its first run

Callers of a stream whose target states a length could read a body that was cut at that length, or the next answer as part of it, when another target continued the stream. Since the first target's Content-Length framed the caller's answer; streams are sent in chunks again.

--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -249,7 +249,10 @@
                 self._body.last_event_id,
                 has_resume_point=self._body.has_resume_point,
             )
-        self._pass_on(ready, self._length)
+        # Another run that continues a stream has a length of its own.
+        self._pass_on(
+            ready, None if self._body.is_event_stream else self._length
+        )
 
     def _pass_on(self, data: bytes, length: int | None) -> None:
         """Send a part of the body to the caller, after the head.
