A body of another media type is no continuation of a stream

Callers of a resumed stream got a JSON body after its events, framed as complete: a resumed attempt answered 200, signed, with a body that was not read as events and so handed on as it was. It is now a fault like an error status.

--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -218,12 +218,17 @@
             )
         else:
             self._forwarder.balancer.failed(self.target_id, now, hard=False)
-        is_success = 200 <= head.status < 300
+        is_event_stream = (
+            self.state.is_stream
+            and 200 <= head.status < 300
+            and response_body.is_event_stream(head.headers)
+        )
+        if self.state.response_started and not is_event_stream:
+            self._on_fault(Fault.UNKNOWN, "no event stream", hard=False)
+            return True
         self._body = response_body.ResponseBody(
             progress=self.progress,
-            is_event_stream=self.state.is_stream
-            and is_success
-            and response_body.is_event_stream(head.headers),
+            is_event_stream=is_event_stream,
             last_event_id=self.state.last_event_id,
             expects_event=self._expects_event,
         )
