A body without events that was passed on in part is not joined to another run

Callers on a resumable route got a JSON body or an error larger than the buffer whose first part came from one run and the rest, or a whole second body, from another: only events told RequestState what had been passed on, so it took the answer for resumable. Now every part does, and a body without events has no point to resume at. It isn't moved away from a slow target either.

--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -250,10 +250,10 @@
             return
         if self._body.is_event_stream:
             self._record_gap()
-            self.state.on_events(
-                self._body.last_event_id,
-                has_resume_point=self._body.has_resume_point,
-            )
+        self.state.on_passed_on(
+            self._body.last_event_id,
+            has_resume_point=self._body.has_resume_point,
+        )
         # Another run that continues a stream has a length of its own.
         self._pass_on(
             ready, None if self._body.is_event_stream else self._length
--- a/jasperweir/components/forward/request_state.py
+++ b/jasperweir/components/forward/request_state.py
@@ -205,8 +205,10 @@
         self.deliveries += 1
         self.tried_target_ids.add(target_id)
 
-    def on_events(self, last_event_id: str, *, has_resume_point: bool) -> None:
-        """Record events that were passed on to the caller.
+    def on_passed_on(
+        self, last_event_id: str, *, has_resume_point: bool
+    ) -> None:
+        """Record a part of the response that was passed on to the caller.
 
         Args:
             last_event_id: Id of the last complete event.
--- a/jasperweir/components/forward/response_body.py
+++ b/jasperweir/components/forward/response_body.py
@@ -55,8 +55,10 @@
 
     @property
     def has_resume_point(self) -> bool:
-        """Whether a stream can be resumed after ``last_event_id``."""
-        return self._splitter.has_resume_point
+        """Whether the response can be resumed after ``last_event_id``."""
+        if self.is_event_stream:
+            return self._splitter.has_resume_point
+        return not self._is_passing_on
 
     @property
     def has_open_event(self) -> bool:
