A 204 on a route of streams has no body on the wire

A caller of a stream that was answered 204 got Transfer-Encoding and a last chunk after the head, which it reads as the beginning of the next answer. A response without a body is now answered as such.

--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -223,12 +223,14 @@
             and 200 <= head.status < 300
             and response_body.is_event_stream(head.headers)
         )
+        is_bodiless = head.framing is http_message.Framing.NONE
         if self.state.response_started and not is_event_stream:
             self._on_fault(Fault.UNKNOWN, "no event stream", hard=False)
             return True
         self._body = response_body.ResponseBody(
             progress=self.progress,
-            is_event_stream=is_event_stream,
+            is_event_stream=is_event_stream
+            and (self.state.response_started or not is_bodiless),
             last_event_id=self.state.last_event_id,
             expects_event=self._expects_event,
         )
