A comment that was cut off does not make a complete rest of a stream incomplete

A stream that broke inside a comment after its last event was cut off though the resumed attempt said that nothing was left: the unfinished comment counted as an event that had begun. Only lines of events do now; a stream that ends inside a comment line is broken off as before.

--- a/jasperweir/components/forward/response_body.py
+++ b/jasperweir/components/forward/response_body.py
@@ -63,7 +63,7 @@
     @property
     def has_open_event(self) -> bool:
         """Whether more than the events so far belongs to the stream."""
-        return self._splitter.is_inside_event or (
+        return self._splitter.has_begun_event or (
             self._expects_event and not self._splitter.count
         )
 
--- a/jasperweir/helpers/event_stream.py
+++ b/jasperweir/helpers/event_stream.py
@@ -49,11 +49,15 @@
 
         Complete comments and empty lines are no part of an event.
         """
-        if self._is_split:
+        if self.has_begun_event:
             return True
-        return any(
-            not line.endswith(_LINE_ENDS) or not _is_ignored(line)
-            for line in self._buffer.splitlines(keepends=True)
+        return bool(self._buffer) and not self._buffer.endswith(_LINE_ENDS)
+
+    @property
+    def has_begun_event(self) -> bool:
+        """Whether a part of an event has arrived that is not complete."""
+        return self._is_split or not all(
+            _is_ignored(line) for line in self._buffer.splitlines()
         )
 
     @property
--- a/script/guards_answers.py
+++ b/script/guards_answers.py
@@ -24,7 +24,7 @@
           "return self._is_last_identified and not self._is_split",
           "return not self._is_split", "cut_answers"),
     Guard("a large event in parts is an open event", EVENT_STREAM,
-          "        if self._is_split:\n            return True\n", "",
+          "return self._is_split or not all(", "return not all(",
           "cut_answers"),
     Guard("CR and CRLF end lines", EVENT_STREAM,
           '_EVENT_ENDS = (b"\\n\\n", b"\\n\\r", b"\\r\\r")',
