Move the records of responses out of the recorder

Change: ResponseRecorder has the lines and metrics of attempts and finished requests. Nothing else changes.

--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -29,6 +29,7 @@
 from jasperweir.components.forward import recorder as recorder_lib
 from jasperweir.components.forward import rejections
 from jasperweir.components.forward import request_state
+from jasperweir.components.forward import response_recorder
 from jasperweir.components.forward import return_detector
 from jasperweir.components.forward import startup_grace as startup_grace_lib
 from jasperweir.components.forward import stragglers
@@ -101,6 +102,7 @@
             is_first_start=is_first_start,
         )
         self._recorder = recorder_lib.Recorder(metrics=metrics)
+        self._responses = response_recorder.ResponseRecorder(metrics=metrics)
         self.crash_detector = crash_detector.CrashDetector(
             clock=clock,
             pool=self.pool,
@@ -144,6 +146,7 @@
             outages=self._outages,
             queues=self.queues,
             recorder=self._recorder,
+            responses=self._responses,
             startup_grace=self._startup_grace,
         )
         self.admission = admission_lib.AdmissionPolicy(
@@ -533,7 +536,7 @@
         candidates = self._find_candidates(exchange.service, targets, now)
         if candidates.free_slots < 1 or not self._take_retry(exchange, now):
             return
-        self._recorder.record_move(exchange)
+        self._responses.record_move(exchange)
         exchange.leave_target()
         self._choose_and_send(exchange, candidates, now)
 
@@ -641,7 +644,7 @@
             self.on_work()
         elif exchange.target_id:
             self._hand_over_slot(exchange.service)
-        self._recorder.record_end(
+        self._responses.record_end(
             exchange, outcome, version=self._config_version, now=self.now()
         )
 
@@ -674,7 +677,7 @@
 
     def record_unread(self, exchange: exchange_lib.Exchange) -> None:
         """Record a target that cut off an answer its caller didn't read."""
-        self._recorder.record_unread(exchange)
+        self._responses.record_unread(exchange)
 
     def record_pause(
         self, service: str, target: records.Target | None, seconds: float
--- a/jasperweir/components/forward/outcome_tracker.py
+++ b/jasperweir/components/forward/outcome_tracker.py
@@ -14,6 +14,7 @@
 from jasperweir.components.forward import queues as queues_lib
 from jasperweir.components.forward import recorder as recorder_lib
 from jasperweir.components.forward import request_state
+from jasperweir.components.forward import response_recorder
 from jasperweir.components.forward import startup_grace as startup_grace_lib
 
 
@@ -34,6 +35,7 @@
         outages: outage_lib.Outages,
         queues: queues_lib.Queues,
         recorder: recorder_lib.Recorder,
+        responses: response_recorder.ResponseRecorder,
         startup_grace: startup_grace_lib.StartupGrace,
     ) -> None:
         self.on_replaced: Callable[[records.Target], None] = lambda _: None
@@ -44,6 +46,7 @@
         self._outages = outages
         self._queues = queues
         self._recorder = recorder
+        self._responses = responses
         self._startup_grace = startup_grace
 
     def on_signals(
@@ -87,7 +90,7 @@
                     service, begins=True, group=unit[len(service) + 1 :]
                 )
         at_target = self._balancer.count_at(target.target_id, now)
-        self._recorder.record_fault(exchange, target, fault, reason, at_target)
+        self._responses.record_fault(exchange, target, fault, reason, at_target)
 
     def on_accepted(
         self, exchange: exchange_lib.Exchange, target: records.Target
@@ -118,4 +121,4 @@
 
     def on_timeout(self, exchange: exchange_lib.Exchange) -> None:
         """Handle a request whose deadline has passed."""
-        self._recorder.record_timeout(exchange)
+        self._responses.record_timeout(exchange)
--- /dev/null
+++ b/jasperweir/components/forward/response_recorder.py
@@ -0,0 +1,124 @@
+"""Log lines and metrics of attempts at targets and of finished requests."""
+
+from jasperweir.components.directory import records
+from jasperweir.components.forward import exchange as exchange_lib
+from jasperweir.components.forward import request_state
+from jasperweir.components.scheduling import demand as demand_lib
+from jasperweir.helpers import logs
+from jasperweir.helpers import metrics as metrics_lib
+
+_log = logs.logger("forward")
+
+
+class ResponseRecorder:
+    """Records how each attempt and each request ended."""
+
+    def __init__(self, *, metrics: metrics_lib.Metrics) -> None:
+        self._metrics = metrics
+
+    def record_end(
+        self,
+        exchange: exchange_lib.Exchange,
+        outcome: str,
+        *,
+        version: int,
+        now: float,
+    ) -> None:
+        """Record the outcome of a request."""
+        state = exchange.state
+        first_byte_at = exchange.first_byte_at
+        self._metrics.inc(
+            "requests", route=state.match.route.name, outcome=outcome
+        )
+        self._metrics.inc(
+            "requests_by_priority",
+            priority=str(demand_lib.find_band(state.match.priority)),
+            outcome=outcome,
+        )
+        progress = exchange.progress
+        self._metrics.inc(
+            "responses_ended",
+            framing=progress.framing.value if progress.framing else "none",
+            end=progress.end.value,
+        )
+        self._metrics.observe("request_seconds", now - state.arrived_at)
+        if first_byte_at:
+            self._metrics.observe(
+                "first_byte_seconds", first_byte_at - state.arrived_at
+            )
+        _log.info(
+            "request ended",
+            id=state.caller_headers.request_id,
+            route=state.match.route.name,
+            customer=state.customer_name,
+            priority=state.match.priority,
+            waited=state.has_waited,
+            service=exchange.service,
+            target=exchange.target_id,
+            sends=state.attempts,
+            outcome=outcome,
+            version=version,
+            first_ms=round((first_byte_at - state.arrived_at) * 1000)
+            if first_byte_at
+            else -1,
+            gap_ms=round(exchange.longest_gap_s * 1000),
+            total_ms=round((now - state.arrived_at) * 1000),
+            stated_ms=round((state.caller_headers.patience_s or 0.0) * 1000),
+            used_ms=round((state.arrived_at - state.first_attempt_at) * 1000),
+            target_ms=round(state.match.route.target_s * 1000),
+            gap_target_ms=round(state.match.route.gap_s * 1000),
+            **exchange.progress.log_fields(),
+        )
+
+    def record_fault(
+        self,
+        exchange: exchange_lib.Exchange,
+        target: records.Target,
+        fault: request_state.Fault,
+        reason: str,
+        open_requests: int,
+    ) -> None:
+        """Record an attempt that brought no usable response."""
+        self._metrics.inc("faults", fault=fault.value)
+        _log.info(
+            "send failed",
+            id=exchange.state.caller_headers.request_id,
+            target=target.target_id,
+            address=target.address,
+            fault=fault.value,
+            reason=reason,
+            open=open_requests,
+            **exchange.progress.log_fields(),
+        )
+
+    def record_move(
+        self,
+        exchange: exchange_lib.Exchange,
+    ) -> None:
+        """Record that a stream moves away from a slow target."""
+        self._metrics.inc("moves")
+        _log.info(
+            "stream leaves target",
+            id=exchange.state.caller_headers.request_id,
+            target=exchange.target_id,
+            last_event=exchange.state.last_event_id,
+        )
+
+    def record_unread(self, exchange: exchange_lib.Exchange) -> None:
+        """Record a target that cut off an answer its caller didn't read."""
+        self._metrics.inc("unread_answers", service=exchange.service)
+        _log.info(
+            "answer not read in time",
+            id=exchange.state.caller_headers.request_id,
+            target=exchange.target_id,
+            last_event=exchange.state.last_event_id,
+        )
+
+    def record_timeout(self, exchange: exchange_lib.Exchange) -> None:
+        """Record that the deadline of a request has passed."""
+        _log.info(
+            "time is up",
+            id=exchange.state.caller_headers.request_id,
+            target=exchange.target_id,
+            sends=exchange.state.attempts,
+        )
