Say in the logs why each attempt at a target ended

An engineer could not tell from a request's id why an answer had ended.

Cause: `end` was "own" for a timeout, a caller that went, a move and a fault alike; 'request ended' had no reason; 'stream leaves target', 'time is up' and 'answer not read in time' said nothing of the response; a connection that was not opened was logged with the response of the attempt before it; a target that closed while it was connecting left no line.

Change: End names the cause, and Cut, a bounded enum, why a response is incomplete. Every attempt has one line with framing, end, cut, reason, bytes and events; the new line 'request not sent' fills the gap. A response without a head has framing "no_head" in lines and labels, since "none" is a status without a body. ResponseBody.find_cut returns a Cut.

Ruled out: parsing the reason of ResponseBody; it is typed now. The reasons of http_client are still classified by their text.

--- a/features/steps/cut_answers_steps.py
+++ b/features/steps/cut_answers_steps.py
@@ -107,12 +107,14 @@
 
 @then('it is cut off: "{reason}"')
 def step_is_cut(context, reason):
-    assert context.body.find_cut() == reason, context.body.find_cut()
+    cut = context.body.find_cut()
+    assert cut is not None
+    assert cut.value == reason, cut
 
 
 @then("it is complete")
 def step_is_complete(context):
-    assert not context.body.find_cut(), context.body.find_cut()
+    assert context.body.find_cut() is None, context.body.find_cut()
 
 
 @when("a target answers a request for a stream with a JSON body")
--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -38,7 +38,7 @@
         first_byte_at: When the first byte of a response arrived, monotonic
             seconds; 0 before.
         longest_gap_s: Longest pause between two events, seconds.
-        progress: What has arrived of the response to the latest attempt.
+        progress: Latest attempt: what has arrived and what ended it.
     """
 
     def __init__(
@@ -107,6 +107,9 @@
                 cold target.
         """
         self._target = target
+        self.progress = response_progress.ResponseProgress(
+            end=response_progress.End.UNSENT
+        )
         self._is_counted_cold = is_counted_cold
         self._forwarder.balancer.begin(target.target_id)
         self._holds_slot = True
@@ -147,12 +150,14 @@
             # while it was connecting.
             self._forwarder.pool.release(_pool_key(self._target), conn)
             self._release_slot()
+            self._forwarder.outcomes.on_not_sent(self, "target closed or cold")
             self._apply(state.on_target_unavailable(self._target.target_id))
             return
         patience_s = state.remaining_s(now) - const.RESPONSE_MARGIN_SECONDS
         if patience_s < const.MIN_ATTEMPT_SECONDS:
             self._forwarder.pool.release(_pool_key(self._target), conn)
             self._release_slot()
+            self._forwarder.outcomes.on_not_sent(self, "too little time left")
             self._apply(state.on_timeout(at_target=False))
             return
         dispatch = dialect_lib.TargetRequest(
@@ -168,7 +173,7 @@
             headers.append((b"content-length", b"%d" % len(req.body)))
         line = req.method + b" " + req.target + b" HTTP/1.1"
         state.on_sent(self._target.target_id)
-        self.progress = response_progress.ResponseProgress()
+        self.progress.on_sent()
         self._conn = conn
         self._sent_at = now
         conn.send(http_message.write_head(line, headers), self, req.body)
@@ -282,8 +287,9 @@
             return
         self.progress.on_end()
         cut = body.find_cut()
-        if cut:
-            self._on_cut_off(cut)
+        if cut is not None:
+            self.progress.on_cut(cut)
+            self._on_cut_off(cut.value)
             return
         self._forwarder.pool.release(_pool_key(self._target), conn)
         self._forwarder.outcomes.on_completed(self, self._sent_at)
@@ -310,6 +316,7 @@
         """Handle a response that ended before it was complete."""
         if self._was_held_up and not self.done:
             # The target cut off an answer that was not read; it has no fault.
+            self.progress.on_cut(response_progress.Cut.UNREAD)
             self._forwarder.record_unread(self)
             self._release_target()
             self.state.may_have_run = True
@@ -360,12 +367,13 @@
             return
         now = self._forwarder.now()
         target = self._target
+        self.progress.stop(response_progress.End.FAULT, reason)
         if hard:
             self._forwarder.pool.close_idle(_pool_key(target))
         if fault in (Fault.UNSENT, Fault.UNKNOWN):
             self._forwarder.balancer.failed(target.target_id, now, hard=hard)
         self._release_target()
-        self._forwarder.outcomes.on_fault(self, target, fault, reason)
+        self._forwarder.outcomes.on_fault(self, target, fault)
         self._apply(self.state.on_fault(target.target_id, fault, now))
 
     def _release_target(self) -> None:
@@ -384,6 +392,7 @@
 
     def leave_target(self) -> None:
         """Cancel the request at its target to continue it at another one."""
+        self.progress.stop(response_progress.End.MOVED)
         self._release_target()
         self.state.on_moved()
 
@@ -419,6 +428,11 @@
     def _on_timeout(self) -> None:
         if self.done:
             return
+        waits_since = max(self._sent_at, self._last_event_at, self._resumed_at)
+        self.progress.on_timeout(
+            self._forwarder.now() - waits_since,
+            is_caller_slow=self._is_caller_slow,
+        )
         self._forwarder.outcomes.on_timeout(self)
         at_target = self._conn is not None
         self._close_connection()
@@ -428,6 +442,7 @@
     def _on_caller_disconnected(self) -> None:
         if self.done:
             return
+        self.progress.stop(response_progress.End.CALLER)
         self._close_connection()
         self._release_slot()
         self._finish("caller gone")
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -536,8 +536,8 @@
         candidates = self._find_candidates(exchange.service, targets, now)
         if candidates.free_slots < 1 or not self._take_retry(exchange, now):
             return
-        self._responses.record_move(exchange)
         exchange.leave_target()
+        self._responses.record_move(exchange)
         self._choose_and_send(exchange, candidates, now)
 
     # Other entries.
--- a/jasperweir/components/forward/outcome_tracker.py
+++ b/jasperweir/components/forward/outcome_tracker.py
@@ -14,6 +14,7 @@
 from jasperweir.components.forward import queues as queues_lib
 from jasperweir.components.forward import recorder as recorder_lib
 from jasperweir.components.forward import request_state
+from jasperweir.components.forward import response_progress
 from jasperweir.components.forward import response_recorder
 from jasperweir.components.forward import startup_grace as startup_grace_lib
 
@@ -69,7 +70,6 @@
         exchange: exchange_lib.Exchange,
         target: records.Target,
         fault: request_state.Fault,
-        reason: str,
     ) -> None:
         """Handle an attempt that brought no usable response."""
         now = self._clock.monotonic()
@@ -90,7 +90,12 @@
                     service, begins=True, group=unit[len(service) + 1 :]
                 )
         at_target = self._balancer.count_at(target.target_id, now)
-        self._responses.record_fault(exchange, target, fault, reason, at_target)
+        self._responses.record_fault(exchange, target, fault, at_target)
+
+    def on_not_sent(self, exchange: exchange_lib.Exchange, reason: str) -> None:
+        """Handle a chosen target that does not get the request after all."""
+        exchange.progress.stop(response_progress.End.UNSENT, reason)
+        self._responses.record_not_sent(exchange)
 
     def on_accepted(
         self, exchange: exchange_lib.Exchange, target: records.Target
--- a/jasperweir/components/forward/response_body.py
+++ b/jasperweir/components/forward/response_body.py
@@ -82,23 +82,23 @@
         self._is_passing_on = True
         return self._take_buffered()
 
-    def find_cut(self) -> str:
+    def find_cut(self) -> response_progress.Cut | None:
         """Return why the response is incomplete after the end of its framing.
 
         Returns:
-            The reason; empty if the response is complete as far as can be told.
+            None if the response is complete as far as can be told.
         """
         if not self.is_event_stream:
-            return ""
+            return None
         if self._splitter.is_inside_event:
-            return "ended inside an event"
+            return response_progress.Cut.INSIDE_EVENT
         if self._splitter.count:
-            return ""
+            return None
         if self._expects_event:
-            return "ended before an event that had begun"
+            return response_progress.Cut.BEFORE_BEGUN_EVENT
         if self._progress.framing is http_message.Framing.CLOSE:
-            return "closed before the first event"
-        return ""
+            return response_progress.Cut.BEFORE_FIRST_EVENT
+        return None
 
     def take_rest(self) -> bytes:
         """Return the bytes of a complete response not yet passed on."""
--- a/jasperweir/components/forward/response_progress.py
+++ b/jasperweir/components/forward/response_progress.py
@@ -1,4 +1,4 @@
-"""What has arrived of a target's response, for logs and metrics."""
+"""What has arrived of a target's response and what ended it."""
 
 import dataclasses
 import enum
@@ -7,18 +7,75 @@
 
 
 class End(enum.Enum):
-    """What ended a response."""
+    """What ended an attempt and its response."""
 
+    # No target was chosen.
+    NONE = "none"
+    # The request was not written to the chosen target.
+    UNSENT = "unsent"
     # The target's framing was complete.
     FRAMING = "framing"
     # The target closed a connection whose close ends the body.
     CLOSE = "close"
-    # The connection was reset or closed before the framing was complete.
+    # The connection was reset or closed before the framing was complete, or
+    # the response could not be parsed.
     BROKEN = "broken"
-    # The entry stopped reading: fault, timeout or disconnect of the caller.
+    # The head showed a fault, e.g. by its status; the body was not read.
+    FAULT = "fault"
+    # The deadline of the request passed.
+    TIMEOUT = "timeout"
+    # The caller disconnected.
+    CALLER = "caller"
+    # The stream moved away from a slow target.
+    MOVED = "moved"
+    # The entry stopped reading for another reason.
     OWN = "own"
 
 
+class Cut(enum.Enum):
+    """Why a response is incomplete.
+
+    The values are reasons that log lines give. The names, in lower case, are
+    labels of metrics.
+    """
+
+    INSIDE_EVENT = "ended inside an event"
+    BEFORE_BEGUN_EVENT = "ended before an event that had begun"
+    BEFORE_FIRST_EVENT = "closed before the first event"
+    # Closed in order, before the framing was complete.
+    CLOSED = "closed"
+    CLOSED_BEFORE_HEAD = "closed before the head"
+    RESET = "reset"
+    # The target acknowledges nothing or can't be reached.
+    UNREACHABLE = "unreachable"
+    MALFORMED = "malformed response"
+    OTHER_REQUEST = "a response to another request"
+    # The target cut off a response that its caller didn't read.
+    UNREAD = "not read"
+    OTHER = "other"
+
+
+_RESET_TEXTS = ("Connection reset", "Broken pipe")
+
+
+def classify_broken(reason: str, *, has_head: bool) -> Cut:
+    """Return why a response whose connection broke is incomplete.
+
+    Args:
+        reason: Reason of the connection.
+        has_head: Whether the head of the response has arrived.
+    """
+    for cut in (Cut.MALFORMED, Cut.OTHER_REQUEST):
+        if reason.startswith(cut.value):
+            return cut
+    if reason == "closed":
+        return Cut.CLOSED if has_head else Cut.CLOSED_BEFORE_HEAD
+    if not reason.startswith("closed: "):
+        return Cut.OTHER
+    is_reset = any(text in reason for text in _RESET_TEXTS)
+    return Cut.RESET if is_reset else Cut.UNREACHABLE
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class ResponseProgress:
     """What has arrived of the response to one attempt.
@@ -28,32 +85,89 @@
         body_bytes: Bytes of the body.
         events: Complete events of a stream.
         pending_bytes: Bytes of a stream after its last complete event.
-        end: What ended the response.
-        reason: Why the connection broke, empty if it didn't.
+        end: What ended the attempt; OWN while it runs.
+        reason: Details of the end, empty if there are none.
+        cut: Why the response is incomplete though the entry didn't stop reading
+            it, None otherwise.
+        is_counted: Whether the metrics include the attempt.
     """
 
     framing: http_message.Framing | None = None
     body_bytes: int = 0
     events: int = 0
     pending_bytes: int = 0
-    end: End = End.OWN
+    end: End = End.NONE
     reason: str = ""
+    cut: Cut | None = None
+    is_counted: bool = False
+
+    def on_sent(self) -> None:
+        """Record that the request is written to the target."""
+        self.end = End.OWN
 
     def on_end(self) -> None:
-        """Record the regular end of the response."""
+        """Record the end of the framing."""
         is_close = self.framing is http_message.Framing.CLOSE
         self.end = End.CLOSE if is_close else End.FRAMING
 
+    def on_cut(self, cut: Cut) -> None:
+        """Record that the response is incomplete.
+
+        Args:
+            cut: Why; its value is the reason unless the connection gave one.
+        """
+        self.cut = cut
+        self.reason = self.reason or cut.value
+
     def on_broken(self, reason: str) -> None:
         """Record that the connection broke."""
         self.end = End.BROKEN
         self.reason = reason
+        self.cut = classify_broken(reason, has_head=self.framing is not None)
+
+    def on_timeout(self, idle_s: float, *, is_caller_slow: bool) -> None:
+        """Record that the deadline of the request has passed.
+
+        Args:
+            idle_s: Time since the last event, or else since the request was
+                sent, seconds.
+            is_caller_slow: Whether reading pauses for the caller.
+        """
+        if self.end is End.UNSENT:
+            reason = "deadline passed while connecting"
+        elif is_caller_slow:
+            reason = "the caller doesn't read"
+        elif self.framing is None:
+            reason = f"no response for {idle_s:.1f} s"
+        elif self.events:
+            reason = f"no event for {idle_s:.1f} s"
+        else:
+            reason = f"incomplete after {idle_s:.1f} s"
+        self.stop(End.TIMEOUT, reason)
+
+    def stop(self, end: End, reason: str = "") -> None:
+        """Record why the entry reads no further, unless it has already ended.
+
+        An attempt that was not sent remains so.
+        """
+        if self.end is End.OWN:
+            self.end = end
+            self.reason = reason
+        elif self.end is End.UNSENT:
+            self.reason = self.reason or reason
+
+    @property
+    def framing_label(self) -> str:
+        """Name of the framing, ``no_head`` before the head."""
+        return self.framing.value if self.framing else "no_head"
 
     def log_fields(self) -> dict[str, object]:
         """Return the fields of a log line."""
         return {
-            "framing": self.framing.value if self.framing else "",
+            "framing": self.framing_label,
             "end": self.end.value,
+            "cut": self.cut.name.lower() if self.cut else "",
+            "reason": self.reason,
             "body_bytes": self.body_bytes,
             "events": self.events,
             "pending_bytes": self.pending_bytes,
--- a/jasperweir/components/forward/response_recorder.py
+++ b/jasperweir/components/forward/response_recorder.py
@@ -38,7 +38,7 @@
         progress = exchange.progress
         self._metrics.inc(
             "responses_ended",
-            framing=progress.framing.value if progress.framing else "none",
+            framing=progress.framing_label,
             end=progress.end.value,
         )
         self._metrics.observe("request_seconds", now - state.arrived_at)
@@ -75,7 +75,6 @@
         exchange: exchange_lib.Exchange,
         target: records.Target,
         fault: request_state.Fault,
-        reason: str,
         open_requests: int,
     ) -> None:
         """Record an attempt that brought no usable response."""
@@ -86,8 +85,8 @@
             target=target.target_id,
             address=target.address,
             fault=fault.value,
-            reason=reason,
             open=open_requests,
+            sends=exchange.state.attempts,
             **exchange.progress.log_fields(),
         )
 
@@ -102,6 +101,8 @@
             id=exchange.state.caller_headers.request_id,
             target=exchange.target_id,
             last_event=exchange.state.last_event_id,
+            sends=exchange.state.attempts,
+            **exchange.progress.log_fields(),
         )
 
     def record_unread(self, exchange: exchange_lib.Exchange) -> None:
@@ -112,6 +113,8 @@
             id=exchange.state.caller_headers.request_id,
             target=exchange.target_id,
             last_event=exchange.state.last_event_id,
+            sends=exchange.state.attempts,
+            **exchange.progress.log_fields(),
         )
 
     def record_timeout(self, exchange: exchange_lib.Exchange) -> None:
@@ -121,4 +124,15 @@
             id=exchange.state.caller_headers.request_id,
             target=exchange.target_id,
             sends=exchange.state.attempts,
+            **exchange.progress.log_fields(),
+        )
+
+    def record_not_sent(self, exchange: exchange_lib.Exchange) -> None:
+        """Record that the chosen target does not get the request."""
+        _log.info(
+            "request not sent",
+            id=exchange.state.caller_headers.request_id,
+            target=exchange.target_id,
+            sends=exchange.state.attempts,
+            **exchange.progress.log_fields(),
         )
