Report answers by framing and end, and cuts by reason and target

jasperweir report requests could not show whether answers of a target are cut off, or how they were framed. A log whose last line ends within a character could not be read at all, and the first line of a restarted process was lost if it followed a cut line without a break.

Change: tables of answers by framing and end, with outcomes; of cut attempts by reason; and of the targets with most of them. Cuts are taken from the one line that each such attempt has, so that those continued elsewhere count and none counts twice. Logs are read as UTF-8 with replacement characters.

--- a/features/outcomes.feature
+++ b/features/outcomes.feature
@@ -40,3 +40,31 @@
     And the row of priority 2 is "0 1 0 2 2001:1 2004:1"
     And the row of customer "large" is "0 1 0 2 2001:1 2004:1"
     And a line of an older version is in no row
+
+  Scenario: The report hides how answers were framed and why they were cut off
+    When "report requests" is run on the log of an entry whose targets cut off answers
+    Then it prints the page "report-cut-answers.txt"
+
+  Scenario: A cut that was continued elsewhere counts once, at its own target
+    Given a log with a request that was cut off at one target and answered by another
+    Then the row of answers "chunks, framing" is "1 0 0 0 0"
+    And the row of cuts "inside_event" is "1 1"
+    And its state changes name "send failed ended inside an event"
+
+  Scenario: A line of an older version is listed among the answers
+    When the log has a request that ended "answered 200" with 300 ms to its first byte and pauses of 90 ms
+    Then the report has no table of answers or cuts
+
+  Scenario Outline: A log whose last line is cut can't be read
+    When "report requests" is run on a log whose last line is cut <place>
+    Then it prints a row of 3 in time and 2 refused
+
+    Examples:
+      | place               |
+      | within a number     |
+      | within a character  |
+      | after its last word |
+
+  Scenario: The line after a cut one is lost with it
+    Given a log with a cut line that the line of a restarted process follows without a break
+    Then its state changes name "started"
--- a/features/steps/outcomes_steps.py
+++ b/features/steps/outcomes_steps.py
@@ -3,15 +3,19 @@
 import contextlib
 import io
 import json
+import pathlib
 
 from behave import given
 from behave import then
 from behave import when
 
+from features.harness import response_ends
 from jasperweir.cli import main as cli
 from jasperweir.components.outcomes import lines
 from jasperweir.components.outcomes import summary as summary_lib
 
+GOLDEN = pathlib.Path(__file__).parent.parent / "golden"
+
 
 def request_line(
     outcome="answered 200", at=10.0, first_ms=300, gap_ms=90, used_ms=0
@@ -168,3 +172,103 @@
 def step_older_line(context):
     found = context.summary.priorities.values()
     assert sum(s.admitted + s.refused.total() for s in found) == 4
+
+
+def run_report(context, data):
+    """Write a log and return the lines of the report on it."""
+    path = f"{context.folder}/entry.log"
+    with open(path, "wb") as log:
+        log.write(data)
+    out = io.StringIO()
+    with contextlib.redirect_stdout(out):
+        code = cli.main(["report", "requests", path])
+    assert code == 0, code
+    context.page = out.getvalue().splitlines()
+
+
+@when(
+    '"report requests" is run on the log of an entry whose targets cut off '
+    "answers"
+)
+def step_run_cut(context):
+    whole = response_ends.ANSWERS["in chunks"]
+    runs = [
+        response_ends.run([answer, whole], attempts=attempts)
+        for answer in response_ends.ANSWERS.values()
+        for attempts in (1, 2)
+    ]
+    texts = [
+        json.dumps({"at": number / 10, **line})
+        for number, run in enumerate(runs)
+        for line in run.lines
+    ]
+    run_report(context, "\n".join(texts).encode())
+
+
+@then('it prints the page "{name}"')
+def step_page(context, name):
+    golden = (GOLDEN / name).read_text(encoding="utf-8").splitlines()
+    assert context.page == golden, "\n".join(context.page)
+
+
+@given(
+    "a log with a request that was cut off at one target and answered by "
+    "another"
+)
+def step_continued(context):
+    run = response_ends.run(
+        [
+            response_ends.ANSWERS["and closes inside an event"],
+            response_ends.ANSWERS["in chunks"],
+        ],
+        attempts=2,
+    )
+    context.summary = summary_lib.Summary()
+    context.summary.add(json.dumps({"at": 1.0, **x}) for x in run.lines)
+    context.page = summary_lib.format_text(context.summary).splitlines()
+
+
+def find_cells(context, name):
+    """Return the cells of the row with a name."""
+    row = next(x for x in context.page if x.startswith(f"{name} "))
+    return " ".join(row.removeprefix(name).split())
+
+
+@then('the row of {what} "{name}" is "{cells}"')
+def step_named_row(context, what, name, cells):
+    assert find_cells(context, name) == cells, context.page
+
+
+@then('its state changes name "{what}"')
+def step_change(context, what):
+    (window,) = context.summary.list_windows()
+    assert window.changes == {what: 1}, window.changes
+
+
+@then("the report has no table of answers or cuts")
+def step_no_tables(context):
+    page = summary_lib.format_text(context.summary)
+    assert "answer" not in page, page
+
+
+@when('"report requests" is run on a log whose last line is cut {place}')
+def step_run_truncated(context, place):
+    texts = [request_line()] * 3 + [request_line("overloaded", first_ms=-1)] * 2
+    cut = {
+        "within a number": request_line()[:12],
+        "within a character": '{"at": 1.0, "reason": "\u00e9',
+        "after its last word": request_line()[:-1],
+    }[place].encode()
+    if place == "within a character":
+        cut = cut[:-1]
+    run_report(context, "\n".join(texts).encode() + b"\n" + cut)
+
+
+@given(
+    "a log with a cut line that the line of a restarted process follows "
+    "without a break"
+)
+def step_glued(context):
+    cut = request_line()[:40]
+    context.summary = summary_lib.Summary()
+    context.summary.add([cut + '{"at":11.0,"node":"vm-1","event":"started"}'])
--- a/jasperweir/cli/report.py
+++ b/jasperweir/cli/report.py
@@ -1,6 +1,7 @@
 """Commands that report burn rates, expert maps and request outcomes."""
 
 import argparse
+import io
 import json
 import pathlib
 import sys
@@ -40,7 +41,7 @@
     requests.add_argument(
         "logs",
         nargs="+",
-        type=argparse.FileType("r"),
+        type=argparse.FileType("r", encoding="utf-8"),
         help="log files, or - (lines may start with a time in seconds)",
     )
     requests.add_argument(
@@ -83,6 +84,9 @@
 def _requests(args: argparse.Namespace) -> int:
     summary = summary_lib.Summary(window_s=args.window)
     for log in args.logs:
+        if isinstance(log, io.TextIOWrapper):
+            # A truncated line may end within a character.
+            log.reconfigure(errors="replace")
         summary.add(log)
     print(summary_lib.format_text(summary), end="")
     return 0
--- a/jasperweir/components/outcomes/const.py
+++ b/jasperweir/components/outcomes/const.py
@@ -33,5 +33,12 @@
         "started",
     }
 )
+# Log events of attempts whose answer may have been cut off. Each attempt has at
+# most one of them; "request ended" repeats what they say.
+CUT_EVENTS = frozenset({"send failed", "answer not read in time"})
+# Beginning of each line that a process writes.
+LINE_START = '{"at":'
+# Number of targets with the most cut answers in the report.
+CUT_TARGETS_SHOWN = 8
 # Most customers that the report lists.
 CUSTOMERS_SHOWN = 24
--- a/jasperweir/components/outcomes/lines.py
+++ b/jasperweir/components/outcomes/lines.py
@@ -32,6 +32,9 @@
         customer: Name of its customer, or empty.
         code: Result code of a rejection, 0 if there is none.
         waited: Whether it waited for a slot.
+        framing: Framing of the response to its last attempt, empty if an older
+            version wrote the line.
+        end: What ended that attempt, empty if an older version wrote the line.
     """
 
     at: float
@@ -43,6 +46,8 @@
     customer: str = ""
     code: int = 0
     waited: bool = False
+    framing: str = ""
+    end: str = ""
 
 
 class Change(NamedTuple):
@@ -54,7 +59,21 @@
     detail: str
 
 
-def parse_line(line: str) -> EndedRequest | Change | None:
+class CutAnswer(NamedTuple):
+    """Answer of a target that was cut off.
+
+    Attributes:
+        target: Id of the target.
+        cut: Why it is incomplete.
+        change: The state change that the line stands for, if any.
+    """
+
+    target: str
+    cut: str
+    change: Change | None
+
+
+def parse_line(line: str) -> EndedRequest | Change | CutAnswer | None:
     """Parse one log line; return None if the report doesn't use it.
 
     If a log collector has put a time, in seconds, before the line, that time
@@ -64,25 +83,44 @@
     if start < 0:
         return None
     collected_at = _parse_time(line[:start].split())
-    try:
-        body = json.loads(line[start:])
-    except ValueError:
-        # The line may be truncated because its process was killed.
-        return None
-    if not isinstance(body, dict) or "at" not in body:
+    body = _parse_body(line[start:])
+    if body is None:
         return None
     at = float(body["at"]) if collected_at is None else collected_at
     event = str(body.get("event", ""))
     if event == "request ended":
         return _parse_ended(body, at)
+    change = None
     if event in const.STATE_CHANGE_EVENTS:
         detail = body.get("reason") or body.get("is_now") or body.get("phase")
-        return Change(
+        change = Change(
             at=at,
             node=str(body.get("node", "")),
             event=event,
             detail=str(detail or ""),
         )
+    if event in const.CUT_EVENTS and body.get("cut"):
+        return CutAnswer(
+            target=str(body.get("target", "")),
+            cut=str(body["cut"]),
+            change=change,
+        )
+    return change
+
+
+def _parse_body(text: str) -> dict[str, Any] | None:
+    """Return the fields of a line, None if it is truncated or another's."""
+    # A line is truncated if its process was killed. The first line of the next
+    # process may then follow without a line break.
+    for start in (0, text.rfind(const.LINE_START)):
+        if start < 0:
+            return None
+        try:
+            body = json.loads(text[start:])
+        except ValueError:
+            continue
+        if isinstance(body, dict) and "at" in body:
+            return body
     return None
 
 
@@ -105,6 +143,8 @@
         customer=str(body.get("customer", "")),
         code=_find_code(str(body.get("outcome", ""))),
         waited=bool(body.get("waited", False)),
+        framing=str(body.get("framing", "")),
+        end=str(body.get("end", "")),
     )
 
 
--- a/jasperweir/components/outcomes/summary.py
+++ b/jasperweir/components/outcomes/summary.py
@@ -66,6 +66,10 @@
         returns: Requests retried after a rejection, by outcome.
         priorities: Requests by priority.
         customers: Requests by customer.
+        answers: Requests by framing and end of the response to their last
+            attempt, and outcome.
+        cuts: Answers that were cut off, by reason and target. Those of attempts
+            whose request was continued elsewhere are included.
     """
 
     def __init__(self, *, window_s: float = const.WINDOW_SECONDS) -> None:
@@ -74,6 +78,8 @@
         self.returns: Counts = collections.Counter()
         self.priorities: dict[int, Service] = {}
         self.customers: dict[str, Service] = {}
+        self.answers: dict[tuple[str, str], Counts] = {}
+        self.cuts: dict[str, collections.Counter[str]] = {}
         self._window_s = window_s
         self._windows: dict[int, Window] = {}
 
@@ -84,8 +90,12 @@
                 case lines_lib.EndedRequest() as ended:
                     self._add_ended(ended)
                 case lines_lib.Change() as change:
-                    what = f"{change.event} {change.detail}".strip()
-                    self._window(change.at).changes[what] += 1
+                    self._add_change(change)
+                case lines_lib.CutAnswer(target, cut, change):
+                    targets = self.cuts.setdefault(cut, collections.Counter())
+                    targets[target] += 1
+                    if change is not None:
+                        self._add_change(change)
 
     def list_windows(self) -> list[Window]:
         """Return all windows in order of time."""
@@ -96,6 +106,10 @@
         asked = [w for w in self.list_windows() if w.counts.total()]
         return sorted(asked, key=_in_time_share)[:count]
 
+    def _add_change(self, change: lines_lib.Change) -> None:
+        what = f"{change.event} {change.detail}".strip()
+        self._window(change.at).changes[what] += 1
+
     def _add_ended(self, ended: lines_lib.EndedRequest) -> None:
         route = self.routes.setdefault(ended.route, collections.Counter())
         route[ended.outcome] += 1
@@ -105,6 +119,11 @@
             self.priorities.setdefault(ended.priority, Service()).add(ended)
         if ended.customer:
             self.customers.setdefault(ended.customer, Service()).add(ended)
+        if ended.end:
+            answer = self.answers.setdefault(
+                (ended.framing, ended.end), collections.Counter()
+            )
+            answer[ended.outcome] += 1
         if ended.is_return:
             self.returns[ended.outcome] += 1
         self._window(ended.at).counts[ended.outcome] += 1
@@ -127,6 +146,8 @@
     out.append(_counts_row("(retried)", summary.returns))
     out += _list_service("priority", summary.priorities)
     out += _list_service("customer", summary.customers)
+    out += _list_answers(summary)
+    out += _list_cuts(summary)
     out.append("")
     out.append("not served, by outcome:")
     for detail, count in summary.details.most_common():
@@ -166,6 +187,37 @@
     return out
 
 
+def _list_answers(summary: Summary) -> list[str]:
+    """Return the rows of answers by framing and end."""
+    if not summary.answers:
+        return []
+    out = ["", _row("answer: framing, end", [o.value for o in Outcome])]
+    for (framing, end), counts in sorted(summary.answers.items()):
+        out.append(_counts_row(f"{framing}, {end}", counts))
+    return out
+
+
+def _list_cuts(summary: Summary) -> list[str]:
+    """Return the rows of cut answers by reason and by target."""
+    if not summary.cuts:
+        return []
+    out = ["", _row("answers cut off", ["attempts", "targets"])]
+    by_target: collections.Counter[str] = collections.Counter()
+    for cut in sorted(summary.cuts, key=lambda c: -summary.cuts[c].total()):
+        targets = summary.cuts[cut]
+        out.append(_row(cut, [str(targets.total()), str(len(targets))]))
+        by_target.update(targets)
+    out += ["", "targets with the most answers cut off:"]
+    for target, count in by_target.most_common(const.CUT_TARGETS_SHOWN):
+        cuts = " ".join(
+            f"{cut}:{targets[target]}"
+            for cut, targets in sorted(summary.cuts.items())
+            if target in targets
+        )
+        out.append(f"  {count:6} {target}  {cuts}")
+    return out
+
+
 def _counts_row(name: str, counts: Counts) -> str:
     return _row(name, [str(counts[outcome]) for outcome in Outcome])
 
