A stream that breaks off for an HTTP/1.0 caller resets the connection

HTTP/1.0 callers of the own interface, agents included, took a stream that was broken off for a complete one: the connection ends their body, and waitress closes it in order after an error of the application.

Now the connection lingers for no time from the head of such a response to its end, so that any close in between is a reset, even the end of the process. Responses with a length or in chunks are closed in order as before.

--- a/jasperweir/helpers/web.py
+++ b/jasperweir/helpers/web.py
@@ -2,15 +2,20 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import contextlib
 import http
 import json
+import socket
+import struct
 import threading
 from typing import Any
 from typing import NamedTuple
 import urllib.parse
 
 import waitress
+import waitress.channel
 import waitress.server
+import waitress.task
 
 from jasperweir import result_codes
 
@@ -104,6 +109,40 @@
     return json_resp(row.http, {"error": error}, **headers)
 
 
+class _Task(waitress.task.WSGITask):
+    """Response whose connection is reset if its body lacks its end.
+
+    The end of the connection ends a body without a length for an HTTP/1.0
+    caller. Any end of the connection before the end of the response is a reset
+    then, the end of the process included.
+    """
+
+    def build_response_header(self) -> bytes:
+        """Return the head, after which the body is not complete."""
+        head: bytes = super().build_response_header()
+        if self.content_length is None and not self.chunked_response:
+            self._reset_on_close(True)
+        return head
+
+    def finish(self) -> None:
+        """Complete the response."""
+        super().finish()
+        if self.content_length is None and not self.chunked_response:
+            self._reset_on_close(False)
+
+    def _reset_on_close(self, is_reset: bool) -> None:
+        linger = struct.pack("ii", is_reset, 0)
+        # The caller may be gone.
+        with contextlib.suppress(OSError):
+            self.channel.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, linger
+            )
+
+
+class _Channel(waitress.channel.HTTPChannel):
+    task_class = _Task
+
+
 class Server:
     """Serves routes on an address with a pool of threads."""
 
@@ -127,6 +166,7 @@
             ident=None,
             clear_untrusted_proxy_headers=True,
         )
+        self._server.channel_class = _Channel
         self._thread = threading.Thread(
             target=self._server.run, name="http", daemon=True
         )
