HTTP/1.0 callers of the platform's path get no chunks, and a reset when cut

A caller that speaks HTTP/1.0 got Transfer-Encoding: chunked, which it can't read: chunk sizes were part of its body, and the orderly close of a broken response looked like its end. The response to a HEAD request of unknown length was followed by chunks, which the next response on the connection then follows.

Now the connection ends a body of unknown length for such a caller. From its head to its end the connection lingers for no time, so that abort, half-closing, a malformed request and the end of the process reset it. Other bodies are closed in order, which delivers what was sent; abort said that it resets, which it did only with unread bytes. HTTP/1.0 callers that keep the connection open are told that it stays open, and a HEAD response states no length of 0 for an empty body.

--- a/jasperweir/helpers/http_message.py
+++ b/jasperweir/helpers/http_message.py
@@ -33,6 +33,7 @@
         headers: Pairs of lower-case name and value, in the order received.
         body: Complete body after transfer decoding.
         keep_alive: Whether the caller keeps the connection open.
+        version: HTTP version, such as ``1.1``.
     """
 
     method: bytes
@@ -40,6 +41,12 @@
     headers: Headers
     body: bytes
     keep_alive: bool
+    version: str = "1.1"
+
+    @property
+    def reads_chunks(self) -> bool:
+        """Whether the caller knows the chunked transfer coding."""
+        return self.version >= "1.1"
 
     @property
     def path(self) -> str:
--- a/jasperweir/helpers/http_server.py
+++ b/jasperweir/helpers/http_server.py
@@ -8,6 +8,7 @@
 import collections
 from collections.abc import Callable
 import socket
+import struct
 from typing import NamedTuple
 
 import httptools
@@ -58,6 +59,7 @@
         on_writable: Called when the caller has read most of it.
         started: Whether the head has been written.
         done: Whether the response is complete or was aborted.
+        is_until_close: Whether the end of the connection ends the body.
     """
 
     def __init__(
@@ -69,8 +71,10 @@
         self.on_writable: Callable[[], None] | None = None
         self.started = False
         self.done = False
+        self.is_until_close = False
         self._conn = conn
         self._chunked = False
+        self._has_body = req.method != b"HEAD"
 
     def reply(
         self, status: int, headers: http_message.Headers, body: bytes
@@ -78,11 +82,11 @@
         """Send a complete response."""
         if self.done:
             return
-        fields = [*headers, (b"content-length", b"%d" % len(body))]
+        fields = list(headers)
+        if body or self._has_body:
+            fields.append((b"content-length", b"%d" % len(body)))
         head = self._head(status, fields)
-        if self.request.method == b"HEAD":
-            body = b""
-        self._conn.write(head + body)
+        self._conn.write(head + body if self._has_body else head)
         self._finish()
 
     def start(
@@ -96,22 +100,27 @@
         Args:
             status: HTTP status.
             headers: Headers without those that frame the body.
-            length: Bytes of the body; None for the chunked transfer coding.
+            length: Bytes of the body; None if unknown. Its end is marked by
+                the chunked transfer coding, or by the end of the connection
+                for a caller that doesn't know that coding.
         """
         if self.done:
             return
         fields = list(headers)
-        if length is None:
-            fields.append((b"transfer-encoding", b"chunked"))
-            self._chunked = True
-        else:
+        if length is not None:
             fields.append((b"content-length", b"%d" % length))
+        elif self.request.reads_chunks:
+            fields.append((b"transfer-encoding", b"chunked"))
+            self._chunked = self._has_body
+        elif self._has_body:
+            self.is_until_close = True
+            self._conn.reset_on_close(True)
         self.started = True
         self._conn.write(self._head(status, fields))
 
     def send(self, data: bytes) -> None:
         """Send a part of the body."""
-        if self.done or not data:
+        if self.done or not data or not self._has_body:
             return
         self._conn.write(http_message.chunk(data) if self._chunked else data)
         self._conn.check_unsent()
@@ -122,10 +131,15 @@
             return
         if self._chunked:
             self._conn.write(http_message.LAST_CHUNK)
+        if self.is_until_close:
+            self._conn.reset_on_close(False)
         self._finish()
 
     def abort(self) -> None:
-        """Reset the connection so that the response is seen as incomplete."""
+        """End the connection so that the response is seen as incomplete.
+
+        It is reset if its end would complete the body.
+        """
         if self.done:
             return
         self.done = True
@@ -133,8 +147,11 @@
 
     def _head(self, status: int, headers: http_message.Headers) -> bytes:
         self.started = True
-        if not self._conn.keeps_alive(self.request):
+        if self.is_until_close or not self._conn.keeps_alive(self.request):
             headers = [*headers, (b"connection", b"close")]
+        elif not self.request.reads_chunks:
+            # Such a caller otherwise waits for the end of the connection.
+            headers = [*headers, (b"connection", b"keep-alive")]
         return http_message.write_head(
             http_message.status_line(status), headers
         )
@@ -297,6 +314,7 @@
             headers=self._headers,
             body=b"".join(self._body),
             keep_alive=self._parser.should_keep_alive(),
+            version=self._parser.get_http_version(),
         )
         if len(self._queue) >= MAX_PIPELINED:
             self.abort()
@@ -317,7 +335,7 @@
             self._server.on_unsent(self, unsent)
 
     def check_unsent(self) -> None:
-        """Reset the connection if a response outruns its caller too far."""
+        """Abort the connection if a response outruns its caller too far."""
         if self.unsent_bytes > WRITE_BUFFER_BYTES:
             self.abort()
 
@@ -349,7 +367,8 @@
         self._current = None
         self._release_body(len(answering.request.body))
         self._idle_since = clocks.elapsed()
-        if not self.keeps_alive(answering.request):
+        is_last = answering.is_until_close
+        if is_last or not self.keeps_alive(answering.request):
             self.close()
             return
         if self._queue:
@@ -361,8 +380,19 @@
         if self._transport is not None:
             self._transport.close()
 
+    def reset_on_close(self, is_reset: bool) -> None:
+        """Set whether any end of the connection is a reset.
+
+        It holds for the end of the process, too.
+        """
+        if self._transport is None or self._transport.is_closing():
+            return
+        sock = self._transport.get_extra_info("socket")
+        linger = struct.pack("ii", is_reset, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def abort(self) -> None:
-        """Reset the connection at once."""
+        """Close the connection at once, without what is not yet sent."""
         self._closing = True
         if self._transport is not None:
             self._transport.abort()
