The response to a HEAD request ends with its head

A HEAD request that was forwarded waited for the body that its target's Content-Length or chunked coding describes, until its time was over or the target closed; a body that followed was passed on.

Cause: httptools' parser isn't told the method of a request. Now the connection takes such a response for complete at its head, goes on with a new parser, and isn't reused if a body follows.

Responses cut off in their heads, bodies and chunk sizes are broken to this client; that held before, too.

--- a/features/cut_answers_own.feature
+++ b/features/cut_answers_own.feature
@@ -43,3 +43,37 @@
       | agent  |
       | entry  |
       | client |
+
+  Scenario Outline: The response to a HEAD request waits for a body that never comes
+    When a HEAD request is answered with "<fields>"
+    Then the response is complete without a body
+    And the next response on the connection is read whole
+
+    Examples:
+      | fields                     |
+      | Content-Length: 10         |
+      | Transfer-Encoding: chunked |
+
+  Scenario: The response to a HEAD request has neither a length nor a body
+    When a HEAD request is answered with "Date: today"
+    Then the response is complete without a body
+    And the connection is not reused
+
+  Scenario: A body that follows the response to a HEAD request is taken for a response
+    When a HEAD request is answered with a body
+    Then the response is complete without a body
+    And the connection is not reused
+
+  Scenario Outline: A response to the asynchronous client is cut off
+    When "<sent>" is received and the connection ends
+    Then the asynchronous client's response is broken
+
+    Examples:
+      | sent                                                  |
+      | HTTP/1.1 200 OK~                                      |
+      | HTTP/1.1 200 OK~Content-Type: text/plain              |
+      | HTTP/1.1 200 OK~Content-Type: text/plain~             |
+      | HTTP/1.1 200 OK~Content-Length: 3~~ab                 |
+      | HTTP/1.1 200 OK~Transfer-Encoding: chunked~~3~abc~    |
+      | HTTP/1.1 200 OK~Transfer-Encoding: chunked~~3~abc~0   |
+      | HTTP/1.1 200 OK~Transfer-Encoding: chunked~~3~abc~00  |
--- a/features/steps/cut_answers_own_steps.py
+++ b/features/steps/cut_answers_own_steps.py
@@ -1,5 +1,6 @@
 """Steps for cut_answers_own.feature."""
 
+import asyncio
 import collections
 import json
 
@@ -7,6 +8,7 @@
 from behave import when
 
 from features.harness import cut_answers_own
+from features.harness import virtual_loop
 
 SHOWN = 12
 EVENTS = cut_answers_own.EVENTS
@@ -141,3 +143,92 @@
 def step_error_status(context):
     assert context.answer.status == 400, context.answer
     assert context.answer.body == cut_answers_own.PLAIN
+
+
+class Listener:
+    """Records one response.
+
+    Attributes:
+        body: The body so far.
+        ends: Number of complete responses.
+        broken: Reasons of broken responses.
+    """
+
+    def __init__(self):
+        self.body = b""
+        self.ends = 0
+        self.broken = []
+
+    def on_head(self, head, length):
+        return True
+
+    def on_data(self, data):
+        self.body += data
+
+    def on_end(self):
+        self.ends += 1
+
+    def on_broken(self, reason):
+        self.broken.append(reason)
+
+
+async def receive(context, responses, *, is_closed):
+    """Send a HEAD or GET request for each response to an open connection."""
+    left = list(responses)
+    context.conn = virtual_loop.open_connection(
+        lambda transport, head: transport.answer(left.pop(0)[1])
+    )
+    context.listeners = []
+    for method, _ in responses:
+        listener = Listener()
+        context.listeners.append(listener)
+        context.conn.send(method + b" / HTTP/1.1\r\n\r\n", listener)
+        if context.conn.closed:
+            break
+    if is_closed:
+        context.conn._transport.end()
+    await asyncio.sleep(0)
+
+
+@when('a HEAD request is answered with "{fields}"')
+def step_head_answered(context, fields):
+    head = b"HTTP/1.1 200 OK\r\n" + fields.encode() + b"\r\n\r\n"
+    later = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"
+    asyncio.run(
+        receive(context, [(b"HEAD", head), (b"GET", later)], is_closed=False)
+    )
+
+
+@when("a HEAD request is answered with a body")
+def step_head_with_body(context):
+    sent = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"
+    asyncio.run(receive(context, [(b"HEAD", sent)], is_closed=False))
+
+
+@then("the response is complete without a body")
+def step_head_complete(context):
+    listener = context.listeners[0]
+    assert (listener.ends, listener.body) == (1, b""), vars(listener)
+
+
+@then("the next response on the connection is read whole")
+def step_next_whole(context):
+    listener = context.listeners[1]
+    assert (listener.ends, listener.body) == (1, b"abc"), vars(listener)
+
+
+@then("the connection is not reused")
+def step_not_reused(context):
+    assert not context.conn.idle
+
+
+@when('"{sent}" is received and the connection ends')
+def step_cut_response(context, sent):
+    raw = sent.replace("~", "\r\n").encode()
+    asyncio.run(receive(context, [(b"GET", raw)], is_closed=True))
+
+
+@then("the asynchronous client's response is broken")
+def step_async_broken(context):
+    listener = context.listeners[0]
+    assert not listener.ends and listener.broken, vars(listener)
--- a/jasperweir/helpers/http_client.py
+++ b/jasperweir/helpers/http_client.py
@@ -91,6 +91,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers: http_message.Headers = []
         self._skipping = False
+        # Whether the response has no body, whatever its headers state.
+        self._is_head_only = False
         self._until_close = False
         self._complete = False
         self._clean_eof = False
@@ -126,6 +128,7 @@
         assert self._transport is not None
         self._listener = listener
         self._complete = False
+        self._is_head_only = data.startswith(b"HEAD ")
         self.received = False
         self._unsent = memoryview(body)
         self._transport.write(data)
@@ -208,6 +211,9 @@
             # Bytes after a complete response belong to no request.
             self._keep_alive = False
         if self._complete:
+            if self._is_head_only:
+                # The parser waits for the body that the head describes.
+                self._parser = httptools.HttpResponseParser(self)
             self._finish_response()
 
     def pause_writing(self) -> None:
@@ -263,7 +269,7 @@
         length_text = http_message.find(self._headers, b"content-length")
         coding = http_message.find(self._headers, b"transfer-encoding")
         length = int(length_text) if length_text is not None else None
-        bodiless = status in BODILESS_STATUSES
+        bodiless = self._is_head_only or status in BODILESS_STATUSES
         framing = http_message.Framing.CLOSE
         if bodiless:
             framing = http_message.Framing.NONE
@@ -281,9 +287,15 @@
         self._skipping = not wanted
         if self._skipping and self._until_close:
             self._fail("a response to another request, of unknown length")
+        elif self._is_head_only:
+            self._skipping = True
+            self._complete = True
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body to the listener."""
+        if self._is_head_only:
+            # The server sends a body that belongs to no response.
+            self._keep_alive = False
         if not self._skipping and self._listener is not None:
             self._listener.on_data(body)
 
