Report logs that are cut off inside a character, log a malformed placement

report requests ended with UnicodeDecodeError when the last line of a log was cut off inside a character, as a process that is killed leaves it: no summary for any log. Such bytes are now replaced, and the line is left out like any truncated one. An engine's placement that can't be read ended the agent's read in an exception that only asyncio reported; it is logged like a malformed state.

Evidence: features/cut_bodies.feature; the log's scenario failed before. Its others held before: no beginning of an engine's state, counts or placement, of a configuration or of an operation is read as a value, and a request whose body is cut off reaches no handler of either server, in any framing.

--- a/features/harness/cut_callers.py
+++ b/features/harness/cut_callers.py
@@ -101,10 +101,12 @@
 
     Attributes:
         address: Its address, host and port.
+        bodies: Bodies of the requests that its handler received.
     """
 
     def __init__(self):
         self.address = ("", 0)
+        self.bodies = []
         self._case = None
         self._loop = asyncio.new_event_loop()
         self._server = http_server.Server(
@@ -134,8 +136,13 @@
         self._case = case
         return exchange(self.address, case)
 
+    def play_bytes(self, request):
+        """Send a request whose connection stays open; wait for a response."""
+        send_and_wait(self.address, request)
+
     def _handle(self, answering):
-        case = self._case
+        self.bodies.append(answering.request.body)
+        case = self._case or Case("HTTP/1.1", "reply", "whole")
         if case.framing == "reply":
             answering.reply(200, [], BODY)
             return
@@ -186,11 +193,24 @@
     return Received(head.lower(), body, is_reset)
 
 
+def send_and_wait(address, request):
+    """Send a request and wait for the first bytes of its response."""
+    with socket.create_connection(address, SOCKET_SECONDS) as sock:
+        sock.sendall(request)
+        assert sock.recv(1)
+
+
 class ThreadServer:
-    """A ``web.Server`` whose responses are broken off."""
+    """A ``web.Server`` whose responses are broken off.
+
+    Attributes:
+        address: Its address, host and port.
+        bodies: Bodies of the requests that its handler received.
+    """
 
     def __init__(self):
-        route = web.Route("GET", "/", self._handle)
+        self.bodies = []
+        route = web.Route("*", "/", self._handle)
         self._server = web.Server(
             address="127.0.0.1:0", threads=2, routes=[route]
         )
@@ -207,8 +227,13 @@
         self._case = case
         return exchange(self.address, case)
 
+    def play_bytes(self, request):
+        """Send a request whose connection stays open; wait for a response."""
+        send_and_wait(self.address, request)
+
     def _handle(self, req):
-        case = self._case
+        self.bodies.append(req.body)
+        case = self._case or Case("HTTP/1.1", "reply", "whole")
         if case.framing == "reply":
             return web.Resp(200, [], BODY)
         return web.Resp(200, [], self._body(case.end))
--- a/jasperweir/cli/report.py
+++ b/jasperweir/cli/report.py
@@ -41,7 +41,8 @@
     requests.add_argument(
         "logs",
         nargs="+",
-        type=argparse.FileType("r"),
+        # The last line may be cut off inside a character.
+        type=argparse.FileType("r", encoding="utf-8", errors="replace"),
         help="log files, or - (lines may start with a time in seconds)",
     )
     requests.add_argument(
--- a/jasperweir/daemons/site_agent.py
+++ b/jasperweir/daemons/site_agent.py
@@ -147,7 +147,11 @@
             raw = await self._engine.fetch(self._dialect.PLACEMENT_TARGET)
             if raw is None:
                 return
-            self._experts = self._dialect.placement(raw)
+            try:
+                self._experts = self._dialect.placement(raw)
+            except ValueError as exc:
+                _log.warning("placement cannot be read", reason=str(exc))
+                return
             self._experts_version = (state.epoch, state.map_version)
         heartbeat = messages.EngineHeartbeat(
             service=self._cfg.service,
