--- a/features/cut_callers.feature
+++ b/features/cut_callers.feature
@@ -22,6 +22,15 @@
       | platform's path |
       | own interface   |
 
+  Scenario Outline: The process ends in the middle of a body that the connection ends
+    When the process of a server of the <path> is killed while it responds
+    Then none of them takes the response for complete
+
+    Examples:
+      | path            |
+      | platform's path |
+      | own interface   |
+
   Scenario: A last chunk follows the response to a HEAD request
     Given a server of the platform's path
     When callers ask for the head of a response of unknown length
--- a/features/harness/cut_callers.py
+++ b/features/harness/cut_callers.py
@@ -3,13 +3,17 @@
 import asyncio
 import contextlib
 import itertools
+import pathlib
 import socket
+import subprocess
+import sys
 import threading
 from typing import NamedTuple
 
 from jasperweir.helpers import http_server
 from jasperweir.helpers import web
 
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 PARTS = (b"first part, ", b"second part")
 BODY = b"".join(PARTS)
 SOCKET_SECONDS = 3.0
@@ -140,6 +144,10 @@
         """Send a request whose connection stays open; wait for a response."""
         send_and_wait(self.address, request)
 
+    def serve_part(self):
+        """Send a part of each response from now on, and no end."""
+        self._case = Case("HTTP/1.1", "unknown length", "none")
+
     def _handle(self, answering):
         self.bodies.append(answering.request.body)
         case = self._case or Case("HTTP/1.1", "reply", "whole")
@@ -231,6 +239,10 @@
         """Send a request whose connection stays open; wait for a response."""
         send_and_wait(self.address, request)
 
+    def serve_part(self):
+        """Send a part of each response from now on, and no end."""
+        self._case = Case("HTTP/1.1", "unknown length", "none")
+
     def _handle(self, req):
         self.bodies.append(req.body)
         case = self._case or Case("HTTP/1.1", "reply", "whole")
@@ -244,8 +256,62 @@
             # What was sent has to arrive before the reset.
             threading.Event().wait(0.05)
             raise BrokenError
+        if end == "none":
+            threading.Event().wait(SOCKET_SECONDS)
         yield PARTS[1]
 
 
 class BrokenError(Exception):
     """Ends a response before it is complete."""
+
+
+SERVERS = {"platform's path": LoopServer, "own interface": ThreadServer}
+SERVE_CODE = (
+    "import sys, time\n"
+    "from features.harness import cut_callers\n"
+    "server = cut_callers.SERVERS[sys.argv[1]]()\n"
+    "server.serve_part()\n"
+    "print(*server.address, flush=True)\n"
+    "time.sleep(60)\n"
+)
+
+
+class ServerProcess:
+    """A server in a process that is killed while it responds."""
+
+    def __init__(self, *, path):
+        """Start the process.
+
+        Args:
+            path: Key of SERVERS.
+        """
+        self._process = subprocess.Popen(
+            [sys.executable, "-c", SERVE_CODE, path],
+            stdout=subprocess.PIPE,
+            cwd=ROOT,
+        )
+        host, port = self._process.stdout.readline().decode().split()
+        self._address = (host, int(port))
+
+    def play(self, case):
+        """Return what a caller receives while the process is killed."""
+        with socket.create_connection(self._address, SOCKET_SECONDS) as sock:
+            sock.sendall(case.request)
+            received = b""
+            while PARTS[0] not in received:
+                received += sock.recv(65536)
+            self._process.kill()
+            self._process.wait()
+            is_reset = False
+            try:
+                while data := sock.recv(65536):
+                    received += data
+            except ConnectionResetError:
+                is_reset = True
+        head, _, body = received.partition(b"\r\n\r\n")
+        return Received(head.lower(), body, is_reset)
+
+    def stop(self):
+        self._process.kill()
+        self._process.wait()
+        self._process.stdout.close()
--- a/features/steps/cut_callers_steps.py
+++ b/features/steps/cut_callers_steps.py
@@ -71,3 +71,13 @@
     for case, received in context.received:
         assert received.head.startswith(b"http/1."), (case, received)
         assert not received.body, (case, received)
+
+
+@when("the process of a server of the {path} is killed while it responds")
+def step_killed(context, path):
+    context.received = []
+    for protocol in cut_callers.PROTOCOLS:
+        case = cut_callers.Case(protocol, "unknown length", "none")
+        server = cut_callers.ServerProcess(path=path)
+        context.add_cleanup(server.stop)
+        context.received.append((case, server.play(case)))
