A load report is encoded once for all peers; repeated records are passed over

Cause: the report to 14 peers was encoded 14 times, and each control VM sends all target records every 10 s, of which each was merged and compared again. Change: LoopLink.send_all encodes a message once and a header for each node; a record that is no newer than the known one returns before the merge. Ruled out: keeping the encoded form of the last message in the link, which would go stale if a message held something that changes.

--- a/jasperweir/components/directory/directory.py
+++ b/jasperweir/components/directory/directory.py
@@ -143,6 +143,9 @@
             # The target had expired from the cached lists.
             self._ready_targets.clear()
         tracked.received_at = max(tracked.received_at, received_at)
+        if _adds_nothing(tracked.target, target):
+            # Each control VM sends all records at intervals.
+            return False
         before, merged = tracked.target, _merge_records(tracked.target, target)
         if target.sequence > before.sequence:
             tracked.stated_at = received_at
@@ -251,6 +254,16 @@
     return tracked.first_received_at > other.first_received_at
 
 
+def _adds_nothing(old: records.Target, new: records.Target) -> bool:
+    """Return whether a record of the same start leaves the known one as is."""
+    return (
+        new.sequence <= old.sequence
+        and new.presence <= old.presence
+        and bool(old.address or not new.address)
+        and bool(old.born or not new.born)
+    )
+
+
 def _merge_records(old: records.Target, new: records.Target) -> records.Target:
     presence = max(old.presence, new.presence)
     old = old._replace(born=old.born or new.born)
--- a/jasperweir/daemons/loop_host.py
+++ b/jasperweir/daemons/loop_host.py
@@ -198,6 +198,12 @@
         self.link.learn(act.dst, act.dst)
         self.link.send(act.dst, act.msg)
 
+    def send_all(self, names: list[str], msg: Any) -> None:
+        """Send a message to several nodes."""
+        for name in names:
+            self.link.learn(name, name)
+        self.link.send_all(names, msg)
+
     def stop(self) -> None:
         """Log the traffic, flush the log and stop the link."""
         self._log_traffic()
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -314,9 +314,8 @@
 
     def _send_share(self) -> None:
         self._share_scheduled = False
-        share = self._forwarder.share()
-        for node in self._forwarder.cell.peers:
-            self._host.send(core.Send(dst=node.name, msg=share))
+        names = [node.name for node in self._forwarder.cell.peers]
+        self._host.send_all(names, self._forwarder.share())
 
     # Graceful stop.
 
--- a/jasperweir/helpers/codec.py
+++ b/jasperweir/helpers/codec.py
@@ -113,8 +113,20 @@
         raise exceptions.FrameError(str(exc)) from exc
 
 
-def encode(
-    msg: Any,
+class Body(NamedTuple):
+    """An encoded message, for the frames to one or several nodes."""
+
+    kind: str
+    data: msgspec.Raw
+
+
+def encode_body(msg: Any) -> Body:
+    """Encode a message without the header of a frame."""
+    return Body(_KINDS[type(msg)], msgspec.Raw(_ENCODER.encode(msg)))
+
+
+def encode_frame(
+    body: Body,
     *,
     src: str,
     src_inc: int,
@@ -122,21 +134,40 @@
     dst: str,
     dst_inc: int = 0,
 ) -> bytes:
-    """Encode one message as a frame; see Envelope for the header fields."""
-    body = msgspec.Raw(_ENCODER.encode(msg))
+    """Encode a frame; see Envelope for the header fields."""
     env = Envelope(
         version=FRAME_VERSION,
-        kind=_KINDS[type(msg)],
+        kind=body.kind,
         src=src,
         src_inc=src_inc,
         src_addr=src_addr,
         dst=dst,
         dst_inc=dst_inc,
-        body=body,
+        body=body.data,
     )
     return _ENCODER.encode(env)
 
 
+def encode(
+    msg: Any,
+    *,
+    src: str,
+    src_inc: int,
+    src_addr: str,
+    dst: str,
+    dst_inc: int = 0,
+) -> bytes:
+    """Encode one message as a frame; see Envelope for the header fields."""
+    return encode_frame(
+        encode_body(msg),
+        src=src,
+        src_inc=src_inc,
+        src_addr=src_addr,
+        dst=dst,
+        dst_inc=dst_inc,
+    )
+
+
 def decode(data: bytes) -> tuple[Envelope, Any]:
     """Decode one frame into its header and typed message.
 
--- a/jasperweir/helpers/link.py
+++ b/jasperweir/helpers/link.py
@@ -204,15 +204,18 @@
         self._wake()
 
     def _encode(self, dst: str, msg: Any, dst_inc: int) -> bytes:
-        data = codec.encode(
-            msg,
+        return self._frame(dst, codec.encode_body(msg), dst_inc)
+
+    def _frame(self, dst: str, body: codec.Body, dst_inc: int) -> bytes:
+        data = codec.encode_frame(
+            body,
             src=self.name,
             src_inc=self._incarnation(),
             src_addr=self.address,
             dst=dst,
             dst_inc=dst_inc,
         )
-        self.by_kind[OUT, codec.kind_of(msg)].count(data)
+        self.by_kind[OUT, body.kind].count(data)
         return data
 
     def _wake(self) -> None:
--- a/jasperweir/helpers/loop_link.py
+++ b/jasperweir/helpers/loop_link.py
@@ -1,10 +1,12 @@
 """Typed messages between processes over ZeroMQ, on an event loop."""
 
 import asyncio
+from collections.abc import Iterable
 from typing import Any
 
 import zmq
 
+from jasperweir.helpers import codec
 from jasperweir.helpers import link
 
 # Time for which a frame waits for a new connection to be established, seconds;
@@ -55,6 +57,15 @@
             data = self._encode(dst, msg, dst_inc)
             self._send_when_open(dst, data, OPENING_RETRY_SECONDS)
 
+    def send_all(self, dsts: Iterable[str], msg: Any) -> None:
+        """Send a message to several nodes; it is encoded once."""
+        if self._loop is None:
+            return
+        body = codec.encode_body(msg)
+        for dst in dsts:
+            data = self._frame(dst, body, dst_inc=0)
+            self._send_when_open(dst, data, OPENING_RETRY_SECONDS)
+
     def _send_when_open(self, dst: str, data: bytes, pause_s: float) -> None:
         if self._loop is None or self._loop.is_closed():
             return
--- a/script/bench_forward.py
+++ b/script/bench_forward.py
@@ -385,8 +385,14 @@
 
     def _send_to_peers(self) -> None:
         share = self.forwarder.share()
-        for node in self.forwarder.cell.peers:
-            _encode(share, node.name)
+        names = [node.name for node in self.forwarder.cell.peers]
+        if not hasattr(codec, "encode_body"):
+            for name in names:
+                _encode(share, name)
+            return
+        body = codec.encode_body(share)
+        for name in names:
+            codec.encode_frame(body, dst=name, **_HEADER)
 
     def _update_entries(self) -> None:
         self.measure(
@@ -580,10 +586,15 @@
 )
 
 
+_HEADER: dict[str, Any] = {
+    "src": "e0",
+    "src_inc": 1,
+    "src_addr": "10.1.0.1:7000",
+}
+
+
 def _encode(msg: Any, dst: str, src: str = "e0") -> bytes:
-    return codec.encode(
-        msg, src=src, src_inc=1, src_addr="10.1.0.1:7000", dst=dst
-    )
+    return codec.encode(msg, dst=dst, **_HEADER | {"src": src})
 
 
 def play(case: Case, seed: int, profile: bool = False) -> dict[str, Any]:
