Ticks without waiting requests publish nothing anew

Cause: most ticks only measure passes, yet each one counted and sorted the waiting requests of all services; running requests by customer were added up in two Counters; the load of a group read each rank's id three times. Change: queues are published only if one has, or had, a waiting request or a service is new; one Counter is filled; ids are read once.

--- a/jasperweir/components/balance/balancer.py
+++ b/jasperweir/components/balance/balancer.py
@@ -318,9 +318,11 @@
         counts = self._count_open(targets, now)
         slow = self._find_slow_addresses(now)
         free = sum(
-            target.slots - count
-            for target, count in zip(targets, counts, strict=True)
-            if target.slots > count and target.address not in slow
+            [
+                target.slots - count
+                for target, count in zip(targets, counts, strict=True)
+                if target.slots > count and target.address not in slow
+            ]
         )
         return TotalLoad(open=sum(counts), free=free)
 
@@ -334,26 +336,26 @@
         spread their requests over all ranks.
         """
         self._drop_stale(now)
-        known = self._reports
+        ttl_s = const.REPORT_TTL_SECONDS
+        target_ids = [target.target_id for target in targets]
         reports = [
             report.unknown
-            for target in targets
-            if (report := known.get(target.target_id)) is not None
-            and now - report.at <= const.REPORT_TTL_SECONDS
+            for report in map(self._reports.get, target_ids)
+            if report is not None and now - report.at <= ttl_s
         ]
         unknown = sum(reports) / len(reports) if reports else 0.0
         own, peers = self._own_requests, self._peer_requests
         counts = [
-            own.get(target.target_id, 0)
-            + peers.get(target.target_id, 0)
-            + unknown
-            for target in targets
+            own.get(target_id, 0) + peers.get(target_id, 0) + unknown
+            for target_id in target_ids
         ]
         slow = self._find_slow_addresses(now)
         free = sum(
-            target.slots - count
-            for target, count in zip(targets, counts, strict=True)
-            if target.slots > count and target.address not in slow
+            [
+                target.slots - count
+                for target, count in zip(targets, counts, strict=True)
+                if target.slots > count and target.address not in slow
+            ]
         )
         return GroupLoad(open=sum(counts), free=free, reports=len(reports))
 
--- a/jasperweir/components/forward/queues.py
+++ b/jasperweir/components/forward/queues.py
@@ -48,6 +48,9 @@
         self._demand_sent_at = -math.inf
         self._has_sent_waiting = False
         self._sent_waiting: tuple[tuple[tuple[int, bool], ...], ...] = ()
+        # Number of services whose queues were all empty when last published, 0
+        # if one was not.
+        self._empty_published = 0
         self._cell = cell
         self._outages = outages
         self._rng = rng
@@ -313,8 +316,11 @@
     ) -> collections.Counter[str]:
         """Return the running requests by customer at all entries in view."""
         elsewhere = self._view.sum_elsewhere(service, now).customers
-        own = self.get(service).demand.customers
-        return own + collections.Counter(elsewhere)
+        customers = collections.Counter(self.get(service).demand.customers)
+        for name, count in elsewhere.items():
+            if count > 0:
+                customers[name] += count
+        return customers
 
     def hand_over(
         self, service: str, candidates: capacity_lib.Candidates, now: float
@@ -431,6 +437,11 @@
 
     def publish(self, now: float) -> None:
         """Update the queue lengths in the load report for other entries."""
+        is_waiting = any(len(q.wait_queue) for q in self._by_service.values())
+        if not is_waiting and self._empty_published == len(self._by_service):
+            # Most ticks only measure passes.
+            return
+        self._empty_published = 0 if is_waiting else len(self._by_service)
         for service in self._by_service:
             self._balancer.note_queue(self._summarize(service, now))
         # The balancer doesn't notice when requests of one priority have taken
--- a/jasperweir/components/scheduling/view.py
+++ b/jasperweir/components/scheduling/view.py
@@ -132,12 +132,12 @@
                 )
                 if name != service:
                     continue
-                timely[band] += weight * in_time
-                late[band] += weight * too_late
                 # Requests that run usually run for longer than a view lasts.
                 running[band] += runs
                 arrivals[band] += per_s
                 if in_time or too_late:
+                    timely[band] += weight * in_time
+                    late[band] += weight * too_late
                     groups[band].append(
                         order_lib.WaitingGroup(
                             weight * in_time,
