Stand-in target: answers in every framing, cut off at any place

Change: standins/cut_answers.py sends an answer with a Content-Length, in chunks, with neither, or under an HTTP/1.0 status, and ends it by an orderly close, a reset, silence or a complete framing, after any number of bytes. A request asks for the cuts of its successive attempts in its query; targets count attempts by files that are created exclusively in a common folder. Tests can also set the framing and the cuts of the next answers of a target. A reset waits until the peer has acknowledged what precedes it, since SO_LINGER 0 discards the rest. The server accepts 128 waiting connections instead of 5. break_after and the usual answers stay as they are.

--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -1,7 +1,8 @@
 """Test double of a target on the users' platform.
 
 It sends heartbeats, serves plain requests and event streams, records requests
-and can break a stream, reject requests or crash on a request.
+and can break a stream, reject requests or crash on a request. ``cut_answers``
+describes the answers that a request can ask for in its query.
 """
 
 import argparse
@@ -11,10 +12,12 @@
 import os
 import threading
 import time
+from typing import Any
 import urllib.error
 import urllib.request
 
 from standins import const
+from standins import cut_answers
 
 HEARTBEAT_SECONDS = 0.5
 EVENT_SECONDS = 0.03
@@ -31,6 +34,8 @@
         ends_on: bytes = b"",
         ends_file: str = "",
         zone: str = "p",
+        slots: int = 6,
+        attempts_folder: str = "",
     ) -> None:
         """Create a state without requests.
 
@@ -40,13 +45,23 @@
             ends_on: Request body content that crashes the process.
             ends_file: File that gets the body of the crashing request.
             zone: Data centre.
+            slots: Requests that it serves at a time, as it states.
+            attempts_folder: Folder in which targets count the attempts of
+                requests with a script.
         """
         self.zone = zone
+        self.slots = slots
+        self.attempts_folder = attempts_folder
         self.target_id = target_id
         self.events = events
         self.ends_on = ends_on
         self.ends_file = ends_file
         self.break_after = 0
+        # Framing of answers, empty for the usual ones, and cuts of the next
+        # streams and plain answers: fields of ``cut_answers.Cut``.
+        self.framing = ""
+        self.stream_cuts: list[list[Any]] = []
+        self.plain_cuts: list[list[Any]] = []
         self.refuse = False
         # Response headers: Retry-After of rejections in seconds, limit in
         # requests per second, and whether the target is draining.
@@ -128,6 +143,10 @@
             state.seen.append({k.lower(): v for k, v in self.headers.items()})
         if state.ends_on and state.ends_on in body:
             self._crash(body)
+        script = cut_answers.parse_script(self.path)
+        if script is not None:
+            self._answer_script(script)
+            return
         if "/stream/" in self.path:
             self._stream()
             return
@@ -135,7 +154,60 @@
             state.lose_answers -= 1
             self.close_connection = True
             return
-        self._send_plain(200, b"ran " + body, signed=True)
+        cut = self._take_cut(state.plain_cuts)
+        if cut is None and not state.framing:
+            self._send_plain(200, b"ran " + body, signed=True)
+            return
+        self._send_framed([b"ran " + body], "text/plain", cut)
+
+    def _answer_script(self, script: cut_answers.Script) -> None:
+        """Answer as the query of the request asks."""
+        request_id = self.headers.get("Attempt-Id", "")
+        number = cut_answers.count_attempt(
+            self.state.attempts_folder, request_id
+        )
+        cut = script.cuts[number] if number < len(script.cuts) else None
+        is_stream = "/stream/" in self.path
+        after = int(self.headers.get("Last-Event-Id") or 0) if is_stream else 0
+        cut_answers.send(
+            self,
+            self._list_headers(
+                "text/event-stream" if is_stream else "text/plain"
+            ),
+            cut_answers.list_events(script)[after:],
+            framing=script.framing,
+            cut=cut,
+            after=after,
+        )
+
+    def _take_cut(self, cuts: list[list[Any]]) -> cut_answers.Cut | None:
+        """Return the cut of the next answer, None if it is sent whole."""
+        with self.state.lock:
+            return cut_answers.Cut(*cuts.pop(0)) if cuts else None
+
+    def _send_framed(
+        self,
+        pieces: list[bytes],
+        media_type: str,
+        cut: cut_answers.Cut | None,
+        after: int = 0,
+    ) -> None:
+        cut_answers.send(
+            self,
+            self._list_headers(media_type),
+            pieces,
+            framing=self.state.framing or "chunks",
+            cut=cut,
+            after=after,
+            pause_s=EVENT_SECONDS if media_type != "text/plain" else 0.0,
+        )
+
+    def _list_headers(self, media_type: str) -> list[tuple[str, str]]:
+        return [
+            ("Attempt-Id", self.headers.get("Attempt-Id", "")),
+            ("Server-Signature", f"{self.state.target_id}.1"),
+            ("Content-Type", media_type),
+        ]
 
     def _crash(self, body: bytes) -> None:
         """Exit the process without cleanup, like a crash."""
@@ -168,6 +240,15 @@
     def _stream(self) -> None:
         state = self.state
         first = int(self.headers.get("Last-Event-Id") or 0) + 1
+        cut = self._take_cut(state.stream_cuts)
+        is_broken = first == 1 and state.break_after > 0
+        if cut is not None or (state.framing and not is_broken):
+            events = [
+                f"id: {number}\ndata: piece {number}\n\n".encode()
+                for number in range(first, state.events + 1)
+            ]
+            self._send_framed(events, "text/event-stream", cut, first - 1)
+            return
         self.send_response(200)
         self._send_platform_headers(True)
         self.send_header("Content-Type", "text/event-stream")
@@ -207,6 +288,12 @@
         self.wfile.write(body)
 
 
+class Server(http.server.ThreadingHTTPServer):
+    """HTTP server that accepts many connections at once."""
+
+    request_queue_size = 128
+
+
 def announce(
     state: State, service: str, address: str, controls: list[str]
 ) -> None:
@@ -217,7 +304,7 @@
             "service": service,
             "address": address,
             "zone": state.zone,
-            "slots": 6,
+            "slots": state.slots,
             "state": state.presence,
             "sequence": state.sequence,
         }
@@ -249,6 +336,8 @@
     parser.add_argument("--ends-on", default="")
     parser.add_argument("--ends-file", default="")
     parser.add_argument("--events-before-end", type=int, default=0)
+    parser.add_argument("--slots", type=int, default=6)
+    parser.add_argument("--attempts-folder", default="")
     args = parser.parse_args()
     state = State(
         target_id=args.id,
@@ -256,11 +345,13 @@
         ends_on=args.ends_on.encode(),
         ends_file=args.ends_file,
         zone=args.zone,
+        slots=args.slots,
+        attempts_folder=args.attempts_folder,
     )
     state.events_before_end = args.events_before_end
     host, _, port = args.address.rpartition(":")
     handler = type("BoundHandler", (Handler,), {"state": state})
-    server = http.server.ThreadingHTTPServer((host, int(port)), handler)
+    server = Server((host, int(port)), handler)
     threading.Thread(
         target=announce,
         args=(
