--- a/features/harness/platform.py
+++ b/features/harness/platform.py
@@ -44,9 +44,9 @@
 machines = 1
 [bounds]
 graceS = 8
-retryBudgetRatio = 0.2
+retryBudgetRatio = {retry_ratio}
 retryWindowS = 10
-retryBurst = 96
+retryBurst = {retry_burst}
 [zones]
 p = "r"
 q = "r"
@@ -56,9 +56,13 @@
 class Platform:
     """Three control VMs with entries, and stand-in targets."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, *, retry_ratio=0.2, retry_burst=96):
         self.folder = pathlib.Path(folder)
         self.procs = {}
+        self._retry_bounds = {
+            "retry_ratio": retry_ratio,
+            "retry_burst": retry_burst,
+        }
 
     def start_all(self, count=3, control_program=None):
         for number in range(1, count + 1):
@@ -82,6 +86,7 @@
                 ready=READY,
                 control=CONTROL,
                 lookup=LOOKUP,
+                **self._retry_bounds,
             )
         )
         env = {**os.environ, "JASPERWEIR_CONFIG": str(path)}
