Soak: targets answer in every framing and cut answers off at any place

Change: _disturb_target draws a framing of all answers of a target, and one to three cuts of its next streams or plain answers. Cuts that nothing tells apart from a complete answer are not drawn. The ledger compares the whole body of a stream, not only its ids. The soak's proxies turned a reset of one side into an orderly close of the other; they pass it on as a reset.

--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -10,11 +10,17 @@
 import time
 
 from features.soak import signal_check
+from standins import cut_answers
 
 VMS = (1, 2, 3)
 STOP_SECONDS = 10.0
 # Shortest and longest time between faults, seconds.
 PAUSE_SECONDS = (0.05, 0.8)
+# Most answers in a row that a target cuts off.
+MAX_CUTS = 3
+# Bytes of an event, and of the shortest body of a plain answer.
+EVENT_BYTES = 21
+PLAIN_BYTES = 4
 # Time for the recovery of a control VM before the next may fail, seconds.
 REPAIR_SECONDS = 6.0
 
@@ -253,16 +259,54 @@
                 {"lose_answers": 3},
                 {"refuse": True},
                 {"refuse": False},
+                {"framing": self._rng.choice(("", *cut_answers.FRAMINGS))},
+                {"stream_cuts": self._draw_cuts(is_stream=True)},
+                {"plain_cuts": self._draw_cuts(is_stream=False)},
             )
         )
         self._log_fault(f"target {number} {what}")
         self._world.tell(number, **what)
 
+    def _draw_cuts(self, *, is_stream):
+        """Return cuts of the next answers, all of which can be noticed."""
+        count = self._rng.randint(1, MAX_CUTS)
+        cuts = []
+        while len(cuts) < count:
+            cut = self._draw_cut(is_stream)
+            if cut.is_possible and can_be_noticed(cut, is_stream=is_stream):
+                cuts.append(cut)
+        return cuts
+
+    def _draw_cut(self, is_stream):
+        return cut_answers.Cut(
+            self._rng.choice(cut_answers.CUT_FRAMINGS),
+            self._rng.randint(0, self._world.EVENTS if is_stream else 1),
+            self._rng.randrange(EVENT_BYTES if is_stream else PLAIN_BYTES),
+            self._rng.choice(cut_answers.ENDS),
+        )
+
     def _restore_all(self):
         for name in list(self._frozen):
             self._thaw(name)
         self._restore_disks(float("inf"))
         self._world.proxies.restore()
         for number in self._world.TARGETS:
-            self._world.tell(number, refuse=False, break_after=0)
+            self._world.tell(
+                number, refuse=False, break_after=0,
+                framing="", stream_cuts=[], plain_cuts=[],
+            )  # fmt: skip
         self._log_fault("mended")
+
+
+def can_be_noticed(cut, *, is_stream):
+    """Return whether something tells a cut answer from a complete one.
+
+    Neither the close of a connection without other framing nor a complete
+    framing does, unless a stream ends inside an event.
+    """
+    is_complete = cut.end == "complete" or (
+        cut.end == "close" and cut.framing in cut_answers.UNSTATED_FRAMINGS
+    )
+    if not is_complete:
+        return True
+    return is_stream and cut.event > 0 and cut.offset > 0
--- a/features/soak/ledger.py
+++ b/features/soak/ledger.py
@@ -113,6 +113,12 @@
         ]
         if ids != list(range(1, self._events + 1)):
             self._add_violation(rid, f"events {ids}", seen)
+            return
+        want = b"".join(
+            b"id: %d\ndata: piece %d\n\n" % (number, number) for number in ids
+        )
+        if seen.body != want:
+            self._add_violation(rid, f"{len(seen.body)} bytes of events", seen)
 
     def _add_violation(self, rid, what, seen):
         with self._lock:
--- a/features/soak/proxy.py
+++ b/features/soak/proxy.py
@@ -54,10 +54,7 @@
     def reset_all(self):
         """Reset every open connection."""
         for writer in list(self.pipes):
-            sock = writer.get_extra_info("socket")
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-            writer.transport.abort()
+            _reset(writer)
 
     async def _on_connect(self, reader, writer):
         host, _, port = self.server.rpartition(":")
@@ -76,13 +73,19 @@
         self.pipes -= {writer, far[1]}
 
     async def _pump(self, reader, writer, *, to_server):
-        with contextlib.suppress(OSError):
+        is_reset = False
+        try:
             while data := await reader.read(CHUNK):
                 await self._apply_conditions(to_server)
                 writer.write(data)
                 await writer.drain()
+        except OSError:
+            is_reset = True
         # The conditions apply to a close as well.
         await self._apply_conditions(to_server)
+        if is_reset:
+            _reset(writer)
+            return
         with contextlib.suppress(OSError):
             writer.close()
 
@@ -94,6 +97,14 @@
             await asyncio.sleep(0.02)
 
 
+def _reset(writer):
+    """Reset a connection; what is unsent is lost."""
+    sock = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    writer.transport.abort()
+
+
 class ProxySet:
     """All proxies of a soak, run by an event loop in a separate thread."""
 
--- a/features/soak/world.py
+++ b/features/soak/world.py
@@ -25,6 +25,7 @@
     """Processes, threads and results of one run."""
 
     TARGETS = (1, 2, 3)
+    EVENTS = EVENTS
 
     def __init__(self, *, seed, folder, asks=False):
         """Prepare a run.
