Red: an orderly end is taken for a break while a long request is being sent

A target may answer before it has read a long body. If its answer has no framing and ends with an orderly close, asyncio keeps the transport until the rest of the request is written; that fails, and connection_lost(exc) reports a whole answer as broken. On loopback sockets with a body of 8 MB, an answer that ended at 0 s was reported 'closed: Connection timed out' after 2.48 s (TCP_USER_TIMEOUT).

Found in review, not fixed.

--- a/features/cut_answers_review.feature
+++ b/features/cut_answers_review.feature
@@ -68,3 +68,8 @@
     And a target that sends "nothing" as chunks of events
     When a caller asks for a resumable stream
     Then the caller reads "1, 2" framed as complete and nothing after it
+
+  Scenario: An answer that ended with an orderly close is whole though the rest of a long request is refused
+    Given a connection whose server answers without a length before it has read a long body
+    When the server closes its side in order and resets the connection once more of the body comes
+    Then the answer is complete
--- a/features/harness/answer_scripts.py
+++ b/features/harness/answer_scripts.py
@@ -141,6 +141,26 @@
         return dialect.CallerHeaders("id", 5.0, "", 10, 10, self._resume_after)
 
 
+class Listener:
+    """Records the calls for one response."""
+
+    def __init__(self):
+        self.calls = []
+
+    def on_head(self, response_head, length):
+        self.calls.append("head")
+        return True
+
+    def on_data(self, data):
+        self.calls.append("data")
+
+    def on_end(self):
+        self.calls.append("end")
+
+    def on_broken(self, reason):
+        self.calls.append(f"broken: {reason}")
+
+
 def turn_slow(entry, conn, loop):
     """Report the first target as slow once it has answered in part."""
 
--- a/features/steps/cut_answers_review_steps.py
+++ b/features/steps/cut_answers_review_steps.py
@@ -5,6 +5,8 @@
 from behave import when
 
 from features.harness import answer_scripts
+from features.harness import virtual_loop
+from jasperweir.helpers import http_client
 
 PIECES = {
     "an event's beginning": b"id: 2\ndat",
@@ -115,3 +117,40 @@
 @then("{count:d} target has received the request")
 def step_count(context, count):
     assert len(context.received.asked) == count, context.received.asked
+
+
+@given(
+    "a connection whose server answers without a length "
+    "before it has read a long body"
+)
+def step_early_answer(context):
+    context.listener = answer_scripts.Listener()
+    context.conn = http_client.ClientConnection(
+        times=http_client.ClientTimeouts()
+    )
+    transport = virtual_loop.Transport(
+        conn=context.conn, on_request=lambda *_: None
+    )
+    context.conn.connection_made(transport)
+    context.transport = transport
+    head = b"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\n"
+    context.conn.send(head, context.listener, b"abc")
+    context.conn.data_received(answer_scripts.head() + b"answer")
+
+
+@when(
+    "the server closes its side in order "
+    "and resets the connection once more of the body comes"
+)
+def step_orderly_then_reset(context):
+    # asyncio closes the transport here, and keeps it until all is written.
+    context.conn.eof_received()
+    context.transport.closed = True
+    context.conn.connection_lost(answer_scripts.RESET)
+
+
+@then("the answer is complete")
+def step_complete(context):
+    assert context.listener.calls == ["head", "data", "end"], (
+        context.listener.calls
+    )
