Red: a refused connection is logged with the framing of the attempt before

'send failed' of an attempt that could not connect carries framing, end, body_bytes and events of the previous attempt, as progress is renewed in _send_request only.

Found in review, not fixed.

--- a/features/cut_answers_review.feature
+++ b/features/cut_answers_review.feature
@@ -73,3 +73,9 @@
     Given a connection whose server answers without a length before it has read a long body
     When the server closes its side in order and resets the connection once more of the body comes
     Then the answer is complete
+
+  Scenario: A failed connection is not logged with the framing of the attempt before it
+    Given a target that sends "1, an event's beginning" as chunks of events and resets
+    And a target that sends "2" as chunks of events
+    When a caller asks for a resumable stream and the second connection is refused
+    Then the fault of the refused connection is logged without framing or events
--- a/features/harness/answer_scripts.py
+++ b/features/harness/answer_scripts.py
@@ -161,6 +161,32 @@
         self.calls.append(f"broken: {reason}")
 
 
+def refuse_second(entry):
+    """Refuse the second connection that an entry opens."""
+    open_connection = entry.pool.open
+    addresses = []
+
+    async def open_or_refuse(address):
+        addresses.append(address)
+        if len(addresses) == 2:
+            raise OSError("refused")
+        return await open_connection(address)
+
+    entry.pool.open = open_or_refuse
+
+
+def watch_faults(entry, faults):
+    """Add the reason and the logged progress of each fault to a list."""
+    recorder = entry.outcomes._recorder
+    record_fault = recorder.record_fault
+
+    def record(exchange, target, fault, reason, open_requests):
+        faults.append((reason, exchange.progress.log_fields()))
+        record_fault(exchange, target, fault, reason, open_requests)
+
+    recorder.record_fault = record
+
+
 def turn_slow(entry, conn, loop):
     """Report the first target as slow once it has answered in part."""
 
--- a/features/steps/cut_answers_review_steps.py
+++ b/features/steps/cut_answers_review_steps.py
@@ -83,6 +83,29 @@
     add_script(context, answer_scripts.head(status=status, media=b""))
 
 
+@when("a caller asks for a {kind} and the second connection is refused")
+def step_refused(context, kind):
+    context.faults = []
+
+    def watch(entry, conn, loop):
+        answer_scripts.refuse_second(entry)
+        answer_scripts.watch_faults(entry, context.faults)
+
+    context.received = answer_scripts.run(
+        kind, *context.scripts, attempts=3, on_entry=watch
+    )
+
+
+@then("the fault of the refused connection is logged without framing or events")
+def step_logged(context):
+    fields = [
+        fields for reason, fields in context.faults if reason == "refused"
+    ]
+    assert len(fields) == 1, context.faults
+    assert fields[0]["framing"] == "", fields
+    assert fields[0]["events"] == 0, fields
+
+
 @when("a caller asks for a {kind} and its target turns slow")
 def step_slow(context, kind):
     context.received = answer_scripts.run(
