Red: an answer to HEAD is awaited until the deadline

The response parser isn't told that the request was HEAD: with Content-Length or chunks it waits for a body that never comes, and the caller gets 504; without framing it waits for the close.

Found in review, not fixed.

--- a/features/cut_answers_review.feature
+++ b/features/cut_answers_review.feature
@@ -79,3 +79,8 @@
     And a target that sends "2" as chunks of events
     When a caller asks for a resumable stream and the second connection is refused
     Then the fault of the refused connection is logged without framing or events
+
+  Scenario: An answer to HEAD ends with its head
+    Given a target that states 100 bytes of events, sends "nothing" and keeps open
+    When a caller sends HEAD on a route of safe requests
+    Then the caller has a 200 within 0.5 s
--- a/features/steps/cut_answers_review_steps.py
+++ b/features/steps/cut_answers_review_steps.py
@@ -83,6 +83,19 @@
     add_script(context, answer_scripts.head(status=status, media=b""))
 
 
+@when("a caller sends HEAD on a route of {kind} requests")
+def step_head(context, kind):
+    context.received = answer_scripts.run(
+        kind, *context.scripts, method=b"HEAD"
+    )
+
+
+@then("the caller has a {status:d} within {seconds:g} s")
+def step_status(context, status, seconds):
+    got = context.received
+    assert (got.status, got.ended_s <= seconds) == (status, True), got
+
+
 @when("a caller asks for a {kind} and the second connection is refused")
 def step_refused(context, kind):
     context.faults = []
