--- a/features/cut_answers_review.feature
+++ b/features/cut_answers_review.feature
@@ -68,3 +68,19 @@
     And a target that sends "nothing" as chunks of events
     When a caller asks for a resumable stream
     Then the caller reads "1, 2" framed as complete and nothing after it
+
+  Scenario: An answer that ended with an orderly close is whole though the rest of a long request is refused
+    Given a connection whose server answers without a length before it has read a long body
+    When the server closes its side in order and resets the connection once more of the body comes
+    Then the answer is complete
+
+  Scenario: A failed connection is not logged with the framing of the attempt before it
+    Given a target that sends "1, an event's beginning" as chunks of events and resets
+    And a target that sends "2" as chunks of events
+    When a caller asks for a resumable stream and the second connection is refused
+    Then the fault of the refused connection is logged without framing or events
+
+  Scenario: An answer to HEAD ends with its head
+    Given a target that states 100 bytes of events, sends "nothing" and keeps open
+    When a caller sends HEAD on a route of safe requests
+    Then the caller has a 200 within 0.5 s
--- a/features/steps/cut_answers_review_steps.py
+++ b/features/steps/cut_answers_review_steps.py
@@ -5,6 +5,8 @@
 from behave import when
 
 from features.harness import answer_scripts
+from features.harness import virtual_loop
+from jasperweir.helpers import http_client
 
 PIECES = {
     "an event's beginning": b"id: 2\ndat",
@@ -81,6 +83,42 @@
     add_script(context, answer_scripts.head(status=status, media=b""))
 
 
+@when("a caller sends HEAD on a route of {kind} requests")
+def step_head(context, kind):
+    context.received = answer_scripts.run(
+        kind, *context.scripts, method=b"HEAD"
+    )
+
+
+@then("the caller has a {status:d} within {seconds:g} s")
+def step_status(context, status, seconds):
+    got = context.received
+    assert (got.status, got.ended_s <= seconds) == (status, True), got
+
+
+@when("a caller asks for a {kind} and the second connection is refused")
+def step_refused(context, kind):
+    context.faults = []
+
+    def watch(entry, conn, loop):
+        answer_scripts.refuse_second(entry)
+        answer_scripts.watch_faults(entry, context.faults)
+
+    context.received = answer_scripts.run(
+        kind, *context.scripts, attempts=3, on_entry=watch
+    )
+
+
+@then("the fault of the refused connection is logged without framing or events")
+def step_logged(context):
+    fields = [
+        fields for reason, fields in context.faults if reason == "refused"
+    ]
+    assert len(fields) == 1, context.faults
+    assert fields[0]["framing"] == "", fields
+    assert fields[0]["events"] == 0, fields
+
+
 @when("a caller asks for a {kind} and its target turns slow")
 def step_slow(context, kind):
     context.received = answer_scripts.run(
@@ -115,3 +153,40 @@
 @then("{count:d} target has received the request")
 def step_count(context, count):
     assert len(context.received.asked) == count, context.received.asked
+
+
+@given(
+    "a connection whose server answers without a length "
+    "before it has read a long body"
+)
+def step_early_answer(context):
+    context.listener = answer_scripts.Listener()
+    context.conn = http_client.ClientConnection(
+        times=http_client.ClientTimeouts()
+    )
+    transport = virtual_loop.Transport(
+        conn=context.conn, on_request=lambda *_: None
+    )
+    context.conn.connection_made(transport)
+    context.transport = transport
+    head = b"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\n"
+    context.conn.send(head, context.listener, b"abc")
+    context.conn.data_received(answer_scripts.head() + b"answer")
+
+
+@when(
+    "the server closes its side in order "
+    "and resets the connection once more of the body comes"
+)
+def step_orderly_then_reset(context):
+    # asyncio closes the transport here, and keeps it until all is written.
+    context.conn.eof_received()
+    context.transport.closed = True
+    context.conn.connection_lost(answer_scripts.RESET)
+
+
+@then("the answer is complete")
+def step_complete(context):
+    assert context.listener.calls == ["head", "data", "end"], (
+        context.listener.calls
+    )
