--- a/features/cut_answers_processes.feature
+++ b/features/cut_answers_processes.feature
@@ -1,3 +1,4 @@
+@real-processes
 Feature: Answers that real targets cut off never reach callers as complete
 
   Background:
--- a/features/harness/cut_answers_table.py
+++ b/features/harness/cut_answers_table.py
@@ -9,7 +9,7 @@
 
 from features.harness import platform as platform_lib
 from features.harness import raw_answers
-from jasperweir.components.forward import const as forward_const
+from jasperweir.helpers import event_stream
 from standins import cut_answers
 
 TARGETS = (1, 2, 3, 4)
@@ -115,7 +115,7 @@
     places += [
         (CUT_EVENT, offset, CUT_EVENT)
         for offset in (
-            6, 1000, forward_const.MAX_EVENT_BYTES + 50_000, huge - 1,
+            6, 1000, event_stream.MAX_EVENT_BYTES + 50_000, huge - 1,
         )
     ]  # fmt: skip
     return places
@@ -216,7 +216,7 @@
             return Expected("cut", whole)
         # What exceeds every buffer has been passed on in part.
         held = len(begun) if route.is_stream else sum(map(len, sent))
-        if held > forward_const.MAX_EVENT_BYTES:
+        if held > event_stream.MAX_EVENT_BYTES:
             return Expected("cut", whole)
         expects_event = bool(begun) or (expects_event and not count)
         after += count if route.is_stream else 0
--- a/standins/cut_answers.py
+++ b/standins/cut_answers.py
@@ -19,7 +19,7 @@
 from typing import NamedTuple
 import urllib.parse
 
-from jasperweir.components.forward import const as forward_const
+from jasperweir.helpers import event_stream
 
 # Content-Length, chunks, neither of them, neither under an HTTP/1.0 status.
 FRAMINGS = ("length", "chunks", "close", "http/1.0")
@@ -33,7 +33,7 @@
 
 EVENTS = 5
 # Size of an event that no buffer of an entry holds, bytes.
-HUGE_BYTES = forward_const.MAX_EVENT_BYTES + 100_000
+HUGE_BYTES = event_stream.MAX_EVENT_BYTES + 100_000
 # Pause after each event and before a cut, seconds.
 PAUSE_SECONDS = 0.003
 # Longest silence, seconds.
