A resumed run that repeats events does not reach the caller

A target that ignored the point to resume at sent events that the caller had, and both runs were framed as one complete stream. Ids of a stream increase, so a run whose first id is not above the last one passed on is no continuation: it is a fault, like any other broken answer. Ids that are no numbers aren't compared.

--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -238,6 +238,9 @@
             and (self.state.response_started or not is_bodiless),
             last_event_id=self.state.last_event_id,
             expects_event=self._expects_event,
+            continues_after=self.state.last_event_id
+            if self.state.response_started
+            else "",
         )
         if self.state.response_started:
             # A resumed stream keeps the first target's response head.
@@ -255,6 +258,10 @@
         ready = self._body.feed(data)
         if not ready:
             return
+        if self._body.repeats_events:
+            self.progress.on_cut(response_progress.Cut.REPEATS_EVENTS)
+            self._on_cut_off(response_progress.Cut.REPEATS_EVENTS.value)
+            return
         if self._body.is_event_stream:
             self._record_gap()
         self.state.on_passed_on(
--- a/jasperweir/components/forward/response_body.py
+++ b/jasperweir/components/forward/response_body.py
@@ -29,6 +29,7 @@
         is_event_stream: bool,
         last_event_id: str,
         expects_event: bool,
+        continues_after: str = "",
     ) -> None:
         """Create the body of a response whose head has arrived.
 
@@ -39,10 +40,13 @@
                 empty.
             expects_event: Whether an earlier attempt began an event after that
                 one.
+            continues_after: Id of the last event of an earlier attempt that
+                the caller has, empty without one.
         """
         self.is_event_stream = is_event_stream
         self._progress = progress
         self._expects_event = expects_event
+        self._continues_after = continues_after
         self._splitter = event_stream.EventSplitter(last_id=last_event_id)
         self._buffered: list[bytes] = []
         self._buffered_bytes = 0
@@ -67,6 +71,19 @@
             self._expects_event and not self._splitter.count
         )
 
+    @property
+    def repeats_events(self) -> bool:
+        """Whether the stream begins with an event that the caller has.
+
+        Ids that are no numbers can't be compared.
+        """
+        first_id = self._splitter.first_id
+        if not self._continues_after.isdecimal() or first_id is None:
+            return False
+        return first_id.isdecimal() and int(first_id) <= int(
+            self._continues_after
+        )
+
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return those to pass on now."""
         self._progress.body_bytes += len(data)
--- a/jasperweir/components/forward/response_progress.py
+++ b/jasperweir/components/forward/response_progress.py
@@ -42,6 +42,7 @@
     INSIDE_EVENT = "ended inside an event"
     BEFORE_BEGUN_EVENT = "ended before an event that had begun"
     BEFORE_FIRST_EVENT = "closed before the first event"
+    REPEATS_EVENTS = "repeats events"
     # Closed in order, before the framing was complete.
     CLOSED = "closed"
     CLOSED_BEFORE_HEAD = "closed before the head"
--- a/jasperweir/helpers/event_stream.py
+++ b/jasperweir/helpers/event_stream.py
@@ -22,11 +22,13 @@
         last_id: Id of the last complete event, initially the id after which the
             stream resumes.
         count: Number of complete events.
+        first_id: Id of the first complete event that has one, None before it.
     """
 
     def __init__(self, *, last_id: str) -> None:
         self.last_id = last_id
         self.count = 0
+        self.first_id: str | None = None
         self._buffer = b""
         # Bytes of the buffer that contain no event end.
         self._searched = 0
@@ -146,6 +148,8 @@
             self._is_last_identified = bool(found)
             if found is not None:
                 self.last_id = found.decode("latin-1")
+                if self.first_id is None:
+                    self.first_id = self.last_id
 
 
 class TerminatedStream:
