--- a/features/harness/answer_scripts.py
+++ b/features/harness/answer_scripts.py
@@ -177,12 +177,13 @@
 
 def watch_faults(entry, faults):
     """Add the reason and the logged progress of each fault to a list."""
-    recorder = entry.outcomes._recorder
+    recorder = entry.outcomes._responses
     record_fault = recorder.record_fault
 
-    def record(exchange, target, fault, reason, open_requests):
-        faults.append((reason, exchange.progress.log_fields()))
-        record_fault(exchange, target, fault, reason, open_requests)
+    def record(exchange, target, fault, open_requests):
+        progress = exchange.progress
+        faults.append((progress.reason, progress.log_fields()))
+        record_fault(exchange, target, fault, open_requests)
 
     recorder.record_fault = record
 
--- a/features/steps/cut_answers_review_steps.py
+++ b/features/steps/cut_answers_review_steps.py
@@ -115,7 +115,7 @@
         fields for reason, fields in context.faults if reason == "refused"
     ]
     assert len(fields) == 1, context.faults
-    assert fields[0]["framing"] == "", fields
+    assert fields[0]["framing"] == "no_head", fields
     assert fields[0]["events"] == 0, fields
 
 
