--- a/features/harness/cut_answers.py
+++ b/features/harness/cut_answers.py
@@ -35,6 +35,8 @@
     "safe": (model.RouteKind.SAFE, False, 2),
     "unsafe": (model.RouteKind.UNSAFE, False, 1),
 }
+# Statuses that promise that a request has not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Framings whose end the target doesn't state.
 UNSTATED = ("close", "http/1.0")
 
@@ -210,12 +212,14 @@
         is_whole: Whether the answer is framed as complete.
         body: Body.
         attempts: Number of requests that targets ran.
+        length: Length that its head states, None for chunks.
     """
 
     status: int
     is_whole: bool
     body: bytes
     attempts: int
+    length: int | None
 
 
 def play(route_name, cut, body=None):
@@ -286,7 +290,11 @@
     # The check of a target whose connection broke is left to end.
     await asyncio.sleep(1.0)
     return Outcome(
-        answering.status, answering.whole, answering.body, target.attempts
+        answering.status,
+        answering.whole,
+        answering.body,
+        target.attempts,
+        answering.length,
     )
 
 
@@ -336,10 +344,20 @@
         return "the bytes passed on are not the beginning of the answer"
     if route_name in ("unsafe", "stream") and outcome.attempts > 1:
         return f"ran {outcome.attempts} times"
+    if outcome.attempts > ROUTES[route_name][2]:
+        return f"was sent to {outcome.attempts} targets"
+    if outcome.length not in (None, len(outcome.body)) and outcome.is_whole:
+        return f"stated {outcome.length} bytes and has {len(outcome.body)}"
+    if outcome.attempts and outcome.status in NOT_RUN_STATUSES:
+        return f"ran, and its caller was told {outcome.status}"
     if cut.tries > 1 or cut.end == "silence":
         return "whole" if looks_complete else None
-    # What exceeds every buffer has been passed on in part.
-    is_partly_passed_on = cut.is_huge and not outcome.is_whole and outcome.body
+    # A part of what exceeds the buffer may have been passed on.
+    is_partly_passed_on = (
+        cut.is_huge
+        and not outcome.is_whole
+        and len(outcome.body) > MAX_EVENT_BYTES
+    )
     if route_name == "safe" and not looks_complete:
         return None if is_partly_passed_on else "was not sent elsewhere"
     if route_name == "resumable stream" and not looks_complete:
