Pauses that a slow caller causes are a module of their own

Exchange grew with the completeness of responses; the pauses are one job and sans-I/O. The forwarder no longer passes on a record that the exchange can make itself. No decision changes; slow_readers and gone pass.

--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -8,6 +8,7 @@
 from jasperweir.components.directory import records
 from jasperweir.components.forward import const
 from jasperweir.components.forward import dialect as dialect_lib
+from jasperweir.components.forward import read_pauses
 from jasperweir.components.forward import request_state
 from jasperweir.components.forward import response_body
 from jasperweir.components.forward import response_progress
@@ -60,12 +61,7 @@
         self._conn: http_client.ClientConnection | None = None
         self._holds_slot = False
         self._is_counted_cold = False
-        # Whether reading from the target pauses for the caller, when that last
-        # began and ended, monotonic seconds, and the longest pause, seconds.
-        self._is_caller_slow = False
-        self._slow_since = 0.0
-        self._resumed_at = float("-inf")
-        self._longest_pause_s = 0.0
+        self._pauses = read_pauses.ReadPauses()
         self._connect_task: asyncio.Task[None] | None = None
         self._head: http_message.Head | None = None
         self._length: int | None = None
@@ -177,7 +173,7 @@
         self._conn = conn
         self._sent_at = now
         conn.send(http_message.write_head(line, headers), self, req.body)
-        if self._is_caller_slow:
+        if self._pauses.is_paused:
             conn.pause_reading()
 
     # Handling of the response.
@@ -288,7 +284,7 @@
         self.answering.send(data)
 
     def _record_gap(self) -> None:
-        if self._is_caller_slow:
+        if self._pauses.is_paused:
             return
         now = self._forwarder.now()
         if self._last_event_at:
@@ -331,10 +327,10 @@
 
     def _on_cut_off(self, reason: str) -> None:
         """Handle a response that ended before it was complete."""
-        if self._was_held_up and not self.done:
+        if not self.done and self._pauses.was_held_up(self._forwarder.now()):
             # The target cut off an answer that was not read; it has no fault.
             self.progress.on_cut(response_progress.Cut.UNREAD)
-            self._forwarder.record_unread(self)
+            self._forwarder.responses.record_unread(self)
             self._release_target()
             self.state.may_have_run = True
             self._apply(self.state.fail(Code.BROKEN_OFF))
@@ -348,32 +344,17 @@
     # Backpressure of the caller.
 
     def _on_caller_slow(self) -> None:
-        self._is_caller_slow = True
-        self._slow_since = self._forwarder.now()
+        self._pauses.begin(self._forwarder.now())
         if self._conn is not None:
             self._conn.pause_reading()
 
     def _on_caller_ready(self) -> None:
-        self._is_caller_slow = False
-        self._resumed_at = self._forwarder.now()
-        self._longest_pause_s = max(
-            self._longest_pause_s, self._resumed_at - self._slow_since
-        )
+        self._pauses.end(self._forwarder.now())
         # The pause was the caller's and says nothing about the target's passes.
         self._last_event_at = 0.0
         if self._conn is not None:
             self._conn.resume_reading()
 
-    @property
-    def _was_held_up(self) -> bool:
-        """Whether the target had to wait for the caller until just now."""
-        now = self._forwarder.now()
-        if self._is_caller_slow:
-            return now - self._slow_since >= const.UNREAD_SECONDS
-        if now - self._resumed_at > const.HELD_UP_SECONDS:
-            return False
-        return self._longest_pause_s >= const.UNREAD_SECONDS
-
     # Handling of faults.
 
     def _on_connect_failed(self, reason: str) -> None:
@@ -445,10 +426,12 @@
     def _on_timeout(self) -> None:
         if self.done:
             return
-        waits_since = max(self._sent_at, self._last_event_at, self._resumed_at)
+        waits_since = max(
+            self._sent_at, self._last_event_at, self._pauses.resumed_at
+        )
         self.progress.on_timeout(
             self._forwarder.now() - waits_since,
-            is_caller_slow=self._is_caller_slow,
+            is_caller_slow=self._pauses.is_paused,
         )
         self._forwarder.outcomes.on_timeout(self)
         at_target = self._conn is not None
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -58,6 +58,7 @@
         crash_detector: Detection of crashed targets and of the requests that
             ran there.
         queues: Waiting requests and their order of service.
+        responses: Records of the responses of targets.
         targets: Targets that accept requests now.
         admission: Policy on sending, queueing and rejecting requests.
         pool: Connections to targets.
@@ -102,7 +103,7 @@
             is_first_start=is_first_start,
         )
         self._recorder = recorder_lib.Recorder(metrics=metrics)
-        self._responses = response_recorder.ResponseRecorder(metrics=metrics)
+        self.responses = response_recorder.ResponseRecorder(metrics=metrics)
         self.crash_detector = crash_detector.CrashDetector(
             clock=clock,
             pool=self.pool,
@@ -146,7 +147,7 @@
             outages=self._outages,
             queues=self.queues,
             recorder=self._recorder,
-            responses=self._responses,
+            responses=self.responses,
             startup_grace=self._startup_grace,
         )
         self.admission = admission_lib.AdmissionPolicy(
@@ -537,7 +538,7 @@
         if candidates.free_slots < 1 or not self._take_retry(exchange, now):
             return
         exchange.leave_target()
-        self._responses.record_move(exchange)
+        self.responses.record_move(exchange)
         self._choose_and_send(exchange, candidates, now)
 
     # Other entries.
@@ -612,7 +613,7 @@
     def tidy(self) -> None:
         """Close idle connections, drop expired state and publish metrics."""
         now = self.now()
-        self._responses.publish()
+        self.responses.publish()
         self.pool.close_expired()
         self.targets.tidy(now)
         self._recorder.record_signal_counts(
@@ -645,7 +646,7 @@
             self.on_work()
         elif exchange.target_id:
             self._hand_over_slot(exchange.service)
-        self._responses.record_end(
+        self.responses.record_end(
             exchange, outcome, version=self._config_version, now=self.now()
         )
 
@@ -676,10 +677,6 @@
         """Configuration version in force, 0 before the first."""
         return self.index.deployment.version if self.index else 0
 
-    def record_unread(self, exchange: exchange_lib.Exchange) -> None:
-        """Record a target that cut off an answer its caller didn't read."""
-        self._responses.record_unread(exchange)
-
     def record_pause(
         self, service: str, target: records.Target | None, seconds: float
     ) -> None:
--- a/script/guards_warmup.py
+++ b/script/guards_warmup.py
@@ -75,8 +75,7 @@
           "targets.warmup.try_count(self._target, now)",
           "True", "cold_forward"),
     Guard("reading from the target stops for a slow caller", F + "exchange.py",
-          "        self._is_caller_slow = True\n"
-          "        self._slow_since = self._forwarder.now()\n"
+          "        self._pauses.begin(self._forwarder.now())\n"
           "        if self._conn is not None:\n",
           "        if False:\n", "slow_readers"),
     Guard("reading goes on once the caller has read", F + "exchange.py",
@@ -86,7 +85,9 @@
           "        self._last_event_at = 0.0\n        if self._conn",
           "        if self._conn", "slow_readers"),
     Guard("a target that cuts off an unread answer has no fault",
-          F + "exchange.py", "if self._was_held_up and not self.done:",
+          F + "exchange.py",
+          "if not self.done and "
+          "self._pauses.was_held_up(self._forwarder.now()):",
           "if False:", "slow_readers"),
     Guard("a large body is sent in parts", "jasperweir/helpers/http_client.py",
           "while self._unsent and self._is_writable and not self.closed:",
