--- a/features/cached_decisions.feature
+++ b/features/cached_decisions.feature
@@ -14,3 +14,8 @@
     Given a balancer and 12 peers
     When 600 reports arrive at random, some late, some of peers that leave
     Then after each report the load of each target is that of the last reports
+
+  Scenario: A queue that has emptied stays in the load reports
+    Given the queues of an entry
+    When requests of two services are queued and removed at random 300 times
+    Then after each tick the load report has the queues of that moment
--- a/features/steps/cached_decisions_steps.py
+++ b/features/steps/cached_decisions_steps.py
@@ -10,9 +10,13 @@
 from jasperweir.components.balance import const as balance_const
 from jasperweir.components.balance import entry_cell
 from jasperweir.components.balance import messages as balance_messages
+from jasperweir.components.balance import outage
 from jasperweir.components.balance import passes
+from jasperweir.components.balance import wait_queue
 from jasperweir.components.directory import records
 from jasperweir.components.forward import capacity as capacity_lib
+from jasperweir.components.forward import queues as queues_lib
+from jasperweir.components.forward import startup_grace
 from jasperweir.components.groups import directory as group_directory
 from jasperweir.components.groups import messages as groups_messages
 
@@ -229,3 +233,68 @@
         for counted, summed, expected in loads:
             assert counted == summed == expected, loads
     assert any(expected for _, _, expected in context.sums[-1])
+
+
+@given("the queues of an entry")
+def step_queues(context):
+    rng = random.Random(5)
+    context.balancer = balancer_lib.Balancer(rng=rng)
+    context.queues = queues_lib.Queues(
+        balancer=context.balancer,
+        cell=entry_cell.EntryCell(name="e1", place="p"),
+        outages=outage.Outages(groups=group_directory.GroupDirectory()),
+        startup_grace=startup_grace.StartupGrace(started_at=0.0),
+        rng=rng,
+    )
+
+
+@when(
+    "requests of two services are queued and removed at random {count:d} times"
+)
+def step_queue(context, count):
+    rng = random.Random(6)
+    changes = []
+    context.balancer.on_change = lambda: changes.append(True)
+    context.reports = []
+    sent = ()
+    for number in range(count):
+        service = "a" if number < count / 2 else rng.choice("ab")
+        queue = context.queues.get(service).wait_queue
+        if rng.random() < 0.4:
+            queue.enqueue(
+                wait_queue.QueuedRequest(
+                    priority=rng.randrange(3),
+                    since=NOW,
+                    number=number,
+                    until=NOW + 5,
+                    not_before=NOW,
+                    timely_until=NOW + rng.choice((-1, 1)),
+                )
+            )
+        elif len(queue):
+            queue.remove(rng.choice(queue.numbers()))
+        changes.clear()
+        context.queues.publish(NOW)
+        waiting = [
+            (name, found.wait_queue.list_waiting())
+            for name in "ab"
+            if (found := context.queues.get(name))
+        ]
+        expected = {
+            (name, sum(not w.is_late(NOW) for w in found), len(found))
+            for name, found in waiting
+            if found
+        }
+        report = context.balancer.share().queues
+        found = {(q.service, q.timely, q.timely + q.late) for q in report}
+        context.reports.append((found, expected, bool(changes), sent != found))
+        sent = found
+
+
+@then("after each tick the load report has the queues of that moment")
+def step_queue_reports(context):
+    for found, expected, has_changed, differs in context.reports:
+        assert found == expected, (found, expected)
+        assert has_changed or not differs
+    assert sum(not found for found, *_ in context.reports) > 10
+    assert sum(len(found) == 2 for found, *_ in context.reports) > 10
