--- a/script/bench_forward.py
+++ b/script/bench_forward.py
@@ -108,6 +108,7 @@
     Case("evacuated refusing", evacuated=("south",), refusing=3),
     Case("evacuated cold", evacuated=("south",), cold=30),
     Case("waiting", load=1.05),
+    Case("full", load=1.5),
     Case("evacuated waiting", evacuated=("south",), load=1.05, refusing=3),
 )
 
