Say that a caller that was disconnected didn't read

A caller that reads nothing for 8 s loses its connection to the entry (TCP_USER_TIMEOUT); its line looked like that of a caller that went by itself.

Change: 'request ended' has the reason "the caller doesn't read" if reading from the target paused for it.

--- a/features/response_ends.feature
+++ b/features/response_ends.feature
@@ -59,6 +59,12 @@
     Then no attempt failed and the request ended "caller gone"
     And its response has framing chunks, end caller, no cut, 2 events, 30 bytes and 0 pending
 
+  Scenario: A caller whose connection timed out unread looks like one that went
+    When a caller that doesn't read is disconnected
+    Then no attempt failed and the request ended "caller gone"
+    And its response has framing chunks, end caller, no cut, 2 events, 30 bytes and 0 pending
+    And its reason is "the caller doesn't read"
+
   Scenario: A target is blamed for an answer that its caller didn't read
     When a target resets the connection while its caller doesn't read
     Then the attempt's line is "answer not read in time"
--- a/features/steps/response_ends_steps.py
+++ b/features/steps/response_ends_steps.py
@@ -47,6 +47,13 @@
     context.run = response_ends.run([SILENT], unread=True, reads_again=False)
 
 
+@when("a caller that doesn't read is disconnected")
+def step_unread_leave(context):
+    context.run = response_ends.run(
+        [SILENT], unread=True, reads_again=False, leaves=True
+    )
+
+
 @when("the attempts of a request are answered:")
 def step_attempts(context):
     answers = [response_ends.ANSWERS[row["answer"]] for row in context.table]
--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -442,7 +442,10 @@
     def _on_caller_disconnected(self) -> None:
         if self.done:
             return
-        self.progress.stop(response_progress.End.CALLER)
+        self.progress.stop(
+            response_progress.End.CALLER,
+            response_progress.CALLER_SLOW if self._is_caller_slow else "",
+        )
         self._close_connection()
         self._release_slot()
         self._finish("caller gone")
--- a/jasperweir/components/forward/response_progress.py
+++ b/jasperweir/components/forward/response_progress.py
@@ -55,6 +55,8 @@
     OTHER = "other"
 
 
+# Reason of an attempt that ended while reading paused for the caller.
+CALLER_SLOW = "the caller doesn't read"
 _RESET_TEXTS = ("Connection reset", "Broken pipe")
 
 
@@ -136,7 +138,7 @@
         if self.end is End.UNSENT:
             reason = "deadline passed while connecting"
         elif is_caller_slow:
-            reason = "the caller doesn't read"
+            reason = CALLER_SLOW
         elif self.framing is None:
             reason = f"no response for {idle_s:.1f} s"
         elif self.events:
