--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -444,7 +444,7 @@
             return
         self.progress.stop(
             response_progress.End.CALLER,
-            response_progress.CALLER_SLOW if self._is_caller_slow else "",
+            response_progress.CALLER_SLOW if self._pauses.is_paused else "",
         )
         self._close_connection()
         self._release_slot()
