--- a/features/harness/response_ends.py
+++ b/features/harness/response_ends.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 import random
+import re
 from typing import NamedTuple
 
 import logbook
@@ -38,6 +39,13 @@
 EVENTS = b"".join(b"id: %d\ndata: x\n\n" % n for n in (1, 2))
 
 
+def _renumber(piece, after):
+    """Return events as a target sends them that resumes after another one."""
+    return re.sub(
+        rb"id: (\d)", lambda found: b"id: %d" % (int(found[1]) + after), piece
+    )
+
+
 def _chunk(data):
     return b"%x\r\n%b\r\n" % (len(data), data)
 
@@ -209,9 +217,10 @@
 
     def on_request(transport, head):
         at = 0.0
+        after = int(head.partition(b"after: ")[2].partition(b"\r\n")[0] or 0)
         for piece in answer.pieces:
             at += PIECE_SECONDS
-            loop.call_later(at, transport.answer, piece)
+            loop.call_later(at, transport.answer, _renumber(piece, after))
         ends = {"close": None, "reset": RESET, "lost": LOST}
         if answer.end in ends:
             at += EVENT_SECONDS if unread else PIECE_SECONDS
