--- a/features/harness/cut_answers.py
+++ b/features/harness/cut_answers.py
@@ -13,8 +13,8 @@
 from jasperweir.components.deployment import index
 from jasperweir.components.deployment import model
 from jasperweir.components.directory import directory
-from jasperweir.components.forward import const
 from jasperweir.components.forward import forwarder
+from jasperweir.helpers import event_stream
 from jasperweir.helpers import http_client
 from jasperweir.helpers import metrics
 
@@ -23,7 +23,8 @@
 CUT_EVENT = 3
 PATIENCE_SECONDS = 5.0
 PIECE_SECONDS = 0.01
-HUGE_BYTES = const.MAX_EVENT_BYTES + 100_000
+MAX_EVENT_BYTES = event_stream.MAX_EVENT_BYTES
+HUGE_BYTES = MAX_EVENT_BYTES + 100_000
 SENT_AT_ONCE_BYTES = 32 * 1024
 
 FRAMINGS = ("length", "chunks", "torn chunk", "close", "http/1.0")
@@ -34,6 +35,8 @@
     "safe": (model.RouteKind.SAFE, False, 2),
     "unsafe": (model.RouteKind.UNSAFE, False, 1),
 }
+# Statuses that promise that a request has not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Framings whose end the target doesn't state.
 UNSTATED = ("close", "http/1.0")
 
@@ -74,7 +77,7 @@
     places += [
         (CUT_EVENT, offset, True)
         for offset in (
-            6, 40, const.MAX_EVENT_BYTES - 1, const.MAX_EVENT_BYTES + 50_000,
+            6, 40, MAX_EVENT_BYTES - 1, MAX_EVENT_BYTES + 50_000,
             huge - 2, huge - 1,
         )
     ]  # fmt: skip
@@ -209,12 +212,14 @@
         is_whole: Whether the answer is framed as complete.
         body: Body.
         attempts: Number of requests that targets ran.
+        length: Length that its head states, None for chunks.
     """
 
     status: int
     is_whole: bool
     body: bytes
     attempts: int
+    length: int | None
 
 
 def play(route_name, cut, body=None):
@@ -285,7 +290,11 @@
     # The check of a target whose connection broke is left to end.
     await asyncio.sleep(1.0)
     return Outcome(
-        answering.status, answering.whole, answering.body, target.attempts
+        answering.status,
+        answering.whole,
+        answering.body,
+        target.attempts,
+        answering.length,
     )
 
 
@@ -335,10 +344,20 @@
         return "the bytes passed on are not the beginning of the answer"
     if route_name in ("unsafe", "stream") and outcome.attempts > 1:
         return f"ran {outcome.attempts} times"
+    if outcome.attempts > ROUTES[route_name][2]:
+        return f"was sent to {outcome.attempts} targets"
+    if outcome.length not in (None, len(outcome.body)) and outcome.is_whole:
+        return f"stated {outcome.length} bytes and has {len(outcome.body)}"
+    if outcome.attempts and outcome.status in NOT_RUN_STATUSES:
+        return f"ran, and its caller was told {outcome.status}"
     if cut.tries > 1 or cut.end == "silence":
         return "whole" if looks_complete else None
-    # What exceeds every buffer has been passed on in part.
-    is_partly_passed_on = cut.is_huge and not outcome.is_whole and outcome.body
+    # A part of what exceeds the buffer may have been passed on.
+    is_partly_passed_on = (
+        cut.is_huge
+        and not outcome.is_whole
+        and len(outcome.body) > MAX_EVENT_BYTES
+    )
     if route_name == "safe" and not looks_complete:
         return None if is_partly_passed_on else "was not sent elsewhere"
     if route_name == "resumable stream" and not looks_complete:
--- a/features/steps/cut_answers_steps.py
+++ b/features/steps/cut_answers_steps.py
@@ -6,9 +6,9 @@
 from behave import when
 
 from features.harness import cut_answers
-from jasperweir.components.forward import events
 from jasperweir.components.forward import response_body
 from jasperweir.components.forward import response_progress
+from jasperweir.helpers import event_stream
 from jasperweir.helpers import http_message
 
 SHOWN = 12
@@ -63,7 +63,7 @@
 
 @when('an event stream "{text}" arrives byte by byte')
 def step_bytes(context, text):
-    context.splitter = events.EventSplitter(last_id="")
+    context.splitter = event_stream.EventSplitter(last_id="")
     data = text.replace("~", "\n").replace("^", "\r").encode()
     passed = b"".join(
         context.splitter.feed(data[at : at + 1]) for at in range(len(data))
@@ -127,3 +127,27 @@
 def step_json_whole(context):
     assert context.outcome.is_whole
     assert context.outcome.body == b'{"a": 1}', context.outcome.body
+
+
+@when("a stream ends right after a part of an event larger than the buffer")
+def step_ends_after_part(context):
+    context.splitter = event_stream.EventSplitter(last_id="6")
+    data = b"id: 7\ndata: " + b"x" * event_stream.MAX_EVENT_BYTES
+    assert context.splitter.feed(data) == data
+
+
+@then("the stream is inside an event, also after the end of its line")
+def step_inside(context):
+    assert context.splitter.is_inside_event
+    assert context.splitter.feed(b"\n") == b""
+    assert context.splitter.is_inside_event
+
+
+@then("its last id is none of the large event's until that event is complete")
+def step_large_id(context):
+    assert context.splitter.last_id == "6", context.splitter.last_id
+    assert not context.splitter.has_resume_point
+    assert context.splitter.feed(b"\n") == b"\n\n"
+    assert context.splitter.last_id == "7", context.splitter.last_id
+    assert context.splitter.has_resume_point
+    assert not context.splitter.is_inside_event
--- a/jasperweir/cli/report.py
+++ b/jasperweir/cli/report.py
@@ -12,6 +12,7 @@
 from jasperweir.components.burn import report as burn_report
 from jasperweir.components.outcomes import const as outcomes_const
 from jasperweir.components.outcomes import summary as summary_lib
+from jasperweir.helpers import http_pool
 
 EXIT_UNREACHABLE = 4
 
@@ -41,7 +42,8 @@
     requests.add_argument(
         "logs",
         nargs="+",
-        type=argparse.FileType("r", encoding="utf-8"),
+        # The last line may be cut off inside a character.
+        type=argparse.FileType("r", encoding="utf-8", errors="replace"),
         help="log files, or - (lines may start with a time in seconds)",
     )
     requests.add_argument(
@@ -54,7 +56,7 @@
 
 
 def _fetch(addresses: str, path: str) -> list[dict[str, Any]]:
-    http = urllib3.PoolManager(retries=False)
+    http = http_pool.create()
     found = []
     for address in addresses.split(","):
         try:
--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -223,14 +223,24 @@
             )
         else:
             self._forwarder.balancer.failed(self.target_id, now, hard=False)
-        is_success = 200 <= head.status < 300
+        is_event_stream = (
+            self.state.is_stream
+            and 200 <= head.status < 300
+            and response_body.is_event_stream(head.headers)
+        )
+        is_bodiless = head.framing is http_message.Framing.NONE
+        if self.state.response_started and not is_event_stream:
+            self._on_fault(Fault.UNKNOWN, "no event stream", hard=False)
+            return True
         self._body = response_body.ResponseBody(
             progress=self.progress,
-            is_event_stream=self.state.is_stream
-            and is_success
-            and response_body.is_event_stream(head.headers),
+            is_event_stream=is_event_stream
+            and (self.state.response_started or not is_bodiless),
             last_event_id=self.state.last_event_id,
             expects_event=self._expects_event,
+            continues_after=self.state.last_event_id
+            if self.state.response_started
+            else "",
         )
         if self.state.response_started:
             # A resumed stream keeps the first target's response head.
@@ -248,13 +258,20 @@
         ready = self._body.feed(data)
         if not ready:
             return
+        if self._body.repeats_events:
+            self.progress.on_cut(response_progress.Cut.REPEATS_EVENTS)
+            self._on_cut_off(response_progress.Cut.REPEATS_EVENTS.value)
+            return
         if self._body.is_event_stream:
             self._record_gap()
-            self.state.on_events(
-                self._body.last_event_id,
-                has_resume_point=self._body.has_resume_point,
-            )
-        self._pass_on(ready, self._length)
+        self.state.on_passed_on(
+            self._body.last_event_id,
+            has_resume_point=self._body.has_resume_point,
+        )
+        # Another run that continues a stream has a length of its own.
+        self._pass_on(
+            ready, None if self._body.is_event_stream else self._length
+        )
 
     def _pass_on(self, data: bytes, length: int | None) -> None:
         """Send a part of the body to the caller, after the head.
--- a/jasperweir/components/forward/response_body.py
+++ b/jasperweir/components/forward/response_body.py
@@ -6,8 +6,8 @@
 """
 
 from jasperweir.components.forward import const
-from jasperweir.components.forward import events as events_lib
 from jasperweir.components.forward import response_progress
+from jasperweir.helpers import event_stream
 from jasperweir.helpers import http_message
 
 EVENT_STREAM_TYPE = b"text/event-stream"
@@ -29,6 +29,7 @@
         is_event_stream: bool,
         last_event_id: str,
         expects_event: bool,
+        continues_after: str = "",
     ) -> None:
         """Create the body of a response whose head has arrived.
 
@@ -39,11 +40,14 @@
                 empty.
             expects_event: Whether an earlier attempt began an event after that
                 one.
+            continues_after: Id of the last event of an earlier attempt that
+                the caller has, empty without one.
         """
         self.is_event_stream = is_event_stream
         self._progress = progress
         self._expects_event = expects_event
-        self._splitter = events_lib.EventSplitter(last_id=last_event_id)
+        self._continues_after = continues_after
+        self._splitter = event_stream.EventSplitter(last_id=last_event_id)
         self._buffered: list[bytes] = []
         self._buffered_bytes = 0
         self._is_passing_on = False
@@ -55,16 +59,31 @@
 
     @property
     def has_resume_point(self) -> bool:
-        """Whether a stream can be resumed after ``last_event_id``."""
-        return self._splitter.has_resume_point
+        """Whether the response can be resumed after ``last_event_id``."""
+        if self.is_event_stream:
+            return self._splitter.has_resume_point
+        return not self._is_passing_on
 
     @property
     def has_open_event(self) -> bool:
         """Whether more than the events so far belongs to the stream."""
-        return self._splitter.is_inside_event or (
+        return self._splitter.has_begun_event or (
             self._expects_event and not self._splitter.count
         )
 
+    @property
+    def repeats_events(self) -> bool:
+        """Whether the stream begins with an event that the caller has.
+
+        Ids that are no numbers can't be compared.
+        """
+        first_id = self._splitter.first_id
+        if not self._continues_after.isdecimal() or first_id is None:
+            return False
+        return first_id.isdecimal() and int(first_id) <= int(
+            self._continues_after
+        )
+
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return those to pass on now."""
         self._progress.body_bytes += len(data)
