--- a/features/harness/response_ends.py
+++ b/features/harness/response_ends.py
@@ -38,6 +38,14 @@
 EVENTS = b"".join(b"id: %d\ndata: x\n\n" % n for n in (1, 2))
 
 
+def _continue(piece, after):
+    """Return a piece of an answer that begins after an event."""
+    for number in (2, 1):
+        old, new = b"id: %d\n" % number, b"id: %d\n" % (number + after)
+        piece = piece.replace(old, new)
+    return piece
+
+
 def _chunk(data):
     return b"%x\r\n%b\r\n" % (len(data), data)
 
@@ -51,12 +59,14 @@
             ``refused``, which opens no connection.
         connect_s: Time until the connection is open, seconds.
         is_evacuated: Whether the target is evacuated meanwhile.
+        repeats: Whether it begins with the first event when it is resumed.
     """
 
     pieces: tuple[bytes, ...] = ()
     end: str = "stays"
     connect_s: float = 0.0
     is_evacuated: bool = False
+    repeats: bool = False
 
 
 LAST_CHUNK = b"0\r\n\r\n"
@@ -65,6 +75,9 @@
         (STREAM + b"Content-Length: %d\r\n\r\n" % len(EVENTS), EVENTS)
     ),
     "in chunks": Answer((STREAM + CHUNKS, _chunk(EVENTS), LAST_CHUNK)),
+    "in chunks, from the first event": Answer(
+        (STREAM + CHUNKS, _chunk(EVENTS), LAST_CHUNK), repeats=True
+    ),
     "until the close": Answer((STREAM + b"\r\n", EVENTS), "close"),
     "without a body": Answer((b"HTTP/1.1 204 No Content\r\n\r\n",)),
     "with an error": Answer(
@@ -209,9 +222,11 @@
 
     def on_request(transport, head):
         at = 0.0
+        after = int(head.partition(b"after: ")[2].partition(b"\r\n")[0] or 0)
+        after = 0 if answer.repeats else after
         for piece in answer.pieces:
             at += PIECE_SECONDS
-            loop.call_later(at, transport.answer, piece)
+            loop.call_later(at, transport.answer, _continue(piece, after))
         ends = {"close": None, "reset": RESET, "lost": LOST}
         if answer.end in ends:
             at += EVENT_SECONDS if unread else PIECE_SECONDS
--- a/features/response_ends.feature
+++ b/features/response_ends.feature
@@ -87,6 +87,18 @@
       | send failed   | no_head | unsent  |              |
       | request ended | chunks  | framing |              |
 
+  Scenario: A resumed run that repeats events looks like any other fault
+    When the attempts of a request are answered:
+      | answer                          |
+      | and closes inside an event      |
+      | in chunks, from the first event |
+      | in chunks                       |
+    Then its lines are:
+      | event         | framing | end     | cut            |
+      | send failed   | close   | close   | inside_event   |
+      | send failed   | chunks  | fault   | repeats_events |
+      | request ended | chunks  | framing |                |
+
   Scenario: A request that was never sent is logged with a response
     When a request meets no target
     Then its response has framing no_head, end none, no cut, 0 events, 0 bytes and 0 pending
--- a/jasperweir/components/forward/response_progress.py
+++ b/jasperweir/components/forward/response_progress.py
@@ -20,7 +20,8 @@
     # The connection was reset or closed before the framing was complete, or
     # the response could not be parsed.
     BROKEN = "broken"
-    # The head showed a fault, e.g. by its status; the body was not read.
+    # The head, e.g. its status, or the first events of a resumed run showed a
+    # fault; the rest was not read.
     FAULT = "fault"
     # The deadline of the request passed.
     TIMEOUT = "timeout"
