--- a/features/harness/response_ends.py
+++ b/features/harness/response_ends.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 import random
+import re
 from typing import NamedTuple
 
 import logbook
@@ -38,12 +39,11 @@
 EVENTS = b"".join(b"id: %d\ndata: x\n\n" % n for n in (1, 2))
 
 
-def _continue(piece, after):
-    """Return a piece of an answer that begins after an event."""
-    for number in (2, 1):
-        old, new = b"id: %d\n" % number, b"id: %d\n" % (number + after)
-        piece = piece.replace(old, new)
-    return piece
+def _renumber(piece, after):
+    """Return events as a target sends them that resumes after another one."""
+    return re.sub(
+        rb"id: (\d)", lambda found: b"id: %d" % (int(found[1]) + after), piece
+    )
 
 
 def _chunk(data):
@@ -226,7 +226,7 @@
         after = 0 if answer.repeats else after
         for piece in answer.pieces:
             at += PIECE_SECONDS
-            loop.call_later(at, transport.answer, _continue(piece, after))
+            loop.call_later(at, transport.answer, _renumber(piece, after))
         ends = {"close": None, "reset": RESET, "lost": LOST}
         if answer.end in ends:
             at += EVENT_SECONDS if unread else PIECE_SECONDS
