--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -224,26 +224,32 @@
             and 200 <= head.status < 300
             and response_body.is_event_stream(head.headers)
         )
-        is_bodiless = head.framing is http_message.Framing.NONE
         if self.state.response_started and not is_event_stream:
             self._on_fault(Fault.UNKNOWN, "no event stream", hard=False)
             return True
-        self._body = response_body.ResponseBody(
+        self._body = self._create_body(head, is_event_stream)
+        if not self.state.response_started:
+            # A resumed stream keeps the first target's response head.
+            self._head = head
+            self._length = length
+        return True
+
+    def _create_body(
+        self, head: http_message.Head, is_event_stream: bool
+    ) -> response_body.ResponseBody:
+        state = self.state
+        if not state.response_started:
+            has_body = head.framing is not http_message.Framing.NONE
+            is_event_stream = is_event_stream and has_body
+        return response_body.ResponseBody(
             progress=self.progress,
-            is_event_stream=is_event_stream
-            and (self.state.response_started or not is_bodiless),
-            last_event_id=self.state.last_event_id,
+            is_event_stream=is_event_stream,
+            last_event_id=state.last_event_id,
             expects_event=self._expects_event,
-            continues_after=self.state.last_event_id
-            if self.state.response_started
+            continues_after=state.last_event_id
+            if state.response_started
             else "",
         )
-        if self.state.response_started:
-            # A resumed stream keeps the first target's response head.
-            return True
-        self._head = head
-        self._length = length
-        return True
 
     def on_data(self, data: bytes) -> None:
         """Pass on complete events, or buffer a body until it is complete."""
--- a/jasperweir/components/forward/response_body.py
+++ b/jasperweir/components/forward/response_body.py
@@ -10,8 +10,6 @@
 from jasperweir.helpers import event_stream
 from jasperweir.helpers import http_message
 
-EVENT_STREAM_TYPE = b"text/event-stream"
-
 
 class ResponseBody:
     """Body of the response to one attempt; sans-I/O.
@@ -138,5 +136,4 @@
     stated = http_message.find(headers, b"content-type")
     if stated is None:
         return True
-    media_type = stated.partition(b";")[0].strip().lower()
-    return media_type == EVENT_STREAM_TYPE
+    return event_stream.is_event_stream(stated.decode("latin-1"))
