Log: what ran on a crashed target has the parts of its prompt

Seen: 15 targets crash in two series while requests_held is 0, and no line tells whether their requests had a part, a content or only a load in common. Added to 'target checked': parts (digests), prompt size, time run and events of each request.

While this was tested, lines of crashed targets were missing: above 200 lines a second the log leaves out any line, and refused connections after a crash write more than that. A quarter of the lines is kept for warnings; the line of a crashed target is a warning.

--- a/features/harness/platform.py
+++ b/features/harness/platform.py
@@ -16,6 +16,8 @@
 ENTRY_METRICS = 9101
 HOST = "caller.example"
 KEY = "key-of-one"
+# Longest time that a caller waits, seconds.
+STOP_SECONDS = 6.0
 
 
 def control_ip(number):
--- a/features/harness/respawn.py
+++ b/features/harness/respawn.py
@@ -1,5 +1,6 @@
 """Stand-in targets that end under some requests and come back later."""
 
+import json
 import threading
 import time
 
@@ -15,8 +16,11 @@
         ended: When targets ended, monotonic seconds.
     """
 
-    def __init__(self, plat, numbers, *, ends_on, back_s, events=0):
+    def __init__(
+        self, plat, numbers, *, ends_on="", back_s, events=0, crash_parts=()
+    ):
         self._plat = plat
+        self._crash_parts = ",".join(crash_parts)
         self._ends_on = ends_on
         self._back_s = back_s
         self.events = events
@@ -40,6 +44,7 @@
                 *("--ends-on", self._ends_on),
                 *("--ends-file", str(self._file)),
                 *("--events-before-end", str(self.events)),
+                *("--crash-parts", self._crash_parts),
             ),
         )
 
@@ -63,6 +68,11 @@
             return []
         return self._file.read_bytes().splitlines()
 
+    def records(self, what):
+        """Return the arrivals or crashes that targets recorded, in order."""
+        rows = [json.loads(line) for line in self.bodies()]
+        return [row for row in rows if row["what"] == what]
+
     def stop(self):
         self._stop.set()
         self._thread.join()
--- a/jasperweir/components/forward/crash_detector.py
+++ b/jasperweir/components/forward/crash_detector.py
@@ -104,10 +104,16 @@
         if current is None or current.presence is not records.Presence.READY:
             # A target that is shutting down closes connections by itself.
             return
-        request_fingerprint = fingerprint.compute(_build_subject(exchange))
-        now = self._clock.monotonic()
+        subject = _build_subject(exchange)
+        request_fingerprint = fingerprint.compute(subject)
+        caller_headers = exchange.state.caller_headers
         attempt = suspects_lib.Attempt(
-            exchange.state.caller_headers.request_id, sent_at, now
+            request_id=caller_headers.request_id,
+            began_at=sent_at,
+            broke_at=self._clock.monotonic(),
+            parts=fingerprint.compute_parts(subject),
+            prompt_tokens=caller_headers.prompt_tokens,
+            events=exchange.progress.events,
         )
         if not self._suspects.on_broken(target, request_fingerprint, attempt):
             return
@@ -192,7 +198,12 @@
 
 
 def _build_subject(exchange: "exchange_lib.Exchange") -> fingerprint.Subject:
-    return fingerprint.subject(exchange.request, exchange.state.customer_name)
+    return fingerprint.subject(
+        exchange.request,
+        exchange.state.customer_name,
+        exchange.service,
+        exchange.state.caller_headers.prompt_parts,
+    )
 
 
 def _build_incarnation(target: records.Target) -> ledger_lib.Incarnation:
--- a/jasperweir/components/forward/dialect.py
+++ b/jasperweir/components/forward/dialect.py
@@ -20,6 +20,8 @@
         answer_tokens: Maximum number of tokens to generate.
         resume_after: Id of the last event that the caller has received, or
             empty.
+        prompt_parts: Ids of the parts of the prompt that other requests may
+            have in common with it, in their order.
     """
 
     request_id: str
@@ -28,6 +30,7 @@
     prompt_tokens: int
     answer_tokens: int
     resume_after: str
+    prompt_parts: tuple[str, ...] = ()
 
 
 class TargetRequest(NamedTuple):
--- a/jasperweir/components/forward/recorder.py
+++ b/jasperweir/components/forward/recorder.py
@@ -2,6 +2,8 @@
 
 import math
 
+import logbook
+
 from jasperweir import result_codes
 from jasperweir.components.backpressure import backpressure as backpressure_lib
 from jasperweir.components.backpressure import signals as signals_lib
@@ -19,6 +21,8 @@
 from jasperweir.helpers import metrics as metrics_lib
 
 _log = logs.logger("forward")
+# Results of a probe that show a crash.
+_CRASH_RESULTS = ("ended", "replaced")
 
 
 class Recorder:
@@ -326,7 +330,9 @@
             result: Result of the probe.
         """
         self._metrics.inc("broken_targets", sign=result)
-        _log.info(
+        has_crashed = result in _CRASH_RESULTS
+        _log.log(
+            logbook.WARNING if has_crashed else logbook.INFO,
             "target checked",
             target=case.target.target_id,
             address=case.target.address,
@@ -335,6 +341,16 @@
                 found.label: broken.request_id
                 for found, broken in case.suspects.items()
             },
+            runs=[
+                {
+                    "id": broken.request_id,
+                    "parts": [part.label for part in broken.parts],
+                    "prompt_tokens": broken.prompt_tokens,
+                    "ran_ms": round((broken.broke_at - broken.began_at) * 1000),
+                    "events": broken.events,
+                }
+                for broken in case.suspects.values()
+            ],
         )
 
     def record_quarantined(
--- a/jasperweir/components/quarantine/const.py
+++ b/jasperweir/components/quarantine/const.py
@@ -14,6 +14,8 @@
 # Bytes of the digest of a request's content. It has to be collision-resistant:
 # a caller must not be able to forge the fingerprint of another request.
 CONTENT_BYTES = 16
+# Parts of one prompt that are looked at.
+PARTS_MAX = 32
 
 # A request is quarantined once this many targets have crashed under it without
 # a complete answer in between. A single crash is weak evidence, since some five
--- a/jasperweir/components/quarantine/suspects.py
+++ b/jasperweir/components/quarantine/suspects.py
@@ -23,11 +23,17 @@
         request_id: Id of the request as known to its caller.
         began_at: When it was sent, monotonic seconds.
         broke_at: When its connection broke, monotonic seconds.
+        parts: Fingerprints of the parts of its prompt.
+        prompt_tokens: Stated size of its prompt.
+        events: Complete events of its response.
     """
 
     request_id: str
     began_at: float
     broke_at: float
+    parts: tuple[fingerprint_lib.Fingerprint, ...] = ()
+    prompt_tokens: int = 0
+    events: int = 0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/jasperweir/helpers/logs.py
+++ b/jasperweir/helpers/logs.py
@@ -30,6 +30,8 @@
 
 # Most lines that a process writes in a second.
 MAX_LINES_PER_SECOND = 200
+# Those of them that are kept for warnings and errors.
+RESERVED_LINES_PER_SECOND = 50
 # Most lines that wait to be written; above it new lines are dropped.
 MAX_QUEUED_LINES = 2000
 
@@ -61,7 +63,10 @@
             self._second = int(now)
             self._written = 0
         full = len(self._queue) >= MAX_QUEUED_LINES
-        if full or self._written >= MAX_LINES_PER_SECOND:
+        max_lines = MAX_LINES_PER_SECOND
+        if record.level < logbook.WARNING:
+            max_lines -= RESERVED_LINES_PER_SECOND
+        if full or self._written >= max_lines:
             self._dropped_lines += 1
             return
         self._written += 1
--- a/script/guards.py
+++ b/script/guards.py
@@ -399,7 +399,7 @@
           "                pass", "quarantine_ledger"),
     Guard("the customer is part of what identifies a request",
           C + "quarantine/fingerprint.py",
-          "parts.customer.encode()", 'b""', "quarantine_ledger"),
+          "found.customer.encode()", 'b""', "quarantine_ledger"),
     Guard("a start earns no share of the burst", C + "balance/budget.py",
           "self.saved = min(self.saved + accrued, share.max_saved)",
           "self.saved = share.max_saved", "retry_budget"),
--- a/standins/const.py
+++ b/standins/const.py
@@ -10,3 +10,6 @@
 EVENT_LOSS = 0.2
 # Delay between the start of a request that crashes the process and the crash.
 CRASH_DELAY_SECONDS = 0.04
+# Time from a request to the first event of its answer at a target that reads
+# prompts.
+PROMPT_SECONDS = 0.15
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -33,6 +33,7 @@
         events: int,
         ends_on: bytes = b"",
         ends_file: str = "",
+        crash_parts: frozenset[str] = frozenset(),
         zone: str = "p",
         slots: int = 6,
         attempts_folder: str = "",
@@ -44,6 +45,8 @@
             events: Number of events in a stream.
             ends_on: Request body content that crashes the process.
             ends_file: File that gets the body of the crashing request.
+            crash_parts: Parts of prompts, other than the last one, on which the
+                process crashes when it begins to write an answer.
             zone: Data centre.
             slots: Requests that it serves at a time, as it states.
             attempts_folder: Folder in which targets count the attempts of
@@ -56,6 +59,7 @@
         self.events = events
         self.ends_on = ends_on
         self.ends_file = ends_file
+        self.crash_parts = crash_parts
         self.break_after = 0
         # Framing of answers, empty for the usual ones, and cuts of the next
         # streams and plain answers: fields of ``cut_answers.Cut``.
@@ -143,6 +147,8 @@
             state.seen.append({k.lower(): v for k, v in self.headers.items()})
         if state.ends_on and state.ends_on in body:
             self._crash(body)
+        if state.crash_parts:
+            self._read_prompt()
         script = cut_answers.parse_script(self.path)
         if script is not None:
             self._answer_script(script)
@@ -209,6 +215,32 @@
             ("Content-Type", media_type),
         ]
 
+    def _read_prompt(self) -> None:
+        """Take the time to read a prompt; crash on some of its parts.
+
+        Arrivals of such requests and crashes are recorded in ``ends_file``.
+        """
+        parts = self.headers.get("Prefix-Hash", "").split(",")
+        names = {part.partition(":")[0].strip() for part in parts[:-1]}
+        found = sorted(names & self.state.crash_parts)
+        if found:
+            self._record_part("arrived", found)
+        time.sleep(const.PROMPT_SECONDS)
+        if found:
+            self._record_part("crashed", found)
+            os._exit(1)
+
+    def _record_part(self, what: str, parts: list[str]) -> None:
+        row = {
+            "what": what,
+            "at": time.monotonic(),
+            "target": self.state.target_id,
+            "id": self.headers.get("Attempt-Id", ""),
+            "parts": parts,
+        }
+        with open(self.state.ends_file, "ab", buffering=0) as file:
+            file.write(json.dumps(row).encode() + b"\n")
+
     def _crash(self, body: bytes) -> None:
         """Exit the process without cleanup, like a crash."""
         if "/stream/" in self.path:
@@ -335,6 +367,7 @@
     parser.add_argument("--events", type=int, default=10)
     parser.add_argument("--ends-on", default="")
     parser.add_argument("--ends-file", default="")
+    parser.add_argument("--crash-parts", default="")
     parser.add_argument("--events-before-end", type=int, default=0)
     parser.add_argument("--slots", type=int, default=6)
     parser.add_argument("--attempts-folder", default="")
@@ -344,6 +377,7 @@
         events=args.events,
         ends_on=args.ends_on.encode(),
         ends_file=args.ends_file,
+        crash_parts=frozenset(filter(None, args.crash_parts.split(","))),
         zone=args.zone,
         slots=args.slots,
         attempts_folder=args.attempts_folder,
