Parts of prompts that crash targets are quarantined

Callers saw streams refused or cut off for half a minute at a time: requests with one part in their prompts, no two alike, crashed targets one after the other, and each crash stops a group of ranks.

Cause: the quarantine knew a request by all of its content only. What a request does to targets because of a part that others share was new each time.

A request is now known by the fingerprint of its content and by those of the parts of its prompt but the last; both are marks in the one ledger. The part that explains most crashes is blamed (blame.py): after two crashes, after three if requests with it were answered before; what it explains counts against no other part, parts in the same crashes are held together only, and a caller's marks hold its own requests. A response that goes on for 0.25 s relieves its parts, at every entry. While crashes point at a part, and once targets have a new version, one request with it is sent at a time. Requests that are held are rejected with 2012, those that wait at a target are cancelled.

The check of held requests leaves forwarder.py for quarantine_enforcer.py.

--- a/features/steps/quarantine_forward_steps.py
+++ b/features/steps/quarantine_forward_steps.py
@@ -127,7 +127,7 @@
             hop_.forwarder.handle(hop_.answering)
         assert not hop_.answering.done
         record_crashes(hop_.forwarder, hop_.answering.request)
-        hop_.forwarder.reject_quarantined(hop_.forwarder.now())
+        hop_.forwarder.quarantine.reject_held(hop_.forwarder.now())
         context.hop = hop_
         hop_.close()
 
--- a/jasperweir/components/directory/records.py
+++ b/jasperweir/components/directory/records.py
@@ -32,6 +32,7 @@
             0 if it is warm, COLD_UNSTATED if it states nothing readable.
         born: Start time by its own clock, Unix milliseconds; 0 if not stated.
             Together with the id this identifies its incarnation.
+        build: Versions of its software and weights, empty if not stated.
     """
 
     target_id: str
@@ -43,6 +44,7 @@
     sequence: int
     cold_s: float = 0.0
     born: int = 0
+    build: str = ""
 
 
 class Node(NamedTuple):
--- a/jasperweir/components/forward/crash_detector.py
+++ b/jasperweir/components/forward/crash_detector.py
@@ -10,14 +10,14 @@
 from typing import TYPE_CHECKING
 
 from jasperweir import core
-from jasperweir import result_codes
 from jasperweir.components.directory import directory as directory_lib
 from jasperweir.components.directory import records
+from jasperweir.components.forward import quarantine_enforcer
 from jasperweir.components.forward import recorder as recorder_lib
 from jasperweir.components.quarantine import const
 from jasperweir.components.quarantine import fingerprint
 from jasperweir.components.quarantine import ledger as ledger_lib
-from jasperweir.components.quarantine import messages
+from jasperweir.components.quarantine import quarantine as quarantine_lib
 from jasperweir.components.quarantine import suspects as suspects_lib
 from jasperweir.helpers import http_client
 
@@ -25,9 +25,6 @@
     from jasperweir.components.forward import exchange as exchange_lib
 
 
-Marks = tuple[messages.Mark, ...]
-
-
 class ProbeResult(enum.Enum):
     """Result of a new connection to a target whose connections broke."""
 
@@ -45,8 +42,7 @@
     """Probes targets whose connections break and records the affected requests.
 
     Attributes:
-        ledger: Fingerprints of requests under which targets crashed.
-        on_marks: Called with the marks to send to other processes.
+        quarantine: Marks on the requests under which targets crashed.
     """
 
     def __init__(
@@ -56,97 +52,83 @@
         pool: http_client.ConnectionPool,
         directory: directory_lib.Directory,
         recorder: recorder_lib.Recorder,
+        quarantine: quarantine_lib.Quarantine,
     ) -> None:
-        self.ledger = ledger_lib.Ledger()
-        self.on_marks: Callable[[Marks], None] = lambda _: None
+        self.quarantine = quarantine
         self._clock = clock
         self._pool = pool
         self._directory = directory
         self._recorder = recorder
         self._suspects = suspects_lib.Suspects()
         self._checks: set[asyncio.Task[None]] = set()
+        # What to call once a target was checked, by target and start.
+        self._on_checked: dict[tuple[str, int], list[Callable[[], None]]] = {}
 
-    def find_verdict(
-        self, exchange: "exchange_lib.Exchange", now: float
-    ) -> ledger_lib.Verdict:
-        """Return the crashes under a request and its quarantine time."""
-        request_fingerprint = self._find_fingerprint(exchange)
-        if request_fingerprint is None:
-            return ledger_lib.Verdict(0, 0.0)
-        return self.ledger.verdict(request_fingerprint, now)
-
-    def reject_if_quarantined(
-        self, exchange: "exchange_lib.Exchange", now: float
-    ) -> bool:
-        """Reject a request under which several targets have crashed.
-
-        This keeps a request that is retried every few seconds from crashing one
-        target after another, each of which stops its group of ranks.
-
-        Returns:
-            Whether the request was rejected.
-        """
-        verdict = self.find_verdict(exchange, now)
-        if not verdict.held_s:
-            return False
-        self._recorder.record_quarantined(exchange, verdict)
-        exchange.fail(result_codes.Code.ENDS_TARGETS)
-        return True
+    @property
+    def ledger(self) -> ledger_lib.Ledger:
+        """Fingerprints of requests under which targets crashed."""
+        return self.quarantine.ledger
 
     def on_broken(
         self,
         exchange: "exchange_lib.Exchange",
         target: records.Target,
         sent_at: float,
+        on_checked: Callable[[], None] | None,
     ) -> None:
-        """Record a request whose connection broke before its response ended."""
+        """Record a request whose connection broke before its response ended.
+
+        Args:
+            exchange: The request.
+            target: The target.
+            sent_at: When the request was sent, monotonic seconds.
+            on_checked: Called once it is known whether the target has crashed.
+        """
         current = self._directory.get(target.target_id)
         if current is None or current.presence is not records.Presence.READY:
             # A target that is shutting down closes connections by itself.
+            if on_checked is not None:
+                on_checked()
             return
-        subject = _build_subject(exchange)
-        request_fingerprint = fingerprint.compute(subject)
+        if on_checked is not None:
+            key = (target.target_id, target.born)
+            self._on_checked.setdefault(key, []).append(on_checked)
+        request, attempt = self._describe(exchange, sent_at)
+        if not self._suspects.on_broken(target, request, attempt):
+            return
+        task = asyncio.get_running_loop().create_task(
+            self._check_target(target)
+        )
+        self._checks.add(task)
+        task.add_done_callback(self._checks.discard)
+
+    def on_abandoned(
+        self,
+        exchange: "exchange_lib.Exchange",
+        target: records.Target,
+        sent_at: float,
+    ) -> None:
+        """Record a request that was cancelled before any response."""
+        request, attempt = self._describe(exchange, sent_at)
+        self._suspects.on_abandoned(target, request, attempt)
+
+    def _describe(
+        self, exchange: "exchange_lib.Exchange", sent_at: float
+    ) -> tuple[fingerprint.Fingerprint, suspects_lib.Attempt]:
+        """Return what is recorded of an attempt that ends now."""
+        subject = quarantine_enforcer.build_subject(exchange)
         caller_headers = exchange.state.caller_headers
+        now = self._clock.monotonic()
         attempt = suspects_lib.Attempt(
             request_id=caller_headers.request_id,
             began_at=sent_at,
-            broke_at=self._clock.monotonic(),
+            broke_at=now,
             parts=fingerprint.compute_parts(subject),
             prompt_tokens=caller_headers.prompt_tokens,
             events=exchange.progress.events,
+            is_settled=exchange.progress.is_settled_at(now),
         )
-        if not self._suspects.on_broken(target, request_fingerprint, attempt):
-            return
-        task = asyncio.get_running_loop().create_task(
-            self._check_target(target)
-        )
-        self._checks.add(task)
-        task.add_done_callback(self._checks.discard)
-
-    def on_response(self, target: records.Target, sent_at: float) -> None:
-        """Record that a target responded to a request sent at a given time."""
-        if len(self.ledger):
-            now = self._clock.monotonic()
-            marks = self.ledger.record_alive(
-                _build_incarnation(target), sent_at, now
-            )
-            self._publish(marks)
-
-    def on_completed(self, exchange: "exchange_lib.Exchange") -> None:
-        """Record that a request got a complete, successful response."""
-        request_fingerprint = self._find_fingerprint(exchange)
-        if request_fingerprint is not None:
-            self._publish(
-                self.ledger.clear_marks(
-                    request_fingerprint, self._clock.monotonic()
-                )
-            )
-
-    def _find_fingerprint(
-        self, exchange: "exchange_lib.Exchange"
-    ) -> fingerprint.Fingerprint | None:
-        """Return a request's fingerprint if the ledger may contain it."""
-        return self.ledger.find(_build_subject(exchange))
+        return fingerprint.compute(subject), attempt
 
     async def _check_target(self, target: records.Target) -> None:
         await asyncio.sleep(const.CHECK_SECONDS)
@@ -159,10 +141,19 @@
             self._add_marks(case)
         elif result is ProbeResult.NO_REPLY:
             self._suspects.defer(case, self._clock.monotonic())
+        key = (target.target_id, target.born)
+        for on_checked in self._on_checked.pop(key, ()):
+            on_checked()
 
     def tick(self, now: float) -> None:
         """Expire old records and add marks for targets found to be gone."""
-        self.ledger.tick(now)
+        self.quarantine.tick(now)
+        if len(self.ledger):
+            self.quarantine.builds = frozenset(
+                quarantine_lib.build_of(target.service, target.build)
+                for target in self._directory.targets()
+                if target.presence is records.Presence.READY
+            )
         cases = self._suspects.pop_replaced(
             lambda service: self._directory.list_ready(service, now), now
         )
@@ -171,20 +162,9 @@
             self._add_marks(case)
 
     def _add_marks(self, case: suspects_lib.Case) -> None:
-        now = self._clock.monotonic()
-        incarnation = _build_incarnation(case.target)
-        for request_fingerprint, attempt in case.suspects.items():
-            run = ledger_lib.Run(
-                ended_s=now - attempt.broke_at,
-                took_s=attempt.broke_at - attempt.began_at,
-            )
-            self._publish(
-                self.ledger.add(request_fingerprint, incarnation, now, run)
-            )
-
-    def _publish(self, marks: Marks) -> None:
-        if marks:
-            self.on_marks(marks)
+        target = case.target
+        build = quarantine_lib.build_of(target.service, target.build)
+        self.quarantine.on_crash(case, build, self._clock.monotonic())
 
     async def _probe(self, target: records.Target) -> ProbeResult:
         try:
@@ -195,16 +175,3 @@
             return ProbeResult.NO_REPLY
         conn.close()
         return ProbeResult.ACCEPTED
-
-
-def _build_subject(exchange: "exchange_lib.Exchange") -> fingerprint.Subject:
-    return fingerprint.subject(
-        exchange.request,
-        exchange.state.customer_name,
-        exchange.service,
-        exchange.state.caller_headers.prompt_parts,
-    )
-
-
-def _build_incarnation(target: records.Target) -> ledger_lib.Incarnation:
-    return ledger_lib.Incarnation(target.target_id, target.born)
--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -210,9 +210,7 @@
             return True
         if self._target is not None:
             self._forwarder.outcomes.on_accepted(self, self._target)
-            self._forwarder.crash_detector.on_response(
-                self._target, self._sent_at
-            )
+            self._forwarder.quarantine.on_response(self._target, self._sent_at)
         if head.status < 500:
             self._forwarder.balancer.succeeded(
                 self.target_id, now - self._sent_at
@@ -255,11 +253,14 @@
         """Pass on complete events, or buffer a body until it is complete."""
         if self.done or self._conn is None or self._body is None:
             return
+        now = self._forwarder.now()
         if not self.first_byte_at:
-            self.first_byte_at = self._forwarder.now()
+            self.first_byte_at = now
         ready = self._body.feed(data)
         if not ready:
             return
+        if self.progress.on_data(now):
+            self._report_answering()
         if self._body.repeats_events:
             self.progress.on_cut(response_progress.Cut.REPEATS_EVENTS)
             self._on_cut_off(response_progress.Cut.REPEATS_EVENTS.value)
@@ -275,6 +276,10 @@
             ready, None if self._body.is_event_stream else self._length
         )
 
+    def _report_answering(self) -> None:
+        if self.state.caller_headers.prompt_parts:
+            self._forwarder.quarantine.on_answering(self)
+
     def _pass_on(self, data: bytes, length: int | None) -> None:
         """Send a part of the body to the caller, after the head.
 
@@ -314,7 +319,12 @@
         self._forwarder.outcomes.on_completed(self, self._sent_at)
         assert self._head is not None
         if self._head.status < 300:
-            self._forwarder.crash_detector.on_completed(self)
+            if not self.progress.is_settled:
+                self.progress.began_at = (
+                    self.progress.began_at or self._forwarder.now()
+                )
+                self._report_answering()
+            self._forwarder.quarantine.on_completed(self)
         self._conn = None
         self._release_slot()
         rest = body.take_rest()
@@ -343,7 +353,10 @@
             return
         if not self.done and self._target is not None:
             self._forwarder.crash_detector.on_broken(
-                self, self._target, self._sent_at
+                self,
+                self._target,
+                self._sent_at,
+                self._forwarder.quarantine.take_trial(self),
             )
         self._on_fault(Fault.UNKNOWN, reason, hard=False)
 
@@ -394,12 +407,31 @@
         """Whether a target has the request and another one may continue it."""
         return self._conn is not None and self.state.can_move
 
-    def leave_target(self) -> None:
-        """Cancel the request at its target to continue it at another one."""
-        self.progress.stop(response_progress.End.MOVED)
+    @property
+    def awaits_answer(self) -> bool:
+        """Whether a target has the request and has not begun to answer it."""
+        return self._conn is not None and not self.progress.began_at
+
+    def leave_target(
+        self, end: response_progress.End = response_progress.End.MOVED
+    ) -> None:
+        """Cancel the request at its target.
+
+        Args:
+            end: Why; by default it continues at another one.
+        """
+        self.progress.stop(end)
+        self._report_abandoned()
         self._release_target()
         self.state.on_moved()
 
+    def _report_abandoned(self) -> None:
+        """Report an attempt that is cancelled before its response began."""
+        if self.awaits_answer and self._target is not None:
+            self._forwarder.crash_detector.on_abandoned(
+                self, self._target, self._sent_at
+            )
+
     def _apply(self, decision: request_state.Decision) -> None:
         match decision:
             case request_state.Retry():
@@ -441,6 +473,7 @@
         )
         self._forwarder.outcomes.on_timeout(self)
         at_target = self._conn is not None
+        self._report_abandoned()
         self._close_connection()
         self._release_slot()
         self._apply(self.state.on_timeout(at_target=at_target))
@@ -452,6 +485,7 @@
             response_progress.End.CALLER,
             response_progress.CALLER_SLOW if self._pauses.is_paused else "",
         )
+        self._report_abandoned()
         self._close_connection()
         self._release_slot()
         self._finish("caller gone")
@@ -468,6 +502,7 @@
         if self._target is not None and self._holds_slot:
             self._forwarder.balancer.finish(self.target_id)
             self._holds_slot = False
+            self._forwarder.quarantine.on_attempt_ended(self)
 
     def _finish(self, outcome: str) -> None:
         self.done = True
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -25,6 +25,7 @@
 from jasperweir.components.forward import matching
 from jasperweir.components.forward import outcome_tracker
 from jasperweir.components.forward import pass_monitor
+from jasperweir.components.forward import quarantine_enforcer
 from jasperweir.components.forward import queues as queues_lib
 from jasperweir.components.forward import recorder as recorder_lib
 from jasperweir.components.forward import rejections
@@ -36,6 +37,7 @@
 from jasperweir.components.groups import directory as group_directory
 from jasperweir.components.groups import messages as groups_messages
 from jasperweir.components.quarantine import fingerprint
+from jasperweir.components.quarantine import quarantine as quarantine_lib
 from jasperweir.components.registry import ops
 from jasperweir.components.warmup import rate as rate_lib
 from jasperweir.helpers import http_client
@@ -57,6 +59,7 @@
         outcomes: Updates of shared state after each attempt.
         crash_detector: Detection of crashed targets and of the requests that
             ran there.
+        quarantine: Rejection of requests on which targets crash.
         queues: Waiting requests and their order of service.
         responses: Records of the responses of targets.
         targets: Targets that accept requests now.
@@ -109,6 +112,9 @@
             pool=self.pool,
             directory=directory,
             recorder=self._recorder,
+            quarantine=quarantine_lib.Quarantine(
+                trial_prefix=f"{cell.name}/{clock.wall():.3f}"
+            ),
         )
         self._rejections = rejections.RejectionResponder(
             dialect=dialect, rng=rng
@@ -132,6 +138,13 @@
             rng=rng,
         )
         self.queues.on_order_change = self._recorder.record_order
+        self.quarantine = quarantine_enforcer.QuarantineEnforcer(
+            clock=clock,
+            quarantine=self.crash_detector.quarantine,
+            queues=self.queues,
+            open_exchanges=self._open_exchanges,
+            recorder=self._recorder,
+        )
         self.targets = available_targets.AvailableTargets(
             directory=directory,
             outages=self._outages,
@@ -310,7 +323,7 @@
         self._open_exchanges[exchange.number] = exchange
         self._budget.count_first(exchange.service, now)
         self.queues.on_arrival(exchange, now)
-        if self.crash_detector.reject_if_quarantined(exchange, now):
+        if self.quarantine.reject_if_quarantined(exchange, now):
             return
         if self._probe_group(exchange, now):
             return
@@ -370,7 +383,7 @@
         candidates: capacity_lib.Candidates,
         now: float,
     ) -> None:
-        if self.crash_detector.reject_if_quarantined(exchange, now):
+        if self.quarantine.reject_if_quarantined(exchange, now):
             return
         tried_target_ids = exchange.state.tried_target_ids
         # Requests sent since the slots were counted may have closed a target.
@@ -420,16 +433,9 @@
         )
         is_cold = self.targets.on_chosen(target, now)
         self.queues.on_sent(exchange)
+        self.quarantine.on_sending(exchange, now)
         exchange.send_to(target, is_counted_cold=is_cold)
 
-    def reject_quarantined(self, now: float) -> None:
-        """Reject queued requests that are quarantined by now."""
-        for service in self.queues.list_waiting_services():
-            for number in self.queues.get(service).wait_queue.numbers():
-                exchange = self._open_exchanges.get(number)
-                if exchange is not None:
-                    self.crash_detector.reject_if_quarantined(exchange, now)
-
     def retry(self, exchange: exchange_lib.Exchange) -> None:
         """Send a request to another target if the retry budget allows."""
         now = self.now()
@@ -707,7 +713,7 @@
             return_s=self.queues.plan_return(exchange, now)
             if code is Code.OVERLOADED
             else None,
-            quarantine_s=self.crash_detector.find_verdict(exchange, now).held_s,
+            quarantine_s=self.quarantine.decide(exchange, now).retry_after_s,
         )
 
     def _turn_away_request(
--- a/jasperweir/components/forward/recorder.py
+++ b/jasperweir/components/forward/recorder.py
@@ -12,7 +12,7 @@
 from jasperweir.components.forward import dialect as dialect_lib
 from jasperweir.components.forward import exchange as exchange_lib
 from jasperweir.components.groups import directory as group_directory
-from jasperweir.components.quarantine import ledger as ledger_lib
+from jasperweir.components.quarantine import quarantine as quarantine_lib
 from jasperweir.components.quarantine import suspects as suspects_lib
 from jasperweir.components.registry import ops
 from jasperweir.components.scheduling import demand as demand_lib
@@ -354,18 +354,33 @@
         )
 
     def record_quarantined(
-        self, exchange: exchange_lib.Exchange, verdict: ledger_lib.Verdict
+        self, exchange: exchange_lib.Exchange, decision: quarantine_lib.Decision
     ) -> None:
         """Record the rejection of a quarantined request."""
         self._metrics.inc("held_back")
         _log.info(
             "request held back",
             id=exchange.state.caller_headers.request_id,
-            ends=verdict.ends,
-            held_s=round(verdict.held_s),
+            standing=decision.standing.value,
+            content=[found.label for found in decision.fingerprints],
+            is_part=decision.is_for_part,
+            ends=decision.crashes,
+            held_s=round(decision.retry_after_s, 1),
             sends=exchange.state.attempts,
         )
 
+    def record_trial(
+        self, exchange: exchange_lib.Exchange, decision: quarantine_lib.Decision
+    ) -> None:
+        """Record a request that is sent to learn whether it crashes targets."""
+        self._metrics.inc("trials")
+        _log.info(
+            "request on trial",
+            id=exchange.state.caller_headers.request_id,
+            content=[found.label for found in decision.fingerprints],
+            is_part=decision.is_for_part,
+        )
+
     def record_turned_away(
         self,
         caller_headers: dialect_lib.CallerHeaders | None,
--- a/jasperweir/components/forward/response_progress.py
+++ b/jasperweir/components/forward/response_progress.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from jasperweir.components.quarantine import const as quarantine_const
 from jasperweir.helpers import http_message
 
 
@@ -29,6 +30,8 @@
     CALLER = "caller"
     # The stream moved away from a slow target.
     MOVED = "moved"
+    # The request was cancelled because it is held.
+    HELD = "held"
     # The entry stopped reading for another reason.
     OWN = "own"
 
@@ -89,6 +92,8 @@
         body_bytes: Bytes of the body.
         events: Complete events of a stream.
         pending_bytes: Bytes of a stream after its last complete event.
+        began_at: When the first of them arrived, monotonic seconds; 0 before.
+        is_settled: Whether the response is known to go on after that.
         end: What ended the attempt; OWN while it runs.
         reason: Details of the end, empty if there are none.
         cut: Why the response is incomplete though the entry didn't stop reading
@@ -100,6 +105,8 @@
     body_bytes: int = 0
     events: int = 0
     pending_bytes: int = 0
+    began_at: float = 0.0
+    is_settled: bool = False
     end: End = End.NONE
     reason: str = ""
     cut: Cut | None = None
@@ -109,6 +116,25 @@
         """Record that the request is written to the target."""
         self.end = End.OWN
 
+    def on_data(self, now: float) -> bool:
+        """Record that a part of the body arrived.
+
+        Returns:
+            Whether this shows, for the first time, that the response goes on.
+        """
+        if not self.began_at:
+            self.began_at = now
+        if self.is_settled or not self.is_settled_at(now):
+            return False
+        self.is_settled = True
+        return True
+
+    def is_settled_at(self, now: float) -> bool:
+        """Return whether the response has gone on for some time."""
+        if not self.began_at:
+            return False
+        return now - self.began_at >= quarantine_const.SETTLED_SECONDS
+
     def on_end(self) -> None:
         """Record the end of the framing."""
         is_close = self.framing is http_message.Framing.CLOSE
--- a/jasperweir/components/quarantine/const.py
+++ b/jasperweir/components/quarantine/const.py
@@ -11,6 +11,10 @@
 # Requests that are recorded for one target that may have crashed. It runs about
 # six at once; more are lost with it only if its queue is long.
 SUSPECTS_MAX = 32
+# Requests that an entry has cancelled before any response are among those that
+# ran on a target which crashes so soon after, seconds, and their number.
+ABANDONED_SECONDS = 2.0
+ABANDONED_MAX = 256
 # Bytes of the digest of a request's content. It has to be collision-resistant:
 # a caller must not be able to forge the fingerprint of another request.
 CONTENT_BYTES = 16
@@ -42,6 +46,24 @@
 # Marks that are kept of one request; more can't make its quarantine longer.
 MARKS_MAX = 16
 
+# A part of prompts is quarantined after this many crashes under requests that
+# have it, if one with it was answered before them: it may have been beside the
+# cause each time. Otherwise CRASHES_MAX are enough.
+ANSWERED_CRASHES_MAX = 3
+# A response that has gone on this long after its first event, seconds, shows
+# that the target doesn't crash on the request: a crash comes as the target
+# begins to respond.
+SETTLED_SECONDS = 0.25
+# Parts that an entry remembers as answered, and for how long, seconds.
+ANSWERED_PARTS_MAX = 4096
+ANSWERED_SECONDS = 600.0
+# While some crashes point at a part, one request with it is sent at a time. Its
+# result is awaited this long, seconds; an entry may end before it is known.
+TRIAL_SECONDS = 10.0
+# Retry-After of a request that would be a second one, seconds: a trial takes
+# about as long.
+TRIAL_RETRY_SECONDS = 0.5
+
 # Interval at which an entry compares its digest with a control VM, seconds.
 # What a lost message or a restart has cost is back after some of them.
 COMPARE_SECONDS = 1.0
--- a/jasperweir/components/quarantine/ledger.py
+++ b/jasperweir/components/quarantine/ledger.py
@@ -1,12 +1,15 @@
-"""Requests under which targets crashed, and their quarantine; sans-I/O.
+"""Marks on requests under which targets crashed; sans-I/O.
 
-The ledger is a set of marks, one for each request and each incarnation of a
-target that crashed while it ran the request. A mark is only ever added or made
-void, so that replicas converge whatever the order and number of exchanges.
+The ledger is a set of marks, one for each request or part of prompts and each
+incarnation of a target that crashed while it ran the request or one with that
+part. A mark is only ever added or made void, so that replicas converge whatever
+the order and number of exchanges.
 """
 
 import collections
+from collections.abc import Mapping
 import dataclasses
+import math
 from typing import Any
 from typing import NamedTuple
 
@@ -17,14 +20,16 @@
 from jasperweir.helpers import hashing
 
 Fingerprint = fingerprint_lib.Fingerprint
+MarkKind = messages.MarkKind
 _UNKNOWN = -1.0
+_KINDS = frozenset(MarkKind)
 
 
 class Incarnation(NamedTuple):
     """One incarnation of a target.
 
     Attributes:
-        target_id: Id of the target.
+        target_id: Id of the target; of a trial its own id.
         born: Start time, Unix milliseconds.
     """
 
@@ -32,20 +37,36 @@
     born: int
 
 
+# Stands for all targets in marks on parts that were answered.
+ANY_TARGET = Incarnation("", 0)
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
-class Crash:
-    """A crash of a target under a request.
+class Observation:
+    """What a mark says: a crash of a target, unless its kind is another.
 
     Attributes:
         at: Time of the crash, monotonic seconds.
         void: Whether it doesn't count any more.
         ran_s: Time from the start of the request to the crash, seconds;
             negative if unknown.
+        kind: What was observed.
+        build: Service and version of the target, empty if unknown.
     """
 
     at: float
     void: bool
     ran_s: float = _UNKNOWN
+    kind: messages.MarkKind = MarkKind.CRASH
+    build: str = ""
+
+    @property
+    def is_crash(self) -> bool:
+        """Whether it is a crash that counts."""
+        return not self.void and self.kind is MarkKind.CRASH
+
+
+Observations = Mapping[Incarnation, Observation]
 
 
 class Run(NamedTuple):
@@ -54,10 +75,12 @@
     Attributes:
         ended_s: Time since its end, seconds.
         took_s: Its duration, seconds.
+        build: Service and version of the target, empty if unknown.
     """
 
     ended_s: float
     took_s: float
+    build: str = ""
 
 
 class Verdict(NamedTuple):
@@ -78,11 +101,15 @@
 
     Attributes:
         digest: Digest of all marks, 0 if there are none.
+        revision: Number of changes.
+        part_count: Number of parts of prompts.
     """
 
     def __init__(self) -> None:
         self.digest = 0
-        self._crashes: dict[Fingerprint, dict[Incarnation, Crash]] = {}
+        self.revision = 0
+        self.part_count = 0
+        self._crashes: dict[Fingerprint, dict[Incarnation, Observation]] = {}
         # Number of requests by outline, and of valid marks by incarnation.
         self._outlines: collections.Counter[int] = collections.Counter()
         self._mark_counts: collections.Counter[Incarnation] = (
@@ -98,6 +125,21 @@
         """Return whether a request with that outline is in the ledger."""
         return outline in self._outlines
 
+    def __contains__(self, fingerprint: Fingerprint) -> bool:
+        return fingerprint in self._crashes
+
+    def observations(self, fingerprint: Fingerprint) -> Observations:
+        """Return what was observed of a request or a part."""
+        return self._crashes.get(fingerprint, {})
+
+    def parts(self) -> list[Fingerprint]:
+        """Return the parts of prompts in the ledger."""
+        return [found for found in self._crashes if found.is_part]
+
+    def requests(self) -> list[Fingerprint]:
+        """Return the requests in the ledger."""
+        return [found for found in self._crashes if not found.is_part]
+
     def find(self, subject: fingerprint_lib.Subject) -> Fingerprint | None:
         """Return a request's fingerprint, None if it isn't in the ledger.
 
@@ -115,16 +157,16 @@
         crashes = self._crashes.get(fingerprint)
         if not crashes:
             return Verdict(0, 0.0)
-        distinct = _distinct_crashes(crashes)
+        distinct = distinct_crashes(crashes)
         if len(distinct) < const.CRASHES_MAX:
             return Verdict(len(distinct), 0.0)
-        last = max(crash.at for crash in crashes.values() if not crash.void)
-        until = last + _quarantine_s(len(distinct))
+        last = max(crash.at for crash in crashes.values() if crash.is_crash)
+        until = last + quarantine_s(len(distinct))
         return Verdict(len(distinct), max(until - now, 0.0))
 
     def list_quarantined(self, now: float) -> dict[Fingerprint, Verdict]:
         """Return the quarantined requests."""
-        found = {f: self.verdict(f, now) for f in self._crashes}
+        found = {f: self.verdict(f, now) for f in self.requests()}
         return {f: verdict for f, verdict in found.items() if verdict.held_s}
 
     def marks(self, now: float) -> tuple[messages.Mark, ...]:
@@ -164,21 +206,63 @@
             now: Monotonic seconds.
             run: The run of the request; None if its times are unknown.
         """
-        crash = Crash(at=now, void=False)
+        crash = Observation(at=now, void=False)
         if run is not None:
-            crash = Crash(at=now - run.ended_s, void=False, ran_s=run.took_s)
+            crash = Observation(
+                at=now - run.ended_s,
+                void=False,
+                ran_s=run.took_s,
+                build=run.build,
+            )
         return self._insert(fingerprint, incarnation, crash, now)
 
+    def add_answered(
+        self, part: Fingerprint, at: float, now: float
+    ) -> tuple[messages.Mark, ...]:
+        """Record that a request with a part was answered.
+
+        Args:
+            part: The part.
+            at: When the answer began, monotonic seconds.
+            now: Monotonic seconds.
+        """
+        answered = Observation(at=at, void=True, kind=MarkKind.ANSWERED)
+        return self._insert(part, ANY_TARGET, answered, now)
+
+    def add_trial(
+        self, fingerprint: Fingerprint, trial_id: str, now: float
+    ) -> tuple[messages.Mark, ...]:
+        """Record that a request is sent to learn whether it crashes targets."""
+        trial = Observation(at=now, void=False, kind=MarkKind.TRIAL)
+        return self._insert(fingerprint, Incarnation(trial_id, 0), trial, now)
+
+    def end_trial(
+        self, fingerprint: Fingerprint, trial_id: str, now: float
+    ) -> tuple[messages.Mark, ...]:
+        """Record that a trial is over, whatever its result."""
+        incarnation = Incarnation(trial_id, 0)
+        trial = self.observations(fingerprint).get(incarnation)
+        if trial is None or trial.void:
+            return ()
+        ended = dataclasses.replace(trial, void=True)
+        return self._insert(fingerprint, incarnation, ended, now)
+
     def clear_marks(
-        self, fingerprint: Fingerprint, now: float
+        self, fingerprint: Fingerprint, now: float, before: float = math.inf
     ) -> tuple[messages.Mark, ...]:
-        """Make the marks of a request void after a complete answer."""
+        """Make the marks of a request void after a complete answer.
+
+        Args:
+            fingerprint: The request, or a part of prompts.
+            now: Monotonic seconds.
+            before: Later marks are left, monotonic seconds.
+        """
         out: tuple[messages.Mark, ...] = ()
         for incarnation, crash in list(
             self._crashes.get(fingerprint, {}).items()
         ):
-            if not crash.void:
-                new = Crash(at=crash.at, void=True)
+            if not crash.void and crash.at < before:
+                new = dataclasses.replace(crash, void=True)
                 out += self._insert(fingerprint, incarnation, new, now)
         return out
 
@@ -199,7 +283,7 @@
         for fingerprint, crashes in list(self._crashes.items()):
             crash = crashes.get(incarnation)
             if crash is not None and not crash.void and crash.at < since:
-                new = Crash(at=crash.at, void=True)
+                new = dataclasses.replace(crash, void=True)
                 out += self._insert(fingerprint, incarnation, new, now)
         return out
 
@@ -218,22 +302,36 @@
         """Merge the marks of another process; return those that were new."""
         out: tuple[messages.Mark, ...] = ()
         for mark in received:
-            fingerprint = _fingerprint_of(mark)
+            if mark.kind not in _KINDS:
+                continue
+            fingerprint = fingerprint_of(mark)
             incarnation = Incarnation(mark.target_id, mark.born)
             # This order maps NaN to 0; otherwise the mark would never expire.
             at = now - max(0.0, mark.age_s)
             ran_s = mark.ran_s if mark.ran_s >= 0 else _UNKNOWN
-            crash = Crash(at=at, void=mark.void, ran_s=ran_s)
-            out += self._insert(fingerprint, incarnation, crash, now)
+            observed = Observation(
+                at=at,
+                void=mark.void,
+                ran_s=ran_s,
+                kind=MarkKind(mark.kind),
+                build=mark.build,
+            )
+            out += self._insert(fingerprint, incarnation, observed, now)
         self.tick(now)
         return tuple(
-            mark for mark in out if _fingerprint_of(mark) in self._crashes
+            mark for mark in out if fingerprint_of(mark) in self._crashes
         )
 
     def tick(self, now: float) -> None:
-        """Drop expired requests."""
+        """Drop expired trials and requests."""
         for fingerprint, crashes in list(self._crashes.items()):
-            last = max(crash.at for crash in crashes.values())
+            for incarnation, trial in list(crashes.items()):
+                if trial.kind is MarkKind.TRIAL and is_trial_over(trial, now):
+                    self._unindex(fingerprint, incarnation, trial)
+                    del crashes[incarnation]
+            last = max(
+                (crash.at for crash in crashes.values()), default=-math.inf
+            )
             if now - last > _ttl_s(_count_valid(crashes)):
                 self._drop(fingerprint)
 
@@ -243,14 +341,17 @@
         self,
         fingerprint: Fingerprint,
         incarnation: Incarnation,
-        crash: Crash,
+        crash: Observation,
         now: float,
     ) -> tuple[messages.Mark, ...]:
         crashes = self._crashes.get(fingerprint)
         known = crashes.get(incarnation) if crashes else None
         if known is not None:
-            # The earlier time is right: a message adds its transit time.
-            known.at = min(known.at, crash.at)
+            if known.kind is MarkKind.ANSWERED:
+                known.at = max(known.at, crash.at)
+            else:
+                # The earlier time is right: a message adds its transit time.
+                known.at = min(known.at, crash.at)
             if known.void or not crash.void:
                 return ()
             self._unindex(fingerprint, incarnation, known)
@@ -273,28 +374,30 @@
 
     def _add_request(
         self, fingerprint: Fingerprint
-    ) -> dict[Incarnation, Crash]:
-        crashes: dict[Incarnation, Crash] = {}
+    ) -> dict[Incarnation, Observation]:
+        crashes: dict[Incarnation, Observation] = {}
         self._crashes[fingerprint] = crashes
         self._outlines[fingerprint.outline] += 1
+        self.part_count += fingerprint.is_part
         return crashes
 
     def _make_room(
         self,
         fingerprint: Fingerprint,
-        crashes: dict[Incarnation, Crash],
-        new: Crash,
+        crashes: dict[Incarnation, Observation],
+        new: Observation,
     ) -> bool:
         """Drop the oldest mark that doesn't count in favour of a new one.
 
         Otherwise marks that are void, or of targets that crashed together,
         could fill the limit and prevent a quarantine.
         """
-        counted_ids = {id(crash) for crash in _distinct_crashes(crashes)}
+        counted_ids = {id(crash) for crash in distinct_crashes(crashes)}
         uncounted = [
             inc
             for inc, crash in crashes.items()
             if id(crash) not in counted_ids
+            and crash.kind is not MarkKind.ANSWERED
         ]
         if new.void or not uncounted:
             return False
@@ -316,24 +419,33 @@
         for incarnation, crash in self._crashes.pop(fingerprint).items():
             self._unindex(fingerprint, incarnation, crash)
         _count_down(self._outlines, fingerprint.outline)
+        self.part_count -= fingerprint.is_part
 
     def _index(
-        self, fingerprint: Fingerprint, incarnation: Incarnation, crash: Crash
+        self,
+        fingerprint: Fingerprint,
+        incarnation: Incarnation,
+        crash: Observation,
     ) -> None:
+        self.revision += 1
         self.digest ^= _checksum(fingerprint, incarnation, crash)
         if not crash.void:
             self._mark_counts[incarnation] += 1
 
     def _unindex(
-        self, fingerprint: Fingerprint, incarnation: Incarnation, crash: Crash
+        self,
+        fingerprint: Fingerprint,
+        incarnation: Incarnation,
+        crash: Observation,
     ) -> None:
+        self.revision += 1
         self.digest ^= _checksum(fingerprint, incarnation, crash)
         if not crash.void:
             _count_down(self._mark_counts, incarnation)
 
 
 def _checksum(
-    fingerprint: Fingerprint, incarnation: Incarnation, crash: Crash
+    fingerprint: Fingerprint, incarnation: Incarnation, crash: Observation
 ) -> int:
     row = (*fingerprint, *incarnation, crash.void)
     return hashing.checksum(codec.pack(row)) >> 1
@@ -345,17 +457,17 @@
         del counter[key]
 
 
-def _distinct_crashes(crashes: dict[Incarnation, Crash]) -> list[Crash]:
+def distinct_crashes(crashes: Observations) -> list[Observation]:
     """Return the crashes that count, only the first of each common cause.
 
     Targets that lose power together crash under harmless requests. A run that
     began after another one had crashed has another cause, unless it was retried
     on a target that was about to crash together with the first.
     """
-    found: list[Crash] = []
+    found: list[Observation] = []
     times = [crash.at for crash in crashes.values() if _has_run_time(crash)]
     for crash in sorted(crashes.values(), key=lambda crash: crash.at):
-        if crash.void:
+        if not crash.is_crash:
             continue
         if not found or not _has_run_time(crash):
             found.append(crash)
@@ -372,15 +484,20 @@
     return found
 
 
-def _has_run_time(crash: Crash) -> bool:
-    return not crash.void and crash.ran_s >= 0
+def _has_run_time(crash: Observation) -> bool:
+    return crash.is_crash and crash.ran_s >= 0
+
+
+def _count_valid(crashes: Observations) -> int:
+    return sum(crash.is_crash for crash in crashes.values())
 
 
-def _count_valid(crashes: dict[Incarnation, Crash]) -> int:
-    return sum(not crash.void for crash in crashes.values())
+def is_trial_over(trial: Observation, now: float) -> bool:
+    """Return whether a trial is not awaited any more."""
+    return now - trial.at > const.TRIAL_SECONDS
 
 
-def _quarantine_s(crashes: int) -> float:
+def quarantine_s(crashes: int) -> float:
     """Return the duration of a quarantine after the last crash, seconds."""
     doubled = const.QUARANTINE_SECONDS * 2.0 ** (crashes - const.CRASHES_MAX)
     return min(doubled, const.QUARANTINE_MAX_SECONDS)
@@ -394,19 +511,23 @@
     """
     if crashes < const.CRASHES_MAX:
         return const.SINGLE_CRASH_TTL_SECONDS
-    return 2 * _quarantine_s(crashes)
+    return 2 * quarantine_s(crashes)
 
 
-def _fingerprint_of(mark: messages.Mark) -> Fingerprint:
-    return Fingerprint(mark.outline, mark.content)
+def fingerprint_of(mark: messages.Mark) -> Fingerprint:
+    """Return what a mark is about."""
+    return Fingerprint(mark.outline, mark.content, mark.is_part)
 
 
-def _mark_key(mark: messages.Mark) -> tuple[bytes, str, int]:
-    return mark.content, mark.target_id, mark.born
+def _mark_key(mark: messages.Mark) -> tuple[Fingerprint, str, int]:
+    return fingerprint_of(mark), mark.target_id, mark.born
 
 
 def _to_mark(
-    fingerprint: Fingerprint, incarnation: Incarnation, crash: Crash, now: float
+    fingerprint: Fingerprint,
+    incarnation: Incarnation,
+    crash: Observation,
+    now: float,
 ) -> messages.Mark:
     return messages.Mark(
         outline=fingerprint.outline,
@@ -416,4 +537,7 @@
         void=crash.void,
         age_s=round(now - crash.at, 3),
         ran_s=round(crash.ran_s, 3),
+        is_part=fingerprint.is_part,
+        kind=int(crash.kind),
+        build=crash.build,
     )
--- a/jasperweir/components/quarantine/replication.py
+++ b/jasperweir/components/quarantine/replication.py
@@ -6,6 +6,7 @@
 a control VM, and receives all marks.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 
@@ -16,6 +17,7 @@
 
 Sends = list[core.Send]
 Message = messages.Marks | messages.Compare
+Merge = Callable[[tuple[messages.Mark, ...], float], tuple[messages.Mark, ...]]
 
 
 def send_marks(marks: tuple[messages.Mark, ...], names: Iterable[str]) -> Sends:
@@ -68,8 +70,17 @@
 class EntrySpread:
     """Replication of marks at an entry."""
 
-    def __init__(self, *, ledger: ledger_lib.Ledger) -> None:
+    def __init__(
+        self, *, ledger: ledger_lib.Ledger, merge: Merge | None = None
+    ) -> None:
+        """Initialize without peers.
+
+        Args:
+            ledger: Marks of the entry.
+            merge: Merges received marks into it; the ledger itself by default.
+        """
         self._ledger = ledger
+        self._merge = merge or ledger.merge
         self._comparer = Comparer(ledger=ledger)
         self._compare_count = 0
 
@@ -92,7 +103,7 @@
             case messages.Compare():
                 return self._comparer.receive(src, msg, now)
             case messages.Marks():
-                self._ledger.merge(msg.marks, now)
+                self._merge(msg.marks, now)
                 if not msg.whole:
                     return []
                 return send_marks(
--- a/jasperweir/components/quarantine/suspects.py
+++ b/jasperweir/components/quarantine/suspects.py
@@ -6,6 +6,7 @@
 no process listens any more.
 """
 
+import collections
 from collections.abc import Callable
 import dataclasses
 from typing import NamedTuple
@@ -26,6 +27,7 @@
         parts: Fingerprints of the parts of its prompt.
         prompt_tokens: Stated size of its prompt.
         events: Complete events of its response.
+        is_settled: Whether its response had gone on for some time.
     """
 
     request_id: str
@@ -34,6 +36,7 @@
     parts: tuple[fingerprint_lib.Fingerprint, ...] = ()
     prompt_tokens: int = 0
     events: int = 0
+    is_settled: bool = False
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -43,10 +46,30 @@
     Attributes:
         target: The target.
         suspects: One attempt of each request by its fingerprint.
+        crashed_at: When the first of their connections broke, monotonic
+            seconds.
     """
 
     target: records.Target
     suspects: dict[fingerprint_lib.Fingerprint, Attempt]
+    crashed_at: float
+
+    def list_parts(self) -> dict[fingerprint_lib.Fingerprint, Attempt]:
+        """Return the parts that may have crashed the target.
+
+        Each comes with its attempt that began last. A request whose response
+        had gone on is not the cause, nor is one sent after the crash.
+        """
+        crashed_at = self.crashed_at
+        found: dict[fingerprint_lib.Fingerprint, Attempt] = {}
+        for attempt in self.suspects.values():
+            if attempt.is_settled or attempt.began_at >= crashed_at:
+                continue
+            for part in attempt.parts:
+                known = found.get(part)
+                if known is None or known.began_at < attempt.began_at:
+                    found[part] = attempt
+        return found
 
 
 class Suspects:
@@ -54,6 +77,11 @@
 
     def __init__(self) -> None:
         self._cases: dict[tuple[str, int], Case] = {}
+        # Attempts that the entry itself ended before any response, with their
+        # targets, the oldest first. Some targets go on with such a request.
+        self._abandoned: collections.deque[
+            tuple[records.Target, fingerprint_lib.Fingerprint, Attempt]
+        ] = collections.deque(maxlen=const.ABANDONED_MAX)
         # Cases whose targets didn't answer the check, with their expiry.
         self._unconfirmed: list[tuple[float, Case]] = []
 
@@ -72,12 +100,33 @@
         case = self._cases.get(key)
         is_first = case is None
         if case is None:
-            case = Case(target=target, suspects={})
+            case = Case(target=target, suspects={}, crashed_at=broken.broke_at)
             self._cases[key] = case
+            self._add_abandoned(case, broken.broke_at)
         if len(case.suspects) < const.SUSPECTS_MAX:
             case.suspects.setdefault(fingerprint, broken)
         return is_first
 
+    def on_abandoned(
+        self,
+        target: records.Target,
+        fingerprint: fingerprint_lib.Fingerprint,
+        attempt: Attempt,
+    ) -> None:
+        """Record a request that the entry cancelled before any response."""
+        self._abandoned.append((target, fingerprint, attempt))
+
+    def _add_abandoned(self, case: Case, now: float) -> None:
+        while (
+            self._abandoned
+            and now - self._abandoned[0][2].broke_at > const.ABANDONED_SECONDS
+        ):
+            self._abandoned.popleft()
+        key = (case.target.target_id, case.target.born)
+        for target, fingerprint, attempt in self._abandoned:
+            if (target.target_id, target.born) == key:
+                case.suspects[fingerprint] = attempt
+
     def defer(self, case: Case, now: float) -> None:
         """Keep a case whose target didn't answer the check for a time."""
         self._unconfirmed.append((now + const.REPLACEMENT_SECONDS, case))
--- a/jasperweir/daemons/quarantine_page.py
+++ b/jasperweir/daemons/quarantine_page.py
@@ -1,12 +1,11 @@
-"""Page on which operators list and release quarantined requests."""
+"""Page on which operators list and release what is quarantined."""
 
 from collections.abc import Callable
 import urllib.parse
 
 import msgspec
 
-from jasperweir.components.quarantine import ledger as ledger_lib
-from jasperweir.components.quarantine import messages
+from jasperweir.components.quarantine import quarantine as quarantine_lib
 from jasperweir.helpers import http_server
 from jasperweir.helpers import logs
 
@@ -17,36 +16,36 @@
 
 
 class QuarantinePage:
-    """Lists quarantined requests with GET, releases them with POST.
+    """Lists quarantined requests and parts with GET, releases them with POST.
 
-    POST takes ``content``, the label of a request as GET shows it; without
-    it all requests are released. The entry that serves the POST passes the
+    POST takes ``content``, the label of a request or part as GET shows it;
+    without it all are released. The entry that serves the POST passes the
     release on to the other entries.
     """
 
     def __init__(
         self,
         *,
-        ledger: ledger_lib.Ledger,
+        quarantine: quarantine_lib.Quarantine,
         now: Callable[[], float],
-        on_lifted: Callable[[tuple[messages.Mark, ...]], None],
     ) -> None:
-        self._ledger = ledger
+        self._quarantine = quarantine
         self._now = now
-        self._on_lifted = on_lifted
 
     def handle(self, answering: http_server.ResponseWriter) -> None:
         """Answer a request of an operator."""
         req = answering.request
-        quarantined = self._ledger.list_quarantined(self._now())
+        held = self._quarantine.list_held(self._now())
         if req.method == b"GET":
             rows = [
                 {
-                    "content": fingerprint.label,
-                    "ends": verdict.ends,
-                    "held_s": round(verdict.held_s),
+                    "content": _labels(found)[0],
+                    "kind": "part" if found.is_part else "request",
+                    "together_with": _labels(found)[1:],
+                    "ends": found.crashes,
+                    "held_s": round(found.held_s),
                 }
-                for fingerprint, verdict in quarantined.items()
+                for found in held
             ]
             answering.reply(200, JSON_HEADERS, msgspec.json.encode(rows))
             return
@@ -54,11 +53,20 @@
             answering.reply(405, [(b"allow", b"GET, POST")], b"")
             return
         labels = urllib.parse.parse_qs(req.query).get("content", [])
-        chosen = [f for f in quarantined if not labels or f.label in labels]
+        chosen = [
+            found
+            for found in held
+            if not labels or not set(labels).isdisjoint(_labels(found))
+        ]
         if labels and not chosen:
             answering.reply(404, [], b"")
             return
-        self._on_lifted(self._ledger.lift(chosen, self._now()))
-        released = [fingerprint.label for fingerprint in chosen]
+        self._quarantine.lift(chosen, self._now())
+        released = [label for found in chosen for label in _labels(found)]
         _log.info("holds lifted", contents=released)
         answering.reply(200, JSON_HEADERS, msgspec.json.encode(released))
+
+
+def _labels(held: quarantine_lib.Held) -> list[str]:
+    """Return the labels of what requests are held for, each once."""
+    return list(dict.fromkeys(found.label for found in held.fingerprints))
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -17,13 +17,13 @@
 from jasperweir.components.directory import const as directory_const
 from jasperweir.components.directory import records
 from jasperweir.components.discovery import client as discovery_client
-from jasperweir.components.forward import crash_detector
 from jasperweir.components.forward import dialect as dialect_lib
 from jasperweir.components.forward import forwarder as forwarder_lib
 from jasperweir.components.groups import messages as groups_messages
 from jasperweir.components.mapswitch import messages as mapswitch_messages
 from jasperweir.components.quarantine import const as quarantine_const
 from jasperweir.components.quarantine import messages as quarantine_messages
+from jasperweir.components.quarantine import quarantine as quarantine_lib
 from jasperweir.components.quarantine import replication as replication_lib
 from jasperweir.components.warmup import rate as rate_lib
 from jasperweir.daemons import engine_client
@@ -140,11 +140,14 @@
         self._forwarder.outcomes.on_replaced = self._on_target_replaced
         self._forwarder.outcomes.on_draining = self._on_target_draining
         self._forwarder.on_work = self._schedule_tick
-        self._forwarder.crash_detector.on_marks = self._broadcast_marks
-        ledger = self._forwarder.crash_detector.ledger
-        self._mark_replication = replication_lib.EntrySpread(ledger=ledger)
+        quarantine = self._forwarder.quarantine.quarantine
+        quarantine.on_marks = self._broadcast_marks
+        quarantine.on_vouched = self._send_vouched
+        self._mark_replication = replication_lib.EntrySpread(
+            ledger=quarantine.ledger, merge=quarantine.merge
+        )
         page = quarantine_page.QuarantinePage(
-            ledger=ledger, now=self._host.now, on_lifted=self._broadcast_marks
+            quarantine=quarantine, now=self._host.now
         )
         self._host.pages[quarantine_page.PATH] = page.handle
         self._tick_scheduled = False
@@ -219,7 +222,7 @@
                 return
             case quarantine_messages.Marks() | quarantine_messages.Compare():
                 self._send_all(self._mark_replication.receive(src, msg, now))
-                self._forwarder.reject_quarantined(now)
+                self._forwarder.quarantine.reject_held(now)
                 return
             case mapswitch_messages.SlowTargets():
                 slowdowns = {t.address: t.pace for t in msg.targets}
@@ -234,21 +237,32 @@
             self._tick_discovery()
         self._discovery_timer.schedule(self._discovery.next_tick(now))
 
-    def _broadcast_marks(self, marks: crash_detector.Marks) -> None:
+    def _broadcast_marks(self, marks: quarantine_lib.Marks) -> None:
         """Send marks of crash-related requests to entries and control VMs."""
         now = self._host.now()
         names = [node.name for node in self._forwarder.cell.peers]
         names += self._discovery.reachable_controls(now)
         self._send_all(replication_lib.send_marks(marks, names))
-        self._forwarder.reject_quarantined(now)
+        self._forwarder.quarantine.reject_held(now)
+
+    def _send_vouched(self, marks: quarantine_lib.Marks) -> None:
+        """Send marks that several entries may send to one control VM.
+
+        It forwards to entries only what is new to it.
+        """
+        controls = self._discovery.reachable_controls(self._host.now())
+        if not controls:
+            self._broadcast_marks(marks)
+            return
+        self._send_all(replication_lib.send_marks(marks, controls[:1]))
 
     def _compare_marks(self) -> None:
         now = self._host.now()
         self._forwarder.crash_detector.tick(now)
-        ledger = self._forwarder.crash_detector.ledger
-        self._host.metrics.gauge(
-            "requests_held", float(len(ledger.list_quarantined(now)))
-        )
+        held = self._forwarder.quarantine.quarantine.list_held(now)
+        parts = sum(found.is_part for found in held)
+        self._host.metrics.gauge("requests_held", float(len(held) - parts))
+        self._host.metrics.gauge("prompt_parts_held", float(parts))
         self._send_all(
             self._mark_replication.compare(
                 self._discovery.reachable_controls(now)
--- a/jasperweir/result_codes.py
+++ b/jasperweir/result_codes.py
@@ -31,6 +31,7 @@
     ENDS_TARGETS = 2009
     BACKPRESSURE = 2010
     EVACUATED = 2011
+    PART_CRASHES_TARGETS = 2012
 
     BROKEN_OFF = 3001
     DEADLINE_PASSED = 3002
@@ -127,6 +128,12 @@
     Code.EVACUATED: Row(
         503, _NOT_RUN, True, "The data centres of all targets are evacuated."
     ),
+    Code.PART_CRASHES_TARGETS: Row(
+        503,
+        _NOT_RUN,
+        True,
+        "Targets crashed on a part of its prompt; rejected until Retry-After.",
+    ),
     Code.BROKEN_OFF: Row(
         502, _UNKNOWN, False, "The target broke off after the request left."
     ),
--- a/script/guards.py
+++ b/script/guards.py
@@ -352,10 +352,10 @@
           "current.presence is not records.Presence.READY:",
           "if current is None:", "quarantine_ledger"),
     Guard("a whole answer voids marks", C + "quarantine/ledger.py",
-          "            if not crash.void:\n"
-          "                new = Crash(at=crash.at, void=True)",
-          "            if not crash.void:\n"
-          "                new = Crash(at=crash.at, void=False)",
+          "            if not crash.void and crash.at < before:\n"
+          "                new = dataclasses.replace(crash, void=True)",
+          "            if not crash.void and crash.at < before:\n"
+          "                new = dataclasses.replace(crash, void=False)",
           "quarantine_ledger"),
     Guard("a target that answers has not ended", C + "quarantine/ledger.py",
           "if crash is not None and not crash.void and crash.at < since:",
@@ -392,10 +392,10 @@
           "if not self._crashes or not self.has_outline(\n"
           "            fingerprint_lib.outline(subject)\n        ):",
           "if not self._crashes:", "quarantine_ledger"),
-    Guard("who waits is refused once it is known", C + "forward/forwarder.py",
+    Guard("who waits is refused once it is known",
+          C + "forward/quarantine_enforcer.py",
           "                if exchange is not None:\n"
-          "                    self.crash_detector.reject_if_quarantined("
-          "exchange, now)",
+          "                    self.reject_if_quarantined(exchange, now)",
           "                pass", "quarantine_ledger"),
     Guard("the customer is part of what identifies a request",
           C + "quarantine/fingerprint.py",
--- a/script/guards_responses.py
+++ b/script/guards_responses.py
@@ -33,7 +33,7 @@
           "        self._responses.record_not_sent(exchange)\n", "",
           "response_ends"),
     Guard("a move has its own end", F + "exchange.py",
-          "        self.progress.stop(response_progress.End.MOVED)\n", "",
+          "        self.progress.stop(end)\n", "",
           "response_ends"),
     Guard("a cut counts once in the report",
           "jasperweir/components/outcomes/lines.py",
