--- /dev/null
+++ b/features/prompt_parts.feature
@@ -0,0 +1,93 @@
+Feature: Parts of prompts that crash targets, on a virtual clock
+
+  Scenario Outline: Requests with one part in common are held by every entry
+    Then with <entries> entries and <parts> crashing part(s) these are held whatever else happens
+
+    Examples:
+      | entries | parts |
+      | 3       | 1     |
+      | 3       | 2     |
+      | 10      | 1     |
+      | 10      | 2     |
+
+  Scenario Outline: Requests with one part in common are held at large sites
+    Then with <entries> entries 1 crashing part is held when <what>
+
+    Examples:
+      | entries | what                |
+      | 103     | nothing             |
+      | 103     | entries restart     |
+      | 103     | control VMs are lost |
+      | 300     | entries restart     |
+
+  Scenario: Targets that are killed or lose power blame no part
+    Then in 20 schedules of kills and lost racks no part is held and harmless requests are served
+
+  Scenario: A caller can't get a part of another customer's prompts held
+    Given 3 entries with requests of customer "one"
+    When customer "two" names parts of "one" in 40 requests that crash targets
+    Then requests of customer "two" with these parts are held
+    And requests of customer "one" with these parts are served
+
+  Scenario: A part that crashes targets for several customers is held for all
+    Given 3 entries with requests of 10 customers
+    When requests with a crashing part arrive every 0.5 s for 10 s
+    Then targets have crashed at most 4 times on it
+    And a request of an eleventh customer with it is held
+
+  Scenario: A part is forgotten once all targets have a new version that runs it
+    Given 3 entries with requests of customer "one"
+    When requests with a crashing part arrive every 0.5 s for 5 s
+    And all targets are replaced by a version that runs it
+    And requests with a crashing part arrive every 0.5 s for 8 s
+    Then the last requests with it are served
+    And no part is held
+
+  Scenario: One request learns that a new version still crashes on a part
+    Given 10 entries with requests of customer "one"
+    When requests with a crashing part arrive every 0.05 s for 3 s
+    And all targets are replaced by a version that does not run it
+    Then at most 2 requests with it reach targets within 5 s
+
+  Scenario: A quarantine of a part ends with one request at a time
+    Given 3 entries with requests of customer "one"
+    When requests with a crashing part arrive every 0.5 s for 5 s
+    And the time of its quarantine passes
+    Then at most 2 requests with it reach targets within 5 s
+
+  Scenario: An operator lifts the quarantine of a part
+    Given 3 entries with requests of customer "one"
+    When requests with a crashing part arrive every 0.5 s for 5 s
+    And targets run it again and an operator lifts its quarantine at one entry
+    And requests with a crashing part arrive every 0.5 s for 5 s
+    Then the last requests with it are served
+
+  Scenario: A request that crashes targets again and again holds no part
+    Given a quarantine whose targets crashed twice under one request
+    Then this request is held, and another one with its parts is not
+    When a third target crashes under another request with one of its parts
+    Then a request with that part is held
+    And one with the other parts of the first request is not
+
+  Scenario: A part that was answered before needs one more crash
+    Given a quarantine that has answered requests with a part
+    When 2 targets crash under different requests with it
+    Then a request with that part may be sent, one at a time
+    When 1 targets crash under different requests with it
+    Then a request with that part is held
+
+  Scenario: A response that had gone on is not blamed
+    Given a quarantine without marks
+    When 3 targets crash beside long responses to requests with a part
+    Then a request with that part is sent
+
+  Scenario: A request that was cancelled before its target crashed is among the suspects
+    Given a target that crashes 1 s after a request to it was cancelled
+    Then the case of the target names that request
+    And one that was cancelled 3 s before is not named
+
+  Scenario: Many parts neither fill the memory nor end a quarantine
+    Given a quarantine whose targets crashed on a part
+    When targets crash under 10000 requests with other parts
+    Then the ledger holds 512 requests and parts
+    And a request with that part is held
--- a/jasperweir/components/quarantine/suspects.py
+++ b/jasperweir/components/quarantine/suspects.py
@@ -117,14 +117,10 @@
         self._abandoned.append((target, fingerprint, attempt))
 
     def _add_abandoned(self, case: Case, now: float) -> None:
-        while (
-            self._abandoned
-            and now - self._abandoned[0][2].broke_at > const.ABANDONED_SECONDS
-        ):
-            self._abandoned.popleft()
         key = (case.target.target_id, case.target.born)
         for target, fingerprint, attempt in self._abandoned:
-            if (target.target_id, target.born) == key:
+            is_recent = now - attempt.broke_at <= const.ABANDONED_SECONDS
+            if is_recent and (target.target_id, target.born) == key:
                 case.suspects[fingerprint] = attempt
 
     def defer(self, case: Case, now: float) -> None:
