--- a/features/harness/hop.py
+++ b/features/harness/hop.py
@@ -32,6 +32,8 @@
         self.stops_after = stops_after
         self.requests = 0
         self.closed = False
+        # Whether it reads requests and does not begin to answer them.
+        self.delays_answer = False
         self.address = ""
 
     async def start(self):
@@ -46,6 +48,11 @@
             writer.close()
             return
         self.requests += 1
+        if self.delays_answer:
+            with contextlib.suppress(asyncio.CancelledError):
+                self.closed = not await reader.read(1)
+                writer.close()
+            return
         after = int(head.partition(b"after: ")[2].partition(b"\r\n")[0] or 0)
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         for number in range(after + 1, self.stops_after + 1):
--- a/features/prompt_parts.feature
+++ b/features/prompt_parts.feature
@@ -91,3 +91,46 @@
     When targets crash under 10000 requests with other parts
     Then the ledger holds 512 requests and parts
     And a request with that part is held
+
+  Scenario: A request with a held part is rejected at once with a code of its own
+    Given a forwarder that has quarantined a part
+    When a request with it arrives
+    Then it is answered 503 with code 2012 and a Retry-After of 600 s
+    And no target has received it
+
+  Scenario: A request that waits is rejected once its part is held
+    Given a forwarder with a waiting request
+    When others report two crashes under its part
+    Then it is answered 503 with code 2012 and a Retry-After of 600 s
+
+  Scenario: A request that its target has not answered yet is cancelled
+    Given a forwarder with a request at a target that has not answered
+    When others report two crashes under its part
+    Then it is answered 502 with code 3001
+    And its target sees the connection close
+
+  Scenario: A second request with a part under suspicion comes back later
+    Given a forwarder with a request at a target that has not answered
+    When others report one crash under its part, and it arrives twice more
+    Then the second of them is answered 503 with code 2012 and a Retry-After of 0.5 s
+
+  Scenario Outline: Which parts of a prompt others may share
+    Then the parts of a prompt stated as "<stated>" are "<parts>"
+
+    Examples:
+      | stated             | parts |
+      | a1:40,B2:7,c3:250  | a1 b2 |
+      | c3:250             |       |
+      | nothing            |       |
+      | a1:40, b2 ,c3      | a1 b2 |
+      | a1:x,,a1:40,c3:250 | a1 a1 |
+
+  Scenario Outline: The versions that a target states
+    Then a heartbeat that states <stated> has the versions "<build>"
+
+    Examples:
+      | stated                                               | build      |
+      | {}                                                   |            |
+      | {"version": "v2"}                                    | v2         |
+      | {"version": 3, "models": [{"name":"m","version":1}]} | 3 m:1      |
+      | {"version": ["v"], "models": {"name": "m"}}          |            |
