Agent: an engine that crashes on each request has a crash number for each

Callers of the own interface: eight requests crashed eight engines and none was held. Cause: the agent counted a crash as new only after an answer of the engine, so that crashes without an answer in between had one number, and the entries took them for one crash of one incarnation. Before a run the agent now checks an engine that was down for a new start.

--- a/features/quarantine_ledger.feature
+++ b/features/quarantine_ledger.feature
@@ -153,6 +153,10 @@
     And a run broken by the second crash is reported with number 2
     And a run whose answer was cut while the engine listens is reported with number 0
 
+  Scenario: An engine that crashes on each request is reported with a new number each time
+    Given an agent whose engine crashes, restarts and crashes again
+    Then runs broken by 3 crashes without an answer in between have numbers 1 to 3
+
   Scenario: A denial after an attempt doesn't report that nothing ran
     Given a request of the native interface that an engine may have begun
     When it is denied before its retry because engines crashed under it
--- a/features/steps/quarantine_ledger_steps.py
+++ b/features/steps/quarantine_ledger_steps.py
@@ -250,6 +250,20 @@
     assert context.crash_counter.detect_crash() == 0
 
 
+@then(
+    "runs broken by {count:d} crashes without an answer in between have numbers"
+    " 1 to {last:d}"
+)
+def step_numbers(context, count, last):
+    numbers = []
+    for _ in range(count):
+        context.listening = True
+        context.crash_counter.check_restart()
+        context.listening = False
+        numbers.append(context.crash_counter.detect_crash())
+    assert numbers == [*range(1, last + 1)], numbers
+
+
 def native_life():
     """Return the state of a request of the native interface."""
     return state_machine_lib.RequestStateMachine(
--- a/jasperweir/components/agent/crash_counter.py
+++ b/jasperweir/components/agent/crash_counter.py
@@ -41,6 +41,14 @@
         """Record that the engine responds, so it is up again."""
         self._down = False
 
+    def check_restart(self) -> None:
+        """Check before a run whether an engine that crashed is up again.
+
+        One that crashes on each request answers none in between.
+        """
+        if self._down and self._is_listening():
+            self._down = False
+
     def detect_crash(self) -> int:
         """Return the number of the crash that broke a run.
 
--- a/jasperweir/components/agent/run_executor.py
+++ b/jasperweir/components/agent/run_executor.py
@@ -110,6 +110,7 @@
                 response head.
         """
         buf = self._buffers[rid]
+        self._crashes.check_restart()
         try:
             resp = self._http.request(
                 call.method,
