Own interface: a message in common that crashes engines is quarantined

Callers: requests with one message in common and a last one of their own crashed one engine each (8 in 8 tries). Cause: as on the platform's path, a request was known by all of its content. The messages but the last are now parts of the prompt, with the same ledger and the same decisions; trials and answers are reported by the gate.

--- a/features/harness/cut_answers_own.py
+++ b/features/harness/cut_answers_own.py
@@ -314,7 +314,7 @@
     """Return the driver of a request whose only target is at an address."""
     entry = mock.MagicMock()
     entry.budget = retry.RetryBudget()
-    entry.ledger.find.return_value = None
+    entry.quarantine.ledger = ()
     entry.admit.side_effect = lambda service, req, on_verdict, now: on_verdict(
         admission.Admit(rid=req.rid)
     )
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -54,6 +54,12 @@
     Then it has ended no more than 3 engines
     And the last try was told that it has not run, and another is answered
 
+  Scenario: Requests of the own interface with one message in common don't crash one engine after the other
+    Given a running deployment whose engines end under "x ends" and come back
+    When requests with a message that ends engines and others of their own come 8 times, at entries in turn
+    Then it has ended no more than 3 engines
+    And the last try was told by code 2012 that it has not run, and others with the same first message are answered
+
   Scenario: A well request whose targets lose power together is served again
     Given three VMs with control and entry, and six targets that end under "nothing"
     When six streams of one content run and all targets are killed at once
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -176,11 +176,13 @@
         )
 
 
-def ask(context, address, text="hello"):
+def ask(context, address, *texts):
     body = {
         "model": "m",
         "max_tokens": 5,
-        "messages": [{"role": "user", "content": text}],
+        "messages": [
+            {"role": "user", "content": text} for text in texts or ("hello",)
+        ],
     }
     resp = context.local.http.request(
         "POST",
@@ -203,6 +205,35 @@
         time.sleep(AGAIN_SECONDS)
 
 
+@when(
+    "requests with a message that ends engines and others of their own come"
+    " {count:d} times, at entries in turn"
+)
+def step_own_parts_come(context, count):
+    context.answers = []
+    addresses = context.local.entry_http()
+    for number in range(count):
+        texts = ("you are a clerk", "x ends what runs it", f"own {number}")
+        status = ask(context, addresses[number % 3], *texts)
+        context.answers.append((status, context.code))
+        time.sleep(AGAIN_SECONDS)
+
+
+@then(
+    "the last try was told by code {code} that it has not run, and others with"
+    " the same first message are answered"
+)
+def step_own_parts_told(context, code):
+    assert context.answers[-1] == (503, code), context.answers
+    for address in context.local.entry_http():
+        context.local.wait_for(
+            "an answer",
+            lambda address=address: (
+                ask(context, address, "you are a clerk", "own") == 200
+            ),
+        )
+
+
 @then("it has ended no more than {count:d} engines")
 def step_own_few(context, count):
     ended = len(context.engines.ended)
--- a/jasperweir/components/entry/node.py
+++ b/jasperweir/components/entry/node.py
@@ -22,9 +22,8 @@
 from jasperweir.components.membership import gossip as gossip_lib
 from jasperweir.components.membership import messages as member_messages
 from jasperweir.components.quarantine import const as quarantine_const
-from jasperweir.components.quarantine import fingerprint as fingerprint_lib
-from jasperweir.components.quarantine import ledger as ledger_lib
 from jasperweir.components.quarantine import messages as quarantine_messages
+from jasperweir.components.quarantine import quarantine as quarantine_lib
 from jasperweir.components.quarantine import replication as replication_lib
 from jasperweir.components.routing import router as router_lib
 
@@ -62,7 +61,7 @@
         control: Client of the control VMs.
         budget: Retry budget of all requests.
         burn: Counts for the service-level report.
-        ledger: Requests under which engines crashed.
+        quarantine: Decisions on requests under which engines crash.
         rng: Seeded random source.
     """
 
@@ -105,8 +104,15 @@
         self.control = control_client.ControlClient(voters=voters, rng=rng)
         self.budget = retry.RetryBudget()
         self.burn = windows_lib.Windows()
-        self.ledger = ledger_lib.Ledger()
-        self._mark_replication = replication_lib.EntrySpread(ledger=self.ledger)
+        self.quarantine = quarantine_lib.Quarantine(
+            trial_prefix=f"{identity.name}/{identity.inc}"
+        )
+        self._unsent_marks: quarantine_lib.Marks = ()
+        self.quarantine.on_marks = self._add_marks
+        self.quarantine.on_vouched = self._add_marks
+        self._mark_replication = replication_lib.EntrySpread(
+            ledger=self.quarantine.ledger, merge=self.quarantine.merge
+        )
         self._next_compare_at = 0.0
         self.draining = False
         self._last_burn_rate = 0.0
@@ -158,7 +164,8 @@
                 self.replica.min_revision = self.control.min_revision
                 return []
             case quarantine_messages.Marks() | quarantine_messages.Compare():
-                return list(self._mark_replication.receive(src, msg, now))
+                replies = self._mark_replication.receive(src, msg, now)
+                return [*replies, *self.take_marks()]
             case claim_messages.ClaimReply():
                 return self.claim_client.receive(msg, now)
         if type(msg).__module__ == claim_messages.__name__:
@@ -227,22 +234,13 @@
         )
         return self._deliver_local(out, now)
 
-    def record_crash(
-        self,
-        fingerprint: fingerprint_lib.Fingerprint,
-        incarnation: ledger_lib.Incarnation,
-        now: float,
-    ) -> Actions:
-        """Record that an engine crashed under a request; notify others."""
-        marks = self.ledger.add(fingerprint, incarnation, now)
+    def take_marks(self) -> Actions:
+        """Return the sends of the marks of the quarantine that are new."""
+        marks, self._unsent_marks = self._unsent_marks, ()
         return list(replication_lib.send_marks(marks, self._other_entries()))
 
-    def record_complete_answer(
-        self, fingerprint: fingerprint_lib.Fingerprint, now: float
-    ) -> Actions:
-        """Record that a request was answered completely; notify others."""
-        marks = self.ledger.clear_marks(fingerprint, now)
-        return list(replication_lib.send_marks(marks, self._other_entries()))
+    def _add_marks(self, marks: quarantine_lib.Marks) -> None:
+        self._unsent_marks += marks
 
     def addresses(
         self, *, service: str, place: str, salt: str
@@ -281,7 +279,7 @@
         if now < self._next_compare_at:
             return []
         self._next_compare_at = now + quarantine_const.COMPARE_SECONDS
-        self.ledger.tick(now)
+        self.quarantine.tick(now)
         return list(self._mark_replication.compare(self._other_entries()))
 
     def _other_entries(self) -> list[str]:
--- a/jasperweir/components/entry/parsed_request.py
+++ b/jasperweir/components/entry/parsed_request.py
@@ -1,5 +1,6 @@
 """Parsing and validation of a caller's request."""
 
+import hashlib
 import json
 import secrets
 from typing import Any
@@ -10,6 +11,7 @@
 from jasperweir import result_codes
 from jasperweir.components.bundle import const as bundle_const
 from jasperweir.components.bundle import specs
+from jasperweir.components.quarantine import const as quarantine_const
 from jasperweir.components.quarantine import fingerprint
 from jasperweir.components.routing import router as router_lib
 from jasperweir.helpers import hashing
@@ -49,6 +51,7 @@
         content_type: Content type of the body.
         body: Body of the request.
         digest: Digest that differs for another request with the same key.
+        prompt_parts: Digests of the messages of its prompt but the last.
     """
 
     rid: str
@@ -66,6 +69,7 @@
     content_type: str
     body: bytes
     digest: int
+    prompt_parts: tuple[str, ...] = ()
 
     @property
     def subject(self) -> fingerprint.Subject:
@@ -76,6 +80,8 @@
             target=self.path.encode(),
             customer=self.customer.name,
             body=self.body,
+            service=self.spec.name,
+            prompt_parts=self.prompt_parts,
         )
 
 
@@ -151,6 +157,7 @@
         body: Any = json.loads(req.body)
         name = str(body["model"])
         prompt = json.dumps(body["messages"], sort_keys=True)
+        prompt_parts = _digest_messages(body["messages"])
         streamed = bool(body.get("stream", False))
     except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
         return Rejected(Code.BAD_REQUEST, "not a chat completion request")
@@ -173,6 +180,7 @@
         path=INFERENCE_PATH,
         streamed=streamed,
         safe=False,
+        prompt_parts=prompt_parts,
     )
 
 
@@ -205,6 +213,7 @@
     path: str,
     streamed: bool,
     safe: bool,
+    prompt_parts: tuple[str, ...] = (),
 ) -> ParsedRequest | Rejected:
     # A key requires at most one run. Without a key, a service that is not
     # idempotent accepts safe methods only.
@@ -229,6 +238,20 @@
         content_type=req.header("content-type", "application/json"),
         body=req.body,
         digest=digest,
+        prompt_parts=prompt_parts,
+    )
+
+
+def _digest_messages(messages: Any) -> tuple[str, ...]:
+    """Return digests of all messages of a prompt but the last."""
+    if not isinstance(messages, list):
+        return ()
+    return tuple(
+        hashlib.blake2b(
+            json.dumps(message, sort_keys=True).encode(),
+            digest_size=quarantine_const.CONTENT_BYTES,
+        ).hexdigest()
+        for message in messages[:-1][: quarantine_const.PARTS_MAX]
     )
 
 
--- a/jasperweir/components/entry/request_driver.py
+++ b/jasperweir/components/entry/request_driver.py
@@ -95,7 +95,7 @@
     # Actions before the answer.
 
     def _admit(self) -> events.Event:
-        denied = self._quarantine.check()
+        denied = self._quarantine.check(is_sending=False)
         if denied is not None:
             return denied
         done = threading.Event()
@@ -136,7 +136,7 @@
             return events.Expired()
         match action:
             case actions.Pick():
-                denied = self._quarantine.check()
+                denied = self._quarantine.check(is_sending=True)
                 return denied or self._dispatcher.choose_target(action.exclude)
             case actions.Reserve():
                 assert self._dispatcher.target is not None
@@ -413,7 +413,8 @@
         verdict = self._timing.verdict(code, streamed=request.streamed)
         finished_record = self._finished_record() if code == Code.OK else None
         if code == Code.OK:
-            self._quarantine.record_complete_answer()
+            self._quarantine.record_complete_answer(self._started)
+        self._quarantine.end()
 
         def end() -> None:
             entry.release(request.spec.name, request.rid, now)
--- a/jasperweir/components/quarantine/const.py
+++ b/jasperweir/components/quarantine/const.py
@@ -19,7 +19,7 @@
 # a caller must not be able to forge the fingerprint of another request.
 CONTENT_BYTES = 16
 # Parts of one prompt that are looked at.
-PARTS_MAX = 32
+PARTS_MAX = 128
 
 # A request is quarantined once this many targets have crashed under it without
 # a complete answer in between. A single crash is weak evidence, since some five
--- a/jasperweir/components/quarantine/quarantine.py
+++ b/jasperweir/components/quarantine/quarantine.py
@@ -9,6 +9,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import enum
 from typing import NamedTuple
 
@@ -61,6 +62,13 @@
         """Whether a part of its prompt is the reason."""
         return any(found.is_part for found in self.fingerprints)
 
+    def after_trial(self) -> "Decision":
+        """Return the decision while another request is on trial."""
+        return self._replace(
+            standing=Standing.AFTER_TRIAL,
+            retry_after_s=const.TRIAL_RETRY_SECONDS,
+        )
+
 
 CLEAR = Decision(Standing.CLEAR)
 
@@ -157,14 +165,10 @@
                 return held
         if not trials:
             return CLEAR
+        decision = Decision(Standing.TRIAL, 0, 0.0, tuple(trials))
         if any(self._is_on_trial(found, now) for found in trials):
-            return Decision(
-                Standing.AFTER_TRIAL,
-                0,
-                const.TRIAL_RETRY_SECONDS,
-                tuple(trials),
-            )
-        return Decision(Standing.TRIAL, 0, 0.0, tuple(trials))
+            return decision.after_trial()
+        return decision
 
     def _check_parts(
         self,
@@ -347,17 +351,36 @@
         incarnation = ledger_lib.Incarnation(
             case.target.target_id, case.target.born
         )
-        marks: Marks = ()
         parts = case.list_parts()
-        for found, attempt in (*case.suspects.items(), *parts.items()):
-            run = ledger_lib.Run(
+        runs = {
+            found: ledger_lib.Run(
                 ended_s=now - case.crashed_at,
                 took_s=max(case.crashed_at - attempt.began_at, 0.0),
                 build=build,
             )
+            for found, attempt in (*case.suspects.items(), *parts.items())
+        }
+        self.record_crash(incarnation, runs, now)
+
+    def record_crash(
+        self,
+        incarnation: ledger_lib.Incarnation,
+        runs: Mapping[Fingerprint, ledger_lib.Run | None],
+        now: float,
+    ) -> None:
+        """Record a crash under requests, and under parts of their prompts.
+
+        Args:
+            incarnation: The target.
+            runs: The runs of each request and part; None if their times are
+                unknown.
+            now: Monotonic seconds.
+        """
+        marks: Marks = ()
+        for found, run in runs.items():
             marks += self.ledger.add(found, incarnation, now, run)
         self._publish(marks)
-        self._vouch(parts, now)
+        self._vouch((found for found in runs if found.is_part), now)
 
     def on_alive(
         self, incarnation: ledger_lib.Incarnation, since: float, now: float
