--- a/features/harness/prompt_parts.py
+++ b/features/harness/prompt_parts.py
@@ -43,6 +43,7 @@
     Attributes:
         replies: What callers of harmless requests received.
         crashing_replies: What callers of the others received.
+        vm_of: Number of the VM that each request was sent to, by its id.
     """
 
     def __init__(self, plat, *, kind, vms=(1, 2, 3)):
@@ -55,6 +56,7 @@
         self._threads = []
         self.replies = []
         self.crashing_replies = []
+        self.vm_of = {}
 
     def _next(self):
         with self._lock:
@@ -62,6 +64,7 @@
 
     def _send(self, parts, found):
         vm, number = self._next()
+        self.vm_of[f"{self._kind}-{number}"] = vm
         own = f"{number:x}"
         at = time.monotonic()
         status, code, body = 0, "", b""
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -31,6 +31,15 @@
       | 1    |
       | 2    |
 
+  Scenario Outline: A soak whose targets crash on parts of prompts
+    When the soak with such targets runs seed <seed> for 8 seconds
+    Then no invariant was violated
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+
   # Cause: SIGHUP terminates a process that is still loading; see KNOWN-RED.txt.
   Scenario: A soak in which processes receive a reload during start-up
     When the soak runs seed 223 for 9 seconds
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -51,6 +51,15 @@
 
     def run(self):
         """Inject faults one after another."""
+        kinds = self._list_kinds()
+        while not self._world.stopping.wait(self._rng.uniform(*PAUSE_SECONDS)):
+            self._thaw_due()
+            self._restore_disks(time.monotonic())
+            self._rng.choice(kinds)()
+        self._restore_all()
+
+    def _list_kinds(self):
+        """Return what is drawn from."""
         kinds = [self._stop_and_start, self._reload]
         if not self.planned_only:
             kinds += [
@@ -66,11 +75,7 @@
                 self._kill, self._freeze, self._stop_and_start, self._reset,
                 *[self._ask] * 5,
             ]  # fmt: skip
-        while not self._world.stopping.wait(self._rng.uniform(*PAUSE_SECONDS)):
-            self._thaw_due()
-            self._restore_disks(time.monotonic())
-            self._rng.choice(kinds)()
-        self._restore_all()
+        return kinds
 
     def _log_fault(self, what):
         self.log.append(f"{time.monotonic() - self._world.began:.2f} {what}")
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -3,6 +3,7 @@
 from behave import then
 from behave import when
 
+from features.soak import parts_world
 from features.soak import world as world_lib
 
 
@@ -18,6 +19,12 @@
     context.violations = context.world.run(seconds)
 
 
+@when("the soak with such targets runs seed {seed:d} for {seconds:g} seconds")
+def step_soak_parts(context, seed, seconds):
+    context.world = parts_world.PartsWorld(seed=seed, folder=context.folder)
+    context.violations = context.world.run(seconds)
+
+
 @then("no invariant was violated")
 def step_no_violation(context):
     assert not context.violations, [
--- a/script/soak.py
+++ b/script/soak.py
@@ -4,10 +4,12 @@
 import pathlib
 import sys
 import tempfile
+from typing import Any
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
+from features.soak import parts_world  # noqa: E402
 from features.soak import world as world_lib  # noqa: E402
 
 
@@ -22,14 +24,27 @@
         action="store_true",
         help="targets ask for rest, limits and to be left alone",
     )
+    parser.add_argument(
+        "--parts",
+        action="store_true",
+        help="targets crash on parts of prompts",
+    )
     args = parser.parse_args()
     failed = []
     for seed in range(args.first, args.first + args.seeds):
         folder = tempfile.mkdtemp(prefix=f"jasperweir-soak-{seed}-")
-        world = world_lib.World(seed=seed, folder=folder, asks=args.asks)
+        world: Any
+        if args.parts:
+            world = parts_world.PartsWorld(seed=seed, folder=folder)
+        else:
+            world = world_lib.World(seed=seed, folder=folder, asks=args.asks)
         broken = world.run(args.seconds)
-        served = dict(world.ledger.served())
-        print(f"seed {seed}: {len(broken)} broken, served {served}", flush=True)
+        summary = (
+            world.summary
+            if args.parts
+            else f"served {dict(world.ledger.served())}"
+        )
+        print(f"seed {seed}: {len(broken)} broken, {summary}", flush=True)
         if broken:
             failed.append(seed)
             print("\n".join([*broken[:8], *world.faults.log, folder]))
