--- a/features/prompt_parts.feature
+++ b/features/prompt_parts.feature
@@ -1,27 +1,4 @@
-Feature: Parts of prompts that crash targets, on a virtual clock
-
-  Scenario Outline: Requests with one part in common are held by every entry
-    Then with <entries> entries and <parts> crashing part(s) these are held whatever else happens
-
-    Examples:
-      | entries | parts |
-      | 3       | 1     |
-      | 3       | 2     |
-      | 10      | 1     |
-      | 10      | 2     |
-
-  Scenario Outline: Requests with one part in common are held at large sites
-    Then with <entries> entries 1 crashing part is held when <what>
-
-    Examples:
-      | entries | what                |
-      | 103     | nothing             |
-      | 103     | entries restart     |
-      | 103     | control VMs are lost |
-      | 300     | entries restart     |
-
-  Scenario: Targets that are killed or lose power blame no part
-    Then in 20 schedules of kills and lost racks no part is held and harmless requests are served
+Feature: Parts of prompts that crash targets, and who is held for them
 
   Scenario: A caller can't get a part of another customer's prompts held
     Given 3 entries with requests of customer "one"
@@ -43,6 +20,13 @@
     Then the last requests with it are served
     And no part is held
 
+  Scenario: One request that a new version runs releases the part for all customers
+    Given 3 entries with requests of 10 customers
+    When requests with a crashing part arrive every 0.5 s for 5 s
+    And all targets are replaced by a version that runs it
+    And requests with a crashing part arrive every 2 s for 3 s
+    Then a request of an eleventh customer with it is sent
+
   Scenario: One request learns that a new version still crashes on a part
     Given 10 entries with requests of customer "one"
     When requests with a crashing part arrive every 0.05 s for 3 s
--- a/features/steps/prompt_parts_virtual_steps.py
+++ b/features/steps/prompt_parts_virtual_steps.py
@@ -193,6 +193,12 @@
     assert decide(context, parts, "another") == {Standing.HELD}
 
 
+@then("a request of an eleventh customer with it is sent")
+def step_eleventh_sent(context):
+    parts = context.scene.parts_of(0, True)
+    assert decide(context, parts, "another") == {Standing.CLEAR}
+
+
 @when("all targets are replaced by a version that {runs} it")
 def step_replaced(context, runs):
     scene = context.scene
--- a/script/bench_forward.py
+++ b/script/bench_forward.py
@@ -143,6 +143,12 @@
         """Drop a response."""
 
 
+# Parts of a prompt that others share, if the version reads them.
+_PARTS = (
+    (("a1", "b2"),) if "prompt_parts" in dialect.CallerHeaders._fields else ()
+)
+
+
 class Exchange:
     """A request whose target and caller are simulated."""
 
@@ -474,7 +480,7 @@
         state = request_state.RequestState(
             match=index.RouteMatch(route=route, customer=None),
             caller_headers=dialect.CallerHeaders(
-                f"id{number}", PATIENCE_SECONDS, "", 700, 160, ""
+                f"id{number}", PATIENCE_SECONDS, "", 700, 160, "", *_PARTS
             ),
             now=self.now,
             **_USED,
@@ -523,6 +529,9 @@
         fwd.balancer.succeeded(exchange.target_id, 0.1)
 
     def _on_event(self, exchange: Exchange, pause_s: float) -> None:
+        if _PARTS and exchange.progress.on_data(self.now):
+            fwd: Any = self.forwarder
+            self.measure("answering", fwd.quarantine.on_answering, exchange)
         record = self.forwarder.record_pause
         args: tuple[Any, ...] = (exchange.service, exchange.target, pause_s)
         if len(inspect.signature(record).parameters) == 2:
--- a/script/guards.py
+++ b/script/guards.py
@@ -14,6 +14,7 @@
 import guards_evacuation
 import guards_groups
 import guards_order
+import guards_parts
 import guards_responses
 import guards_returns
 import guards_voters
@@ -423,6 +424,7 @@
     *guards_evacuation.GUARDS,
     *guards_groups.GUARDS,
     *guards_order.GUARDS,
+    *guards_parts.GUARDS,
     *guards_responses.GUARDS,
     *guards_returns.GUARDS,
     *guards_voters.GUARDS,
--- /dev/null
+++ b/script/guards_parts.py
@@ -0,0 +1,61 @@
+"""Guards of the quarantine of parts of prompts."""
+
+import guard as guard_lib
+
+Guard = guard_lib.Guard
+Q = "jasperweir/components/quarantine/"
+F = "jasperweir/components/forward/"
+GUARDS = (
+    Guard("a part that explains crashes is held", Q + "blame.py",
+          "if best is None or _count(parts[best]) < crashes_max:",
+          "if True:", "prompt_parts"),
+    Guard("what is explained counts against no other part", Q + "blame.py",
+          "        for pool in pools:\n"
+          "            _remove_explained(pool, keys)\n",
+          "        del parts[best]\n", "prompt_parts"),
+    Guard("parts in the same crashes are held together only", Q + "blame.py",
+          "if crashes.keys() == explained.keys()",
+          "if found == best", "prompt_parts"),
+    Guard("parts of several customers count together", Q + "blame.py",
+          "        if len(parts) > 1:\n", "        if False:\n",
+          "prompt_parts"),
+    Guard("a part that was answered needs one more crash", Q + "blame.py",
+          "_blame(answered, const.ANSWERED_CRASHES_MAX, blames, [answered])",
+          "_blame(answered, const.CRASHES_MAX, blames, [answered])",
+          "prompt_parts"),
+    Guard("a request needs all that is blamed together", Q + "quarantine.py",
+          "                and self._has_all(blame, subject, parts)\n", "",
+          "prompt_parts"),
+    Guard("a new version of all targets is tried", Q + "quarantine.py",
+          "return services <= {service_of(build) for build in self.builds}",
+          "return False", "prompt_parts"),
+    Guard("one request at a time is on trial", Q + "quarantine.py",
+          "if any(self._is_on_trial(found, now) for found in trials):",
+          "if False:", "prompt_parts"),
+    Guard("a trial that passes releases the part", Q + "quarantine.py",
+          "                self._lift(blame.members, now)\n",
+          "                pass\n", "prompt_parts"),
+    Guard("a response that goes on is not blamed", Q + "suspects.py",
+          "if attempt.is_settled or attempt.began_at >= crashed_at:",
+          "if attempt.began_at >= crashed_at:", "prompt_parts"),
+    Guard("cancelled requests are suspects", Q + "suspects.py",
+          "            self._add_abandoned(case, broken.broke_at)\n", "",
+          "prompt_parts"),
+    Guard("cancelled requests are suspects for a short time",
+          Q + "suspects.py",
+          "if is_recent and (target.target_id, target.born) == key:",
+          "if (target.target_id, target.born) == key:", "prompt_parts"),
+    Guard("customers are told apart", Q + "fingerprint.py",
+          'f"part\\n{service}\\n{customer}"', 'f"part\\n{service}\\n"',
+          "prompt_parts"),
+    Guard("a held part has a code of its own", F + "quarantine_enforcer.py",
+          "            if decision.is_for_part\n", "            if False\n",
+          "prompt_parts"),
+    Guard("who waits at a target is cancelled", F + "quarantine_enforcer.py",
+          "if exchange.awaits_answer and "
+          "self._is_held_for_part(exchange, now):",
+          "if False:", "prompt_parts"),
+    Guard("the last part is not shared", "platform/adapter/callers.py",
+          '.lower().split(",")[:-1]', '.lower().split(",")',
+          "prompt_parts"),
+)  # fmt: skip
