Quarantine: callers that leave hide no suspect; waiting requests outlive a trial

Found by reading: a target's suspects were limited to 32, and cancelled requests came first, so that callers that leave could take the place of the request whose connection broke. Requests that wait were rejected as soon as one with a part under suspicion went on trial; they wait now, and are rejected only if they are chosen while it lasts.

--- a/features/prompt_parts.feature
+++ b/features/prompt_parts.feature
@@ -70,6 +70,10 @@
     Then the case of the target names that request
     And one that was cancelled 3 s before is not named
 
+  Scenario: Callers that leave don't hide the request that crashes a target
+    Given a target that crashes after 100 requests to it were cancelled
+    Then the case of the target names 17 requests, and that whose connection broke
+
   Scenario: Many parts neither fill the memory nor end a quarantine
     Given a quarantine whose targets crashed on a part
     When targets crash under 10000 requests with other parts
--- a/features/steps/prompt_parts_virtual_steps.py
+++ b/features/steps/prompt_parts_virtual_steps.py
@@ -378,6 +378,29 @@
     context.case = suspects.on_checked(target)
 
 
+@given("a target that crashes after {count:d} requests to it were cancelled")
+def step_many_cancelled(context, count):
+    suspects = suspects_lib.Suspects()
+    target = site_lib.target()
+    for number in range(count):
+        request, found = attempt(
+            (PART,), began_at=998.0, broke_at=999.0, number=100 + number
+        )
+        suspects.on_abandoned(target, request, found)
+    request, found = attempt(("r1",), began_at=999.0, broke_at=1000.0, number=3)
+    suspects.on_broken(target, request, found)
+    context.case = suspects.on_checked(target)
+
+
+@then(
+    "the case of the target names {count:d} requests, and that whose connection"
+    " broke"
+)
+def step_not_hidden(context, count):
+    ids = {found.request_id for found in context.case.suspects.values()}
+    assert len(ids) == count and "3" in ids, ids
+
+
 @then("the case of the target names that request")
 def step_named(context):
     ids = {found.request_id for found in context.case.suspects.values()}
--- a/jasperweir/components/forward/quarantine_enforcer.py
+++ b/jasperweir/components/forward/quarantine_enforcer.py
@@ -93,7 +93,7 @@
         for service in self._queues.list_waiting_services():
             for number in self._queues.get(service).wait_queue.numbers():
                 exchange = self._open_exchanges.get(number)
-                if exchange is not None:
+                if exchange is not None and self._is_held(exchange, now):
                     self.reject_if_quarantined(exchange, now)
         if not self.quarantine.ledger.part_count:
             return
@@ -102,6 +102,11 @@
                 exchange.leave_target(response_progress.End.HELD)
                 self.reject_if_quarantined(exchange, now)
 
+    def _is_held(self, exchange: exchange_lib.Exchange, now: float) -> bool:
+        """Return whether a request is held, not only until a trial ends."""
+        standing = self.decide(exchange, now).standing
+        return standing is quarantine_lib.Standing.HELD
+
     def _is_held_for_part(
         self, exchange: exchange_lib.Exchange, now: float
     ) -> bool:
--- a/jasperweir/components/quarantine/const.py
+++ b/jasperweir/components/quarantine/const.py
@@ -12,9 +12,12 @@
 # six at once; more are lost with it only if its queue is long.
 SUSPECTS_MAX = 32
 # Requests that an entry has cancelled before any response are among those that
-# ran on a target which crashes so soon after, seconds, and their number.
+# ran on a target which crashes so soon after, seconds. So many are remembered,
+# and so many count for one target: callers that leave must not take the place
+# of those whose connections broke.
 ABANDONED_SECONDS = 2.0
 ABANDONED_MAX = 256
+ABANDONED_SUSPECTS_MAX = SUSPECTS_MAX // 2
 # Bytes of the digest of a request's content. It has to be collision-resistant:
 # a caller must not be able to forge the fingerprint of another request.
 CONTENT_BYTES = 16
--- a/jasperweir/components/quarantine/suspects.py
+++ b/jasperweir/components/quarantine/suspects.py
@@ -118,10 +118,12 @@
 
     def _add_abandoned(self, case: Case, now: float) -> None:
         key = (case.target.target_id, case.target.born)
-        for target, fingerprint, attempt in self._abandoned:
+        for target, fingerprint, attempt in reversed(self._abandoned):
+            if len(case.suspects) >= const.ABANDONED_SUSPECTS_MAX:
+                return
             is_recent = now - attempt.broke_at <= const.ABANDONED_SECONDS
             if is_recent and (target.target_id, target.born) == key:
-                case.suspects[fingerprint] = attempt
+                case.suspects.setdefault(fingerprint, attempt)
 
     def defer(self, case: Case, now: float) -> None:
         """Keep a case whose target didn't answer the check for a time."""
--- a/script/guards.py
+++ b/script/guards.py
@@ -395,7 +395,8 @@
           "if not self._crashes:", "quarantine_ledger"),
     Guard("who waits is refused once it is known",
           C + "forward/quarantine_enforcer.py",
-          "                if exchange is not None:\n"
+          "                if exchange is not None and "
+          "self._is_held(exchange, now):\n"
           "                    self.reject_if_quarantined(exchange, now)",
           "                pass", "quarantine_ledger"),
     Guard("the customer is part of what identifies a request",
