Soak with prompt parts: end the thread of its proxies

behave and script/soak did not exit after the last scenario: the event loop of the unused proxies went on (seen with a stack dump of the process, 2 min after all scenarios had passed).

--- a/features/soak/parts_world.py
+++ b/features/soak/parts_world.py
@@ -99,6 +99,7 @@
             if targets is not None:
                 targets.stop()
             self.plat.stop_all()
+            self.proxies.stop()
         return self.ledger.violations
 
     def _list_parts(self, number):
