--- a/script/guards.py
+++ b/script/guards.py
@@ -14,6 +14,7 @@
 import guards_evacuation
 import guards_groups
 import guards_order
+import guards_parts
 import guards_responses
 import guards_returns
 import guards_voters
@@ -394,7 +395,8 @@
           "if not self._crashes:", "quarantine_ledger"),
     Guard("who waits is refused once it is known",
           C + "forward/quarantine_enforcer.py",
-          "                if exchange is not None:\n"
+          "                if exchange is not None and "
+          "self._is_held(exchange, now):\n"
           "                    self.reject_if_quarantined(exchange, now)",
           "                pass", "quarantine_ledger"),
     Guard("the customer is part of what identifies a request",
@@ -423,6 +425,7 @@
     *guards_evacuation.GUARDS,
     *guards_groups.GUARDS,
     *guards_order.GUARDS,
+    *guards_parts.GUARDS,
     *guards_responses.GUARDS,
     *guards_returns.GUARDS,
     *guards_voters.GUARDS,
