--- a/script/run_tests.py
+++ b/script/run_tests.py
@@ -8,10 +8,11 @@
 import tempfile
 from typing import Any
 
+import known_red
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BIN = pathlib.Path(sys.executable).parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
-KNOWN_RED_MAX = 3
 REAL_PROCESSES_TAG = "@real-processes"
 # Groups of features without real processes that run at the same time.
 PARALLEL_GROUPS = 3
@@ -34,16 +35,13 @@
 )
 
 
-def known_red() -> set[str]:
-    """Return the scenarios that may fail, each with a cause on its line."""
-    if not KNOWN_RED.exists():
-        return set()
-    lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
-    names = [line.split(";")[0].strip() for line in lines]
-    found = {name for name in names if name and not name.startswith("#")}
-    if len(found) > KNOWN_RED_MAX:
-        sys.exit(f"KNOWN-RED.txt holds more than {KNOWN_RED_MAX} lines")
-    return found
+def list_untracked() -> set[str]:
+    """Return the files of the work tree that git neither tracks nor ignores."""
+    command = ["git", "ls-files", "--others", "--exclude-standard"]
+    done = subprocess.run(
+        command, cwd=ROOT, check=True, capture_output=True, text=True
+    )
+    return set(done.stdout.splitlines())
 
 
 def run_checks() -> tuple[int, list[str]]:
@@ -150,15 +148,20 @@
 
 def main() -> int:
     """Run everything and close with the counted line."""
+    red = known_red.read(KNOWN_RED)
+    untracked = list_untracked()
     good, bad = run_checks()
     passed, failed = run_behave(sys.argv[1:])
-    red = known_red()
-    excused = [name for name in failed if name in red]
-    for name in excused:
-        print(f"known red: {name}")
-    for name in red - set(failed):
+    left = sorted(list_untracked() - untracked)
+    bad += [f"a test left {name} in the work tree" for name in left]
+    for name in failed:
+        if name in red.scenarios:
+            print(f"known red: {name}")
+    for name in set(red.scenarios) - set(failed):
         print(f"no longer red, take it off the list: {name}")
-    failed = bad + [name for name in failed if name not in red]
+    for command in red.scripts:
+        print(f"known red, not run: {command}")
+    failed = bad + [name for name in failed if name not in red.scenarios]
     for name in failed:
         print(f"FAILED {name}")
     print(f"{good + passed} passed, {len(failed)} failed", flush=True)
--- a/standins/cut_answers.py
+++ b/standins/cut_answers.py
@@ -143,7 +143,12 @@
 
     Targets agree on it by files that are created exclusively in their common
     folder.
+
+    Raises:
+        ValueError: No folder is given.
     """
+    if not folder:
+        raise ValueError("a request with a script needs an attempts folder")
     number = 0
     while True:
         path = os.path.join(folder, f"{request_id}.{number}")
