Log which version decided a request, who confirmed it and how long before

Observability only, no decision changes. The logs could not tell the three hypotheses of the incident apart.

'request ended' and 'request turned away' have version (now the one that the route was matched by; it was the one in force when the request ended), newest_known, confirmed_by and confirmed_ms. 'ready' says what each control VM had announced. 'version announced', 'configuration requested' and since_announced_ms of 'version in force' show the spread of a version, as does the histogram configuration_delay_seconds.

Readiness predicts confirmed_ms -1 or old at 'ready' and at the request; spread predicts newest_known above version, or requests without 'version in force'; authority predicts a small confirmed_ms by a control VM that had lost its lead.

--- a/jasperweir/components/discovery/client.py
+++ b/jasperweir/components/discovery/client.py
@@ -10,6 +10,7 @@
 from jasperweir.components.directory import directory as directory_lib
 from jasperweir.components.directory import incarnation
 from jasperweir.components.directory import records
+from jasperweir.components.discovery import version_basis
 from jasperweir.components.registry import ops
 
 Actions = list[Any]
@@ -146,6 +147,33 @@
             for heartbeat in self._confirmations(now)
         )
 
+    def describe_version(self, now: float) -> version_basis.VersionBasis:
+        """Return what is known of the version in force, for logs."""
+        confirmations = [
+            (now - control.heard_at, name)
+            for name, control in self._controls.items()
+            if control.heartbeat is not None
+            and control.heartbeat.certain
+            and control.heartbeat.version <= self.version
+        ]
+        age_s, source = min(confirmations, default=(float("inf"), ""))
+        return version_basis.VersionBasis(
+            version=self.version,
+            newest=self.newest_announced,
+            confirmed_by=source,
+            confirmed_age_s=age_s,
+        )
+
+    @property
+    def newest_announced(self) -> int:
+        """Highest version that a control VM has announced."""
+        return max(self._announced_versions.values(), default=0)
+
+    @property
+    def announced_versions(self) -> dict[str, int]:
+        """Version that each control VM announced last, by its name."""
+        return dict(self._announced_versions)
+
     def hears_leader(self, now: float) -> bool:
         """Return whether the leader of the log was heard from recently."""
         return bool(self._confirmations(now))
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -15,6 +15,7 @@
 from jasperweir.components.deployment import index as index_lib
 from jasperweir.components.directory import directory as directory_lib
 from jasperweir.components.directory import records
+from jasperweir.components.discovery import version_basis
 from jasperweir.components.forward import admission as admission_lib
 from jasperweir.components.forward import available_targets
 from jasperweir.components.forward import capacity as capacity_lib
@@ -69,6 +70,7 @@
         index: Configuration in force, None before the first.
         is_certain: Returns whether the configuration in force is known to be
             the newest.
+        describe_version: Returns what is known of the version in force.
         on_work: Called when ``tick`` needs to run soon.
     """
 
@@ -91,6 +93,9 @@
         self.pool = http_client.ConnectionPool(times=times)
         self.index: index_lib.DeploymentIndex | None = None
         self.is_certain: Callable[[], bool] = lambda: True
+        self.describe_version: Callable[[], version_basis.VersionBasis] = (
+            version_basis.VersionBasis
+        )
         self.on_work: Callable[[], None] = lambda: None
         self._clock = clock
         self._rng = rng
@@ -293,6 +298,7 @@
             used_s=used_s,
         )
         state.startup_deadline = startup_deadline
+        state.basis = self.describe_version()
         exchange = exchange_lib.Exchange(
             number=next(self._exchange_numbers),
             forwarder=self,
@@ -652,9 +658,7 @@
             self.on_work()
         elif exchange.target_id:
             self._hand_over_slot(exchange.service)
-        self.responses.record_end(
-            exchange, outcome, version=self._config_version, now=self.now()
-        )
+        self.responses.record_end(exchange, outcome, now=self.now())
 
     def _hand_over_slot(self, service: str) -> None:
         """Send a waiting request to the slot of one that has ended."""
@@ -678,11 +682,6 @@
         finally:
             self._is_handing_over = False
 
-    @property
-    def _config_version(self) -> int:
-        """Configuration version in force, 0 before the first."""
-        return self.index.deployment.version if self.index else 0
-
     def record_pause(
         self, service: str, target: records.Target | None, seconds: float
     ) -> None:
@@ -724,6 +723,6 @@
         detail: str,
     ) -> None:
         self._recorder.record_turned_away(
-            caller_headers, code, detail, self._config_version
+            caller_headers, code, detail, self.describe_version()
         )
         self._rejections.reject(answering, caller_headers, code, self.now())
--- a/jasperweir/components/forward/recorder.py
+++ b/jasperweir/components/forward/recorder.py
@@ -9,6 +9,7 @@
 from jasperweir.components.backpressure import signals as signals_lib
 from jasperweir.components.balance import budget as budget_lib
 from jasperweir.components.directory import records
+from jasperweir.components.discovery import version_basis
 from jasperweir.components.forward import dialect as dialect_lib
 from jasperweir.components.forward import exchange as exchange_lib
 from jasperweir.components.groups import directory as group_directory
@@ -386,7 +387,7 @@
         caller_headers: dialect_lib.CallerHeaders | None,
         code: result_codes.Code,
         detail: str,
-        version: int,
+        basis: version_basis.VersionBasis,
     ) -> None:
         """Record a request that was rejected before admission."""
         self._metrics.inc("turned_away", code=code.name.lower())
@@ -395,7 +396,7 @@
             id=caller_headers.request_id if caller_headers else "",
             code=code.name.lower(),
             detail=detail,
-            version=version,
+            **basis.log_fields(),
         )
 
 
--- a/jasperweir/components/forward/request_state.py
+++ b/jasperweir/components/forward/request_state.py
@@ -7,6 +7,7 @@
 from jasperweir.components.balance import const as balance_const
 from jasperweir.components.deployment import index
 from jasperweir.components.deployment import model
+from jasperweir.components.discovery import version_basis
 from jasperweir.components.forward import const
 from jasperweir.components.forward import dialect as dialect_lib
 
@@ -73,6 +74,7 @@
         has_waited: Whether the request has waited for a slot or a target.
         startup_deadline: Until when the request stays queued because the entry
             has just started, monotonic seconds.
+        basis: What was known of the configuration when ``match`` was decided.
     """
 
     def __init__(
@@ -111,6 +113,7 @@
         self.expected_wait_s = 0.0
         self.has_waited = False
         self.startup_deadline = float("-inf")
+        self.basis = version_basis.VersionBasis()
 
     @property
     def is_stream(self) -> bool:
--- a/jasperweir/components/forward/response_recorder.py
+++ b/jasperweir/components/forward/response_recorder.py
@@ -63,7 +63,6 @@
         exchange: exchange_lib.Exchange,
         outcome: str,
         *,
-        version: int,
         now: float,
     ) -> None:
         """Record the outcome of a request."""
@@ -94,7 +93,7 @@
             target=exchange.target_id,
             sends=state.attempts,
             outcome=outcome,
-            version=version,
+            **state.basis.log_fields(),
             first_ms=round((first_byte_at - state.arrived_at) * 1000)
             if first_byte_at
             else -1,
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -12,11 +12,13 @@
 from jasperweir.components.balance import const as balance_const
 from jasperweir.components.balance import entry_cell as entry_cell_lib
 from jasperweir.components.balance import messages as balance_messages
+from jasperweir.components.configctl import messages as config_messages
 from jasperweir.components.deployment import index as index_lib
 from jasperweir.components.deployment import model
 from jasperweir.components.directory import const as directory_const
 from jasperweir.components.directory import records
 from jasperweir.components.discovery import client as discovery_client
+from jasperweir.components.discovery import version_basis
 from jasperweir.components.forward import dialect as dialect_lib
 from jasperweir.components.forward import forwarder as forwarder_lib
 from jasperweir.components.groups import messages as groups_messages
@@ -134,9 +136,11 @@
                 tolerance=cfg.bounds.cold_tolerance,
             ),
         )
+        self._version_announced_at = self._host.now()
         self._share_scheduled = False
         self._forwarder.balancer.on_change = self._schedule_share
         self._forwarder.is_certain = self._is_certain
+        self._forwarder.describe_version = self._describe_version
         self._forwarder.outcomes.on_replaced = self._on_target_replaced
         self._forwarder.outcomes.on_draining = self._on_target_draining
         self._forwarder.on_work = self._schedule_tick
@@ -207,7 +211,11 @@
         is_open = self._forwarder.index is not None
         is_open = is_open and self._discovery.is_ready(now)
         if is_open and not self._discovery.node.open:
-            _log.info("ready", version=self._discovery.version)
+            _log.info(
+                "ready",
+                **self._discovery.describe_version(now).log_fields(),
+                announced=self._discovery.announced_versions,
+            )
             self._update_entries()
         self._perform(self._discovery.set_open(is_open=is_open, now=now))
 
@@ -231,7 +239,17 @@
             case groups_messages.GroupList():
                 self._forwarder.on_groups(msg)
                 return
-        self._perform(self._discovery.receive(src, msg, now))
+        newest = self._discovery.newest_announced
+        acts = self._discovery.receive(src, msg, now)
+        if self._discovery.newest_announced > newest:
+            self._version_announced_at = now
+            _log.info(
+                "version announced",
+                announced=self._discovery.newest_announced,
+                source=src,
+                held=self._discovery.version,
+            )
+        self._perform(acts)
         if not self._discovery.node.open and not self._stop_requested_at:
             # The message may complete what the entry needs to open.
             self._tick_discovery()
@@ -277,6 +295,13 @@
         for act in acts:
             match act:
                 case core.Send():
+                    if isinstance(act.msg, config_messages.ContentRequest):
+                        _log.info(
+                            "configuration requested",
+                            source=act.dst,
+                            held=act.msg.held,
+                            announced=self._discovery.newest_announced,
+                        )
                     self._host.send(act)
                 case discovery_client.ApplyConfiguration():
                     self._apply_configuration(act)
@@ -294,7 +319,16 @@
         limits = deployment.limits
         if self._server is not None:
             self._server.limits = http_server.ServerLimits(*limits)
-        _log.info("version in force", version=act.version)
+        since_s = self._host.now() - self._version_announced_at
+        self._host.metrics.observe("configuration_delay_seconds", since_s)
+        _log.info(
+            "version in force",
+            version=act.version,
+            since_announced_ms=round(since_s * 1000),
+        )
+
+    def _describe_version(self) -> version_basis.VersionBasis:
+        return self._discovery.describe_version(self._host.now())
 
     def _is_certain(self) -> bool:
         return self._discovery.is_version_confirmed(self._host.now())
