--- a/features/harness/site.py
+++ b/features/harness/site.py
@@ -124,6 +124,11 @@
             wants_content=False,
         )
 
+    def serves(self, name):
+        """Return the version by which an entry lets requests through, or 0."""
+        client = self.discovery_clients[name]
+        return self.versions[name] if client.is_ready(self.now) else 0
+
     # Time and messages.
 
     def run(self, seconds):
--- /dev/null
+++ b/features/outdated_configuration.feature
@@ -0,0 +1,15 @@
+Feature: No entry lets requests through by a version that may be outdated
+
+  # Guards against readiness on the word of control VMs that are behind.
+  Scenario: A starting entry that hears only outdated control VMs serves nothing
+    Given a site with committed version 9
+    When version 12 is committed while "c2" and "c3" are down, one after the other
+    And only the control VMs that lack version 12 run, and a new entry starts
+    And 4 seconds pass at the site
+    Then the new entry lets no request through
+
+  # Guards against a version that counts as held though it was never in force.
+  Scenario: A version that cannot be applied is not taken for the one in force
+    Given a site with committed version 9
+    When an entry fails to apply version 12
+    Then it still holds version 9 and requests version 12 again
--- /dev/null
+++ b/features/steps/outdated_configuration_steps.py
@@ -0,0 +1,71 @@
+"""Steps on entries whose configuration may be outdated."""
+
+from behave import then
+from behave import when
+
+from features.harness import site as site_lib
+from jasperweir.components.configctl import messages as config_messages
+from jasperweir.components.discovery import client as discovery_client
+
+
+@when(
+    'version {version:d} is committed while "{one}" and "{other}" are down,'
+    " one after the other"
+)
+def step_commit_with_lag(context, version, one, other):
+    """Commit a version that one control VM of three lacks."""
+    site = context.site
+    site.kill(other)
+    site.run(2.0)
+    site.replace(site.leader(), version)
+    site.run(1.5)
+    assert site.acked[0] == version
+    context.behind = other
+
+
+@when(
+    "only the control VMs that lack version {version:d} run, and a new entry"
+    " starts"
+)
+def step_only_outdated(context, version):
+    site = context.site
+    for name in list(site.nodes):
+        site.kill(name)
+    site.start(context.behind)
+    assert site.nodes[context.behind].machine.declared().version < version
+    site.start_entry("e9")
+
+
+@then("the new entry lets no request through")
+def step_lets_nothing_through(context):
+    assert context.site.serves("e9") == 0, context.site.versions["e9"]
+
+
+@when("an entry fails to apply version {version:d}")
+def step_fail_to_apply(context, version):
+    site = context.site
+    context.client = site.discovery_clients["e1"]
+    source = site.leader()
+    acts = context.client.receive(
+        source, config_messages.VersionNotice(version=version), site.now
+    )
+    content = config_messages.Content(version=version, data=b"unreadable")
+    acts += context.client.receive(source, content, site.now)
+    applied = [
+        act
+        for act in acts
+        if isinstance(act, discovery_client.ApplyConfiguration)
+    ]
+    assert len(applied) == 1
+
+
+@then("it still holds version {held:d} and requests version {version:d} again")
+def step_requests_again(context, held, version):
+    client, now = context.client, context.site.now
+    assert client.version == held, client.version
+    asked = []
+    for step in range(20):
+        asked += client.tick(now + step * site_lib.STEP)
+    assert any(
+        isinstance(act.msg, config_messages.ContentRequest) for act in asked
+    )
