Entries act only on a version that the leader has confirmed

Callers saw: requests run by a service, or denied, as only an older configuration allows, though a newer one had been acknowledged.

Cause: an entry took its configuration for current once any two control VMs had been heard, whatever they held, and for good; only denials asked further, and that answer was dated by the last message of any kind. A version counted as held before its content was in force. A waiting or repeated request kept the route of its arrival.

Fix: one notion, components/confirmation. The leader states, while it has its lease, that V is the newest version; heartbeats number their rounds, and an answer is dated by the send time of the round that it echoes, so a message that waited in a socket proves no more than when it was asked for. Control VMs pass confirmations on with their age, so an entry that hears any control VM in touch with the leader is current. Rounds start at random: answers to another process at the same address match none. A version is acted on for 1.5 s after it was last known to be the newest. After that: requests are held for an answer (0.3 s), then served as before while nobody knows of a newer version, denials being 503; or all refused with 2013 once a newer version is known to exist. An entry that was never confirmed since its start serves nothing. Waiting and repeated requests are matched again when another version is in force.

--- a/features/harness/site.py
+++ b/features/harness/site.py
@@ -182,6 +182,8 @@
                     assert act.version > self.versions[name], "went back"
                     self.versions[name] = act.version
                     assert act.data == self.contents[act.version]
+                    client = self.discovery_clients[name]
+                    client.on_applied(act.version, self.now)
                 case discovery_client.ApplyEvacuations():
                     self.evacuated[name] = act.evacuations.places
                 case evacuations_lib.Evacuated():
--- a/features/steps/declared_steps.py
+++ b/features/steps/declared_steps.py
@@ -285,7 +285,7 @@
 def step_certain(context):
     site = context.site
     assert all(
-        f.is_version_confirmed(site.now)
+        f.describe_version(site.now).is_newest
         for f in site.discovery_clients.values()
     )
 
@@ -300,7 +300,7 @@
 def step_uncertain(context):
     site = context.site
     assert not any(
-        f.is_version_confirmed(site.now)
+        f.describe_version(site.now).is_newest
         for f in site.discovery_clients.values()
     )
 
--- a/jasperweir/components/configctl/discovery_server.py
+++ b/jasperweir/components/configctl/discovery_server.py
@@ -12,6 +12,9 @@
 from jasperweir.components.configctl import const
 from jasperweir.components.configctl import digest_tracker
 from jasperweir.components.configctl import node_tracker
+from jasperweir.components.confirmation import const as confirmation_const
+from jasperweir.components.confirmation import rounds as rounds_lib
+from jasperweir.components.confirmation import tracker as tracker_lib
 from jasperweir.components.directory import const as directory_const
 from jasperweir.components.directory import directory as directory_lib
 from jasperweir.components.directory import records
@@ -77,6 +80,7 @@
         controls: Time of the last heartbeat by the name of each other control
             VM, minus infinity before the first.
         nodes: Entries and agents that send heartbeats here.
+        confirmations: What is known of the newest version.
         reported_version: Newest configuration version that a process reported.
         reported_index: Highest log index of an evacuation order that a control
             VM reported.
@@ -103,6 +107,10 @@
         self.directory = directory_lib.Directory()
         self.controls: dict[str, float] = {}
         self.nodes = node_tracker.NodeTracker()
+        self.confirmations = tracker_lib.VersionTracker()
+        self._rounds = rounds_lib.Rounds(first=next(numbers))
+        # Round of the newest heartbeat of each other control VM.
+        self._echoes: dict[str, int] = {}
         self._name = name
         self._place = place
         self._seeds = seeds
@@ -284,8 +292,16 @@
         self.nodes.remove_silent(now)
         out = self.nodes.publish_changes(now)
         peers = self.peers()
-        heartbeat = self._make_heartbeat(log_status, now)
-        out += [core.Send(dst=name, msg=heartbeat) for name in peers]
+        heartbeat = self._make_heartbeat(log_status, now)._replace(
+            round=self._rounds.start(now)
+        )
+        out += [
+            core.Send(
+                dst=name,
+                msg=heartbeat._replace(echo=self._echoes.get(name, 0)),
+            )
+            for name in peers
+        ]
         if now >= self._next_refresh_at:
             self._next_refresh_at = now + const.REFRESH_SECONDS
             out += self._send_refresh(peers, now)
@@ -333,10 +349,20 @@
         self, log_status: LogStatus, now: float
     ) -> records.ControlHeartbeat:
         controls = self._advertised_controls(log_status, now)
+        if log_status.certain:
+            self.confirmations.confirm(
+                tracker_lib.Confirmation(
+                    version=log_status.version, as_of=now, source=self._name
+                ),
+                now,
+            )
+        confirmed = self.confirmations.latest
+        age_s = now - confirmed.as_of
+        if age_s >= confirmation_const.VALID_SECONDS:
+            age_s = -1.0
         return records.ControlHeartbeat(
             place=self._place,
             version=log_status.version,
-            certain=log_status.certain,
             keeps_log=self._keeps_log,
             digest=self.directory.digest,
             controls=controls,
@@ -346,6 +372,8 @@
             term=log_status.term,
             evacuations_revision=log_status.evacuations.revision,
             evacuated=log_status.evacuations.places,
+            confirmed_version=confirmed.version,
+            confirmed_age_s=age_s,
         )
 
     def _on_control_heartbeat(
@@ -360,13 +388,29 @@
         is_new = src not in self._control_heartbeats
         self.controls[src] = now
         self._control_heartbeats[src] = msg
+        self._echoes[src] = msg.round
+        sent_at = self._rounds.find_start(msg.echo)
+        if sent_at is not None and msg.confirmed_age_s >= 0:
+            self.confirmations.confirm(
+                tracker_lib.Confirmation(
+                    version=msg.confirmed_version,
+                    as_of=sent_at - msg.confirmed_age_s,
+                    source=src,
+                ),
+                now,
+            )
         for name in msg.controls:
             self.controls.setdefault(name, float("-inf"))
         out: Actions = []
         if is_new:
             # Introduce this control VM at once, not with the next heartbeat.
             out.append(
-                core.Send(dst=src, msg=self._make_heartbeat(log_status, now))
+                core.Send(
+                    dst=src,
+                    msg=self._make_heartbeat(log_status, now)._replace(
+                        echo=msg.round, round=self._rounds.start(now)
+                    ),
+                )
             )
         self._digest_tracker.set_current(self.directory.digest, now)
         if self._digest_tracker.needs_full_list(src, msg.digest, now):
@@ -383,7 +427,9 @@
         self.reported_version = max(self.reported_version, msg.version)
         if not self.nodes.on_heartbeat(src, msg.node, now):
             return []
-        heartbeat = self._make_heartbeat(log_status, now)
+        heartbeat = self._make_heartbeat(log_status, now)._replace(
+            echo=msg.round
+        )
         if msg.controls_digest == heartbeat.controls_digest:
             # Leave out names that the node has, a third of the message.
             heartbeat = heartbeat._replace(controls=())
--- /dev/null
+++ b/jasperweir/components/confirmation/__init__.py
@@ -0,0 +1,1 @@
+"""Confirmation: until when a configuration is known to be the newest."""
--- /dev/null
+++ b/jasperweir/components/confirmation/const.py
@@ -0,0 +1,17 @@
+"""Constants of confirmations."""
+
+# Time for which a process acts on a version after it was last known to be the
+# newest. It is below the time within which an acknowledged version must be in
+# force everywhere.
+VALID_SECONDS = 1.5
+# Age of the last confirmation at which a process asks more often.
+ASK_AFTER_SECONDS = 1.0
+ASK_INTERVAL_SECONDS = 0.1
+# Time within which a reachable control VM answers. Until then a process whose
+# confirmation has expired does not conclude that none can be had.
+ANSWER_SECONDS = 0.3
+# A process that did nothing for this long was suspended; what it asked before
+# that proves nothing.
+SUSPENDED_SECONDS = 1.0
+# Requests for confirmation that are remembered until they are answered.
+MAX_ROUNDS = 64
--- /dev/null
+++ b/jasperweir/components/confirmation/rounds.py
@@ -0,0 +1,42 @@
+"""Numbered rounds of requests, to date the answers to them."""
+
+import collections
+
+from jasperweir.components.confirmation import const
+
+
+class Rounds:
+    """Send times of requests by the number of their round.
+
+    An answer proves the state at the time of its request, however long it was
+    under way or waited in a socket of a suspended process. The numbers start at
+    random, so that answers to another process at the same address match none.
+    """
+
+    def __init__(self, *, first: int) -> None:
+        """Create the rounds of a process.
+
+        Args:
+            first: Number of the first round, random and above 0.
+        """
+        self._next = first
+        self._sent_at: collections.OrderedDict[int, float] = (
+            collections.OrderedDict()
+        )
+        self._last_sent_at = float("-inf")
+
+    def start(self, now: float) -> int:
+        """Return the number of a round that starts now."""
+        if now == self._last_sent_at:
+            return self._next - 1
+        number = self._next
+        self._next += 1
+        self._last_sent_at = now
+        self._sent_at[number] = now
+        if len(self._sent_at) > const.MAX_ROUNDS:
+            self._sent_at.popitem(last=False)
+        return number
+
+    def find_start(self, number: int) -> float | None:
+        """Return when a round started, monotonic seconds; None if unknown."""
+        return self._sent_at.get(number)
--- /dev/null
+++ b/jasperweir/components/confirmation/tracker.py
@@ -0,0 +1,167 @@
+"""What a process knows of the newest configuration version; sans-I/O.
+
+Only the leader of the log knows that no newer version is committed, while it
+has its lease. A confirmation carries that knowledge: version V was the newest
+at time T. Other control VMs pass it on with its age. Every decision by a
+configuration asks this module; hearing from control VMs, their number and the
+versions that they hold prove nothing.
+
+After Gray and Cheriton, "Leases", 1989, and the read index of Ongaro's thesis
+on Raft, 2014, section 6.4.
+"""
+
+import enum
+from typing import NamedTuple
+
+from jasperweir.components.confirmation import const
+
+
+class Confirmation(NamedTuple):
+    """Statement of the leader about the newest version.
+
+    Attributes:
+        version: Newest committed version.
+        as_of: When it was the newest, monotonic seconds of this process.
+        source: Control VM that sent or passed on the statement.
+    """
+
+    version: int
+    as_of: float
+    source: str
+
+
+class Standing(enum.Enum):
+    """Whether a process may act on the version that it holds."""
+
+    # Nothing is held, or nothing was confirmed since the start.
+    UNKNOWN = "unknown"
+    # It was the newest at most VALID_SECONDS ago.
+    CURRENT = "current"
+    # The confirmation has expired; an answer or the content may be under way.
+    AWAITING = "awaiting"
+    # Nobody who can be heard knows of a newer one, and nobody can confirm it.
+    UNCONFIRMED = "unconfirmed"
+    # A newer one exists and has not arrived.
+    OUTDATED = "outdated"
+
+
+_NEVER = float("-inf")
+
+
+class VersionTracker:
+    """Tracks the version held, the newest known one, and confirmations.
+
+    Attributes:
+        held: Version in force, 0 before the first.
+        newest_known: Highest version known to be committed.
+        latest: Newest confirmation, of any version.
+    """
+
+    def __init__(self) -> None:
+        self.held = 0
+        self.newest_known = 0
+        self.latest = Confirmation(version=0, as_of=_NEVER, source="")
+        # Newest confirmation that covers the version held.
+        self._covering = self.latest
+        self._was_current = False
+        # First request for a confirmation since the last one expired.
+        self._asked_at: float | None = None
+        self._newer_since = _NEVER
+        self._active_at: float | None = None
+
+    # Inputs.
+
+    def confirm(self, confirmation: Confirmation, now: float) -> None:
+        """Use a confirmation that was given or passed on."""
+        self._note_activity(now)
+        self._note_known(confirmation.version, now)
+        if confirmation.as_of > self.latest.as_of:
+            self.latest = confirmation
+        self._cover(confirmation, now)
+
+    def hold(self, version: int, now: float) -> None:
+        """Record that a version was put into force."""
+        self._note_known(version, now)
+        self.held = max(self.held, version)
+        self._cover(self.latest, now)
+
+    def note_announced(self, version: int, now: float) -> None:
+        """Record that a control VM holds a committed version."""
+        self._note_activity(now)
+        self._note_known(version, now)
+
+    def note_asked(self, now: float) -> None:
+        """Record that a confirmation was requested."""
+        self._note_activity(now)
+        expired = self.age_s(now) >= const.ASK_AFTER_SECONDS
+        if expired and self._asked_at is None:
+            self._asked_at = now
+
+    # Queries.
+
+    def age_s(self, now: float) -> float:
+        """Return the time since the version held was known to be the newest.
+
+        Returns:
+            Seconds; infinite if it never was.
+        """
+        return now - self._covering.as_of
+
+    @property
+    def source(self) -> str:
+        """Control VM that last confirmed the version held, or empty."""
+        return self._covering.source
+
+    @property
+    def was_current(self) -> bool:
+        """Whether a version in force here was ever known to be the newest."""
+        return self._was_current
+
+    def standing(self, now: float) -> Standing:
+        """Return whether the process may act on the version that it holds."""
+        self._note_activity(now)
+        if self.age_s(now) < const.VALID_SECONDS and self.held:
+            return Standing.CURRENT
+        if not self._was_current:
+            return Standing.UNKNOWN
+        is_outdated = self.newest_known > self.held
+        since = self._asked_at
+        if is_outdated and since is not None:
+            since = max(since, self._newer_since)
+        if since is None or now - since < const.ANSWER_SECONDS:
+            return Standing.AWAITING
+        return Standing.OUTDATED if is_outdated else Standing.UNCONFIRMED
+
+    def may_deny(self, now: float) -> bool:
+        """Return whether what the version held lacks does not exist."""
+        is_current = self.standing(now) is Standing.CURRENT
+        return is_current and self.newest_known <= self.held
+
+    def should_ask(self, now: float) -> bool:
+        """Return whether to ask more often than usual."""
+        if not self._was_current:
+            return True
+        age_s = self.age_s(now)
+        if age_s < const.ASK_AFTER_SECONDS:
+            return False
+        return self.standing(now) is not Standing.UNCONFIRMED
+
+    def _cover(self, confirmation: Confirmation, now: float) -> None:
+        if not self.held or confirmation.version > self.held:
+            return
+        if confirmation.as_of > self._covering.as_of:
+            self._covering = confirmation
+        if self.age_s(now) < const.VALID_SECONDS:
+            self._was_current = True
+        if self.age_s(now) < const.ASK_AFTER_SECONDS:
+            self._asked_at = None
+
+    def _note_known(self, version: int, now: float) -> None:
+        if version > self.newest_known:
+            self.newest_known = version
+            self._newer_since = now
+
+    def _note_activity(self, now: float) -> None:
+        last, self._active_at = self._active_at, now
+        if last is not None and now - last >= const.SUSPENDED_SECONDS:
+            self._asked_at = None
--- a/jasperweir/components/directory/records.py
+++ b/jasperweir/components/directory/records.py
@@ -81,6 +81,7 @@
         nodes_digest: Digest of the node list last received from it.
         controls_digest: Digest of the list of control VMs last received from
             it.
+        round: Number of the round of heartbeats, echoed by the reply.
     """
 
     node: Node
@@ -88,6 +89,7 @@
     digest: int
     nodes_digest: int
     controls_digest: int
+    round: int = 0
 
 
 @codec.message("directory.control_beat")
@@ -97,7 +99,6 @@
     Attributes:
         place: Data centre of the sender.
         version: Newest committed configuration version.
-        certain: Whether no newer version can have been committed.
         keeps_log: Whether the sender stores the replicated log. Nodes send
             requests to such control VMs; the others forward them.
         digest: Digest of its target records.
@@ -110,11 +111,15 @@
         evacuations_revision: Revision of the list of evacuated data centres,
             0 if there never was one or the sender does not report it.
         evacuated: Evacuated data centres.
+        confirmed_version: Newest committed version, as the leader confirmed.
+        confirmed_age_s: Time since then, seconds; 0 from the leader itself,
+            negative if there is no valid confirmation.
+        echo: Round of the receiver's heartbeat that was last received, or 0.
+        round: Number of the sender's round, to be echoed by a control VM.
     """
 
     place: str
     version: int
-    certain: bool
     keeps_log: bool
     digest: int
     controls: tuple[str, ...]
@@ -124,6 +129,10 @@
     term: int
     evacuations_revision: int = 0
     evacuated: tuple[str, ...] = ()
+    confirmed_version: int = 0
+    confirmed_age_s: float = -1.0
+    echo: int = 0
+    round: int = 0
 
 
 @codec.message("directory.nodes")
--- a/jasperweir/components/discovery/client.py
+++ b/jasperweir/components/discovery/client.py
@@ -6,6 +6,9 @@
 
 from jasperweir import core
 from jasperweir.components.configctl import messages
+from jasperweir.components.confirmation import const as confirmation_const
+from jasperweir.components.confirmation import rounds as rounds_lib
+from jasperweir.components.confirmation import tracker as tracker_lib
 from jasperweir.components.directory import const as directory_const
 from jasperweir.components.directory import directory as directory_lib
 from jasperweir.components.directory import incarnation
@@ -24,8 +27,6 @@
 PULL_CHECK_SECONDS = 0.1
 # A heartbeat is sent on a tick that comes this much too early.
 _TICK_TOLERANCE_SECONDS = 0.005
-# Heartbeat interval of a process without a current configuration.
-STARTUP_HEARTBEAT_SECONDS = 0.1
 # Heartbeat interval to a control VM that does not answer, whatever the usual
 # interval: a leader must know all agents before it can plan.
 UNREACHABLE_HEARTBEAT_SECONDS = 0.25
@@ -35,11 +36,12 @@
 REMOTE_HEARTBEAT_SECONDS = 2 * directory_const.NODE_HEARTBEAT_SECONDS
 # Silence after which a control VM counts as unreachable.
 CONTROL_TIMEOUT_SECONDS = 1.5
-# Validity of the leader's confirmation of the newest version; a version that
-# is committed later reaches this node within that time.
-CONFIRMATION_VALID_SECONDS = 1.0
-# Time after which a process that reaches a single control VM may be ready.
-SINGLE_CONTROL_READY_SECONDS = 1.0
+# Time since the last heartbeat that the leader answered within which it is
+# taken to count this node.
+LEADER_TIMEOUT_SECONDS = 1.0
+_EXPIRED = (tracker_lib.Standing.AWAITING, tracker_lib.Standing.OUTDATED)
+# Bits by which a random incarnation is shifted to number rounds.
+_ROUND_BITS = 20
 
 
 class ApplyConfiguration(NamedTuple):
@@ -62,6 +64,9 @@
     Attributes:
         heartbeat: Last heartbeat of the control VM, or None before the first.
         heard_at: Time of its last message, monotonic seconds.
+        announced: Highest version that it has announced.
+        led_at: When it received the newest heartbeat that it answered as the
+            leader, at the earliest; monotonic seconds.
         heartbeat_sent_at: Time of the last heartbeat sent to it.
         targets_digest: Digest of its target list as received here.
         nodes_digest: Digest of its list of entries as received here.
@@ -71,6 +76,8 @@
 
     heartbeat: records.ControlHeartbeat | None = None
     heard_at: float = float("-inf")
+    announced: int = 0
+    led_at: float = float("-inf")
     heartbeat_sent_at: float = float("-inf")
     targets_digest: int = 0
     nodes_digest: int = 0
@@ -92,7 +99,7 @@
     Attributes:
         node: Own record, as announced to the control VMs.
         directory: Known targets.
-        version: Configuration version in force, 0 before the first.
+        confirmations: What is known of the newest configuration version.
         evacuations: Evacuated data centres, as last announced.
     """
 
@@ -107,86 +114,54 @@
     ) -> None:
         self.node = node
         self.directory = directory_lib.Directory()
-        self.version = 0
+        self.confirmations = tracker_lib.VersionTracker()
         self.evacuations = ops.EvacuationList()
         self._controls = {seed: Control() for seed in seeds}
         self._seed_count = len(seeds)
         self._wants_content = wants_content
         self._heartbeat_s = heartbeat_s
-        self._announced_versions: dict[str, int] = {}
+        self._rounds = rounds_lib.Rounds(first=node.incarnation << _ROUND_BITS)
         self._newest_announced_at = 0.0
         self._last_pull_at = float("-inf")
         self._pull_count = 0
-        self._started_at = now
-        self._ready_confirmed = False
         self._open_entries: tuple[records.Node, ...] = ()
 
     # State.
 
-    def is_ready(self, now: float) -> bool:
-        """Return whether the configuration in force is known to be current."""
-        if self._ready_confirmed:
-            return True
-        if not self.version or self.version < max(
-            self._announced_versions.values(), default=0
-        ):
-            return False
-        reachable = len(self._reachable_controls(now))
-        waited = now - self._started_at > SINGLE_CONTROL_READY_SECONDS
-        enough = reachable >= min(2, self._seed_count)
-        self._ready_confirmed = enough or (reachable > 0 and waited)
-        return self._ready_confirmed
-
-    def is_version_confirmed(self, now: float) -> bool:
-        """Return whether the leader recently confirmed the version in force.
+    @property
+    def version(self) -> int:
+        """Configuration version in force, 0 before the first."""
+        return self.confirmations.held
 
-        Without it, a route or key that is unknown here may exist.
-        """
-        return any(
-            heartbeat.version <= self.version
-            for heartbeat in self._confirmations(now)
+    def is_ready(self, now: float) -> bool:
+        """Return whether callers' requests can be decided here."""
+        standing = self.confirmations.standing(now)
+        return standing not in (
+            tracker_lib.Standing.UNKNOWN,
+            tracker_lib.Standing.OUTDATED,
         )
 
     def describe_version(self, now: float) -> version_basis.VersionBasis:
         """Return what is known of the version in force, for logs."""
-        confirmations = [
-            (now - control.heard_at, name)
-            for name, control in self._controls.items()
-            if control.heartbeat is not None
-            and control.heartbeat.certain
-            and control.heartbeat.version <= self.version
-        ]
-        age_s, source = min(confirmations, default=(float("inf"), ""))
         return version_basis.VersionBasis(
             version=self.version,
-            newest=self.newest_announced,
-            confirmed_by=source,
-            confirmed_age_s=age_s,
+            newest=self.confirmations.newest_known,
+            standing=self.confirmations.standing(now),
+            confirmed_by=self.confirmations.source,
+            confirmed_age_s=self.confirmations.age_s(now),
         )
 
-    @property
-    def newest_announced(self) -> int:
-        """Highest version that a control VM has announced."""
-        return max(self._announced_versions.values(), default=0)
-
     @property
     def announced_versions(self) -> dict[str, int]:
-        """Version that each control VM announced last, by its name."""
-        return dict(self._announced_versions)
+        """Highest version that each control VM has announced, by its name."""
+        return {n: c.announced for n, c in self._controls.items()}
 
     def hears_leader(self, now: float) -> bool:
-        """Return whether the leader of the log was heard from recently."""
-        return bool(self._confirmations(now))
-
-    def _confirmations(self, now: float) -> list[records.ControlHeartbeat]:
-        """Return recent heartbeats of the leader while it had its lease."""
-        return [
-            control.heartbeat
+        """Return whether the leader of the log answered recently."""
+        return any(
+            now - control.led_at < LEADER_TIMEOUT_SECONDS
             for control in self._controls.values()
-            if control.heartbeat is not None
-            and control.heartbeat.certain
-            and now - control.heard_at < CONFIRMATION_VALID_SECONDS
-        ]
+        )
 
     def open_entries(self, now: float) -> tuple[records.Node, ...]:
         """Return the open entries that any reachable control VM lists.
@@ -270,11 +245,11 @@
         """Run periodic work: expiry, content requests and heartbeats."""
         self.directory.tick(now)
         out = self._pull(now)
-        starting = self._wants_content and not self.is_ready(now)
+        is_asking = self._wants_content and self.confirmations.should_ask(now)
         for name, control in self._heartbeat_controls(now):
             interval_s = (
-                STARTUP_HEARTBEAT_SECONDS
-                if starting
+                confirmation_const.ASK_INTERVAL_SECONDS
+                if is_asking
                 else self._heartbeat_interval_s(name, control, now)
             )
             if (
@@ -288,8 +263,8 @@
 
     def next_tick(self, now: float) -> float:
         """Return when ``tick`` is due next, in monotonic seconds."""
-        if self._wants_content and not self.is_ready(now):
-            return now + STARTUP_HEARTBEAT_SECONDS
+        if self._wants_content and self.confirmations.should_ask(now):
+            return now + confirmation_const.ASK_INTERVAL_SECONDS
         due = [
             control.heartbeat_sent_at
             + self._heartbeat_interval_s(name, control, now)
@@ -319,17 +294,21 @@
                 self._on_node_changes(self._mark_heard(src, now), msg)
             case messages.VersionNotice():
                 self._record_announced_version(src, msg.version, now)
+                self._mark_heard(src, now)
                 return self._pull(now)
             case messages.EvacuationNotice():
                 return self._apply_evacuations(msg.revision, msg.places)
             case messages.Content():
                 if msg.version > self.version:
-                    self.version = msg.version
                     return [
                         ApplyConfiguration(version=msg.version, data=msg.data)
                     ]
         return []
 
+    def on_applied(self, version: int, now: float) -> None:
+        """Record that a configuration was put into force."""
+        self.confirmations.hold(version, now)
+
     def _mark_heard(self, src: str, now: float) -> Control:
         control = self._controls.setdefault(src, Control())
         control.heard_at = now
@@ -346,12 +325,16 @@
     def _heartbeat_controls(self, now: float) -> list[tuple[str, Control]]:
         """Return the control VMs that get heartbeats: those with the log.
 
-        Until one of these has answered, all known control VMs get heartbeats,
-        since any of them can name the others.
+        While none of these answers, all known control VMs get heartbeats,
+        since any of them can name the others and pass on confirmations.
         """
         known = list(self._controls.items())
         log_controls = [item for item in known if item[1].keeps_log]
-        if any(control.heartbeat is not None for _, control in log_controls):
+        if any(
+            control.heartbeat is not None
+            and now - control.heard_at < CONTROL_TIMEOUT_SECONDS
+            for _, control in log_controls
+        ):
             return log_controls
         return known
 
@@ -376,12 +359,14 @@
         self, name: str, control: Control, now: float
     ) -> core.Send:
         control.heartbeat_sent_at = now
+        self.confirmations.note_asked(now)
         heartbeat = records.NodeHeartbeat(
             node=self.node,
             version=self.version,
             digest=control.targets_digest,
             nodes_digest=control.nodes_digest,
             controls_digest=control.controls_digest,
+            round=self._rounds.start(now),
         )
         return core.Send(dst=name, msg=heartbeat)
 
@@ -405,12 +390,43 @@
         control.heartbeat = msg
         if msg.controls:
             control.controls_digest = msg.controls_digest
-        for name in msg.controls:
-            self._controls.setdefault(name, Control())
+        unknown = [name for name in msg.controls if name not in self._controls]
+        for name in unknown:
+            self._controls[name] = Control()
         self._record_announced_version(src, msg.version, now)
-        return self._pull(now) + self._apply_evacuations(
+        self._use_confirmation(src, control, msg, now)
+        out = self._pull(now) + self._apply_evacuations(
             msg.evacuations_revision, msg.evacuated
         )
+        if unknown and self._wants_content and not self.is_ready(now):
+            # One of them may be the leader.
+            out += [
+                self._build_heartbeat(name, self._controls[name], now)
+                for name in unknown
+            ]
+        return out
+
+    def _use_confirmation(
+        self,
+        src: str,
+        control: Control,
+        msg: records.ControlHeartbeat,
+        now: float,
+    ) -> None:
+        """Date a confirmation by the heartbeat that this one answers."""
+        sent_at = self._rounds.find_start(msg.echo)
+        if sent_at is None or msg.confirmed_age_s < 0:
+            return
+        if not msg.confirmed_age_s:
+            control.led_at = max(control.led_at, sent_at)
+        self.confirmations.confirm(
+            tracker_lib.Confirmation(
+                version=msg.confirmed_version,
+                as_of=sent_at - msg.confirmed_age_s,
+                source=src,
+            ),
+            now,
+        )
 
     def _apply_evacuations(
         self, revision: int, places: tuple[str, ...]
@@ -443,9 +459,11 @@
     def _record_announced_version(
         self, src: str, version: int, now: float
     ) -> None:
-        if version > max(self._announced_versions.values(), default=0):
+        if version > self.confirmations.newest_known:
             self._newest_announced_at = now
-        self._announced_versions[src] = version
+        self.confirmations.note_announced(version, now)
+        control = self._controls.setdefault(src, Control())
+        control.announced = max(control.announced, version)
 
     def _pull(self, now: float) -> Actions:
         if not self._wants_content:
@@ -453,13 +471,17 @@
         ahead = self._controls_ahead()
         if not ahead or now - self._last_pull_at < PULL_RETRY_SECONDS:
             return []
-        local = [
+        reachable = [
             name
             for name in ahead
-            if name in self._controls and self._is_local(self._controls[name])
+            if now - self._controls[name].heard_at < CONTROL_TIMEOUT_SECONDS
         ]
+        ahead = reachable or ahead
+        local = [name for name in ahead if self._is_local(self._controls[name])]
         remote_allowed = (
-            now - self._newest_announced_at >= REMOTE_PULL_DELAY_SECONDS
+            # A process that serves and may no longer act on its version.
+            self.confirmations.standing(now) in _EXPIRED
+            or now - self._newest_announced_at >= REMOTE_PULL_DELAY_SECONDS
         )
         if not local and not remote_allowed:
             return []
@@ -477,8 +499,8 @@
             return []
         return [
             name
-            for name, version in self._announced_versions.items()
-            if version > self.version
+            for name, control in self._controls.items()
+            if control.announced > self.version
         ]
 
     def _is_local(self, control: Control) -> bool:
--- a/jasperweir/components/discovery/version_basis.py
+++ b/jasperweir/components/discovery/version_basis.py
@@ -3,13 +3,16 @@
 import math
 from typing import NamedTuple
 
+from jasperweir.components.confirmation import tracker
+
 
 class VersionBasis(NamedTuple):
     """Configuration version of a decision and what was known of it.
 
     Attributes:
         version: Version in force, 0 before the first.
-        newest: Highest version that a control VM has announced.
+        newest: Highest version known to be committed.
+        standing: Whether the version in force could be acted on.
         confirmed_by: Control VM that last confirmed that no newer version than
             the one in force was committed, empty if none did.
         confirmed_age_s: Time since that confirmation, seconds; infinite if
@@ -18,9 +21,16 @@
 
     version: int = 0
     newest: int = 0
+    standing: tracker.Standing = tracker.Standing.CURRENT
     confirmed_by: str = ""
     confirmed_age_s: float = math.inf
 
+    @property
+    def is_newest(self) -> bool:
+        """Whether nothing exists that the version in force lacks."""
+        is_current = self.standing is tracker.Standing.CURRENT
+        return is_current and self.newest <= self.version
+
     def log_fields(self) -> dict[str, int | str]:
         """Return the fields of a log line; an age of -1 means never."""
         age_ms = -1
@@ -29,6 +39,7 @@
         return {
             "version": self.version,
             "newest_known": self.newest,
+            "standing": self.standing.value,
             "confirmed_by": self.confirmed_by,
             "confirmed_ms": age_ms,
         }
--- a/jasperweir/components/forward/early_requests.py
+++ b/jasperweir/components/forward/early_requests.py
@@ -1,4 +1,4 @@
-"""Requests that arrived before the entry had a configuration."""
+"""Requests that are held until the configuration is known to be current."""
 
 from collections.abc import Callable
 from typing import NamedTuple
@@ -8,23 +8,25 @@
 
 
 class EarlyRequest(NamedTuple):
-    """A request that waits for a configuration.
+    """A request that waits for a configuration or its confirmation.
 
     Attributes:
         answering: Response channel to the caller.
         caller_headers: Metadata from the request's headers.
         arrived_at: When it arrived, monotonic seconds.
         deadline: When it is rejected, monotonic seconds.
+        at_start: Whether it is held because the entry has just started.
     """
 
     answering: http_server.ResponseWriter
     caller_headers: dialect_lib.CallerHeaders
     arrived_at: float
     deadline: float
+    at_start: bool
 
 
 class EarlyRequestBuffer:
-    """Holds requests briefly until a configuration has arrived."""
+    """Holds requests briefly until they can be decided."""
 
     def __init__(self) -> None:
         self._requests: list[EarlyRequest] = []
--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -90,6 +90,11 @@
         """Id of the target that has the request or had it last."""
         return self._target.target_id if self._target else ""
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether it waits for a target."""
+        return not self.done and not self._holds_slot
+
     # Sending to a target.
 
     def send_to(
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -8,21 +8,19 @@
 from jasperweir import result_codes
 from jasperweir.components.balance import balancer as balancer_lib
 from jasperweir.components.balance import budget as budget_lib
-from jasperweir.components.balance import const as balance_const
 from jasperweir.components.balance import entry_cell as entry_cell_lib
 from jasperweir.components.balance import messages as balance_messages
 from jasperweir.components.balance import outage as outage_lib
 from jasperweir.components.deployment import index as index_lib
 from jasperweir.components.directory import directory as directory_lib
 from jasperweir.components.directory import records
-from jasperweir.components.discovery import version_basis
 from jasperweir.components.forward import admission as admission_lib
 from jasperweir.components.forward import available_targets
 from jasperweir.components.forward import capacity as capacity_lib
 from jasperweir.components.forward import crash_detector
 from jasperweir.components.forward import dialect as dialect_lib
-from jasperweir.components.forward import early_requests
 from jasperweir.components.forward import exchange as exchange_lib
+from jasperweir.components.forward import intake as intake_lib
 from jasperweir.components.forward import matching
 from jasperweir.components.forward import outcome_tracker
 from jasperweir.components.forward import pass_monitor
@@ -67,10 +65,7 @@
         admission: Policy on sending, queueing and rejecting requests.
         pool: Connections to targets.
         dialect: Protocol of callers and targets.
-        index: Configuration in force, None before the first.
-        is_certain: Returns whether the configuration in force is known to be
-            the newest.
-        describe_version: Returns what is known of the version in force.
+        intake: Decisions on requests by the configuration in force.
         on_work: Called when ``tick`` needs to run soon.
     """
 
@@ -91,11 +86,6 @@
         self.dialect = dialect
         self.balancer = balancer_lib.Balancer(rng=rng)
         self.pool = http_client.ConnectionPool(times=times)
-        self.index: index_lib.DeploymentIndex | None = None
-        self.is_certain: Callable[[], bool] = lambda: True
-        self.describe_version: Callable[[], version_basis.VersionBasis] = (
-            version_basis.VersionBasis
-        )
         self.on_work: Callable[[], None] = lambda: None
         self._clock = clock
         self._rng = rng
@@ -128,13 +118,23 @@
             started_at=clock.monotonic()
         )
         self._outages = outage_lib.Outages(groups=self.groups)
-        self._early_requests = early_requests.EarlyRequestBuffer()
         self._startup_grace = startup_grace_lib.StartupGrace(
             started_at=clock.monotonic()
         )
         self._exchange_numbers = itertools.count(1)
         self._open_exchanges: dict[int, exchange_lib.Exchange] = {}
         self._is_handing_over = False
+        self.intake = intake_lib.RequestIntake(
+            clock=clock,
+            dialect=dialect,
+            recorder=self._recorder,
+            rejections=self._rejections,
+            returns=self._returns,
+            startup_grace=self._startup_grace,
+            rng=rng,
+        )
+        self.intake.on_matched = self.start_exchange
+        self.intake.on_work = lambda: self.on_work()
         self.queues = queues_lib.Queues(
             balancer=self.balancer,
             cell=cell,
@@ -191,6 +191,7 @@
     def stop(self) -> None:
         """Reject new requests from now on."""
         self.admission.stopping = True
+        self.intake.is_stopping = True
 
     @property
     def stopping(self) -> bool:
@@ -206,128 +207,52 @@
 
     def handle(self, answering: http_server.ResponseWriter) -> None:
         """Handle a caller's request."""
-        req = answering.request
-        index = self.index
-        try:
-            caller_headers = self.dialect.parse_caller_headers(req)
-        except ValueError as exc:
-            self._turn_away_request(answering, None, Code.BAD_HEADER, str(exc))
-            return
-        if index is None:
-            self._buffer_early(answering, caller_headers)
-            return
-        self._accept(answering, caller_headers, index, self.now())
-
-    def _buffer_early(
-        self,
-        answering: http_server.ResponseWriter,
-        caller_headers: dialect_lib.CallerHeaders,
-    ) -> None:
-        """Buffer a request until a configuration has arrived."""
-        now = self.now()
-        deadline = self._startup_grace.compute_deadline(
-            now, caller_headers.patience_s
-        )
-        if caller_headers.resume_after:
-            deadline = now + balance_const.RESUMED_WAIT_SECONDS
-        is_full = len(self._early_requests) >= balance_const.START_BUFFERED_MAX
-        if self.stopping or is_full or deadline <= now:
-            self._turn_away_request(
-                answering, caller_headers, Code.NOT_READY, "no configuration"
-            )
-            return
-        self._early_requests.add(
-            early_requests.EarlyRequest(
-                answering, caller_headers, now, deadline
-            )
-        )
-        self._recorder.record_buffered(caller_headers, deadline - now)
-        self.on_work()
-
-    def _accept_early(self, early: early_requests.EarlyRequest) -> bool:
-        if self.index is None:
-            return False
-        self._accept(
-            early.answering,
-            early.caller_headers,
-            self.index,
-            early.arrived_at,
-            startup_deadline=early.deadline,
-        )
-        return True
-
-    def _reject_early(self, early: early_requests.EarlyRequest) -> None:
-        self._turn_away_request(
-            early.answering,
-            early.caller_headers,
-            Code.NOT_READY,
-            "no configuration",
-        )
+        self.intake.handle(answering)
 
-    def _accept(
+    @property
+    def index(self) -> index_lib.DeploymentIndex | None:
+        """Configuration in force, None before the first."""
+        return self.intake.index
+
+    @index.setter
+    def index(self, index: index_lib.DeploymentIndex | None) -> None:
+        self.intake.index = index
+        for exchange in list(self._open_exchanges.values()):
+            if exchange.is_waiting:
+                self._match_again(exchange)
+
+    def start_exchange(
         self,
         answering: http_server.ResponseWriter,
-        caller_headers: dialect_lib.CallerHeaders,
-        index: index_lib.DeploymentIndex,
-        arrived: float,
-        startup_deadline: float = float("-inf"),
+        state: request_state.RequestState,
     ) -> None:
-        match = matching.match_request(index, answering.request, caller_headers)
-        if isinstance(match, matching.Denial):
-            self._deny(answering, caller_headers, match)
-            return
-        if self.stopping:
-            self._turn_away_request(
-                answering, caller_headers, Code.DRAINING, "stopping"
-            )
-            return
-        service = match.route.choose_service(self._rng)
-        customer = match.customer
-        used_s = self._returns.estimate_used_s(
-            route=match.route,
-            stated_s=caller_headers.patience_s,
-            subject=fingerprint.subject(
-                answering.request, customer.name if customer else ""
-            ),
-            now=self.now(),
-        )
-        state = request_state.RequestState(
-            match=match,
-            caller_headers=caller_headers,
-            now=arrived,
-            used_s=used_s,
-        )
-        state.startup_deadline = startup_deadline
-        state.basis = self.describe_version()
+        """Admit a request that the configuration allows."""
         exchange = exchange_lib.Exchange(
             number=next(self._exchange_numbers),
             forwarder=self,
             answering=answering,
             state=state,
-            service=service,
+            service=state.match.route.choose_service(self._rng),
         )
+        self._open_exchanges[exchange.number] = exchange
+        self._budget.count_first(exchange.service, self.now())
         self.admit(exchange)
 
-    def _deny(
-        self,
-        answering: http_server.ResponseWriter,
-        caller_headers: dialect_lib.CallerHeaders,
-        denial: matching.Denial,
-    ) -> None:
-        """Reject a request that the configuration does not allow.
-
-        The result is NOT_READY if a newer configuration may allow it.
-        """
-        code = denial.code if self.is_certain() else Code.NOT_READY
-        self._turn_away_request(answering, caller_headers, code, denial.detail)
+    def _match_again(self, exchange: exchange_lib.Exchange) -> None:
+        """Decide on a waiting request by the configuration now in force."""
+        match self.intake.match_again(exchange):
+            case matching.Denial() as denial:
+                exchange.fail(denial.code)
+            case matching.Moved() as moved:
+                self.queues.remove(exchange)
+                exchange.service = moved.service
+                self.admit(exchange)
 
     # Target selection.
 
     def admit(self, exchange: exchange_lib.Exchange) -> None:
         """Send, queue or reject a request that has arrived."""
         now = self.now()
-        self._open_exchanges[exchange.number] = exchange
-        self._budget.count_first(exchange.service, now)
         self.queues.on_arrival(exchange, now)
         if self.quarantine.reject_if_quarantined(exchange, now):
             return
@@ -445,6 +370,16 @@
     def retry(self, exchange: exchange_lib.Exchange) -> None:
         """Send a request to another target if the retry budget allows."""
         now = self.now()
+        match self.intake.match_again(exchange):
+            case matching.Denial() as denial:
+                exchange.fail(denial.code)
+                return
+            case matching.Moved() as moved:
+                if not exchange.state.can_change_service:
+                    exchange.fail(Code.BROKEN_OFF)
+                    return
+                self.queues.remove(exchange)
+                exchange.service = moved.service
         if self._outages.get(exchange.service).is_active(now):
             # Another target would refuse the request as well.
             exchange.fail(Code.TARGETS_REFUSED)
@@ -456,7 +391,7 @@
     @property
     def has_work(self) -> bool:
         """Whether ``tick`` has queues or measured passes to process."""
-        if len(self._early_requests) or self.queues.list_waiting_services():
+        if self.intake.is_holding or self.queues.list_waiting_services():
             return True
         return bool(self.pass_monitor.limits.due())
 
@@ -468,10 +403,7 @@
         """
         now = self.now()
         self.pass_monitor.tick(now)
-        if len(self._early_requests):
-            self._early_requests.release(
-                now, accept=self._accept_early, reject=self._reject_early
-            )
+        self.intake.tick()
         for service in self.queues.list_waiting_services():
             self._serve_queue(service, now)
         self.queues.publish(now)
@@ -714,15 +646,3 @@
             else None,
             quarantine_s=self.quarantine.decide(exchange, now).retry_after_s,
         )
-
-    def _turn_away_request(
-        self,
-        answering: http_server.ResponseWriter,
-        caller_headers: dialect_lib.CallerHeaders | None,
-        code: Code,
-        detail: str,
-    ) -> None:
-        self._recorder.record_turned_away(
-            caller_headers, code, detail, self.describe_version()
-        )
-        self._rejections.reject(answering, caller_headers, code, self.now())
--- a/jasperweir/components/forward/matching.py
+++ b/jasperweir/components/forward/matching.py
@@ -17,6 +17,12 @@
     detail: str
 
 
+class Moved(NamedTuple):
+    """The service to which another version moves an admitted request."""
+
+    service: str
+
+
 def match_request(
     index: index_lib.DeploymentIndex,
     req: http_message.Request,
--- a/jasperweir/components/forward/rejections.py
+++ b/jasperweir/components/forward/rejections.py
@@ -60,7 +60,7 @@
     def _compute_retry_after_s(
         self, code: Code, now: float, *, outage: bool, expected_wait_s: float
     ) -> float:
-        if code is Code.NOT_READY:
+        if code in (Code.NOT_READY, Code.CONFIGURATION_UNCONFIRMED):
             return self._advice.while_starting()
         if code is Code.BACKPRESSURE:
             return self._advice.after_backoff(expected_wait_s)
--- a/jasperweir/components/forward/request_state.py
+++ b/jasperweir/components/forward/request_state.py
@@ -75,6 +75,7 @@
         startup_deadline: Until when the request stays queued because the entry
             has just started, monotonic seconds.
         basis: What was known of the configuration when ``match`` was decided.
+        config_version: Version of the configuration of ``match``.
     """
 
     def __init__(
@@ -114,6 +115,7 @@
         self.has_waited = False
         self.startup_deadline = float("-inf")
         self.basis = version_basis.VersionBasis()
+        self.config_version = 0
 
     @property
     def is_stream(self) -> bool:
@@ -160,6 +162,11 @@
             and self.has_resume_point
         )
 
+    @property
+    def can_change_service(self) -> bool:
+        """Whether targets of another service may answer the request."""
+        return not self.response_started and not self.last_event_id
+
     @property
     def max_wait_s(self) -> float:
         """Longest wait for a slot on a caller's first attempt, seconds."""
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -7,6 +7,7 @@
 import zlib
 
 from jasperweir import core
+from jasperweir import exceptions
 from jasperweir.components.address import entry_selection
 from jasperweir.components.balance import budget as budget_lib
 from jasperweir.components.balance import const as balance_const
@@ -139,8 +140,7 @@
         self._version_announced_at = self._host.now()
         self._share_scheduled = False
         self._forwarder.balancer.on_change = self._schedule_share
-        self._forwarder.is_certain = self._is_certain
-        self._forwarder.describe_version = self._describe_version
+        self._forwarder.intake.describe_version = self._describe_version
         self._forwarder.outcomes.on_replaced = self._on_target_replaced
         self._forwarder.outcomes.on_draining = self._on_target_draining
         self._forwarder.on_work = self._schedule_tick
@@ -239,15 +239,16 @@
             case groups_messages.GroupList():
                 self._forwarder.on_groups(msg)
                 return
-        newest = self._discovery.newest_announced
+        confirmations = self._discovery.confirmations
+        newest = confirmations.newest_known
         acts = self._discovery.receive(src, msg, now)
-        if self._discovery.newest_announced > newest:
+        if confirmations.newest_known > newest:
             self._version_announced_at = now
             _log.info(
                 "version announced",
-                announced=self._discovery.newest_announced,
+                announced=confirmations.newest_known,
                 source=src,
-                held=self._discovery.version,
+                held=confirmations.held,
             )
         self._perform(acts)
         if not self._discovery.node.open and not self._stop_requested_at:
@@ -300,7 +301,9 @@
                             "configuration requested",
                             source=act.dst,
                             held=act.msg.held,
-                            announced=self._discovery.newest_announced,
+                            announced=(
+                                self._discovery.confirmations.newest_known
+                            ),
                         )
                     self._host.send(act)
                 case discovery_client.ApplyConfiguration():
@@ -311,14 +314,24 @@
     def _apply_configuration(
         self, act: discovery_client.ApplyConfiguration
     ) -> None:
-        deployment = self._dialect.deployment(zlib.decompress(act.data))
-        index = index_lib.DeploymentIndex(deployment=deployment)
-        self._forwarder.index = index
+        """Put a version into force; one that can't be read is not held."""
+        try:
+            deployment = self._dialect.deployment(zlib.decompress(act.data))
+            index = index_lib.DeploymentIndex(deployment=deployment)
+            pass_bounds = index.get_pass_bounds()
+        except (ValueError, zlib.error, exceptions.JasperweirError) as exc:
+            self._host.metrics.inc("configurations_not_applied")
+            _log.error(
+                "version not applied", version=act.version, reason=str(exc)
+            )
+            return
+        self._discovery.on_applied(act.version, self._host.now())
         self._forwarder.targets.warmup.on_services(index.services)
-        self._forwarder.pass_monitor.limits.on_bounds(index.get_pass_bounds())
+        self._forwarder.pass_monitor.limits.on_bounds(pass_bounds)
         limits = deployment.limits
         if self._server is not None:
             self._server.limits = http_server.ServerLimits(*limits)
+        self._forwarder.index = index
         since_s = self._host.now() - self._version_announced_at
         self._host.metrics.observe("configuration_delay_seconds", since_s)
         _log.info(
@@ -330,9 +343,6 @@
     def _describe_version(self) -> version_basis.VersionBasis:
         return self._discovery.describe_version(self._host.now())
 
-    def _is_certain(self) -> bool:
-        return self._discovery.is_version_confirmed(self._host.now())
-
     def _on_target_replaced(self, target: records.Target) -> None:
         _log.info("target replaced", target=target.target_id)
         now = self._host.now()
--- a/jasperweir/result_codes.py
+++ b/jasperweir/result_codes.py
@@ -32,6 +32,7 @@
     BACKPRESSURE = 2010
     EVACUATED = 2011
     PART_CRASHES_TARGETS = 2012
+    CONFIGURATION_UNCONFIRMED = 2013
 
     BROKEN_OFF = 3001
     DEADLINE_PASSED = 3002
@@ -134,6 +135,12 @@
         True,
         "Targets crashed on a part of its prompt; rejected until Retry-After.",
     ),
+    Code.CONFIGURATION_UNCONFIRMED: Row(
+        503,
+        _NOT_RUN,
+        True,
+        "Whether the newest configuration allows it is not known here now.",
+    ),
     Code.BROKEN_OFF: Row(
         502, _UNKNOWN, False, "The target broke off after the request left."
     ),
--- a/script/guards.py
+++ b/script/guards.py
@@ -409,7 +409,7 @@
           "self.entries = max(count.entries for count in self._counts)",
           "self.entries = entries", "retry_budget"),
     Guard("the burst accrues under a leader only", C + "discovery/client.py",
-          "return bool(self._confirmations(now))", "return True",
+          "now - control.led_at < LEADER_TIMEOUT_SECONDS", "True",
           "retry_budget"),
     Guard("half of the ratio before and after a start", C + "balance/const.py",
           "RETRY_RATIO_PART = 0.5", "RETRY_RATIO_PART = 1.0",
