Forwarder: admit() registers a request again; one dialect for intake and forwarder

Causes, both in the move of the intake out of the forwarder: admit() no longer registered requests, so those that waited were never sent; and the intake kept the dialect of the construction when another was set.

--- a/features/harness/site.py
+++ b/features/harness/site.py
@@ -8,6 +8,7 @@
 from jasperweir.components.configctl import discovery_server
 from jasperweir.components.configctl import evacuations as evacuations_lib
 from jasperweir.components.configctl import node as node_lib
+from jasperweir.components.confirmation import tracker as tracker_lib
 from jasperweir.components.directory import records
 from jasperweir.components.discovery import client as discovery_client
 from jasperweir.components.quorum import actions
@@ -22,6 +23,10 @@
     Attributes:
         acked: Highest version whose commit was acknowledged to an operator,
             and the time of the acknowledgement.
+        deaf: Pairs of a sender and a receiver that does not hear it.
+        delays: Delay of messages by pairs of a sender and a receiver, seconds.
+        observe: Called with each entry or agent after each step, and after
+            each message that it has received.
     """
 
     def __init__(
@@ -49,6 +54,10 @@
         self.evacuated = {}
         self.starts = 0
         self.cut = set()
+        self.deaf = set()
+        self.delays = {}
+        self.delayed = []
+        self.observe = lambda name: None
         self.frozen = set()
         self.queue = collections.deque()
         self.drop = 0.0
@@ -104,7 +113,8 @@
 
     def start_entry(self, name):
         node = records.Node(
-            name, "entry", "p", f"{name}:80", False, self.rng.getrandbits(30), 0
+            name, "entry", self.places.get(name, "p"), f"{name}:80", False,
+            self.rng.getrandbits(30), 0,
         )  # fmt: skip
         self.discovery_clients[name] = discovery_client.DiscoveryClient(
             node=node, seeds=tuple(self.names[:3]), now=self.now
@@ -125,9 +135,16 @@
         )
 
     def serves(self, name):
-        """Return the version by which an entry lets requests through, or 0."""
-        client = self.discovery_clients[name]
-        return self.versions[name] if client.is_ready(self.now) else 0
+        """Return the version by which an entry lets requests through, or 0.
+
+        Requests that it holds are not let through.
+        """
+        standing = self.discovery_clients[name].confirmations.standing(self.now)
+        is_decided = standing in (
+            tracker_lib.Standing.CURRENT,
+            tracker_lib.Standing.UNCONFIRMED,
+        )
+        return self.versions[name] if is_decided else 0
 
     # Time and messages.
 
@@ -147,8 +164,13 @@
                 )
                 self.perform(name, follower.tick(self.now))
             self.deliver()
+            for name in list(self.discovery_clients):
+                self.observe(name)
 
     def deliver(self):
+        due = [item for item in self.delayed if item[0] <= self.now]
+        self.delayed = [item for item in self.delayed if item[0] > self.now]
+        self.queue.extend(item[1:] for item in due)
         for _ in range(len(self.queue) * 6):
             if not self.queue:
                 return
@@ -164,8 +186,11 @@
             elif dst in self.discovery_clients:
                 acts = self.discovery_clients[dst].receive(src, msg, self.now)
                 self.perform(dst, acts)
+                self.observe(dst)
 
     def is_cut(self, a, b):
+        if (a, b) in self.deaf:
+            return True
         return (a, b) in self.cut or (b, a) in self.cut
 
     def perform(self, name, acts):
@@ -201,6 +226,10 @@
     def post(self, src, dst, msg):
         if self.tap is not None and self.tap(self, src, dst, msg):
             return
+        delay_s = self.delays.get((src, dst), 0.0)
+        if delay_s:
+            self.delayed.append((self.now + delay_s, src, dst, msg))
+            return
         self.queue.append((src, dst, msg))
 
     def cut_pair(self, a, b):
@@ -251,6 +280,8 @@
     def settle(self, seconds=8.0):
         """Remove all faults, restart all control VMs and run."""
         self.cut.clear()
+        self.deaf.clear()
+        self.delays.clear()
         self.frozen.clear()
         self.drop = 0.0
         for name in self.names:
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -64,7 +64,6 @@
         targets: Targets that accept requests now.
         admission: Policy on sending, queueing and rejecting requests.
         pool: Connections to targets.
-        dialect: Protocol of callers and targets.
         intake: Decisions on requests by the configuration in force.
         on_work: Called when ``tick`` needs to run soon.
     """
@@ -83,7 +82,6 @@
         is_first_start: bool = False,
         cold_bounds: rate_lib.Bounds = rate_lib.DEFAULT_BOUNDS,
     ) -> None:
-        self.dialect = dialect
         self.balancer = balancer_lib.Balancer(rng=rng)
         self.pool = http_client.ConnectionPool(times=times)
         self.on_work: Callable[[], None] = lambda: None
@@ -209,6 +207,15 @@
         """Handle a caller's request."""
         self.intake.handle(answering)
 
+    @property
+    def dialect(self) -> dialect_lib.Dialect:
+        """Protocol of callers and targets."""
+        return self.intake.dialect
+
+    @dialect.setter
+    def dialect(self, dialect: dialect_lib.Dialect) -> None:
+        self.intake.dialect = dialect
+
     @property
     def index(self) -> index_lib.DeploymentIndex | None:
         """Configuration in force, None before the first."""
@@ -234,8 +241,6 @@
             state=state,
             service=state.match.route.choose_service(self._rng),
         )
-        self._open_exchanges[exchange.number] = exchange
-        self._budget.count_first(exchange.service, self.now())
         self.admit(exchange)
 
     def _match_again(self, exchange: exchange_lib.Exchange) -> None:
@@ -246,13 +251,20 @@
             case matching.Moved() as moved:
                 self.queues.remove(exchange)
                 exchange.service = moved.service
-                self.admit(exchange)
+                self._send_or_queue(exchange, self.now())
 
     # Target selection.
 
     def admit(self, exchange: exchange_lib.Exchange) -> None:
         """Send, queue or reject a request that has arrived."""
         now = self.now()
+        self._open_exchanges[exchange.number] = exchange
+        self._budget.count_first(exchange.service, now)
+        self._send_or_queue(exchange, now)
+
+    def _send_or_queue(
+        self, exchange: exchange_lib.Exchange, now: float
+    ) -> None:
         self.queues.on_arrival(exchange, now)
         if self.quarantine.reject_if_quarantined(exchange, now):
             return
--- a/jasperweir/components/forward/intake.py
+++ b/jasperweir/components/forward/intake.py
@@ -39,6 +39,7 @@
     """Matches requests, or holds or rejects them where it cannot know.
 
     Attributes:
+        dialect: Protocol of callers and targets.
         index: Configuration in force, None before the first.
         is_stopping: Whether new requests are rejected.
         describe_version: Returns what is known of the version in force.
@@ -67,7 +68,7 @@
         ] = lambda answering, state: None
         self.on_work: Callable[[], None] = lambda: None
         self._clock = clock
-        self._dialect = dialect
+        self.dialect = dialect
         self._recorder = recorder
         self._rejections = rejections
         self._returns = returns
@@ -85,7 +86,7 @@
     def handle(self, answering: http_server.ResponseWriter) -> None:
         """Match, hold or reject a request that has arrived."""
         try:
-            headers = self._dialect.parse_caller_headers(answering.request)
+            headers = self.dialect.parse_caller_headers(answering.request)
         except ValueError as exc:
             self._turn_away(answering, None, Code.BAD_HEADER, str(exc))
             return
