--- /dev/null
+++ b/features/confirmation.feature
@@ -0,0 +1,74 @@
+Feature: A configuration is current only as of a confirmation by the leader
+
+  # Guards against dating a confirmation by its arrival.
+  Scenario: A confirmation that waited in a socket proves nothing newer
+    Given an entry with version 9, confirmed at 100 s
+    When an answer to its heartbeat of 100.5 s arrives at 104 s
+    Then its version is not current at 104 s
+
+  # Guards against answers to an earlier process at a reused address.
+  Scenario: An answer to another process at the address confirms nothing
+    Given an entry with version 9, confirmed at 100 s
+    When a confirmation arrives at 104 s in answer to a heartbeat that it never sent
+    Then its version is not current at 104 s
+
+  Scenario: A control VM that does not lead passes a confirmation on with its age
+    Given an entry with version 9, confirmed at 100 s
+    When an answer at 104 s to its last heartbeat states an age of 1 s
+    Then its version is current at 104 s, as of 1 s before that heartbeat
+
+  # Guards against an answer that counts the version of its sender.
+  Scenario: Hearing from control VMs without a confirmation proves nothing
+    Given an entry with version 9, confirmed at 100 s
+    When 5 control VMs answer its heartbeats until 104 s, all with version 9
+    Then its version is not current at 104 s
+
+  Scenario Outline: What an entry does when it can't know
+    Given an entry with version 9, confirmed at 100 s
+    When it <heard> until <until> s
+    Then an allowed request at <until> s is <allowed> and a denial is <denial>
+
+    Examples:
+      | heard                          | until  | allowed | denial  |
+      | asks in vain                   | 101.4  | served  | final   |
+      | asks in vain                   | 101.6  | served  | refused |
+      | asks in vain                   | 130.0  | served  | refused |
+      | hears of version 10            | 101.4  | served  | refused |
+      | hears of version 10            | 103.0  | refused | refused |
+      | was suspended                  | 110.0  | held    | held    |
+      | was suspended and asked again  | 110.0  | served  | refused |
+
+  Scenario: An entry that was never confirmed since its start serves nothing
+    Given an entry with version 9 that nobody has confirmed
+    Then an allowed request at 200 s is not decided
+
+  Scenario Outline: A request that is admitted keeps no outdated route
+    Given a forwarder with a <kind> request that <state>
+    When a version comes into force that <change>
+    Then the request is <outcome>
+
+    Examples: Requests that wait for a target
+      | kind    | state   | change                     | outcome                |
+      | plain   | waits   | moves its route            | run by the new service |
+      | stream  | waits   | moves its route            | run by the new service |
+      | resumed | waits   | moves its route            | run by the new service |
+      | plain   | waits   | drops its route            | answered 404           |
+      | stream  | waits   | drops its route            | answered 404           |
+      | resumed | waits   | drops its route            | answered 404           |
+      | plain   | waits   | revokes its key            | answered 401           |
+      | plain   | waits   | adds another route and key | run by its service     |
+
+    Examples: Requests whose first target broke off
+      | kind    | state   | change                     | outcome                |
+      | plain   | repeats | moves its route            | run by the new service |
+      | stream  | repeats | moves its route            | run by the new service |
+      | plain   | repeats | drops its route            | answered 502           |
+      | plain   | repeats | revokes its key            | answered 502           |
+
+    Examples: Requests held until the configuration is known
+      | kind    | state   | change                     | outcome                |
+      | plain   | is held | moves its route            | run by the new service |
+      | stream  | is held | moves its route            | run by the new service |
+      | plain   | is held | drops its route            | answered 404           |
+      | plain   | is held | revokes its key            | answered 401           |
+      | plain   | is held | adds another route and key | run by its service     |
--- /dev/null
+++ b/features/harness/configuration_matrix.py
@@ -0,0 +1,342 @@
+"""Entries and control VMs in trouble while the configuration changes."""
+
+import dataclasses
+
+from features.harness import site as site_lib
+from jasperweir.components.confirmation import tracker
+
+Standing = tracker.Standing
+
+# Time from an acknowledgement within which a version must be in force.
+APPLY_SECONDS = 2.0
+# A process that was undisturbed for so long must keep that bound.
+STABLE_SECONDS = 3.0
+# Time within which an order must be acknowledged once all is well again.
+ACK_SECONDS = 15.0
+SUSPENDED_SECONDS = 6.0
+ENTRY_CASES = (
+    "ran on",
+    "started alone",
+    "started with its data centre",
+    "started with all",
+    "new VM",
+    "reused address",
+    "suspended and awake",
+    "deaf to the leader",
+    "deaf to one control VM",
+    "deaf to all but one control VM",
+    "slow link",
+)
+CORE_CASES = (
+    "same leader",
+    "elected anew",
+    "started from records",
+    "started from a snapshot",
+    "one replaced",
+    "one wiped",
+    "one behind",
+    "leader suspended",
+    "some without disks",
+)
+# Entry cases in which the entry hears a control VM that hears the leader.
+_HEARING = (
+    "ran on",
+    "deaf to the leader",
+    "deaf to one control VM",
+    "deaf to all but one control VM",
+    "slow link",
+)
+
+
+@dataclasses.dataclass(kw_only=True)
+class EntryRecord:
+    """What is judged of one entry.
+
+    Attributes:
+        since: Start or last disturbance of the entry, seconds.
+        highest: Highest version that it has let a request through by.
+        incarnation: Incarnation of its process.
+    """
+
+    since: float
+    highest: int
+    incarnation: int
+
+
+class Judge:
+    """Checks what each entry lets through after every step.
+
+    Attributes:
+        violations: Broken rules.
+        delays: Time from an acknowledgement until the version was in force,
+            seconds, by entry; for entries that were undisturbed.
+        hearing: Entries that must know the newest version though links to
+            them are cut.
+        restarted: Entries that were started or suspended and hear control VMs:
+            they must not act on an old version even before they are in touch.
+    """
+
+    def __init__(self, site):
+        self.site = site
+        self.violations = []
+        self.delays = {}
+        self.hearing = set()
+        self.restarted = set()
+        self.core_since = site.now
+        self._acked = []
+        self._entries = {}
+        site.observe = self.observe
+
+    def disturb_core(self):
+        """Note that control VMs were disturbed."""
+        self.core_since = self.site.now
+
+    def disturb(self, name):
+        """Note that an entry was disturbed."""
+        self._record(name).since = self.site.now
+
+    def _record(self, name):
+        client = self.site.discovery_clients[name]
+        incarnation = client.node.incarnation
+        record = self._entries.get(name)
+        if record is None or record.incarnation != incarnation:
+            record = EntryRecord(
+                since=self.site.now, highest=0, incarnation=incarnation
+            )
+            self._entries[name] = record
+        return record
+
+    def _newest_before(self, at):
+        return max(
+            (v for v, acked_at in self._acked if acked_at <= at), default=0
+        )
+
+    def observe(self, name):
+        """Judge an entry at this moment."""
+        site, now = self.site, self.site.now
+        if site.acked[0] > max((v for v, _ in self._acked), default=0):
+            self._acked.append(site.acked)
+        if name in site.frozen:
+            return
+        client = site.discovery_clients[name]
+        record = self._record(name)
+        standing = client.confirmations.standing(now)
+        served = site.serves(name)
+        due = self._newest_before(now - APPLY_SECONDS)
+        if standing is Standing.CURRENT and client.version < due:
+            self._add(name, f"current by {client.version}")
+        if 0 < served < record.highest:
+            self._add(name, f"back from {record.highest} to {served}")
+        record.highest = max(record.highest, served)
+        if name in self.restarted and 0 < served < due:
+            self._add(name, f"serves {served} after its start or wake-up")
+        self._judge_in_touch(name, record, standing, served)
+        self._measure(name, client)
+
+    def _judge_in_touch(self, name, record, standing, served):
+        now = self.site.now
+        since = max(record.since, self.core_since)
+        if now - since < STABLE_SECONDS or not self._acked:
+            return
+        if self._is_cut(name) and name not in self.hearing:
+            return
+        if standing is not Standing.CURRENT:
+            self._add(name, f"in touch and {standing.value}")
+        if served < self._newest_before(now - APPLY_SECONDS):
+            self._add(name, f"serves {served} in touch")
+
+    def _is_cut(self, name):
+        site = self.site
+        pairs = (*site.deaf, *site.cut, *site.delays)
+        return any(name in pair for pair in pairs)
+
+    def _measure(self, name, client):
+        for version, acked_at in self._acked:
+            key = (name, version)
+            if client.version >= version and key not in self.delays:
+                self.delays[key] = max(self.site.now - acked_at, 0.0)
+
+    def _add(self, name, what):
+        if len(self.violations) < 5:
+            self.violations.append(f"{self.site.now:.2f} {name}: {what}")
+
+
+class Case:
+    """One combination of the matrix on a virtual clock."""
+
+    def __init__(self, *, entry, core, seed, entries=3, wait_s=0.4):
+        """Create a site with version 9 in force.
+
+        Args:
+            entry: One of ENTRY_CASES.
+            core: One of CORE_CASES.
+            seed: Seed of all random choices.
+            entries: Number of entries.
+            wait_s: Time from the trouble to the order for version 12.
+        """
+        self._entry, self._core, self._wait_s = entry, core, wait_s
+        diskless = ("c4", "c5", "c6") if core == "some without disks" else ()
+        controls = 6 if diskless else 3
+        places = {"c1": "p", "c2": "q", "c3": "r", "c4": "p", "c5": "q"}
+        places.update({f"e{n}": "pqr"[(n - 1) % 3] for n in range(entries + 1)})
+        self.site = site_lib.Site(
+            controls=controls,
+            entries=entries,
+            seed=seed,
+            diskless=diskless,
+            places=places,
+        )
+        self.site.run(5.0)
+        self._commit(9)
+        self.site.run(1.5)
+        self.judge = Judge(self.site)
+        self.site.run(STABLE_SECONDS)
+
+    def _commit(self, version):
+        """Send an order until it is acknowledged, at running control VMs."""
+        site = self.site
+        until = site.now + ACK_SECONDS
+        while site.acked[0] < version and site.now < until:
+            running = [n for n in sorted(site.nodes) if n not in site.frozen]
+            for name in running[:2]:
+                site.replace(name, version)
+            site.run(0.9)
+        if site.acked[0] < version:
+            raise AssertionError(f"version {version} was not acknowledged")
+
+    def run(self):
+        """Bring the trouble about, change the configuration and judge."""
+        site = self.site
+        leader = site.leader()
+        others = [n for n in ("c1", "c2", "c3") if n != leader]
+        wakes = self._disturb_core(leader, others)
+        wakes += self._disturb_entry("e1", leader, others)
+        if self._entry in _HEARING and self._core == "same leader":
+            self.judge.hearing.add("e1")
+        site.run(self._wait_s)
+        # The version is acknowledged while the trouble lasts.
+        self._commit(12)
+        for at, wake in sorted(wakes, key=lambda item: item[0]):
+            site.run(max(at - site.now, 0.0))
+            wake()
+            for name in site.discovery_clients:
+                self.judge.observe(name)
+        site.run(APPLY_SECONDS + STABLE_SECONDS)
+        site.deaf.clear()
+        site.delays.clear()
+        for name in list(site.discovery_clients):
+            self.judge.disturb(name)
+        site.run(STABLE_SECONDS + 1.0)
+        for name in site.discovery_clients:
+            if site.serves(name) != 12:
+                self.judge.violations.append(
+                    f"{name} serves {site.serves(name)} at the end"
+                )
+        return self.judge.violations
+
+    def _restart(self, names):
+        site = self.site
+        for name in names:
+            site.kill(name)
+        for name in names:
+            site.start(name)
+        self.judge.disturb_core()
+
+    def _disturb_core(self, leader, others):
+        """Return what is to be undone: times and functions."""
+        site, judge = self.site, self.judge
+        voters = ["c1", "c2", "c3"]
+        match self._core:
+            case "elected anew":
+                site.kill(leader)
+                judge.disturb_core()
+                return [(site.now + 2.5, lambda: self._restart([leader]))]
+            case "started from records":
+                self._restart(voters)
+            case "started from a snapshot":
+                for name in voters:
+                    node = site.nodes[name]
+                    site.perform(
+                        name,
+                        node.voter.compact(
+                            node.machine.table.revision, node.machine.dump()
+                        ),
+                    )
+                self._restart(voters)
+            case "one replaced":
+                site.kill(others[0])
+                site.start("c7", seeds=[leader, others[1]])
+                judge.disturb_core()
+            case "one wiped":
+                site.wipe(others[0])
+                site.start(others[0])
+                judge.disturb_core()
+            case "one behind":
+                site.kill(others[0])
+                judge.disturb_core()
+                self._commit(11)
+                self._restart([others[0]])
+            case "leader suspended":
+                site.frozen.add(leader)
+                judge.disturb_core()
+                return [(site.now + SUSPENDED_SECONDS, self._waker(leader))]
+        return []
+
+    def _waker(self, name):
+        return lambda: self._wake(name)
+
+    def _wake(self, name):
+        self.site.frozen.discard(name)
+        if name in self.site.nodes:
+            self.judge.disturb_core()
+        else:
+            self.judge.disturb(name)
+
+    def _disturb_entry(self, name, leader, others):
+        site, judge = self.site, self.judge
+        match self._entry:
+            case "started alone":
+                site.start_entry(name)
+            case "started with its data centre":
+                site.start_entry(name)
+                if "c1" in site.nodes and "c1" not in site.frozen:
+                    self._restart(["c1"])
+            case "started with all":
+                running = [n for n in ("c1", "c2", "c3") if n in site.nodes]
+                self._restart([n for n in running if n not in site.frozen])
+                for other in list(site.discovery_clients):
+                    site.start_entry(other)
+            case "new VM":
+                site.start_entry("e99")
+            case "reused address":
+                for control in site.names:
+                    site.delays[(control, name)] = 0.3
+                site.run(0.3)
+                site.delays.clear()
+                site.start_entry(name)
+            case "suspended and awake":
+                # Answers are under way when it is suspended.
+                for control in site.names:
+                    site.delays[(control, name)] = 0.15
+                site.run(0.5)
+                site.frozen.add(name)
+                judge.restarted.add(name)
+                return [(site.now + SUSPENDED_SECONDS, self._waker(name))]
+            case "deaf to the leader":
+                site.deaf.add((leader, name))
+            case "deaf to one control VM":
+                site.deaf.add((others[0], name))
+            case "deaf to all but one control VM":
+                site.deaf.update(
+                    (n, name) for n in site.names if n != others[1]
+                )
+            case "slow link":
+                for control in site.names:
+                    site.delays[(control, name)] = 0.2
+                    site.delays[(name, control)] = 0.2
+        if "start" in self._entry or "address" in self._entry:
+            judge.restarted.add(name)
+        if self._entry == "new VM":
+            judge.restarted.add("e99")
+        judge.disturb(name)
+        return []
--- /dev/null
+++ b/features/steps/confirmation_steps.py
@@ -0,0 +1,318 @@
+"""Steps on confirmations of the configuration, and on admitted requests."""
+
+import asyncio
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.harness import hop
+from features.harness import site as site_lib
+from jasperweir.components.configctl import messages as config_messages
+from jasperweir.components.confirmation import tracker as tracker_lib
+from jasperweir.components.deployment import index as index_lib
+from jasperweir.components.deployment import model
+from jasperweir.components.directory import records
+from jasperweir.components.discovery import client as discovery_client
+from jasperweir.components.discovery import version_basis
+
+Standing = tracker_lib.Standing
+STEP = 0.05
+KEY = "key-of-one"
+
+
+class TestEntry:
+    """A discovery client whose control VMs are played by hand."""
+
+    CONTROLS = ("c1", "c2", "c3", "c4", "c5")
+
+    def __init__(self, now):
+        node = records.Node("e1", "entry", "p", "e1:80", False, 77, 0)
+        self.client = discovery_client.DiscoveryClient(
+            node=node, seeds=self.CONTROLS, now=now
+        )
+        self.now = now
+        self.rounds = {}
+
+    def tick(self, now):
+        """Run the timers; remember the round of the heartbeats sent."""
+        self.now = now
+        for act in self.client.tick(now):
+            if isinstance(act.msg, records.NodeHeartbeat):
+                self.rounds[round(now, 2)] = act.msg.round
+
+    def answer(self, now, *, echo, age_s=-1.0, version=9, src="c1"):
+        """Receive an answer of a control VM."""
+        msg = records.ControlHeartbeat(
+            place="p",
+            version=version,
+            keeps_log=True,
+            digest=0,
+            controls=self.CONTROLS,
+            controls_digest=1,
+            nodes_digest=0,
+            leader="c1",
+            term=1,
+            confirmed_version=version,
+            confirmed_age_s=age_s,
+            echo=echo,
+        )
+        self.now = now
+        self.client.receive(src, msg, now)
+
+    def ask_until(self, until):
+        """Send heartbeats that nobody answers."""
+        while self.now + STEP <= until:
+            self.tick(round(self.now + STEP, 2))
+
+    @property
+    def standing(self):
+        return self.client.confirmations.standing(self.now)
+
+
+@given("an entry with version 9, confirmed at 100 s")
+def step_confirmed(context):
+    context.entry = entry = TestEntry(99.0)
+    entry.tick(100.0)
+    content = config_messages.Content(version=9, data=b"")
+    entry.client.receive("c1", content, 100.0)
+    entry.client.on_applied(9, 100.0)
+    entry.answer(100.0, echo=entry.rounds[100.0], age_s=0.0)
+    assert entry.standing is Standing.CURRENT
+
+
+@given("an entry with version 9 that nobody has confirmed")
+def step_unconfirmed(context):
+    context.entry = entry = TestEntry(99.0)
+    entry.client.on_applied(9, 100.0)
+
+
+@when("an answer to its heartbeat of {sent:g} s arrives at {at:g} s")
+def step_late_answer(context, sent, at):
+    entry = context.entry
+    entry.ask_until(sent)
+    entry.answer(at, echo=entry.rounds[sent], age_s=0.0)
+
+
+@when(
+    "a confirmation arrives at {at:g} s in answer to a heartbeat that it never"
+    " sent"
+)
+def step_foreign_answer(context, at):
+    entry = context.entry
+    entry.ask_until(at)
+    for echo in range(200):
+        entry.answer(at, echo=echo, age_s=0.0)
+
+
+@when("an answer at {at:g} s to its last heartbeat states an age of {age:g} s")
+def step_passed_on(context, at, age):
+    entry = context.entry
+    entry.ask_until(at)
+    context.sent_at = max(entry.rounds)
+    echo = entry.rounds[context.sent_at]
+    entry.answer(at, echo=echo, age_s=age, src="c2")
+
+
+@when(
+    "5 control VMs answer its heartbeats until {until:g} s, all with version 9"
+)
+def step_heard(context, until):
+    entry = context.entry
+    while entry.now + STEP <= until:
+        now = round(entry.now + STEP, 2)
+        entry.tick(now)
+        for name in entry.CONTROLS:
+            entry.answer(now, echo=entry.rounds.get(now, 0), src=name)
+
+
+@when("it {heard} until {until:g} s")
+def step_when(context, heard, until):
+    entry = context.entry
+    match heard:
+        case "asks in vain":
+            entry.ask_until(until)
+        case "hears of version 10":
+            entry.ask_until(100.5)
+            notice = config_messages.VersionNotice(version=10)
+            entry.client.receive("c2", notice, entry.now)
+            entry.ask_until(until)
+        case "was suspended":
+            entry.now = until
+        case "was suspended and asked again":
+            entry.now = until - 1.0
+            entry.ask_until(until)
+        case _:
+            raise AssertionError(heard)
+
+
+@then("its version is not current at {at:g} s")
+def step_not_current(context, at):
+    entry = context.entry
+    entry.now = at
+    assert entry.standing is not Standing.CURRENT
+    assert not entry.client.describe_version(at).is_newest
+
+
+@then(
+    "its version is current at {at:g} s, as of {age:g} s before that heartbeat"
+)
+def step_current(context, at, age):
+    entry = context.entry
+    assert entry.standing is Standing.CURRENT
+    as_of = at - entry.client.confirmations.age_s(at)
+    assert abs(as_of - (context.sent_at - age)) < 1e-6, as_of
+
+
+@then("an allowed request at {at:g} s is {allowed} and a denial is {denial}")
+def step_decisions(context, at, allowed, denial):
+    entry = context.entry
+    entry.now = at
+    outcomes = {
+        Standing.CURRENT: "served",
+        Standing.UNCONFIRMED: "served",
+        Standing.AWAITING: "held",
+        Standing.OUTDATED: "refused",
+    }
+    standing = entry.standing
+    assert outcomes[standing] == allowed, standing
+    is_final = entry.client.describe_version(at).is_newest
+    if standing is Standing.AWAITING:
+        assert denial == "held"
+    else:
+        assert denial == ("final" if is_final else "refused"), standing
+
+
+@then("an allowed request at {at:g} s is not decided")
+def step_undecided(context, at):
+    context.entry.now = at
+    assert context.entry.standing is Standing.UNKNOWN
+    assert not context.entry.client.is_ready(at)
+
+
+# Admitted requests.
+
+
+class Dialect(hop.Dialect):
+    """Callers with a key, who may resume an answer."""
+
+    def __init__(self, resume_after):
+        self._resume_after = resume_after
+
+    def parse_caller_headers(self, req):
+        headers = super().parse_caller_headers(req)
+        return headers._replace(key=KEY, resume_after=self._resume_after)
+
+
+def make_index(version, *, service="s", kind, has_route=True, has_key=True):
+    """Return an index of a configuration with one route and one key."""
+    backends = (model.Backend(service, 1.0),)
+    route = hop.route(kind=kind)._replace(public=False, backends=backends)
+    routes = [route] if has_route else []
+    routes.append(route._replace(name="other", prefix="/other/"))
+    customer = model.Customer("one", (KEY if has_key else "new",), None)
+    return index_lib.DeploymentIndex(
+        deployment=model.Deployment(
+            version=version,
+            routes=tuple(routes),
+            services=(),
+            limits=model.Limits(16384, 65536, 3.0, 15.0),
+            customers=(customer,),
+        )
+    )
+
+
+class Admitted:
+    """A request that is waiting, repeated or held."""
+
+    def __init__(self, *, kind, state):
+        self.kind = (
+            model.RouteKind.SAFE if kind == "plain" else model.RouteKind.STREAM
+        )
+        self.state = state
+        self.dialect = Dialect("2" if kind == "resumed" else "")
+        self.standing = Standing.CURRENT
+
+    def describe(self):
+        return version_basis.VersionBasis(standing=self.standing)
+
+    def announce(self, name, target, service):
+        found = site_lib.target(target_id=name, address=target.address)
+        self.one.directory.merge(
+            found._replace(service=service), self.one.forwarder.now()
+        )
+
+    async def run(self, changed):
+        """Return the answer and how many requests each service has run."""
+        self.one = one = hop.Hop(route=hop.route())
+        await one.prepare()
+        forwarder = one.forwarder
+        forwarder.dialect = self.dialect
+        forwarder.intake.describe_version = self.describe
+        forwarder.index = make_index(1, kind=self.kind)
+        new = hop.Target(stops_after=hop.EVENTS)
+        await new.start()
+        ending = hop.Ending(listens=True)
+        await ending.start()
+        answering = hop.Answering()
+        answering.on_paused = answering.on_writable = lambda: None
+        if self.state == "is held":
+            self.standing = Standing.AWAITING
+        if self.state == "repeats":
+            # The retry is charged to the service that gets it.
+            forwarder._budget.count_first("t", forwarder.now())
+            ending.on_request = lambda: self._change(changed, new)
+            self.announce("ending", ending, "s")
+            forwarder.handle(answering)
+        else:
+            forwarder.handle(answering)
+            await asyncio.sleep(hop.SETTLE_SECONDS)
+            assert not answering.done and not answering.body
+            self._change(changed, new)
+            self.standing = Standing.CURRENT
+        for _ in range(40):
+            forwarder.tick()
+            await asyncio.sleep(0.02)
+        runs = (one.other.requests, new.requests)
+        one.close()
+        new.close()
+        ending.close()
+        return answering, runs
+
+    def _change(self, changed, new):
+        self.announce("old", self.one.other, "s")
+        self.announce("new", new, "t")
+        self.one.forwarder.index = make_index(2, kind=self.kind, **changed)
+
+
+@given("a forwarder with a {kind} request that {state}")
+def step_admitted(context, kind, state):
+    context.admitted = Admitted(kind=kind, state=state)
+
+
+@when("a version comes into force that {change}")
+def step_change(context, change):
+    changed = {
+        "moves its route": {"service": "t"},
+        "drops its route": {"has_route": False},
+        "revokes its key": {"has_key": False},
+        "adds another route and key": {},
+    }[change]
+    context.answering, context.runs = asyncio.run(context.admitted.run(changed))
+
+
+@then("the request is run by the new service")
+def step_new_service(context):
+    assert context.runs == (0, 1), context.runs
+
+
+@then("the request is run by its service")
+def step_same_service(context):
+    assert context.runs == (1, 0), context.runs
+
+
+@then("the request is answered {status:d}")
+def step_status(context, status):
+    assert context.answering.done
+    assert context.answering.replied[0] == status, context.answering.replied
+    assert context.runs == (0, 0), context.runs
