Proof of confirmations with real processes and in the soak

features/outdated_configuration_processes.feature: an entry deaf to the leader, to one control VM, to all but one; started alone, with its VM, with all, on a new VM; all control VMs killed after an acknowledgement; suspended with 20 requests in its sockets.

Judged: in force in time at each entry in touch, no process goes back, no read is older, nothing invalid is taken, added routes are served, the newest is in force and read at the end.

--- a/features/outdated_configuration_processes.feature
+++ b/features/outdated_configuration_processes.feature
@@ -9,3 +9,49 @@
     Then requests there are refused and reach no target for 4 s
     When the other control VMs start again
     Then requests there are served as version 8 says
+
+  Scenario Outline: An entry that is deaf to <whom> has a version in force in time
+    Given three VMs with control and entry, and a target of each of two services
+    And the third entry is deaf to <whom>
+    When version 8 moves a route, adds one and a key, drops one and revokes a key
+    Then each entry decides as version 8 says 2 s after its acknowledgement
+
+    Examples:
+      | whom                       |
+      | nobody                     |
+      | the leader                 |
+      | one control VM             |
+      | all but one control VM     |
+
+  Scenario Outline: <what> start again right after an acknowledgement
+    Given three VMs with control and entry, and a target of each of two services
+    When version 8 moves a route, adds one and a key, drops one and revokes a key
+    And <what> are killed and start again
+    Then no request there is decided as only version 7 says
+    And each entry decides as version 8 says 12 s later
+
+    Examples:
+      | what                            |
+      | the third entry                 |
+      | the third entry and control VM  |
+      | all entries and control VMs     |
+
+  # The entries run on, so the core must be stable for twice 3 s again.
+  Scenario: All control VMs start again right after an acknowledgement
+    Given three VMs with control and entry, and a target of each of two services
+    When version 8 moves a route, adds one and a key, drops one and revokes a key
+    And the control VMs are killed and start again
+    Then each entry decides as version 8 says 6 s later
+
+  Scenario: An entry on a new VM
+    Given three VMs with control and entry, and a target of each of two services
+    When version 8 moves a route, adds one and a key, drops one and revokes a key
+    And the fourth entry starts
+    Then no request there is decided as only version 7 says
+
+  # Guards against requests that wait in the sockets of a suspended entry.
+  Scenario: A suspended entry decides nothing by the version it had
+    Given three VMs with control and entry, and a target of each of two services
+    When the third entry is suspended while version 8 is acknowledged
+    And 20 requests wait for it when it wakes 4 s later
+    Then no request there is decided as only version 7 says
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -40,6 +40,15 @@
       | 1    |
       | 2    |
 
+  Scenario Outline: A soak whose configuration changes all the time
+    When the soak with changing configurations runs seed <seed> for 12 seconds
+    Then no invariant was violated
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+
   # Cause: SIGHUP terminates a process that is still loading; see KNOWN-RED.txt.
   Scenario: A soak in which processes receive a reload during start-up
     When the soak runs seed 223 for 9 seconds
--- /dev/null
+++ b/features/soak/configuration_check.py
@@ -0,0 +1,133 @@
+"""Judges by which configuration versions entries decided requests."""
+
+import collections
+import threading
+from typing import NamedTuple
+
+# Time from an acknowledgement within which a version must be in force.
+APPLY_SECONDS = 2.0
+# An entry that was undisturbed for so long, like all control VMs, is in touch.
+STABLE_SECONDS = 3.0
+# Time after which no request may be decided by a version that is older than
+# one whose effect was seen at the same process.
+BACK_SECONDS = 0.25
+# Smallest share of requests on added routes that must be served, against those
+# on the first routes, when at least so many were sent.
+ADDED_SHARE = 0.25
+ADDED_MIN = 20
+
+
+class Decision(NamedTuple):
+    """Outcome of a request that some versions allow.
+
+    Attributes:
+        vm: Number of the entry's VM.
+        start: Which start of the entry's process answered.
+        sent_at: When the request was sent, monotonic seconds.
+        ended_at: When it was answered, monotonic seconds.
+        what: Request and outcome, for messages.
+        versions: Versions that allow the outcome, of all that were sent.
+    """
+
+    vm: int
+    start: int
+    sent_at: float
+    ended_at: float
+    what: str
+    versions: frozenset[int]
+
+
+class ConfigurationCheck:
+    """Collects orders and decisions, and finds broken rules at the end."""
+
+    def __init__(self):
+        self.decisions = []
+        self.violations = []
+        self.added = collections.Counter()
+        self._sent = {}
+        self._acked = []
+        self._lock = threading.Lock()
+
+    def record_sent(self, version, now):
+        """Record a valid version before it is sent."""
+        with self._lock:
+            self._sent.setdefault(version, now)
+
+    def record_acknowledged(self, version, now):
+        """Record an acknowledged version."""
+        with self._lock:
+            self._acked.append((now, version))
+
+    def sent_versions(self):
+        """Return all versions sent so far."""
+        with self._lock:
+            return sorted(self._sent)
+
+    def record_decision(self, decision):
+        """Record the outcome of a request."""
+        with self._lock:
+            self.decisions.append(decision)
+
+    def newest_acknowledged(self, at):
+        """Return the newest version acknowledged until some moment."""
+        return max((v for t, v in self._acked if t <= at), default=0)
+
+    def find_violations(self, is_in_touch):
+        """Return the broken rules.
+
+        Args:
+            is_in_touch: Returns whether an entry was in touch in a span, by
+                the number of its VM, begin and end in monotonic seconds.
+        """
+        seen = collections.defaultdict(list)
+        for found in sorted(self.decisions, key=lambda item: item.ended_at):
+            self._check_late(found, is_in_touch)
+            seen[found.vm, found.start].append(found)
+        for decisions in seen.values():
+            self._check_back(decisions)
+        if self.added["sent"] >= ADDED_MIN:
+            added = self.added["served"] / self.added["sent"]
+            first = self.added["first served"] / max(
+                self.added["first sent"], 1
+            )
+            if added < ADDED_SHARE * first:
+                self.violations.append(f"added routes: {dict(self.added)}")
+        return self.violations
+
+    def _possible(self, found):
+        """Return the versions that may have decided a request."""
+        return {
+            version
+            for version in found.versions
+            if self._sent[version] <= found.ended_at
+        }
+
+    def _check_late(self, found, is_in_touch):
+        due = self.newest_acknowledged(found.sent_at - APPLY_SECONDS)
+        if any(version >= due for version in self._possible(found)):
+            return
+        if is_in_touch(
+            found.vm, found.sent_at - STABLE_SECONDS, found.ended_at
+        ):
+            self._add(found, f"version {due} was acknowledged 2 s before")
+
+    def _check_back(self, decisions):
+        """Check that one process does not go back to an older version."""
+        highest, since = 0, 0.0
+        for found in decisions:
+            possible = self._possible(found)
+            if not possible:
+                self._add(found, "no version allows it")
+                continue
+            if found.sent_at > since + BACK_SECONDS and (
+                max(possible) < highest
+            ):
+                self._add(found, f"version {highest} was in force before")
+            if min(possible) > highest:
+                highest, since = min(possible), found.ended_at
+
+    def _add(self, found, why):
+        self.violations.append(
+            f"vm-{found.vm} start {found.start} at {found.sent_at:.2f}:"
+            f" {found.what}; {why}; allowed by {sorted(found.versions)[-4:]}"
+        )
--- /dev/null
+++ b/features/soak/configuration_world.py
@@ -0,0 +1,417 @@
+"""Seeded run of a soak whose configuration changes all the time."""
+
+import collections
+import http.client
+import json
+import random
+import signal
+import threading
+import time
+
+from features.harness import platform as platform_lib
+from features.soak import configuration_check
+from features.soak import faults as faults_lib
+from features.soak import ledger as ledger_lib
+from features.soak import proxy as proxy_lib
+
+SERVICES = {"i-1.1": "m", "i-2.1": "m", "i-3.1": "n", "i-4.1": "n"}
+TARGETS = {1: "m", 2: "m", 3: "n", 4: "n"}
+# Versions for which a route or key of one version stays.
+KEPT_VERSIONS = 3
+CHANGE_SECONDS = 0.5
+PAUSE_SECONDS = 0.03
+CALL_SECONDS = 4.0
+# Time within which service must recover after the last fault, seconds.
+RECOVER_SECONDS = 12.0
+
+
+class ConfigurationFaults(faults_lib.FaultInjector):
+    """Disturbs processes only: one, those of a VM, or all of a kind."""
+
+    def __init__(self, *, world):
+        super().__init__(world=world, planned_only=False)
+        self._launches = collections.Counter()
+        self._ended = threading.Event()
+
+    def run(self):
+        """Inject faults one after another until ``stop``."""
+        kinds = self._list_kinds()
+        while not self._ended.wait(
+            self._rng.uniform(*faults_lib.PAUSE_SECONDS)
+        ):
+            self._thaw_due()
+            self._rng.choice(kinds)()
+        self._restore_all()
+
+    def stop(self):
+        """End the faults, and wait until all processes run."""
+        self._ended.set()
+        self.join()
+
+    def count_launches(self, name):
+        """Return how often a process was started again."""
+        return self._launches[name]
+
+    def _terminate(self, name, what):
+        # What answers from now on may be either process.
+        self._launches[name] += 1
+        return super()._terminate(name, what)
+
+    def _start(self, name):
+        self._launches[name] += 1
+        super()._start(name)
+
+    def _list_kinds(self):
+        return [
+            self._kill,
+            self._freeze,
+            self._freeze,
+            self._stop_and_start,
+            self._reload,
+            self._wipe,
+            self._kill_vm,
+            self._kill_all,
+        ]
+
+    def _kill_vm(self):
+        number = self._rng.choice(faults_lib.VMS)
+        self._kill_names([f"entry-{number}", f"control-{number}"])
+
+    def _kill_all(self):
+        roles = self._rng.choice((["control"], ["entry", "control"]))
+        self._kill_names(
+            [f"{role}-{n}" for role in roles for n in faults_lib.VMS]
+        )
+
+    def _kill_names(self, names):
+        if not self._may_lose_control():
+            return
+        self._log_fault(f"kill {names}")
+        for name in names:
+            self._terminate(name, signal.SIGKILL)
+        for name in names:
+            self._start(name)
+
+
+class Versions:
+    """Content of each version: what it moves, adds, drops and revokes."""
+
+    def __init__(self):
+        self.documents = {}
+        self._order = []
+        self._lock = threading.Lock()
+
+    def make(self, version, rng):
+        """Return the document of a version."""
+        doc = platform_lib.document(version)
+        safe = next(r for r in doc["routes"] if r["pathPrefix"] == "/safe/")
+        with self._lock:
+            kept = [v for v in self._order if v < version][-KEPT_VERSIONS:]
+            self._order.append(version)
+        routes = {"/moved/": rng.choice(("m", "n"))}
+        routes |= {f"/v{v}/": "m" for v in (*kept, version)}
+        for number, (prefix, service) in enumerate(routes.items(), start=20):
+            doc["routes"].append(
+                {
+                    **safe,
+                    "name": f"r{number}",
+                    "pathPrefix": prefix,
+                    "service": service,
+                }
+            )
+        doc["services"] = [
+            {"name": name, "healthPath": "/healthz"} for name in ("m", "n")
+        ]
+        keys = [platform_lib.KEY, *[f"key-{v}" for v in (*kept, version)]]
+        doc["tenants"] = [{"name": "one", "apiKeys": keys}]
+        self.documents[version] = doc
+        return doc
+
+    def allows(self, version, path, key):
+        """Return the status and service of a request by a version."""
+        doc = self.documents[version]
+        for route in doc["routes"]:
+            if path.startswith(route["pathPrefix"]):
+                if key not in doc["tenants"][0]["apiKeys"]:
+                    return 401, ""
+                return 200, route["service"]
+        return 404, ""
+
+
+class Operator(threading.Thread):
+    """Sends, repeats and reads versions; some orders are invalid."""
+
+    def __init__(self, *, world, number):
+        super().__init__(name=f"operator-{number}")
+        self._rng = random.Random(f"{world.seed}/operator/{number}")
+        self._world = world
+
+    def run(self):
+        """Change the configuration until the soak stops."""
+        while not self._world.stopping.is_set():
+            match self._rng.randrange(8):
+                case 0:
+                    self._send_invalid()
+                case 1:
+                    self._send_again()
+                case _:
+                    self.send(self._world.next_version())
+            self._read()
+            self._world.stopping.wait(self._rng.uniform(0, CHANGE_SECONDS))
+
+    def send(self, version):
+        """Send a new version and record its acknowledgement."""
+        world = self._world
+        doc = world.versions.make(version, self._rng)
+        world.check.record_sent(version, time.monotonic())
+        if self._call("POST", "/Configuration.Replace", doc)[0] == 200:
+            world.check.record_acknowledged(version, time.monotonic())
+            return True
+        return False
+
+    def _send_again(self):
+        check = self._world.check
+        version = check.newest_acknowledged(time.monotonic())
+        if not version:
+            return
+        doc = self._world.versions.documents[version]
+        status, _ = self._call("POST", "/Configuration.Replace", doc)
+        if 400 <= status < 500:
+            check.violations.append(f"version {version} again: {status}")
+
+    def _send_invalid(self):
+        doc = platform_lib.document(self._world.next_version())
+        doc["routes"][0]["pathPrefix"] = "/invalid/"
+        doc["routes"].append({**doc["routes"][1], "service": "unknown"})
+        status, _ = self._call("POST", "/Configuration.Replace", doc)
+        if status == 200:
+            self._world.check.violations.append("an invalid one was taken")
+
+    def _read(self):
+        check = self._world.check
+        floor = check.newest_acknowledged(
+            time.monotonic() - configuration_check.APPLY_SECONDS
+        )
+        status, body = self._call("GET", "/Configuration.Describe", None)
+        if status != 200:
+            return
+        found = json.loads(body)
+        if found["version"] < floor:
+            check.violations.append(f"read {found['version']} after {floor}")
+        if found != self._world.versions.documents[found["version"]]:
+            check.violations.append(f"read other content: {found}"[:300])
+
+    def _call(self, method, path, doc):
+        number = self._rng.choice(faults_lib.VMS)
+        address = f"{platform_lib.control_ip(number)}:{platform_lib.CONTROL}"
+        body = json.dumps(doc) if doc is not None else None
+        try:
+            status, _, data = self._world.plat.call(
+                address, method, path, body, t=1.5
+            )
+        except (OSError, http.client.HTTPException):
+            return 0, b""
+        return status, data
+
+
+class Caller(threading.Thread):
+    """Asks one entry by routes and keys that only some versions have."""
+
+    def __init__(self, *, world, number, vm):
+        super().__init__(name=f"caller-{number}")
+        self._rng = random.Random(f"{world.seed}/caller/{number}")
+        self._world = world
+        self._number = number
+        self._vm = vm
+        self._sent = 0
+        self._conn = None
+
+    def run(self):
+        """Send requests until the soak stops."""
+        while not self._world.stopping.is_set():
+            self._ask()
+            time.sleep(self._rng.uniform(0, 2 * PAUSE_SECONDS))
+
+    def _draw(self):
+        versions = self._world.check.sent_versions()[-6:]
+        version = self._rng.choice(versions)
+        key = platform_lib.KEY
+        kind = self._rng.choice(("first", "moved", "route", "key", "invalid"))
+        match kind:
+            case "moved":
+                return kind, "/moved/x", key
+            case "route":
+                return kind, f"/v{version}/x", key
+            case "key":
+                return kind, "/safe/x", f"key-{version}"
+            case "invalid":
+                return kind, "/invalid/x", key
+        return kind, "/safe/x", key
+
+    def _ask(self):
+        kind, path, key = self._draw()
+        world = self._world
+        # A request is judged by the start that it was sent to and answered by.
+        start = world.faults.count_launches(f"entry-{self._vm}")
+        sent_at = time.monotonic()
+        got = self._send(path, key)
+        ended_at = time.monotonic()
+        if got is None:
+            return
+        status, service = got
+        world.outcomes[kind, status] += 1
+        if status not in (200, 401, 404):
+            return
+        if start != world.faults.count_launches(f"entry-{self._vm}"):
+            return
+        sent = world.check.sent_versions()
+        allowed = frozenset(
+            v
+            for v in sent
+            if world.versions.allows(v, path, key) == (status, service)
+        )
+        world.check.record_decision(
+            configuration_check.Decision(
+                vm=self._vm,
+                start=start,
+                sent_at=sent_at,
+                ended_at=ended_at,
+                what=f"{path} {key} {status} {service}",
+                versions=allowed,
+            )
+        )
+
+    def _send(self, path, key):
+        self._sent += 1
+        if self._conn is None or self._rng.random() < 0.2:
+            self._close()
+            self._conn = http.client.HTTPConnection(
+                platform_lib.control_ip(self._vm),
+                platform_lib.CALLERS,
+                timeout=CALL_SECONDS,
+            )
+        headers = {
+            "Host": platform_lib.HOST,
+            "Attempt-Id": f"{self._number}-{self._sent}",
+            "Deadline-Ms": str(round(CALL_SECONDS * 1000)),
+            "Authorization": f"Bearer {key}",
+        }
+        try:
+            self._conn.request("GET", path, headers=headers)
+            resp = self._conn.getresponse()
+            resp.read()
+        except (OSError, http.client.HTTPException):
+            self._close()
+            return None
+        signature = resp.getheader("Server-Signature") or ""
+        if resp.will_close:
+            self._close()
+        return resp.status, SERVICES.get(signature, "")
+
+    def _close(self):
+        if self._conn is not None:
+            self._conn.close()
+        self._conn = None
+
+
+class ConfigurationWorld:
+    """Processes, operators, callers and faults of one run."""
+
+    TARGETS = ()
+    EVENTS = 0
+
+    def __init__(self, *, seed, folder, callers=6):
+        self.seed = seed
+        self.began = time.monotonic()
+        self.stopping = threading.Event()
+        self.plat = platform_lib.Platform(folder)
+        self.proxies = proxy_lib.ProxySet()
+        self.ledger = ledger_lib.Ledger(events=0)
+        self.check = configuration_check.ConfigurationCheck()
+        self.versions = Versions()
+        self.outcomes = collections.Counter()
+        self.faults = ConfigurationFaults(world=self)
+        self._last_version = 7
+        self._lock = threading.Lock()
+        self._operators = [Operator(world=self, number=n) for n in (1, 2)]
+        self._callers = [
+            Caller(world=self, number=n, vm=faults_lib.VMS[n % 3])
+            for n in range(callers)
+        ]
+        self.summary = ""
+
+    def next_version(self):
+        """Return a version above all earlier ones."""
+        with self._lock:
+            self._last_version += 1
+            return self._last_version
+
+    def run(self, seconds):
+        """Run for some seconds and return the violations found."""
+        threads = [*self._operators, *self._callers, self.faults]
+        try:
+            self._start()
+            for thread in threads:
+                thread.start()
+            time.sleep(seconds)
+            self.faults.stop()
+            time.sleep(2 * configuration_check.STABLE_SECONDS)
+            self.stopping.set()
+            for thread in (*self._operators, *self._callers):
+                thread.join()
+            self._settle()
+        finally:
+            self.stopping.set()
+            self.plat.stop_all()
+            self.proxies.stop()
+        found = self.check.find_violations(self._is_in_touch)
+        decided = len(self.check.decisions)
+        self.summary = (
+            f"{len(self.check.sent_versions())} versions, {decided} decisions,"
+            f" {dict(self.outcomes)}"
+        )
+        return self.ledger.violations + found
+
+    def _start(self):
+        self.plat.start_all()
+        for number, service in TARGETS.items():
+            self.plat.start_target(number, service, events=3)
+        operator = self._operators[0]
+        self.plat.wait(
+            "a configuration", lambda: operator.send(self.next_version())
+        )
+        for number in faults_lib.VMS:
+            self.plat.wait("ready", lambda n=number: self.plat.ready(n))
+
+    def _settle(self):
+        """Check that the newest version is in force everywhere and read."""
+        operator = self._operators[0]
+        self.plat.wait(
+            "an acknowledgement",
+            lambda: operator.send(self.next_version()),
+            RECOVER_SECONDS,
+        )
+        newest = self.check.newest_acknowledged(time.monotonic())
+        time.sleep(configuration_check.APPLY_SECONDS)
+        for number in faults_lib.VMS:
+            status, _, _ = self.plat.request(
+                number, f"/v{newest}/x", f"end-{number}"
+            )
+            if status != 200:
+                self.check.violations.append(
+                    f"vm-{number}: {status} on the newest route at the end"
+                )
+            status, body = self.plat.describe(number)
+            found = json.loads(body)["version"] if status == 200 else status
+            if found != newest:
+                self.check.violations.append(
+                    f"vm-{number}: read {found} at the end, not {newest}"
+                )
+
+    def _is_in_touch(self, vm, begin, end):
+        names = [f"entry-{vm}", *[f"control-{n}" for n in faults_lib.VMS]]
+        log = self.faults.disturbances
+        return not any(log.was_disturbed(name, begin, end) for name in names)
+
+    def tell(self, number, **what):
+        """Targets are not disturbed in this soak."""
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -3,6 +3,7 @@
 from behave import then
 from behave import when
 
+from features.soak import configuration_world
 from features.soak import parts_world
 from features.soak import world as world_lib
 
@@ -25,6 +26,17 @@
     context.violations = context.world.run(seconds)
 
 
+@when(
+    "the soak with changing configurations runs seed {seed:d} for {seconds:g}"
+    " seconds"
+)
+def step_soak_configurations(context, seed, seconds):
+    context.world = configuration_world.ConfigurationWorld(
+        seed=seed, folder=context.folder
+    )
+    context.violations = context.world.run(seconds)
+
+
 @then("no invariant was violated")
 def step_no_violation(context):
     assert not context.violations, [
--- a/script/soak.py
+++ b/script/soak.py
@@ -9,6 +9,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
+from features.soak import configuration_world  # noqa: E402
 from features.soak import parts_world  # noqa: E402
 from features.soak import world as world_lib  # noqa: E402
 
@@ -29,19 +30,28 @@
         action="store_true",
         help="targets crash on parts of prompts",
     )
+    parser.add_argument(
+        "--configurations",
+        action="store_true",
+        help="two operators change the configuration all the time",
+    )
     args = parser.parse_args()
     failed = []
     for seed in range(args.first, args.first + args.seeds):
         folder = tempfile.mkdtemp(prefix=f"jasperweir-soak-{seed}-")
         world: Any
-        if args.parts:
+        if args.configurations:
+            world = configuration_world.ConfigurationWorld(
+                seed=seed, folder=folder
+            )
+        elif args.parts:
             world = parts_world.PartsWorld(seed=seed, folder=folder)
         else:
             world = world_lib.World(seed=seed, folder=folder, asks=args.asks)
         broken = world.run(args.seconds)
         summary = (
             world.summary
-            if args.parts
+            if args.parts or args.configurations
             else f"served {dict(world.ledger.served())}"
         )
         print(f"seed {seed}: {len(broken)} broken, {summary}", flush=True)
