--- a/jasperweir/components/configctl/node.py
+++ b/jasperweir/components/configctl/node.py
@@ -271,7 +271,10 @@
         """
         if soft_state:
             self.discovery.restore(soft_state, now)
-        return self._process_actions(
+        loaded = self.machine.declared().version
+        # The snapshot may hold the newest version.
+        out: Actions = [NewVersion(version=loaded)] if loaded else []
+        return out + self._process_actions(
             self.voter.restore_commit(commit_hint), now
         )
 
