Guards of confirmations; a guard that breaks the loading proves nothing

At first all were 'proved' within seconds, without a failed scenario: the copy in which guards are removed lacked script/, which the steps of known_red.feature import, so no feature was loaded. script/ is copied now, and a guard whose removal fails no scenario counts as not proved. One guard then stayed green (a suspension voids what was asked before); confirmation.feature has a row for it.

--- a/features/confirmation.feature
+++ b/features/confirmation.feature
@@ -36,6 +36,7 @@
       | hears of version 10            | 101.4  | served  | refused |
       | hears of version 10            | 103.0  | refused | refused |
       | was suspended                  | 110.0  | held    | held    |
+      | asked and was suspended        | 110.0  | held    | held    |
       | was suspended and asked again  | 110.0  | served  | refused |
 
   Scenario: An entry that was never confirmed since its start serves nothing
--- a/features/steps/confirmation_steps.py
+++ b/features/steps/confirmation_steps.py
@@ -137,6 +137,9 @@
             notice = config_messages.VersionNotice(version=10)
             entry.client.receive("c2", notice, entry.now)
             entry.ask_until(until)
+        case "asked and was suspended":
+            entry.ask_until(101.4)
+            entry.now = until
         case "was suspended":
             entry.now = until
         case "was suspended and asked again":
--- a/script/bench_configuration.py
+++ b/script/bench_configuration.py
@@ -1,12 +1,14 @@
 """Measure how soon an acknowledged configuration is in force, per entry.
 
 Starts three control VMs and a number of entries as real processes, changes the
-configuration and asks each entry by the newest route until it is served.
+configuration and asks each entry by the newest route until it is served. With
+``--starts`` it measures how soon an entry is ready after its start.
 """
 
 import argparse
 import http.client
 import pathlib
+import signal
 import statistics
 import sys
 import tempfile
@@ -92,12 +94,43 @@
     return times
 
 
+def measure_starts(plat: platform_lib.Platform, count: int) -> None:
+    """Kill and start one entry, then all processes, some times each."""
+    everything = sorted(n for n in plat.procs if not n.startswith("target"))
+    for what, names in (("one entry", ["entry-1"]), ("all", everything)):
+        for _ in range(count):
+            time.sleep(2.0)
+            for name in names:
+                plat.signal(name, signal.SIGKILL)
+            for name in names:
+                plat.procs[name].wait(timeout=5)
+                role, _, number = name.partition("-")
+                plat.start(role, int(number), bootstrap=False)
+            time.sleep(2.0)
+            plat.wait("ready", lambda: plat.ready(1))
+        log = (plat.folder / "entry-1.log").read_text()
+        started, delays = 0.0, []
+        for line in log.splitlines():
+            at = float(line.partition('"at":')[2].partition(",")[0] or 0.0)
+            if '"event":"started"' in line:
+                started = at
+            elif '"event":"ready"' in line and started:
+                delays.append(at - started)
+                started = 0.0
+        delays = delays[-count:]
+        print(
+            f"start of {what}: ready after {statistics.median(delays):.3f} s"
+            f" at the median of {count}, {max(delays):.3f} s at worst"
+        )
+
+
 def main() -> int:
     """Run one size and print the delays."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--entries", type=int, default=10)
     parser.add_argument("--routes", type=int, default=20)
     parser.add_argument("--changes", type=int, default=10)
+    parser.add_argument("--starts", type=int, default=0)
     args = parser.parse_args()
     folder = tempfile.mkdtemp(prefix="jasperweir-configuration-")
     plat = platform_lib.Platform(folder)
@@ -112,6 +145,8 @@
         plat.wait("a configuration", lambda: plat.replace(1, doc) == 200, 60)
         askers = [Asker(n) for n in range(1, args.entries + 1)]
         wait_all(askers, 1, 120.0)
+        if args.starts:
+            measure_starts(plat, args.starts)
         worst = []
         for version in range(2, args.changes + 2):
             doc = make_document(version, args.routes)
--- a/script/guards.py
+++ b/script/guards.py
@@ -11,6 +11,7 @@
 import guard as guard_lib
 import guards_answers
 import guards_backpressure
+import guards_confirmation
 import guards_evacuation
 import guards_groups
 import guards_order
@@ -22,10 +23,13 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PARTS = (
-    "jasperweir", "platform", "standins", "features", "pyproject.toml",
-    "examples",
+    "script", "jasperweir", "platform", "standins", "features", "examples",
+    "pyproject.toml",
 )  # fmt: skip
 RUN_SECONDS = 90
+STAYED_GREEN = "STAYED GREEN"
+NOT_FOUND = "GUARD NOT FOUND"
+NO_SCENARIO = "BROKE WITHOUT A FAILED SCENARIO"
 C = "jasperweir/components/"
 Guard = guard_lib.Guard
 
@@ -422,6 +426,7 @@
     *GUARDS,
     *guards_answers.GUARDS,
     *guards_backpressure.GUARDS,
+    *guards_confirmation.GUARDS,
     *guards_evacuation.GUARDS,
     *guards_groups.GUARDS,
     *guards_order.GUARDS,
@@ -446,7 +451,7 @@
         path = copy / guard.file
         code = path.read_text(encoding="utf-8")
         if guard.text not in code:
-            return guard, "GUARD NOT FOUND"
+            return guard, NOT_FOUND
         path.write_text(
             code.replace(guard.text, guard.without, 1), encoding="utf-8"
         )
@@ -465,11 +470,12 @@
         except subprocess.TimeoutExpired:
             return guard, "a scenario never ended"
     if done.returncode == 0:
-        return guard, "STAYED GREEN"
+        return guard, STAYED_GREEN
     for line in done.stdout.decode().splitlines():
         if line.strip().startswith("features/") and "  " in line:
             return guard, line.strip().split("  ", 1)[1].strip()
-    return guard, "broke without a failed scenario"
+    # The features may not even have been loaded.
+    return guard, NO_SCENARIO
 
 
 def lost() -> list[Guard]:
@@ -502,7 +508,7 @@
     green = 0
     with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
         for guard, verdict in pool.map(check, chosen):
-            bad = verdict in ("STAYED GREEN", "GUARD NOT FOUND")
+            bad = verdict in (STAYED_GREEN, NOT_FOUND, NO_SCENARIO)
             green += bad
             print(f"{'!!' if bad else 'ok'} {guard.name}: {verdict}")
             rows.append(f"| {guard.name} | {verdict} |")
--- /dev/null
+++ b/script/guards_confirmation.py
@@ -0,0 +1,64 @@
+"""Guards of the confirmation of configurations."""
+
+import guard as guard_lib
+
+C = "jasperweir/components/"
+Guard = guard_lib.Guard
+
+GUARDS = (
+    Guard("a confirmation expires", C + "confirmation/const.py",
+          "VALID_SECONDS = 1.5", "VALID_SECONDS = 10.0",
+          "configuration_matrix"),
+    Guard("a confirmation is dated by its request", C + "discovery/client.py",
+          "as_of=sent_at - msg.confirmed_age_s,", "as_of=now,",
+          "confirmation"),
+    Guard("an answer to another process confirms nothing",
+          C + "confirmation/rounds.py",
+          "        self._next = first\n", "        self._next = 1\n",
+          "confirmation"),
+    Guard("the age of a confirmation counts", C + "discovery/client.py",
+          "as_of=sent_at - msg.confirmed_age_s,", "as_of=sent_at,",
+          "confirmation"),
+    Guard("control VMs pass confirmations on",
+          C + "configctl/discovery_server.py",
+          "        if age_s >= confirmation_const.VALID_SECONDS:",
+          "        if not log_status.certain:", "configuration_matrix"),
+    Guard("a start waits for a confirmation", C + "confirmation/tracker.py",
+          "        if not self._was_current:\n"
+          "            return Standing.UNKNOWN\n", "",
+          "outdated_configuration"),
+    Guard("a newer version that is known is not ignored",
+          C + "confirmation/tracker.py",
+          "return Standing.OUTDATED if is_outdated else "
+          "Standing.UNCONFIRMED",
+          "return Standing.UNCONFIRMED", "confirmation"),
+    Guard("a suspension voids what was asked before",
+          C + "confirmation/tracker.py",
+          "last is not None and now - last >= const.SUSPENDED_SECONDS",
+          "False", "confirmation"),
+    Guard("a denial is final by the newest version only",
+          C + "discovery/version_basis.py",
+          "return is_current and self.newest <= self.version",
+          "return is_current", "confirmation"),
+    Guard("a version is held once it is in force",
+          C + "discovery/client.py",
+          "                if msg.version > self.version:\n",
+          "                self.confirmations.hold(msg.version, now)\n"
+          "                if msg.version >= self.version:\n",
+          "outdated_configuration"),
+    Guard("waiting requests are matched again", C + "forward/forwarder.py",
+          "            if exchange.is_waiting:\n",
+          "            if False:\n", "confirmation"),
+    Guard("repeated requests are matched again", C + "forward/forwarder.py",
+          "        match self.intake.match_again(exchange):\n"
+          "            case matching.Denial() as denial:\n"
+          "                exchange.fail(denial.code)\n"
+          "                return\n",
+          "        match None:\n"
+          "            case matching.Denial() as denial:\n"
+          "                exchange.fail(denial.code)\n"
+          "                return\n", "confirmation"),
+    Guard("a snapshot's configuration is applied", C + "configctl/node.py",
+          "[NewVersion(version=loaded)] if loaded else []", "[]",
+          "outdated_configuration"),
+)  # fmt: skip
