Soak of configurations: callers also ask by routes and keys long dropped

The judge was blind: callers drew from the six newest versions, so an entry that was seconds behind was never asked by what is long dropped.

--- a/features/soak/configuration_world.py
+++ b/features/soak/configuration_world.py
@@ -233,8 +233,9 @@
             time.sleep(self._rng.uniform(0, 2 * PAUSE_SECONDS))
 
     def _draw(self):
-        versions = self._world.check.sent_versions()[-6:]
-        version = self._rng.choice(versions)
+        # An entry that is seconds behind still serves what is long dropped.
+        versions = self._world.check.sent_versions()
+        version = self._rng.choice(versions[-self._rng.choice((6, 60)) :])
         key = platform_lib.KEY
         kind = self._rng.choice(("first", "moved", "route", "key", "invalid"))
         match kind:
