--- a/features/confirmation.feature
+++ b/features/confirmation.feature
@@ -66,6 +66,12 @@
       | plain   | repeats | drops its route            | answered 502           |
       | plain   | repeats | revokes its key            | answered 502           |
 
+    # Guards against a stream that is joined from two services.
+    Examples: Streams whose target broke off midway
+      | kind    | state          | change             | outcome                |
+      | stream  | repeats midway | moves its route    | broken off visibly     |
+      | stream  | repeats midway | drops its route    | broken off visibly     |
+
     Examples: Requests held until the configuration is known
       | kind    | state   | change                     | outcome                |
       | plain   | is held | moves its route            | run by the new service |
--- a/features/steps/confirmation_steps.py
+++ b/features/steps/confirmation_steps.py
@@ -225,6 +225,20 @@
     )
 
 
+class Breaking(hop.Target):
+    """Breaks off after some events."""
+
+    async def _serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        self.requests += 1
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n")
+        writer.write(b"Transfer-Encoding: chunked\r\n\r\n")
+        writer.write(b"10\r\nid: 1\ndata: xy\n\n\r\n")
+        await writer.drain()
+        await asyncio.sleep(hop.SETTLE_SECONDS)
+        writer.close()
+
+
 class Admitted:
     """A request that is waiting, repeated or held."""
 
@@ -261,9 +275,19 @@
         answering.on_paused = answering.on_writable = lambda: None
         if self.state == "is held":
             self.standing = Standing.AWAITING
-        if self.state == "repeats":
-            # The retry is charged to the service that gets it.
-            forwarder._budget.count_first("t", forwarder.now())
+        # A retry is charged to the service that gets it.
+        forwarder._budget.count_first("t", forwarder.now())
+        if self.state == "repeats midway":
+            breaking = Breaking(stops_after=1)
+            await breaking.start()
+            self.announce("breaking", breaking, "s")
+            forwarder.handle(answering)
+            while not answering.body:
+                await asyncio.sleep(0.01)
+            self._change(changed, new)
+            await asyncio.sleep(2 * hop.SETTLE_SECONDS)
+            breaking.close()
+        elif self.state == "repeats":
             ending.on_request = lambda: self._change(changed, new)
             self.announce("ending", ending, "s")
             forwarder.handle(answering)
@@ -314,6 +338,13 @@
     assert context.runs == (1, 0), context.runs
 
 
+@then("the request is broken off visibly")
+def step_broken_off(context):
+    assert context.answering.done and not context.answering.whole
+    assert context.answering.ids() == [1], context.answering.body
+    assert context.runs == (0, 0), context.runs
+
+
 @then("the request is answered {status:d}")
 def step_status(context, status):
     assert context.answering.done
--- a/jasperweir/components/configctl/discovery_server.py
+++ b/jasperweir/components/configctl/discovery_server.py
@@ -389,16 +389,9 @@
         self.controls[src] = now
         self._control_heartbeats[src] = msg
         self._echoes[src] = msg.round
-        sent_at = self._rounds.find_start(msg.echo)
-        if sent_at is not None and msg.confirmed_age_s >= 0:
-            self.confirmations.confirm(
-                tracker_lib.Confirmation(
-                    version=msg.confirmed_version,
-                    as_of=sent_at - msg.confirmed_age_s,
-                    source=src,
-                ),
-                now,
-            )
+        confirmation = self._rounds.date_confirmation(src, msg)
+        if confirmation is not None:
+            self.confirmations.confirm(confirmation, now)
         for name in msg.controls:
             self.controls.setdefault(name, float("-inf"))
         out: Actions = []
--- a/jasperweir/components/confirmation/rounds.py
+++ b/jasperweir/components/confirmation/rounds.py
@@ -3,6 +3,8 @@
 import collections
 
 from jasperweir.components.confirmation import const
+from jasperweir.components.confirmation import tracker
+from jasperweir.components.directory import records
 
 
 class Rounds:
@@ -40,3 +42,20 @@
     def find_start(self, number: int) -> float | None:
         """Return when a round started, monotonic seconds; None if unknown."""
         return self._sent_at.get(number)
+
+    def date_confirmation(
+        self, src: str, msg: records.ControlHeartbeat
+    ) -> tracker.Confirmation | None:
+        """Return the confirmation in an answer, dated by its request.
+
+        Returns:
+            None if there is none, or if the request is unknown.
+        """
+        sent_at = self.find_start(msg.echo)
+        if sent_at is None or msg.confirmed_age_s < 0:
+            return None
+        return tracker.Confirmation(
+            version=msg.confirmed_version,
+            as_of=sent_at - msg.confirmed_age_s,
+            source=src,
+        )
--- a/jasperweir/components/discovery/client.py
+++ b/jasperweir/components/discovery/client.py
@@ -413,20 +413,13 @@
         msg: records.ControlHeartbeat,
         now: float,
     ) -> None:
-        """Date a confirmation by the heartbeat that this one answers."""
-        sent_at = self._rounds.find_start(msg.echo)
-        if sent_at is None or msg.confirmed_age_s < 0:
+        """Use the confirmation in an answer to a heartbeat."""
+        confirmation = self._rounds.date_confirmation(src, msg)
+        if confirmation is None:
             return
-        if not msg.confirmed_age_s:
-            control.led_at = max(control.led_at, sent_at)
-        self.confirmations.confirm(
-            tracker_lib.Confirmation(
-                version=msg.confirmed_version,
-                as_of=sent_at - msg.confirmed_age_s,
-                source=src,
-            ),
-            now,
-        )
+        if src == msg.leader and not msg.confirmed_age_s:
+            control.led_at = max(control.led_at, confirmation.as_of)
+        self.confirmations.confirm(confirmation, now)
 
     def _apply_evacuations(
         self, revision: int, places: tuple[str, ...]
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -225,8 +225,11 @@
     def index(self, index: index_lib.DeploymentIndex | None) -> None:
         self.intake.index = index
         for exchange in list(self._open_exchanges.values()):
-            if exchange.is_waiting:
-                self._match_again(exchange)
+            if not exchange.is_waiting:
+                continue
+            has_moved = self._match_again(exchange)
+            if has_moved and not exchange.done:
+                self._send_or_queue(exchange, self.now())
 
     def start_exchange(
         self,
@@ -243,15 +246,24 @@
         )
         self.admit(exchange)
 
-    def _match_again(self, exchange: exchange_lib.Exchange) -> None:
-        """Decide on a waiting request by the configuration now in force."""
+    def _match_again(self, exchange: exchange_lib.Exchange) -> bool:
+        """Decide on an admitted request by the configuration now in force.
+
+        One that is denied ends.
+
+        Returns:
+            Whether its route leads to another service.
+        """
         match self.intake.match_again(exchange):
             case matching.Denial() as denial:
                 exchange.fail(denial.code)
+            case matching.Moved() if not exchange.state.can_change_service:
+                exchange.fail(Code.BROKEN_OFF)
             case matching.Moved() as moved:
                 self.queues.remove(exchange)
                 exchange.service = moved.service
-                self._send_or_queue(exchange, self.now())
+                return True
+        return False
 
     # Target selection.
 
@@ -382,16 +394,9 @@
     def retry(self, exchange: exchange_lib.Exchange) -> None:
         """Send a request to another target if the retry budget allows."""
         now = self.now()
-        match self.intake.match_again(exchange):
-            case matching.Denial() as denial:
-                exchange.fail(denial.code)
-                return
-            case matching.Moved() as moved:
-                if not exchange.state.can_change_service:
-                    exchange.fail(Code.BROKEN_OFF)
-                    return
-                self.queues.remove(exchange)
-                exchange.service = moved.service
+        self._match_again(exchange)
+        if exchange.done:
+            return
         if self._outages.get(exchange.service).is_active(now):
             # Another target would refuse the request as well.
             exchange.fail(Code.TARGETS_REFUSED)
--- a/jasperweir/components/forward/request_state.py
+++ b/jasperweir/components/forward/request_state.py
@@ -165,7 +165,7 @@
     @property
     def can_change_service(self) -> bool:
         """Whether targets of another service may answer the request."""
-        return not self.response_started and not self.last_event_id
+        return not self.response_started
 
     @property
     def max_wait_s(self) -> float:
--- a/script/guards_confirmation.py
+++ b/script/guards_confirmation.py
@@ -10,13 +10,15 @@
           "VALID_SECONDS = 1.5", "VALID_SECONDS = 10.0",
           "configuration_matrix"),
     Guard("a confirmation is dated by its request", C + "discovery/client.py",
-          "as_of=sent_at - msg.confirmed_age_s,", "as_of=now,",
+          "        self.confirmations.confirm(confirmation, now)",
+          "        self.confirmations.confirm(\n"
+          "            confirmation._replace(as_of=now), now)",
           "confirmation"),
     Guard("an answer to another process confirms nothing",
           C + "confirmation/rounds.py",
           "        self._next = first\n", "        self._next = 1\n",
           "confirmation"),
-    Guard("the age of a confirmation counts", C + "discovery/client.py",
+    Guard("the age of a confirmation counts", C + "confirmation/rounds.py",
           "as_of=sent_at - msg.confirmed_age_s,", "as_of=sent_at,",
           "confirmation"),
     Guard("control VMs pass confirmations on",
@@ -47,17 +49,18 @@
           "                if msg.version >= self.version:\n",
           "outdated_configuration"),
     Guard("waiting requests are matched again", C + "forward/forwarder.py",
-          "            if exchange.is_waiting:\n",
-          "            if False:\n", "confirmation"),
+          "            if not exchange.is_waiting:\n",
+          "            if True:\n", "confirmation"),
+    Guard("a stream is not joined from two services",
+          C + "forward/forwarder.py",
+          "            case matching.Moved() if not "
+          "exchange.state.can_change_service:\n"
+          "                exchange.fail(Code.BROKEN_OFF)\n", "",
+          "confirmation"),
     Guard("repeated requests are matched again", C + "forward/forwarder.py",
-          "        match self.intake.match_again(exchange):\n"
-          "            case matching.Denial() as denial:\n"
-          "                exchange.fail(denial.code)\n"
-          "                return\n",
-          "        match None:\n"
-          "            case matching.Denial() as denial:\n"
-          "                exchange.fail(denial.code)\n"
-          "                return\n", "confirmation"),
+          "        self._match_again(exchange)\n"
+          "        if exchange.done:\n", "        if exchange.done:\n",
+          "confirmation"),
     Guard("a snapshot's configuration is applied", C + "configctl/node.py",
           "[NewVersion(version=loaded)] if loaded else []", "[]",
           "outdated_configuration"),
