Admitted requests are sent only by a version that may be acted on

A request that waited for a slot, or was repeated after its target broke off, was matched again only once another version was in force: while a newer version was known and its content missing, and right after a suspension, it was sent by the old one, although a new request was refused or held in that state. A request whose connection was still being opened went to the service of the old version as well.

Cause: the standing of the version was asked at arrival only.

Change: forward/rematcher.py (out of the forwarder) decides on admitted requests. Streams are not moved to another target in these states.

--- a/features/confirmation.feature
+++ b/features/confirmation.feature
@@ -59,6 +59,15 @@
       | plain   | waits   | revokes its key            | answered 401           |
       | plain   | waits   | adds another route and key | run by its service     |
 
+    # Guards against a version that changes while a connection is opened.
+    Examples: Requests whose connection to a target is being opened
+      | kind    | state    | change                     | outcome                |
+      | plain   | connects | moves its route            | run by the new service |
+      | stream  | connects | moves its route            | run by the new service |
+      | plain   | connects | drops its route            | answered 404           |
+      | plain   | connects | revokes its key            | answered 401           |
+      | plain   | connects | adds another route and key | run by its service     |
+
     Examples: Requests whose first target broke off
       | kind    | state   | change                     | outcome                |
       | plain   | repeats | moves its route            | run by the new service |
@@ -79,3 +88,35 @@
       | plain   | is held | drops its route            | answered 404           |
       | plain   | is held | revokes its key            | answered 401           |
       | plain   | is held | adds another route and key | run by its service     |
+
+  # Guards against requests that are sent by a version known to be outdated.
+  Scenario Outline: A <kind> request that <state> is not sent by an outdated version
+    Given a forwarder with a <kind> request that <state>
+    When a newer version is announced and does not arrive
+    Then the request is <outcome>
+
+    Examples:
+      | kind    | state          | outcome                                          |
+      | plain   | waits          | refused with the code configuration_unconfirmed  |
+      | stream  | waits          | refused with the code configuration_unconfirmed  |
+      | resumed | waits          | refused with the code configuration_unconfirmed  |
+      | plain   | repeats        | answered 502                                     |
+      | stream  | repeats        | answered 502                                     |
+      | stream  | repeats midway | broken off visibly                               |
+
+  # Guards against requests that were admitted before a suspension.
+  Scenario Outline: A <kind> request that <state> is not sent before the configuration is known
+    Given a forwarder with a <kind> request that <state>
+    When the entry awakes and then gets a version that <change>
+    Then the request is <outcome>
+
+    Examples:
+      | kind    | state   | change                     | outcome                |
+      | plain   | waits   | moves its route            | run by the new service |
+      | stream  | waits   | moves its route            | run by the new service |
+      | resumed | waits   | drops its route            | answered 404           |
+      | plain   | waits   | revokes its key            | answered 401           |
+      | plain   | waits   | adds another route and key | run by its service     |
+      | plain   | repeats | moves its route            | run by the new service |
+      | stream  | repeats | moves its route            | run by the new service |
+      | plain   | repeats | drops its route            | answered 502           |
--- a/features/steps/confirmation_steps.py
+++ b/features/steps/confirmation_steps.py
@@ -8,6 +8,7 @@
 
 from features.harness import hop
 from features.harness import site as site_lib
+from jasperweir import result_codes
 from jasperweir.components.configctl import messages as config_messages
 from jasperweir.components.confirmation import tracker as tracker_lib
 from jasperweir.components.deployment import index as index_lib
@@ -249,10 +250,30 @@
         self.state = state
         self.dialect = Dialect("2" if kind == "resumed" else "")
         self.standing = Standing.CURRENT
+        self.was_suspended = False
 
     def describe(self):
         return version_basis.VersionBasis(standing=self.standing)
 
+    async def _learn(self, changed):
+        """Bring another version, or the news of it, to the entry.
+
+        Args:
+            changed: Changes of the version, None if it does not arrive.
+        """
+        self.announce("old", self.one.other, "s")
+        self.announce("new", self.new, "t")
+        if changed is None:
+            self.standing = Standing.OUTDATED
+            return
+        if self.was_suspended:
+            self.standing = Standing.AWAITING
+            for _ in range(5):
+                self.one.forwarder.tick()
+                await asyncio.sleep(0.02)
+        self.one.forwarder.index = make_index(2, kind=self.kind, **changed)
+        self.standing = Standing.CURRENT
+
     def announce(self, name, target, service):
         found = site_lib.target(target_id=name, address=target.address)
         self.one.directory.merge(
@@ -267,10 +288,11 @@
         forwarder.dialect = self.dialect
         forwarder.intake.describe_version = self.describe
         forwarder.index = make_index(1, kind=self.kind)
-        new = hop.Target(stops_after=hop.EVENTS)
+        self.new = new = hop.Target(stops_after=hop.EVENTS)
         await new.start()
         ending = hop.Ending(listens=True)
         await ending.start()
+        tasks = []
         answering = hop.Answering()
         answering.on_paused = answering.on_writable = lambda: None
         if self.state == "is held":
@@ -284,19 +306,26 @@
             forwarder.handle(answering)
             while not answering.body:
                 await asyncio.sleep(0.01)
-            self._change(changed, new)
+            await self._learn(changed)
             await asyncio.sleep(2 * hop.SETTLE_SECONDS)
             breaking.close()
         elif self.state == "repeats":
-            ending.on_request = lambda: self._change(changed, new)
+            # The target ends before another version can arrive.
+            ending.on_request = lambda: tasks.append(
+                asyncio.ensure_future(self._learn(changed))
+            )
             self.announce("ending", ending, "s")
             forwarder.handle(answering)
+        elif self.state == "connects":
+            self.announce("old", one.other, "s")
+            forwarder.handle(answering)
+            assert forwarder.balancer.count_at("old", forwarder.now())
+            await self._learn(changed)
         else:
             forwarder.handle(answering)
             await asyncio.sleep(hop.SETTLE_SECONDS)
             assert not answering.done and not answering.body
-            self._change(changed, new)
-            self.standing = Standing.CURRENT
+            await self._learn(changed)
         for _ in range(40):
             forwarder.tick()
             await asyncio.sleep(0.02)
@@ -306,25 +335,37 @@
         ending.close()
         return answering, runs
 
-    def _change(self, changed, new):
-        self.announce("old", self.one.other, "s")
-        self.announce("new", new, "t")
-        self.one.forwarder.index = make_index(2, kind=self.kind, **changed)
-
 
 @given("a forwarder with a {kind} request that {state}")
 def step_admitted(context, kind, state):
     context.admitted = Admitted(kind=kind, state=state)
 
 
+CHANGES = {
+    "moves its route": {"service": "t"},
+    "drops its route": {"has_route": False},
+    "revokes its key": {"has_key": False},
+    "adds another route and key": {},
+}
+
+
 @when("a version comes into force that {change}")
 def step_change(context, change):
-    changed = {
-        "moves its route": {"service": "t"},
-        "drops its route": {"has_route": False},
-        "revokes its key": {"has_key": False},
-        "adds another route and key": {},
-    }[change]
+    change_version(context, CHANGES[change])
+
+
+@when("a newer version is announced and does not arrive")
+def step_announced(context):
+    change_version(context, None)
+
+
+@when("the entry awakes and then gets a version that {change}")
+def step_awakes(context, change):
+    context.admitted.was_suspended = True
+    change_version(context, CHANGES[change])
+
+
+def change_version(context, changed):
     context.answering, context.runs = asyncio.run(context.admitted.run(changed))
 
 
@@ -350,3 +391,13 @@
     assert context.answering.done
     assert context.answering.replied[0] == status, context.answering.replied
     assert context.runs == (0, 0), context.runs
+
+
+@then("the request is refused with the code {name}")
+def step_code(context, name):
+    assert context.answering.done
+    status, headers = context.answering.replied[:2]
+    code = b"%d" % int(result_codes.Code[name.upper()])
+    assert status == 503, status
+    assert dict(headers)[b"jasperweir-code"] == code, headers
+    assert context.runs == (0, 0), context.runs
--- a/jasperweir/components/forward/exchange.py
+++ b/jasperweir/components/forward/exchange.py
@@ -143,6 +143,13 @@
         assert self._target is not None
         now = self._forwarder.now()
         state = self.state
+        if not self._forwarder.rematcher.is_settled(self):
+            # Another version came into force while it was connecting.
+            self._forwarder.pool.release(_pool_key(self._target), conn)
+            self._release_slot()
+            self._forwarder.outcomes.on_not_sent(self, "version changed")
+            self._forwarder.retry(self)
+            return
         targets = self._forwarder.targets
         if targets.is_closed(self._target, now) or not (
             self._is_counted_cold or targets.warmup.try_count(self._target, now)
--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -21,13 +21,13 @@
 from jasperweir.components.forward import dialect as dialect_lib
 from jasperweir.components.forward import exchange as exchange_lib
 from jasperweir.components.forward import intake as intake_lib
-from jasperweir.components.forward import matching
 from jasperweir.components.forward import outcome_tracker
 from jasperweir.components.forward import pass_monitor
 from jasperweir.components.forward import quarantine_enforcer
 from jasperweir.components.forward import queues as queues_lib
 from jasperweir.components.forward import recorder as recorder_lib
 from jasperweir.components.forward import rejections
+from jasperweir.components.forward import rematcher as rematcher_lib
 from jasperweir.components.forward import request_state
 from jasperweir.components.forward import response_recorder
 from jasperweir.components.forward import return_detector
@@ -65,6 +65,7 @@
         admission: Policy on sending, queueing and rejecting requests.
         pool: Connections to targets.
         intake: Decisions on requests by the configuration in force.
+        rematcher: The same on admitted requests, before they are sent.
         on_work: Called when ``tick`` needs to run soon.
     """
 
@@ -141,6 +142,9 @@
             rng=rng,
         )
         self.queues.on_order_change = self._recorder.record_order
+        self.rematcher = rematcher_lib.Rematcher(
+            intake=self.intake, queues=self.queues
+        )
         self.quarantine = quarantine_enforcer.QuarantineEnforcer(
             clock=clock,
             quarantine=self.crash_detector.quarantine,
@@ -224,11 +228,25 @@
     @index.setter
     def index(self, index: index_lib.DeploymentIndex | None) -> None:
         self.intake.index = index
+        self.rematcher.is_due = True
+        self._rematch_waiting()
+
+    def _rematch_waiting(self) -> None:
+        """Match waiting requests again if the version in force has changed."""
+        if self.intake.is_awaiting:
+            return
+        if not self.rematcher.is_due and not self.intake.is_outdated:
+            return
+        self.rematcher.is_due = False
         for exchange in list(self._open_exchanges.values()):
-            if not exchange.is_waiting:
+            if not exchange.is_waiting or self.rematcher.is_held(exchange):
+                continue
+            has_moved = self.rematcher.rematch(exchange)
+            if not has_moved or exchange.done:
                 continue
-            has_moved = self._match_again(exchange)
-            if has_moved and not exchange.done:
+            if exchange.state.deliveries:
+                self.retry(exchange)
+            else:
                 self._send_or_queue(exchange, self.now())
 
     def start_exchange(
@@ -246,25 +264,6 @@
         )
         self.admit(exchange)
 
-    def _match_again(self, exchange: exchange_lib.Exchange) -> bool:
-        """Decide on an admitted request by the configuration now in force.
-
-        One that is denied ends.
-
-        Returns:
-            Whether its route leads to another service.
-        """
-        match self.intake.match_again(exchange):
-            case matching.Denial() as denial:
-                exchange.fail(denial.code)
-            case matching.Moved() if not exchange.state.can_change_service:
-                exchange.fail(Code.BROKEN_OFF)
-            case matching.Moved() as moved:
-                self.queues.remove(exchange)
-                exchange.service = moved.service
-                return True
-        return False
-
     # Target selection.
 
     def admit(self, exchange: exchange_lib.Exchange) -> None:
@@ -394,7 +393,10 @@
     def retry(self, exchange: exchange_lib.Exchange) -> None:
         """Send a request to another target if the retry budget allows."""
         now = self.now()
-        self._match_again(exchange)
+        if self.rematcher.hold(exchange, now):
+            self.on_work()
+            return
+        self.rematcher.rematch(exchange)
         if exchange.done:
             return
         if self._outages.get(exchange.service).is_active(now):
@@ -408,7 +410,9 @@
     @property
     def has_work(self) -> bool:
         """Whether ``tick`` has queues or measured passes to process."""
-        if self.intake.is_holding or self.queues.list_waiting_services():
+        if self.intake.is_holding or self.rematcher.is_holding:
+            return True
+        if self.queues.list_waiting_services():
             return True
         return bool(self.pass_monitor.limits.due())
 
@@ -421,12 +425,17 @@
         now = self.now()
         self.pass_monitor.tick(now)
         self.intake.tick()
+        self.rematcher.release(now, self.retry)
+        self._rematch_waiting()
         for service in self.queues.list_waiting_services():
             self._serve_queue(service, now)
         self.queues.publish(now)
 
     def _serve_queue(self, service: str, now: float) -> None:
-        """Send the admitted requests of a queue and reject the expired ones."""
+        """Send the admitted requests of a queue and reject the expired ones.
+
+        None is sent while an answer of the control VMs is awaited.
+        """
         wait_queue = self.queues.get(service).wait_queue
         if self.targets.are_all_evacuated(service, now):
             self._reject_evacuated(wait_queue.numbers())
@@ -434,9 +443,12 @@
         targets = self.targets.list_available(service, now)
         candidates = self._find_candidates(service, targets, now)
         is_starting = self._startup_grace.is_active(now)
-        for number in self.queues.admit(
-            service, candidates, now, is_starting=is_starting
-        ):
+        admitted = []
+        if not self.intake.is_awaiting:
+            admitted = self.queues.admit(
+                service, candidates, now, is_starting=is_starting
+            )
+        for number in admitted:
             exchange = self._open_exchanges.get(number)
             if exchange is not None:
                 self._send_within_budget(exchange, candidates, now)
@@ -496,6 +508,8 @@
     def _move_stream(self, exchange: exchange_lib.Exchange, now: float) -> None:
         targets = self.targets.list_available(exchange.service, now)
         candidates = self._find_candidates(exchange.service, targets, now)
+        if not self.rematcher.may_continue(exchange):
+            return
         if candidates.free_slots < 1 or not self._take_retry(exchange, now):
             return
         exchange.leave_target()
@@ -615,6 +629,9 @@
         # Otherwise slots are taken in ticks and by new requests only.
         if queue.order is None or not len(queue.wait_queue):
             return
+        if not self.intake.may_send:
+            self.on_work()
+            return
         if self._is_handing_over:
             # A request that is refused meanwhile would hand over in turn.
             self.on_work()
--- a/jasperweir/components/forward/intake.py
+++ b/jasperweir/components/forward/intake.py
@@ -33,6 +33,9 @@
 # Longest time for which a request is held while an answer of the control VMs
 # is awaited, seconds.
 HELD_SECONDS = 2 * confirmation_const.ANSWER_SECONDS
+_OUTDATED = matching.Denial(
+    Code.CONFIGURATION_UNCONFIRMED, "a newer version exists"
+)
 
 
 class RequestIntake:
@@ -188,12 +191,7 @@
         startup_deadline: float = _NEVER,
     ) -> None:
         if standing is Standing.OUTDATED:
-            self._turn_away(
-                answering,
-                headers,
-                Code.CONFIGURATION_UNCONFIRMED,
-                "a newer version exists",
-            )
+            self._turn_away(answering, headers, *_OUTDATED)
             return
         match = self._match(answering, headers)
         if isinstance(match, matching.Denial):
@@ -231,6 +229,24 @@
                 return match._replace(code=Code.CONFIGURATION_UNCONFIRMED)
         return match
 
+    @property
+    def may_send(self) -> bool:
+        """Whether admitted requests may be sent by the version in force."""
+        return self._get_standing() in (
+            Standing.CURRENT,
+            Standing.UNCONFIRMED,
+        )
+
+    @property
+    def is_awaiting(self) -> bool:
+        """Whether requests must wait for an answer of the control VMs."""
+        return self._get_standing() is Standing.AWAITING
+
+    @property
+    def is_outdated(self) -> bool:
+        """Whether a newer version exists that may decide otherwise."""
+        return self._get_standing() is Standing.OUTDATED
+
     def match_again(
         self, exchange: exchange_lib.Exchange
     ) -> matching.Denial | matching.Moved | None:
@@ -242,6 +258,8 @@
         """
         state = exchange.state
         index = self.index
+        if self.is_outdated:
+            return _OUTDATED
         if index is None or index.deployment.version == state.config_version:
             return None
         match = self._match(exchange.answering, state.caller_headers)
