Evacuated data centres are a part of what the leader confirms

An entry that heard only a control VM that lagged behind the log was current by its version and sent requests to an evacuated data centre more than 2 s after the acknowledgement; one that heard only a control VM without a disk never learned of the evacuation.

Cause: a confirmation named the version only. Control VMs without a disk have no list and announced an empty one.

Change: a confirmation carries the revision of the list too, and covers what an entry holds only if both are as new. Control VMs without a disk pass on the newest list that they heard.

--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -158,3 +158,26 @@
       | zones = {}                |        |
       | zones = 3                 |        |
       | region = "r"              |        |
+
+  # Guards against a confirmation that leaves out the evacuated data centres.
+  Scenario: An entry starts beside a control VM without the newest list
+    Given a site with committed version 9
+    And a control VM that gets heartbeats but no log entries
+    When an entry starts that hears only this control VM
+    Then no entry has let a request through without the newest list
+    And the new entry serves nothing yet
+    When the log entries arrive there
+    Then no entry has let a request through without the newest list
+    And the entry lets requests through with the newest list
+
+  Scenario: An entry hears only a control VM without a disk
+    Given a site whose control VM "c2" has no disk
+    When an entry hears only "c2" while a data centre is evacuated
+    Then no entry has let a request through without the newest list
+    And the entry lets requests through with the newest list
+
+  Scenario: A suspended entry awakes after a data centre was evacuated
+    Given a site with committed version 9
+    When an entry is suspended while a data centre is evacuated
+    Then no entry has let a request through without the newest list
+    And the entry lets requests through with the newest list
--- a/jasperweir/components/configctl/discovery_server.py
+++ b/jasperweir/components/configctl/discovery_server.py
@@ -121,6 +121,7 @@
         self._control_heartbeats: dict[str, records.ControlHeartbeat] = {}
         self.reported_version = 0
         self.reported_index = 0
+        self._reported_evacuations = ops.EvacuationList()
         self._unacked_updates: dict[int, float] = {}
         self._digest_tracker = digest_tracker.DigestTracker()
         # Targets that announced themselves here since the last refresh.
@@ -352,10 +353,14 @@
         if log_status.certain:
             self.confirmations.confirm(
                 tracker_lib.Confirmation(
-                    version=log_status.version, as_of=now, source=self._name
+                    version=log_status.version,
+                    as_of=now,
+                    source=self._name,
+                    evacuations=log_status.evacuations.revision,
                 ),
                 now,
             )
+        evacuations = max(log_status.evacuations, self._reported_evacuations)
         confirmed = self.confirmations.latest
         age_s = now - confirmed.as_of
         if age_s >= confirmation_const.VALID_SECONDS:
@@ -370,9 +375,10 @@
             nodes_digest=self.nodes.digest,
             leader=log_status.leader,
             term=log_status.term,
-            evacuations_revision=log_status.evacuations.revision,
-            evacuated=log_status.evacuations.places,
+            evacuations_revision=evacuations.revision,
+            evacuated=evacuations.places,
             confirmed_version=confirmed.version,
+            confirmed_evacuations=confirmed.evacuations,
             confirmed_age_s=age_s,
         )
 
@@ -385,6 +391,12 @@
     ) -> Actions:
         self.reported_version = max(self.reported_version, msg.version)
         self.reported_index = max(self.reported_index, msg.evacuations_revision)
+        if not self._keeps_log:
+            # It has no list of its own to pass on to entries.
+            self._reported_evacuations = max(
+                self._reported_evacuations,
+                ops.EvacuationList(msg.evacuations_revision, msg.evacuated),
+            )
         is_new = src not in self._control_heartbeats
         self.controls[src] = now
         self._control_heartbeats[src] = msg
--- a/jasperweir/components/confirmation/rounds.py
+++ b/jasperweir/components/confirmation/rounds.py
@@ -58,4 +58,5 @@
             version=msg.confirmed_version,
             as_of=sent_at - msg.confirmed_age_s,
             source=src,
+            evacuations=msg.confirmed_evacuations,
         )
--- a/jasperweir/components/confirmation/tracker.py
+++ b/jasperweir/components/confirmation/tracker.py
@@ -17,17 +17,19 @@
 
 
 class Confirmation(NamedTuple):
-    """Statement of the leader about the newest version.
+    """Statement of the leader about the newest committed state.
 
     Attributes:
-        version: Newest committed version.
+        version: Newest configuration version.
         as_of: When it was the newest, monotonic seconds of this process.
         source: Control VM that sent or passed on the statement.
+        evacuations: Newest revision of the list of evacuated data centres.
     """
 
     version: int
     as_of: float
     source: str
+    evacuations: int = 0
 
 
 class Standing(enum.Enum):
@@ -51,15 +53,20 @@
 class VersionTracker:
     """Tracks the version held, the newest known one, and confirmations.
 
+    The list of evacuated data centres counts as a part of the configuration.
+
     Attributes:
         held: Version in force, 0 before the first.
+        held_evacuations: Revision of the list of evacuated data centres.
         newest_known: Highest version known to be committed.
         latest: Newest confirmation, of any version.
     """
 
     def __init__(self) -> None:
         self.held = 0
+        self.held_evacuations = 0
         self.newest_known = 0
+        self._newest_evacuations = 0
         self.latest = Confirmation(version=0, as_of=_NEVER, source="")
         # Newest confirmation that covers the version held.
         self._covering = self.latest
@@ -75,6 +82,9 @@
         """Use a confirmation that was given or passed on."""
         self._note_activity(now)
         self._note_known(confirmation.version, now)
+        if confirmation.evacuations > self._newest_evacuations:
+            self._newest_evacuations = confirmation.evacuations
+            self._newer_since = now
         if confirmation.as_of > self.latest.as_of:
             self.latest = confirmation
         self._cover(confirmation, now)
@@ -85,6 +95,11 @@
         self.held = max(self.held, version)
         self._cover(self.latest, now)
 
+    def hold_evacuations(self, revision: int, now: float) -> None:
+        """Record that a list of evacuated data centres was put into force."""
+        self.held_evacuations = max(self.held_evacuations, revision)
+        self._cover(self.latest, now)
+
     def note_announced(self, version: int, now: float) -> None:
         """Record that a control VM holds a committed version."""
         self._note_activity(now)
@@ -124,7 +139,10 @@
             return Standing.CURRENT
         if not self._was_current:
             return Standing.UNKNOWN
-        is_outdated = self.newest_known > self.held
+        is_outdated = (
+            self.newest_known > self.held
+            or self._newest_evacuations > self.held_evacuations
+        )
         since = self._asked_at
         if is_outdated and since is not None:
             since = max(since, self._newer_since)
@@ -149,6 +167,8 @@
     def _cover(self, confirmation: Confirmation, now: float) -> None:
         if not self.held or confirmation.version > self.held:
             return
+        if confirmation.evacuations > self.held_evacuations:
+            return
         if confirmation.as_of > self._covering.as_of:
             self._covering = confirmation
         if self.age_s(now) < const.VALID_SECONDS:
--- a/jasperweir/components/directory/records.py
+++ b/jasperweir/components/directory/records.py
@@ -108,10 +108,12 @@
         nodes_digest: Digest of the entries that callers may use.
         leader: Name of the leader, or empty.
         term: Term of that leader.
-        evacuations_revision: Revision of the list of evacuated data centres,
-            0 if there never was one or the sender does not report it.
+        evacuations_revision: Revision of the newest list of evacuated data
+            centres that the sender knows, 0 if there never was one.
         evacuated: Evacuated data centres.
         confirmed_version: Newest committed version, as the leader confirmed.
+        confirmed_evacuations: Newest revision of the list of evacuated data
+            centres, as the leader confirmed.
         confirmed_age_s: Time since then, seconds; 0 from the leader itself,
             negative if there is no valid confirmation.
         echo: Round of the receiver's heartbeat that was last received, or 0.
@@ -130,6 +132,7 @@
     evacuations_revision: int = 0
     evacuated: tuple[str, ...] = ()
     confirmed_version: int = 0
+    confirmed_evacuations: int = 0
     confirmed_age_s: float = -1.0
     echo: int = 0
     round: int = 0
--- a/jasperweir/components/discovery/client.py
+++ b/jasperweir/components/discovery/client.py
@@ -297,7 +297,7 @@
                 self._mark_heard(src, now)
                 return self._pull(now)
             case messages.EvacuationNotice():
-                return self._apply_evacuations(msg.revision, msg.places)
+                return self._apply_evacuations(msg.revision, msg.places, now)
             case messages.Content():
                 if msg.version > self.version:
                     return [
@@ -394,10 +394,11 @@
         for name in unknown:
             self._controls[name] = Control()
         self._record_announced_version(src, msg.version, now)
-        self._use_confirmation(src, control, msg, now)
-        out = self._pull(now) + self._apply_evacuations(
-            msg.evacuations_revision, msg.evacuated
+        out = self._apply_evacuations(
+            msg.evacuations_revision, msg.evacuated, now
         )
+        self._use_confirmation(src, control, msg, now)
+        out += self._pull(now)
         if unknown and self._wants_content and not self.is_ready(now):
             # One of them may be the leader.
             out += [
@@ -422,12 +423,13 @@
         self.confirmations.confirm(confirmation, now)
 
     def _apply_evacuations(
-        self, revision: int, places: tuple[str, ...]
+        self, revision: int, places: tuple[str, ...], now: float
     ) -> Actions:
         """Apply a list of evacuated data centres unless it is outdated."""
         if not self._wants_content or revision <= self.evacuations.revision:
             return []
         self.evacuations = ops.EvacuationList(revision, places)
+        self.confirmations.hold_evacuations(revision, now)
         return [ApplyEvacuations(evacuations=self.evacuations)]
 
     def _on_targets(
