Entries of the own interface act on a confirmed bundle

An entry of the own interface that had reached its minimum revision once served by its bundle for ever: cut off, suspended, or behind a newer revision that it knew of.

The minimum revision was the only thing that a leader confirmed.

Change: the client of the control VMs feeds the tracker of confirmations with the acknowledgements that it gets anyway, dated by the heartbeat; entry/bundle_gate.py holds or refuses requests as docs/design/configuration.md says (2013). No message is added.

--- a/jasperweir/components/config/replica.py
+++ b/jasperweir/components/config/replica.py
@@ -21,7 +21,7 @@
         table: Replicated key table.
         version: Applied bundle version, 0 before the first.
         bundle: Typed view of that version, or None.
-        floor: Minimum revision for serving, None while unknown.
+        min_revision: Minimum revision for serving, None while unknown.
         rejected: Number of versions that were invalid or corrupt.
     """
 
--- a/jasperweir/components/confirmation/tracker.py
+++ b/jasperweir/components/confirmation/tracker.py
@@ -37,7 +37,7 @@
 
     # Nothing is held, or nothing was confirmed since the start.
     UNKNOWN = "unknown"
-    # It was the newest at most VALID_SECONDS ago.
+    # It was the newest at most ``valid_s`` ago.
     CURRENT = "current"
     # The confirmation has expired; an answer or the content may be under way.
     AWAITING = "awaiting"
@@ -60,9 +60,11 @@
         held_evacuations: Revision of the list of evacuated data centres.
         newest_known: Highest version known to be committed.
         latest: Newest confirmation, of any version.
+        valid_s: Time for which a confirmation is valid, seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, valid_s: float = const.VALID_SECONDS) -> None:
+        self.valid_s = valid_s
         self.held = 0
         self.held_evacuations = 0
         self.newest_known = 0
@@ -135,7 +137,7 @@
     def standing(self, now: float) -> Standing:
         """Return whether the process may act on the version that it holds."""
         self._note_activity(now)
-        if self.age_s(now) < const.VALID_SECONDS and self.held:
+        if self.age_s(now) < self.valid_s and self.held:
             return Standing.CURRENT
         if not self._was_current:
             return Standing.UNKNOWN
@@ -171,7 +173,7 @@
             return
         if confirmation.as_of > self._covering.as_of:
             self._covering = confirmation
-        if self.age_s(now) < const.VALID_SECONDS:
+        if self.age_s(now) < self.valid_s:
             self._was_current = True
         if self.age_s(now) < const.ASK_AFTER_SECONDS:
             self._asked_at = None
--- a/jasperweir/components/control/client.py
+++ b/jasperweir/components/control/client.py
@@ -4,6 +4,8 @@
 from typing import Any
 
 from jasperweir import core
+from jasperweir.components.confirmation import rounds as rounds_lib
+from jasperweir.components.confirmation import tracker as tracker_lib
 from jasperweir.components.control import const
 from jasperweir.components.control import messages
 
@@ -11,6 +13,8 @@
 ACK_TIMEOUT_SECONDS = 1.0
 MIN_REVISION_REQUEST_SECONDS = 0.5
 REPORT_JITTER_SECONDS = 0.1
+# Bits of the random number of the first round.
+_ROUND_BITS = 48
 
 
 class ControlClient:
@@ -19,8 +23,9 @@
     Attributes:
         leader: Name of the leader as of the last answer, or empty.
         leader_addr: Its internal address, or empty.
-        floor: Minimum revision confirmed by a leader with a lease, or None.
+        min_revision: First revision that a leader has confirmed, or None.
         heard_at: Time of the last answer of a control VM.
+        confirmations: What is known of the newest revision.
     """
 
     def __init__(
@@ -34,6 +39,10 @@
         self.leader_addr = ""
         self.min_revision: int | None = None
         self.heard_at = float("-inf")
+        self.confirmations = tracker_lib.VersionTracker(
+            valid_s=const.HEARTBEATS_UNTIL_STALE * interval_s
+        )
+        self._rounds = rounds_lib.Rounds(first=rng.getrandbits(_ROUND_BITS) + 1)
         self._voters = voters
         self._rng = rng
         self._interval_s = interval_s
@@ -53,7 +62,8 @@
         ):
             return []
         self._next_min_revision_request_at = now + MIN_REVISION_REQUEST_SECONDS
-        request = messages.MinRevisionRequest(nonce=self._heartbeat_id)
+        self.confirmations.note_asked(now)
+        request = messages.MinRevisionRequest(nonce=self._rounds.start(now))
         return [core.Send(dst=name, msg=request) for name in self._voters]
 
     def send_heartbeat(
@@ -76,6 +86,7 @@
             burn: Burn rate of its error budget.
             now: Monotonic seconds.
         """
+        self.confirmations.hold(revision, now)
         state = (revision, ready_epoch)
         if state != self._reported_state:
             jitter = self._rng.uniform(0, REPORT_JITTER_SECONDS)
@@ -92,6 +103,7 @@
         self._heartbeat_id += 1
         self._sent_at[self._heartbeat_id] = now
         self._sent_at.pop(self._heartbeat_id - 16, None)
+        self.confirmations.note_asked(now)
         msg = messages.Heartbeat(
             beat_id=self._heartbeat_id,
             inc=inc,
@@ -122,16 +134,35 @@
         self._interval_s = msg.every_s
         self.leader = msg.leader
         self.leader_addr = msg.leader_addr
-        return (msg.epoch, sent_at) if msg.confirmed else None
+        self.confirmations.valid_s = const.HEARTBEATS_UNTIL_STALE * msg.every_s
+        if not msg.confirmed:
+            self.confirmations.note_announced(msg.revision, now)
+            return None
+        self._confirm(msg.revision, sent_at, msg.leader, now)
+        return (msg.epoch, sent_at)
 
     def on_min_revision(
         self, msg: messages.MinRevisionReply, now: float
     ) -> None:
         """Handle the minimum revision; only the first confirmed one counts."""
         self.heard_at = now
-        if msg.confirmed and self.min_revision is None:
+        sent_at = self._rounds.find_start(msg.nonce)
+        if not msg.confirmed or sent_at is None:
+            return
+        self._confirm(msg.revision, sent_at, msg.leader, now)
+        if self.min_revision is None:
             self.min_revision = msg.revision
 
+    def _confirm(
+        self, revision: int, as_of: float, leader: str, now: float
+    ) -> None:
+        self.confirmations.confirm(
+            tracker_lib.Confirmation(
+                version=revision, as_of=as_of, source=leader
+            ),
+            now,
+        )
+
     def _destination(self) -> str:
         return (
             self.leader or self._voters[self._voter_index % len(self._voters)]
--- a/jasperweir/components/entry/node.py
+++ b/jasperweir/components/entry/node.py
@@ -13,6 +13,7 @@
 from jasperweir.components.claims import messages as claim_messages
 from jasperweir.components.claims import owner as owner_lib
 from jasperweir.components.config import replica as replica_lib
+from jasperweir.components.confirmation import tracker as tracker_lib
 from jasperweir.components.control import client as control_client
 from jasperweir.components.control import messages as control_messages
 from jasperweir.components.entry import const
@@ -192,6 +193,12 @@
         """Whether requests can be accepted."""
         return self.replica.is_ready
 
+    def get_standing(self, now: float) -> tracker_lib.Standing:
+        """Return whether requests may be decided by the bundle held."""
+        if not self.is_serving:
+            return tracker_lib.Standing.UNKNOWN
+        return self.control.confirmations.standing(now)
+
     def admit(
         self,
         service: str,
--- a/jasperweir/daemons/entry.py
+++ b/jasperweir/daemons/entry.py
@@ -9,7 +9,9 @@
 from jasperweir import core
 from jasperweir import result_codes
 from jasperweir.components.burn import const as burn_const
+from jasperweir.components.confirmation import tracker as tracker_lib
 from jasperweir.components.entry import agent_client as agent_client_lib
+from jasperweir.components.entry import bundle_gate as bundle_gate_lib
 from jasperweir.components.entry import const
 from jasperweir.components.entry import driver_context as context_lib
 from jasperweir.components.entry import node as node_lib
@@ -66,6 +68,13 @@
             now=self.host.now,
             increment=self.host.metrics.inc,
         )
+        self._bundle_gate = bundle_gate_lib.BundleGate(
+            get_standing=lambda: self.host.runner.call(
+                lambda: self.entry.get_standing(self.host.now())
+            ),
+            now=self.host.now,
+            sleep=time.sleep,
+        )
         self._server = web.Server(
             address=cfg.http, threads=cfg.threads, routes=self._routes()
         )
@@ -198,7 +207,11 @@
 
     def _readyz(self, req: web.Req) -> web.Resp:
         entry = self.entry
+        standing = self.host.runner.call(
+            lambda: entry.get_standing(self.host.now())
+        )
         ready = entry.is_serving and not entry.draining
+        ready = ready and standing is not tracker_lib.Standing.OUTDATED
         age = self.host.now() - entry.control.heard_at
         return web.json_resp(
             200 if ready else 503,
@@ -214,6 +227,7 @@
                 ),
                 "draining": entry.draining,
                 "control_heard_s_ago": round(min(age, 1e9), 1),
+                "standing": standing.value,
             },
         )
 
@@ -259,12 +273,13 @@
         )
 
     def _serve_request(self, req: web.Req) -> web.Resp:
+        denied = self._bundle_gate.check()
         bundle = self.entry.replica.bundle
-        if not self.entry.is_serving or bundle is None:
+        if denied is not None or bundle is None:
+            reason = denied or Code.NOT_READY
+            self.host.metrics.inc("requests", service="", code=str(int(reason)))
             return web.code_resp(
-                Code.NOT_READY,
-                retry_after=1.0,
-                vouched=request_lib.vouched(req),
+                reason, retry_after=1.0, vouched=request_lib.vouched(req)
             )
         match request_lib.parse(req, bundle):
             case result.Success(request):
--- a/script/guards_confirmation.py
+++ b/script/guards_confirmation.py
@@ -61,6 +61,45 @@
           "        self._match_again(exchange)\n"
           "        if exchange.done:\n", "        if exchange.done:\n",
           "confirmation"),
+    Guard("waiting requests are not sent by an outdated version",
+          C + "forward/intake.py",
+          "        if self.is_outdated:\n            return _OUTDATED\n", "",
+          "confirmation"),
+    Guard("repeated requests wait for an answer of control VMs",
+          C + "forward/rematcher.py",
+          "        if not self._intake.is_awaiting:\n"
+          "            return False\n", "        return False\n",
+          "confirmation"),
+    Guard("waiting requests wait for an answer of control VMs",
+          C + "forward/forwarder.py",
+          "        if not self.intake.is_awaiting:\n"
+          "            admitted = ", "        if True:\n"
+          "            admitted = ", "confirmation"),
+    Guard("a request is matched again before it is written",
+          C + "forward/exchange.py",
+          "        if not self._forwarder.rematcher.is_settled(self):\n",
+          "        if False:\n", "confirmation"),
+    Guard("evacuations are a part of a confirmation",
+          C + "confirmation/tracker.py",
+          "        if confirmation.evacuations > self.held_evacuations:\n"
+          "            return\n", "", "evacuation"),
+    Guard("a control VM without a disk passes evacuations on",
+          C + "configctl/discovery_server.py",
+          "        if not self._keeps_log:\n"
+          "            # It has", "        if False:\n"
+          "            # It has", "evacuation"),
+    Guard("an entry of the own interface refuses by an outdated bundle",
+          C + "entry/bundle_gate.py",
+          "                case Standing.OUTDATED:\n"
+          "                    return Code.CONFIGURATION_UNCONFIRMED\n",
+          "                case Standing.OUTDATED:\n"
+          "                    return None\n", "bundle_confirmation"),
+    Guard("an acknowledgement is dated by its heartbeat",
+          C + "control/client.py",
+          "self._confirm(msg.revision, sent_at, msg.leader, now)\n"
+          "        return (msg.epoch, sent_at)",
+          "self._confirm(msg.revision, now, msg.leader, now)\n"
+          "        return (msg.epoch, sent_at)", "bundle_confirmation"),
     Guard("a snapshot's configuration is applied", C + "configctl/node.py",
           "[NewVersion(version=loaded)] if loaded else []", "[]",
           "outdated_configuration"),
