--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -506,10 +506,10 @@
             self._move_stream(exchange, now)
 
     def _move_stream(self, exchange: exchange_lib.Exchange, now: float) -> None:
-        targets = self.targets.list_available(exchange.service, now)
-        candidates = self._find_candidates(exchange.service, targets, now)
         if not self.rematcher.may_continue(exchange):
             return
+        targets = self.targets.list_available(exchange.service, now)
+        candidates = self._find_candidates(exchange.service, targets, now)
         if candidates.free_slots < 1 or not self._take_retry(exchange, now):
             return
         exchange.leave_target()
--- a/script/guards_confirmation.py
+++ b/script/guards_confirmation.py
@@ -49,16 +49,18 @@
           "                if msg.version >= self.version:\n",
           "outdated_configuration"),
     Guard("waiting requests are matched again", C + "forward/forwarder.py",
-          "            if not exchange.is_waiting:\n",
-          "            if True:\n", "confirmation"),
+          "            if not exchange.is_waiting or "
+          "self.rematcher.is_held(exchange):\n",
+          "            if self.rematcher.is_held(exchange):\n",
+          "confirmation"),
     Guard("a stream is not joined from two services",
-          C + "forward/forwarder.py",
+          C + "forward/rematcher.py",
           "            case matching.Moved() if not "
           "exchange.state.can_change_service:\n"
           "                exchange.fail(Code.BROKEN_OFF)\n", "",
           "confirmation"),
     Guard("repeated requests are matched again", C + "forward/forwarder.py",
-          "        self._match_again(exchange)\n"
+          "        self.rematcher.rematch(exchange)\n"
           "        if exchange.done:\n", "        if exchange.done:\n",
           "confirmation"),
     Guard("waiting requests are not sent by an outdated version",
--- a/script/guards_evacuation.py
+++ b/script/guards_evacuation.py
@@ -40,7 +40,7 @@
           "pass", "evacuation"),
     Guard("heartbeats name the evacuated data centres",
           C + "discovery_server.py",
-          "evacuations_revision=log_status.evacuations.revision",
+          "evacuations_revision=evacuations.revision",
           "evacuations_revision=0", "evacuation"),
     Guard("an entry keeps the newest list of evacuations",
           "jasperweir/components/discovery/client.py",
