Soak of configurations: one-way cuts, more entries and routes, added routes judged

The soak's judge had a rule on added routes whose counters nobody filled, so it could not fail. Every tenth version now adds a route that stays, and callers ask for it.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -49,6 +49,10 @@
       | 1    |
       | 2    |
 
+  Scenario: A soak whose configuration changes while links are cut one way
+    When the soak with changing configurations and cut links runs seed 3 for 12 seconds
+    Then no invariant was violated
+
   # Cause: SIGHUP terminates a process that is still loading; see KNOWN-RED.txt.
   Scenario: A soak in which processes receive a reload during start-up
     When the soak runs seed 223 for 9 seconds
--- a/features/soak/configuration_world.py
+++ b/features/soak/configuration_world.py
@@ -18,18 +18,45 @@
 TARGETS = {1: "m", 2: "m", 3: "n", 4: "n"}
 # Versions for which a route or key of one version stays.
 KEPT_VERSIONS = 3
+# One in so many versions adds a route that stays for good.
+LASTING_VERSIONS = 10
 CHANGE_SECONDS = 0.5
 PAUSE_SECONDS = 0.03
 CALL_SECONDS = 4.0
 # Time within which service must recover after the last fault, seconds.
 RECOVER_SECONDS = 12.0
+# Time within which all processes must be ready at first, seconds.
+START_SECONDS = 60.0
+# Longest time for which a process is deaf, seconds. It is shorter than the time
+# that a process must be undisturbed to be in touch.
+DEAF_SECONDS = 2.5
+DEAF_PROGRAM = [str(platform_lib.ROOT / "features/harness/deaf_role.py")]
+
+
+class DeafPlatform(platform_lib.Platform):
+    """Processes that can be made deaf to others."""
+
+    def start(self, role, number, bootstrap=True, program=None):
+        """Start a role on a VM."""
+        super().start(role, number, bootstrap, program or DEAF_PROGRAM)
+
+    def set_deaf(self, name, numbers):
+        """Make a process deaf to the control VMs with these numbers."""
+        senders = [
+            f"{platform_lib.control_ip(n)}:{platform_lib.INTERNAL_PORT}"
+            for n in numbers
+        ]
+        (self.folder / f"{name}.deaf").write_text("\n".join(senders))
 
 
 class ConfigurationFaults(faults_lib.FaultInjector):
-    """Disturbs processes only: one, those of a VM, or all of a kind."""
+    """Disturbs one process, those of a VM, all of a kind, or their links."""
 
-    def __init__(self, *, world):
+    def __init__(self, *, world, links):
         super().__init__(world=world, planned_only=False)
+        self._links = links
+        # Until when processes are deaf, by name.
+        self._deaf = {}
         self._launches = collections.Counter()
         self._ended = threading.Event()
 
@@ -40,7 +67,9 @@
             self._rng.uniform(*faults_lib.PAUSE_SECONDS)
         ):
             self._thaw_due()
+            self._undeafen(time.monotonic())
             self._rng.choice(kinds)()
+        self._undeafen(float("inf"))
         self._restore_all()
 
     def stop(self):
@@ -62,6 +91,7 @@
         super()._start(name)
 
     def _list_kinds(self):
+        links = [self._deafen] * 4 if self._links else []
         return [
             self._kill,
             self._freeze,
@@ -71,8 +101,40 @@
             self._wipe,
             self._kill_vm,
             self._kill_all,
+            *links,
         ]
 
+    def _deafen(self):
+        """Cut links to a process one way.
+
+        An entry that still hears a control VM is judged as in touch.
+        """
+        name = self._pick()
+        role, _, number = name.partition("-")
+        others = [
+            n for n in faults_lib.VMS if role == "entry" or n != int(number)
+        ]
+        senders = self._rng.sample(others, self._rng.randint(1, 2))
+        if name in self._deaf:
+            return
+        self._log_fault(f"{name} is deaf to {senders}")
+        if role == "control":
+            self.disturbances.record(name, time.monotonic())
+            self._control_lost_at = time.monotonic()
+        self._world.plat.set_deaf(name, senders)
+        seconds = self._rng.uniform(0.3, DEAF_SECONDS)
+        self._deaf[name] = time.monotonic() + seconds
+
+    def _undeafen(self, now):
+        for name, until in list(self._deaf.items()):
+            if now < until:
+                continue
+            del self._deaf[name]
+            self._world.plat.set_deaf(name, [])
+            if name.startswith("control"):
+                self.disturbances.record(name, time.monotonic())
+                self._control_lost_at = time.monotonic()
+
     def _kill_vm(self):
         number = self._rng.choice(faults_lib.VMS)
         self._kill_names([f"entry-{number}", f"control-{number}"])
@@ -96,7 +158,13 @@
 class Versions:
     """Content of each version: what it moves, adds, drops and revokes."""
 
-    def __init__(self):
+    def __init__(self, *, fillers):
+        """Create the versions.
+
+        Args:
+            fillers: Number of further routes that each version has.
+        """
+        self._fillers = fillers
         self.documents = {}
         self._order = []
         self._lock = threading.Lock()
@@ -110,6 +178,11 @@
             self._order.append(version)
         routes = {"/moved/": rng.choice(("m", "n"))}
         routes |= {f"/v{v}/": "m" for v in (*kept, version)}
+        routes |= {
+            f"/lasting-{v}/": "m"
+            for v in range(LASTING_VERSIONS, version + 1, LASTING_VERSIONS)
+        }
+        routes |= {f"/filler-{n}/": "m" for n in range(self._fillers)}
         for number, (prefix, service) in enumerate(routes.items(), start=20):
             doc["routes"].append(
                 {
@@ -237,8 +310,13 @@
         versions = self._world.check.sent_versions()
         version = self._rng.choice(versions[-self._rng.choice((6, 60)) :])
         key = platform_lib.KEY
-        kind = self._rng.choice(("first", "moved", "route", "key", "invalid"))
+        kind = self._rng.choice(
+            ("first", "moved", "route", "lasting", "key", "invalid")
+        )
         match kind:
+            case "lasting":
+                first = version - version % LASTING_VERSIONS
+                return kind, f"/lasting-{first}/x", key
             case "moved":
                 return kind, "/moved/x", key
             case "route":
@@ -261,6 +339,7 @@
             return
         status, service = got
         world.outcomes[kind, status] += 1
+        world.count_added(kind, path, status, sent_at)
         if status not in (200, 401, 404):
             return
         if start != world.faults.count_launches(f"entry-{self._vm}"):
@@ -321,23 +400,36 @@
     TARGETS = ()
     EVENTS = 0
 
-    def __init__(self, *, seed, folder, callers=6):
+    def __init__(
+        self, *, seed, folder, callers=6, entries=3, fillers=0, links=False
+    ):
+        """Create the world.
+
+        Args:
+            seed: Seed of all random choices.
+            folder: Folder of the processes' files.
+            callers: Number of callers.
+            entries: Number of entries; only the first three are disturbed.
+            fillers: Number of routes of each version that nobody asks for.
+            links: Whether links are cut one way.
+        """
         self.seed = seed
+        self._vms = range(1, entries + 1)
         self.began = time.monotonic()
         self.stopping = threading.Event()
-        self.plat = platform_lib.Platform(folder)
+        self.plat = DeafPlatform(folder)
         self.proxies = proxy_lib.ProxySet()
         self.ledger = ledger_lib.Ledger(events=0)
         self.check = configuration_check.ConfigurationCheck()
-        self.versions = Versions()
+        self.versions = Versions(fillers=fillers)
         self.outcomes = collections.Counter()
-        self.faults = ConfigurationFaults(world=self)
+        self.faults = ConfigurationFaults(world=self, links=links)
         self._last_version = 7
         self._lock = threading.Lock()
         self._operators = [Operator(world=self, number=n) for n in (1, 2)]
         self._callers = [
-            Caller(world=self, number=n, vm=faults_lib.VMS[n % 3])
-            for n in range(callers)
+            Caller(world=self, number=n, vm=self._vms[n % entries])
+            for n in range(max(callers, entries))
         ]
         self.summary = ""
 
@@ -347,6 +439,24 @@
             self._last_version += 1
             return self._last_version
 
+    def count_added(self, kind, path, status, sent_at):
+        """Count requests on first routes, and on added ones that stay."""
+        if kind not in ("first", "lasting"):
+            return
+        check = self.check
+        floor = check.newest_acknowledged(
+            sent_at - configuration_check.APPLY_SECONDS
+        )
+        if any(
+            self.versions.allows(version, path, platform_lib.KEY)[0] != 200
+            for version in check.sent_versions()
+            if version >= floor
+        ):
+            return
+        prefix = "first " if kind == "first" else ""
+        check.added[f"{prefix}sent"] += 1
+        check.added[f"{prefix}served"] += status == 200
+
     def run(self, seconds):
         """Run for some seconds and return the violations found."""
         threads = [*self._operators, *self._callers, self.faults]
@@ -369,20 +479,26 @@
         decided = len(self.check.decisions)
         self.summary = (
             f"{len(self.check.sent_versions())} versions, {decided} decisions,"
-            f" {dict(self.outcomes)}"
+            f" {dict(self.outcomes)}, {dict(self.check.added)}"
         )
         return self.ledger.violations + found
 
     def _start(self):
         self.plat.start_all()
+        for number in self._vms[len(faults_lib.VMS) :]:
+            self.plat.start("entry", number)
         for number, service in TARGETS.items():
             self.plat.start_target(number, service, events=3)
         operator = self._operators[0]
         self.plat.wait(
-            "a configuration", lambda: operator.send(self.next_version())
+            "a configuration",
+            lambda: operator.send(self.next_version()),
+            START_SECONDS,
         )
-        for number in faults_lib.VMS:
-            self.plat.wait("ready", lambda n=number: self.plat.ready(n))
+        for number in self._vms:
+            self.plat.wait(
+                "ready", lambda n=number: self.plat.ready(n), START_SECONDS
+            )
 
     def _settle(self):
         """Check that the newest version is in force everywhere and read."""
@@ -394,7 +510,7 @@
         )
         newest = self.check.newest_acknowledged(time.monotonic())
         time.sleep(configuration_check.APPLY_SECONDS)
-        for number in faults_lib.VMS:
+        for number in self._vms:
             status, _, _ = self.plat.request(
                 number, f"/v{newest}/x", f"end-{number}"
             )
@@ -402,6 +518,7 @@
                 self.check.violations.append(
                     f"vm-{number}: {status} on the newest route at the end"
                 )
+        for number in faults_lib.VMS:
             status, body = self.plat.describe(number)
             found = json.loads(body)["version"] if status == 200 else status
             if found != newest:
--- a/script/soak.py
+++ b/script/soak.py
@@ -35,6 +35,23 @@
         action="store_true",
         help="two operators change the configuration all the time",
     )
+    parser.add_argument(
+        "--links",
+        action="store_true",
+        help="with --configurations: links are cut one way",
+    )
+    parser.add_argument(
+        "--entries",
+        type=int,
+        default=3,
+        help="with --configurations: number of entries",
+    )
+    parser.add_argument(
+        "--fillers",
+        type=int,
+        default=0,
+        help="with --configurations: further routes of each version",
+    )
     args = parser.parse_args()
     failed = []
     for seed in range(args.first, args.first + args.seeds):
@@ -42,7 +59,11 @@
         world: Any
         if args.configurations:
             world = configuration_world.ConfigurationWorld(
-                seed=seed, folder=folder
+                seed=seed,
+                folder=folder,
+                entries=args.entries,
+                fillers=args.fillers,
+                links=args.links,
             )
         elif args.parts:
             world = parts_world.PartsWorld(seed=seed, folder=folder)
