--- a/features/harness/configuration_matrix.py
+++ b/features/harness/configuration_matrix.py
@@ -36,6 +36,9 @@
     "one wiped",
     "one behind",
     "leader suspended",
+    "leader deaf to one",
+    "one deaf to the leader",
+    "leader deaf to all",
     "some without disks",
 )
 # Entry cases in which the entry hears a control VM that hears the leader.
@@ -276,6 +279,15 @@
                 judge.disturb_core()
                 self._commit(11)
                 self._restart([others[0]])
+            case "leader deaf to one":
+                site.deaf.add((others[0], leader))
+                judge.disturb_core()
+            case "one deaf to the leader":
+                site.deaf.add((leader, others[0]))
+                judge.disturb_core()
+            case "leader deaf to all":
+                site.deaf.update((name, leader) for name in others)
+                judge.disturb_core()
             case "leader suspended":
                 site.frozen.add(leader)
                 judge.disturb_core()
