--- a/features/soak/configuration_world.py
+++ b/features/soak/configuration_world.py
@@ -508,6 +508,11 @@
             lambda: operator.send(self.next_version()),
             RECOVER_SECONDS,
         )
+        for number in self._vms:
+            # The last fault may have ended a process.
+            self.plat.wait(
+                "ready", lambda n=number: self.plat.ready(n), RECOVER_SECONDS
+            )
         newest = self.check.newest_acknowledged(time.monotonic())
         time.sleep(configuration_check.APPLY_SECONDS)
         for number in self._vms:
