Real processes: slow link, kept connections, resumed streams that wait

A first form of the third was wrong: five streams at each entry that the old service had refused need five retries of the new one, whose budget was still 0 ("retry denied", burst_left 0.0); the scenario waits 8 s for it and sends two.

--- a/features/harness/configuration_changes.py
+++ b/features/harness/configuration_changes.py
@@ -89,7 +89,7 @@
     return doc
 
 
-def ask(plat, number, name, conn=None, wait_s=5.0):
+def ask(plat, number, name, conn=None, wait_s=5.0, resume_after=""):
     """Send a request to an entry.
 
     Args:
@@ -98,6 +98,7 @@
         name: Name of the request in REQUESTS.
         conn: Open connection, None for a new one.
         wait_s: Time for which the caller waits, seconds.
+        resume_after: Event after which a stream continues, or empty.
 
     Raises:
         OSError: The entry can't be reached or broke off.
@@ -107,17 +108,20 @@
     own = conn or http.client.HTTPConnection(
         address, platform_lib.CALLERS, timeout=wait_s
     )
+    headers = {
+        "Host": platform_lib.HOST,
+        "Attempt-Id": f"x{next(_numbers)}",
+        "Deadline-Ms": str(round(wait_s * 1000)),
+        "Authorization": f"Bearer {asked.key}",
+    }
+    if resume_after:
+        headers["Last-Event-Id"] = resume_after
     try:
         own.request(
             "GET" if asked.body is None else "POST",
             asked.path,
             body=asked.body,
-            headers={
-                "Host": platform_lib.HOST,
-                "Attempt-Id": f"x{next(_numbers)}",
-                "Deadline-Ms": str(round(wait_s * 1000)),
-                "Authorization": f"Bearer {asked.key}",
-            },
+            headers=headers,
         )
         resp = own.getresponse()
         resp.read()
--- a/features/harness/deaf_role.py
+++ b/features/harness/deaf_role.py
@@ -2,10 +2,12 @@
 
 It drops frames from the senders that are listed in the file named by
 JASPERWEIR_TEST_DEAF, one ``ip:port`` on each line; what it sends still arrives.
+A line ``delay SECONDS`` delays all frames that it receives.
 """
 
 import os
 import pathlib
+import queue
 import runpy
 import sys
 import threading
@@ -16,6 +18,7 @@
 sys.path[0] = str(ROOT)
 POLL_SECONDS = 0.02
 _senders = set()
+_delayed = queue.Queue()
 
 
 def _watch(path):
@@ -26,6 +29,18 @@
         time.sleep(POLL_SECONDS)
 
 
+def _find_delay_s():
+    delays = [s for s in _senders if s.replace(".", "").isdigit()]
+    return float(delays[0]) if "delay" in _senders else 0.0
+
+
+def _deliver_delayed(deliver):
+    while True:
+        due_at, link, data = _delayed.get()
+        time.sleep(max(due_at - time.monotonic(), 0.0))
+        deliver(link, data)
+
+
 def main():
     from jasperweir.helpers import link
 
@@ -33,10 +48,18 @@
 
     def accept(self, data):
         env, _ = link.codec.decode(data)
-        if env.src not in _senders:
+        if env.src in _senders:
+            return
+        delay_s = _find_delay_s()
+        if delay_s:
+            _delayed.put((time.monotonic() + delay_s, self, data))
+        else:
             deliver(self, data)
 
     link.Link._accept = accept
+    threading.Thread(
+        target=_deliver_delayed, args=(deliver,), daemon=True
+    ).start()
     path = pathlib.Path(os.environ["JASPERWEIR_TEST_DEAF"])
     threading.Thread(target=_watch, args=(path,), daemon=True).start()
     sys.path.insert(0, str(ROOT / "platform"))
--- a/features/outdated_configuration_processes.feature
+++ b/features/outdated_configuration_processes.feature
@@ -55,3 +55,21 @@
     When the third entry is suspended while version 8 is acknowledged
     And 20 requests wait for it when it wakes 4 s later
     Then no request there is decided as only version 7 says
+
+  Scenario: An entry with a slow link
+    Given three VMs with control and entry, and a target of each of two services
+    And the third entry gets all messages 0.2 s late
+    When version 8 moves a route, adds one and a key, drops one and revokes a key
+    Then each entry decides as version 8 says 2 s after its acknowledgement
+
+  Scenario: Requests on kept connections
+    Given three VMs with control and entry, and a target of each of two services
+    And a connection to each entry on which a request was served
+    When version 8 moves a route, adds one and a key, drops one and revokes a key
+    Then requests on these connections are decided as version 8 says 2 s after its acknowledgement
+
+  # Guards against requests that wait and are sent by the version of their arrival.
+  Scenario: Resumed streams that wait while their route moves
+    Given three VMs with control and entry, and a target of each of two services
+    When 2 resumed streams wait at each entry while version 8 moves their route
+    Then all of them are run by the new service
--- a/features/steps/outdated_configuration_processes_steps.py
+++ b/features/steps/outdated_configuration_processes_steps.py
@@ -1,5 +1,6 @@
 """Steps on outdated configurations with real processes."""
 
+import http.client
 import signal
 import threading
 import time
@@ -15,6 +16,9 @@
 SAVED_SECONDS = 1.2
 # Time for which an entry is asked after its start.
 ASKED_SECONDS = 4.0
+# Time within which the retry budget of a service without requests allows some.
+# A stream that was refused before it moved is a retry.
+BURST_SECONDS = 8.0
 DEAF_PROGRAM = [str(platform_lib.ROOT / "features/harness/deaf_role.py")]
 
 
@@ -123,6 +127,75 @@
         plat.start(role, int(number), bootstrap=False)
 
 
+@given("the third entry gets all messages {seconds:g} s late")
+def step_slow_link(context, seconds):
+    (context.plat.folder / "entry-3.deaf").write_text(f"delay {seconds}")
+    time.sleep(3.0)
+
+
+@given("a connection to each entry on which a request was served")
+def step_kept_connections(context):
+    context.conns = {
+        number: http.client.HTTPConnection(
+            platform_lib.control_ip(number), platform_lib.CALLERS, timeout=5.0
+        )
+        for number in (1, 2, 3)
+    }
+    for number, conn in context.conns.items():
+        seen = configuration_changes.ask(context.plat, number, "moved", conn)
+        assert seen.service == "m", seen
+
+
+@then(
+    "requests on these connections are decided as version 8 says {seconds:g} s"
+    " after its acknowledgement"
+)
+def step_decides_on_kept(context, seconds):
+    time.sleep(max(context.acked_at + seconds - time.monotonic(), 0.0))
+    for number, conn in context.conns.items():
+        for name in configuration_changes.NAMES:
+            seen = configuration_changes.ask(context.plat, number, name, conn)
+            assert seen.versions == {8}, (number, name, seen)
+
+
+@when(
+    "{count:d} resumed streams wait at each entry while version 8 moves their"
+    " route"
+)
+def step_resumed_wait(context, count):
+    plat = context.plat
+    time.sleep(BURST_SECONDS)
+    plat.tell(1, refuse=True)
+    context.found = found = []
+
+    def run(number):
+        found.append(
+            configuration_changes.ask(
+                plat, number, "moved stream", resume_after="2"
+            )
+        )
+
+    threads = [
+        threading.Thread(target=run, args=(number,))
+        for number in (1, 2, 3)
+        for _ in range(count)
+    ]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.4)
+    assert not found, found[:3]
+    acknowledge(context)
+    for thread in threads:
+        thread.join()
+
+
+@then("all of them are run by the new service")
+def step_run_by_new(context):
+    assert context.found
+    others = [seen for seen in context.found if seen.service != "n"]
+    assert not others, others[:5]
+
+
 @when("the fourth entry starts")
 def step_fourth(context):
     context.plat.start("entry", 4, bootstrap=False)
