An entry of the own interface does not take itself for suspended between heartbeats

The tracker of an entry of the own interface was touched once in 5 s, took each pause for a suspension, and held requests for up to 0.6 s while the standing was unconfirmed or outdated, instead of deciding at once.

Change: the client tells the tracker with each tick that the process runs. The platform's entries touch the tracker with each message and tick.

--- a/features/bundle_confirmation.feature
+++ b/features/bundle_confirmation.feature
@@ -14,7 +14,7 @@
       | hears of revision 10                 | 110.0 | served                    |
       | hears of revision 10                 | 140.0 | configuration_unconfirmed |
       | hears of revision 10 and gets it     | 140.0 | served                    |
-      | is suspended                         | 140.0 | configuration_unconfirmed |
+      | is suspended                         | 140.0 | configuration_unconfirmed after a wait |
       | is suspended and hears the leader    | 140.0 | served                    |
       | is suspended and asks in vain        | 140.0 | served                    |
 
--- a/features/steps/bundle_confirmation_steps.py
+++ b/features/steps/bundle_confirmation_steps.py
@@ -143,7 +143,11 @@
     )
     code = gate.check()
     expected = None
-    if outcome != "served":
-        expected = result_codes.Code[outcome.upper()]
+    if not outcome.startswith("served"):
+        expected = result_codes.Code[outcome.split()[0].upper()]
     assert code is expected, code
-    assert entry.now - at <= bundle_gate.HELD_SECONDS + 0.1
+    waited_s = entry.now - at
+    if outcome.endswith("after a wait"):
+        assert 0 < waited_s <= bundle_gate.HELD_SECONDS + 0.1, waited_s
+    else:
+        assert waited_s < 0.05, waited_s
--- a/jasperweir/components/confirmation/tracker.py
+++ b/jasperweir/components/confirmation/tracker.py
@@ -80,9 +80,18 @@
 
     # Inputs.
 
+    def note_activity(self, now: float) -> None:
+        """Record that the process runs; to be called more than once a second.
+
+        Other methods imply it.
+        """
+        last, self._active_at = self._active_at, now
+        if last is not None and now - last >= const.SUSPENDED_SECONDS:
+            self._asked_at = None
+
     def confirm(self, confirmation: Confirmation, now: float) -> None:
         """Use a confirmation that was given or passed on."""
-        self._note_activity(now)
+        self.note_activity(now)
         self._note_known(confirmation.version, now)
         if confirmation.evacuations > self._newest_evacuations:
             self._newest_evacuations = confirmation.evacuations
@@ -104,12 +113,12 @@
 
     def note_announced(self, version: int, now: float) -> None:
         """Record that a control VM holds a committed version."""
-        self._note_activity(now)
+        self.note_activity(now)
         self._note_known(version, now)
 
     def note_asked(self, now: float) -> None:
         """Record that a confirmation was requested."""
-        self._note_activity(now)
+        self.note_activity(now)
         expired = self.age_s(now) >= const.ASK_AFTER_SECONDS
         if expired and self._asked_at is None:
             self._asked_at = now
@@ -136,7 +145,7 @@
 
     def standing(self, now: float) -> Standing:
         """Return whether the process may act on the version that it holds."""
-        self._note_activity(now)
+        self.note_activity(now)
         if self.age_s(now) < self.valid_s and self.held:
             return Standing.CURRENT
         if not self._was_current:
@@ -182,8 +191,3 @@
         if version > self.newest_known:
             self.newest_known = version
             self._newer_since = now
-
-    def _note_activity(self, now: float) -> None:
-        last, self._active_at = self._active_at, now
-        if last is not None and now - last >= const.SUSPENDED_SECONDS:
-            self._asked_at = None
--- a/jasperweir/components/control/client.py
+++ b/jasperweir/components/control/client.py
@@ -86,6 +86,7 @@
             burn: Burn rate of its error budget.
             now: Monotonic seconds.
         """
+        self.confirmations.note_activity(now)
         self.confirmations.hold(revision, now)
         state = (revision, ready_epoch)
         if state != self._reported_state:
