--- a/features/steps/confirmation_steps.py
+++ b/features/steps/confirmation_steps.py
@@ -230,7 +230,12 @@
     """Breaks off after some events."""
 
     async def _serve(self, reader, writer):
-        await reader.readuntil(b"\r\n\r\n")
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            # A connection on which no request came.
+            writer.close()
+            return
         self.requests += 1
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n")
         writer.write(b"Transfer-Encoding: chunked\r\n\r\n")
