--- a/jasperweir/components/forward/intake.py
+++ b/jasperweir/components/forward/intake.py
@@ -232,9 +232,9 @@
     @property
     def may_send(self) -> bool:
         """Whether admitted requests may be sent by the version in force."""
-        return self._get_standing() in (
-            Standing.CURRENT,
-            Standing.UNCONFIRMED,
+        return self._get_standing() not in (
+            Standing.AWAITING,
+            Standing.OUTDATED,
         )
 
     @property
