Matrix of configurations: drawn cases at 10, 103 and 300 entries

The cases of entry and core ran at three entries only, so one entry at a time was in trouble. Now all entries of a data centre are; at three entries the cases are as before.

--- a/features/configuration_matrix.feature
+++ b/features/configuration_matrix.feature
@@ -23,6 +23,16 @@
       | is deaf to all but one control VM     |
       | has a slow link                       |
 
+  Scenario Outline: <cases> drawn cases at <entries> entries
+    When <cases> cases drawn with seed <seed> are run at <entries> entries
+    Then no entry has broken the rule
+
+    Examples:
+      | entries | cases | seed |
+      | 10      | 24    | 1    |
+      | 103     | 6     | 2    |
+      | 300     | 1     | 3    |
+
   # The operator gets its reply when the version is committed.
   Scenario Outline: A version is in force at <entries> entries soon after its acknowledgement
     Given a site of <entries> entries in three data centres
--- a/features/harness/configuration_matrix.py
+++ b/features/harness/configuration_matrix.py
@@ -1,6 +1,9 @@
 """Entries and control VMs in trouble while the configuration changes."""
 
 import dataclasses
+import itertools
+import random
+from typing import NamedTuple
 
 from features.harness import site as site_lib
 from jasperweir.components.confirmation import tracker
@@ -14,6 +17,8 @@
 # Time within which an order must be acknowledged once all is well again.
 ACK_SECONDS = 15.0
 SUSPENDED_SECONDS = 6.0
+# Times from the trouble to the order, seconds.
+WAITS_SECONDS = (0.0, 0.4, 1.2)
 ENTRY_CASES = (
     "ran on",
     "started alone",
@@ -66,6 +71,42 @@
     incarnation: int
 
 
+class Finding(NamedTuple):
+    """A broken rule and its case."""
+
+    entry: str
+    core: str
+    seed: int
+    wait_s: float
+    what: str
+
+
+def run_drawn(*, cases, seed, entries):
+    """Run different combinations of the matrix.
+
+    Args:
+        cases: Number of combinations, all of them at most.
+        seed: Seed of the choice and of all cases.
+        entries: Number of entries.
+
+    Yields:
+        The broken rules.
+    """
+    rng = random.Random(seed)
+    pairs = list(itertools.product(ENTRY_CASES, CORE_CASES))
+    for entry, core in rng.sample(pairs, min(cases, len(pairs))):
+        case_seed, wait_s = rng.getrandbits(30), rng.choice(WAITS_SECONDS)
+        case = Case(
+            entry=entry,
+            core=core,
+            seed=case_seed,
+            entries=entries,
+            wait_s=wait_s,
+        )
+        for what in case.run():
+            yield Finding(entry, core, case_seed, wait_s, what)
+
+
 class Judge:
     """Checks what each entry lets through after every step.
 
@@ -165,7 +206,11 @@
 
 
 class Case:
-    """One combination of the matrix on a virtual clock."""
+    """One combination of the matrix on a virtual clock.
+
+    All entries in the data centre of "e1" are in the same trouble, but for one
+    that is started alone.
+    """
 
     def __init__(self, *, entry, core, seed, entries=3, wait_s=0.4):
         """Create a site with version 9 in force.
@@ -213,9 +258,15 @@
         leader = site.leader()
         others = [n for n in ("c1", "c2", "c3") if n != leader]
         wakes = self._disturb_core(leader, others)
-        wakes += self._disturb_entry("e1", leader, others)
+        names = self._pick_entries()
+        self._delay_answers(names)
+        for name in names:
+            wakes += self._disturb_entry(name, leader, others)
+        if self._entry == "started with its data centre":
+            if "c1" in site.nodes and "c1" not in site.frozen:
+                self._restart(["c1"])
         if self._entry in _HEARING and self._core == "same leader":
-            self.judge.hearing.add("e1")
+            self.judge.hearing.update(names)
         site.run(self._wait_s)
         # The version is acknowledged while the trouble lasts.
         self._commit(12)
@@ -237,6 +288,34 @@
                 )
         return self.judge.violations
 
+    def _pick_entries(self):
+        """Return the entries that are in trouble."""
+        site = self.site
+        if self._entry in ("started alone", "started with all", "new VM"):
+            return ["e1"]
+        return [
+            name
+            for name in site.discovery_clients
+            if site.places[name] == site.places["e1"]
+        ]
+
+    def _delay_answers(self, names):
+        """Let answers be under way when entries are disturbed."""
+        site = self.site
+        match self._entry:
+            case "reused address":
+                delay_s, run_s = 0.3, 0.3
+            case "suspended and awake":
+                delay_s, run_s = 0.15, 0.5
+            case _:
+                return
+        for control in site.names:
+            for name in names:
+                site.delays[(control, name)] = delay_s
+        site.run(run_s)
+        if self._entry == "reused address":
+            site.delays.clear()
+
     def _restart(self, names):
         site = self.site
         for name in names:
@@ -311,8 +390,6 @@
                 site.start_entry(name)
             case "started with its data centre":
                 site.start_entry(name)
-                if "c1" in site.nodes and "c1" not in site.frozen:
-                    self._restart(["c1"])
             case "started with all":
                 running = [n for n in ("c1", "c2", "c3") if n in site.nodes]
                 self._restart([n for n in running if n not in site.frozen])
@@ -321,16 +398,8 @@
             case "new VM":
                 site.start_entry("e99")
             case "reused address":
-                for control in site.names:
-                    site.delays[(control, name)] = 0.3
-                site.run(0.3)
-                site.delays.clear()
                 site.start_entry(name)
             case "suspended and awake":
-                # Answers are under way when it is suspended.
-                for control in site.names:
-                    site.delays[(control, name)] = 0.15
-                site.run(0.5)
                 site.frozen.add(name)
                 judge.restarted.add(name)
                 return [(site.now + SUSPENDED_SECONDS, self._waker(name))]
--- a/features/steps/configuration_matrix_steps.py
+++ b/features/steps/configuration_matrix_steps.py
@@ -10,7 +10,6 @@
 from features.harness import site as site_lib
 from jasperweir.components.configctl import node as node_lib
 
-WAITS_SECONDS = (0.0, 0.4, 1.2)
 ENTRIES = {
     "ran on": "ran on",
     "is started alone": "started alone",
@@ -35,7 +34,7 @@
     context.violations = []
     seed = 0
     for core in matrix.CORE_CASES:
-        for wait_s in WAITS_SECONDS:
+        for wait_s in matrix.WAITS_SECONDS:
             seed += 1
             case = matrix.Case(
                 entry=ENTRIES[entry], core=core, seed=seed, wait_s=wait_s
@@ -43,6 +42,12 @@
             context.violations += [(core, wait_s, what) for what in case.run()]
 
 
+@when("{cases:d} cases drawn with seed {seed:d} are run at {entries:d} entries")
+def step_drawn_cases(context, cases, seed, entries):
+    found = matrix.run_drawn(cases=cases, seed=seed, entries=entries)
+    context.violations = list(found)
+
+
 @then("no entry has broken the rule")
 def step_no_violation(context):
     assert not context.violations, context.violations[:5]
