Back-off scenarios: wait for what they judge, not for 20 ms

Cause: both sleep for the time in which a scripted target usually answers and then count its requests. The counts that are judged are the same.

--- a/features/harness/scripted_targets.py
+++ b/features/harness/scripted_targets.py
@@ -162,11 +162,20 @@
 
         On a busy machine this takes longer than usual.
         """
-        until = time.monotonic() + BUSY_SECONDS
         await asyncio.sleep(ANSWER_SECONDS)
-        while self._has_unanswered() and time.monotonic() < until:
+        await self.wait_until(lambda: not self._has_unanswered())
+
+    async def wait_until(self, func):
+        """Wait until a function returns true, at most ``BUSY_SECONDS``."""
+        until = time.monotonic() + BUSY_SECONDS
+        while not func() and time.monotonic() < until:
             await asyncio.sleep(ANSWER_SECONDS)
 
+    def has_connection(self):
+        """Return whether a request is at a target."""
+        exchanges = self.one.forwarder._open_exchanges.values()
+        return any(exchange._conn for exchange in exchanges)
+
     def _has_unanswered(self):
         prompt = {found.name for found in self.targets if not found.delay_s}
         return any(
--- a/features/steps/backpressure_steps.py
+++ b/features/steps/backpressure_steps.py
@@ -204,7 +204,7 @@
         entry.clock.now += 0.25
         entry.announce()
         entry.one.forwarder.tick()
-        await asyncio.sleep(scripted_targets.ANSWER_SECONDS)
+        await entry.wait_until(lambda: entry.answers[-1].replied[0])
         entry.close()
 
     asyncio.run(run_short(context.entry))
@@ -262,13 +262,15 @@
         await asyncio.sleep(0)
         forwarder.pool.open = open_later
         forwarder.handle(entry.answering())
-        await asyncio.sleep(scripted_targets.ANSWER_SECONDS)
+        await entry.wait_until(lambda: entry.targets[0].refused_at)
+        await entry.wait_until(lambda: not entry.has_connection())
         forwarder.pool.open = open_now
         other = scripted_targets.Target(name="later", clock=entry.clock)
         entry.targets.append(other)
         await other.start()
         entry.announce()
         opened.set()
+        await entry.wait_until(lambda: other.arrivals)
         await asyncio.sleep(2 * scripted_targets.ANSWER_SECONDS)
         entry.close()
 
@@ -360,6 +362,8 @@
         entry.clock.now += 0.25
         entry.announce()
         entry.one.forwarder.tick()
+        first = entry.targets[0]
+        await entry.wait_until(lambda: len(first.arrivals) > entry.before)
         await asyncio.sleep(scripted_targets.ANSWER_SECONDS)
         entry.close()
 
