Soak of configurations: streams, repeated requests, slow links, a replaced VM, no disk

--all-kinds adds streams and resumed streams on a route that moves, targets that refuse or lose answers (requests that wait and are repeated), slow links, and a fourth VM that ends and whose address is used again 2 to 3 s later; its control VM has no disk.

--- a/features/harness/platform.py
+++ b/features/harness/platform.py
@@ -65,6 +65,8 @@
     def __init__(self, folder, *, retry_ratio=0.2, retry_burst=96):
         self.folder = pathlib.Path(folder)
         self.procs = {}
+        # Numbers of the VMs without a disk.
+        self.diskless = set()
         self._retry_bounds = {
             "retry_ratio": retry_ratio,
             "retry_burst": retry_burst,
@@ -87,7 +89,7 @@
                 last=INTERNAL_PORT + 15,
                 seeds=seeds,
                 bootstrap=str(bootstrap).lower(),
-                folder=self.folder / f"data-{number}",
+                folder=self._data_folder(number),
                 callers=CALLERS,
                 ready=READY,
                 control=CONTROL,
@@ -105,6 +107,11 @@
                 command, env=env, cwd=ROOT, stdout=log, stderr=log
             )
 
+    def _data_folder(self, number):
+        if number in self.diskless:
+            return ""
+        return self.folder / f"data-{number}"
+
     def start_target(
         self, number, service, events=10, announced="", controls="",
         target_id="", extra=(),
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -53,6 +53,11 @@
     When the soak with changing configurations and cut links runs seed 3 for 12 seconds
     Then no invariant was violated
 
+  # Streams, resumed and repeated requests, slow links, a VM that is replaced.
+  Scenario: A soak whose configuration changes with all kinds of requests and VMs
+    When the soak with changing configurations of all kinds runs seed 4 for 12 seconds
+    Then no invariant was violated
+
   # Cause: SIGHUP terminates a process that is still loading; see KNOWN-RED.txt.
   Scenario: A soak in which processes receive a reload during start-up
     When the soak runs seed 223 for 9 seconds
--- a/features/soak/configuration_faults.py
+++ b/features/soak/configuration_faults.py
@@ -11,6 +11,14 @@
 # Longest time for which a process is deaf, seconds. It is shorter than the time
 # that a process must be undisturbed to be in touch.
 DEAF_SECONDS = 2.5
+# Delay of all messages to a process with a slow link, seconds.
+SLOW_SECONDS = 0.2
+# Time from the end of a VM until another one has its address, seconds.
+REUSE_SECONDS = (2.0, 3.0)
+# Longest time for which a target refuses requests, seconds.
+REFUSE_SECONDS = 1.5
+# Answers in a row that a target loses.
+LOST_ANSWERS = 2
 DEAF_PROGRAM = [str(platform_lib.ROOT / "features/harness/deaf_role.py")]
 
 
@@ -29,15 +37,34 @@
         ]
         (self.folder / f"{name}.deaf").write_text("\n".join(senders))
 
+    def set_slow(self, name):
+        """Delay all messages to a process."""
+        (self.folder / f"{name}.deaf").write_text(f"delay {SLOW_SECONDS}")
+
 
 class ConfigurationFaults(faults_lib.FaultInjector):
     """Disturbs one process, those of a VM, all of a kind, or their links."""
 
-    def __init__(self, *, world, links):
+    def __init__(self, *, world, links, targets=(), replaced=()):
+        """Create the injector.
+
+        Args:
+            world: Run of the soak.
+            links: Whether links are cut one way.
+            targets: Numbers of targets that refuse and lose answers.
+            replaced: Numbers of VMs that end and whose address is used again;
+                links are slow, too, if there are any.
+        """
         super().__init__(world=world, planned_only=False)
         self._links = links
-        # Until when processes are deaf, by name.
+        self._targets = targets
+        self._replaced = replaced
+        # Until when processes are deaf or have a slow link, by name.
         self._deaf = {}
+        # When processes on a new VM start, by name.
+        self._starts_due = {}
+        # Until when targets refuse, by number.
+        self._refusing = {}
         self._launches = collections.Counter()
         self._ended = threading.Event()
 
@@ -48,11 +75,22 @@
             self._rng.uniform(*faults_lib.PAUSE_SECONDS)
         ):
             self._thaw_due()
-            self._undeafen(time.monotonic())
+            self._end_due(time.monotonic())
             self._rng.choice(kinds)()
-        self._undeafen(float("inf"))
+        self._end_due(float("inf"))
         self._restore_all()
 
+    def _end_due(self, now):
+        self._undeafen(now)
+        for name, at in list(self._starts_due.items()):
+            if now >= at:
+                del self._starts_due[name]
+                self._start(name)
+        for number, until in list(self._refusing.items()):
+            if now >= until:
+                del self._refusing[number]
+                self._world.plat.tell(number, refuse=False)
+
     def stop(self):
         """End the faults, and wait until all processes run."""
         self._ended.set()
@@ -73,6 +111,10 @@
 
     def _list_kinds(self):
         links = [self._deafen] * 4 if self._links else []
+        if self._targets:
+            links += [self._refuse, self._lose_answers]
+        if self._replaced:
+            links += [self._slow_link, self._replace_vm]
         return [
             self._kill,
             self._freeze,
@@ -116,6 +158,40 @@
                 self.disturbances.record(name, time.monotonic())
                 self._control_lost_at = time.monotonic()
 
+    def _slow_link(self):
+        name = f"entry-{self._rng.choice(faults_lib.VMS)}"
+        if name in self._deaf:
+            return
+        self._log_fault(f"slow link to {name}")
+        self._world.plat.set_slow(name)
+        seconds = self._rng.uniform(0.3, DEAF_SECONDS)
+        self._deaf[name] = time.monotonic() + seconds
+
+    def _replace_vm(self):
+        """End a VM; another one has its address later."""
+        number = self._rng.choice(self._replaced)
+        names = [f"entry-{number}", f"control-{number}"]
+        if any(name in self._starts_due for name in names):
+            return
+        self._log_fault(f"replace vm-{number}")
+        for name in names:
+            self._terminate(name, signal.SIGKILL)
+            self._starts_due[name] = time.monotonic() + self._rng.uniform(
+                *REUSE_SECONDS
+            )
+
+    def _refuse(self):
+        number = self._rng.choice(self._targets)
+        self._log_fault(f"target {number} refuses")
+        self._world.plat.tell(number, refuse=True)
+        seconds = self._rng.uniform(0.1, REFUSE_SECONDS)
+        self._refusing[number] = time.monotonic() + seconds
+
+    def _lose_answers(self):
+        number = self._rng.choice(self._targets)
+        self._log_fault(f"target {number} loses answers")
+        self._world.plat.tell(number, lose_answers=LOST_ANSWERS)
+
     def _kill_vm(self):
         number = self._rng.choice(faults_lib.VMS)
         self._kill_names([f"entry-{number}", f"control-{number}"])
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -48,6 +48,17 @@
     context.violations = context.world.run(seconds)
 
 
+@when(
+    "the soak with changing configurations of all kinds runs seed {seed:d} for"
+    " {seconds:g} seconds"
+)
+def step_soak_all_kinds(context, seed, seconds):
+    context.world = configuration_world.ConfigurationWorld(
+        seed=seed, folder=context.folder, links=True, all_kinds=True
+    )
+    context.violations = context.world.run(seconds)
+
+
 @then("no invariant was violated")
 def step_no_violation(context):
     assert not context.violations, [
--- a/script/soak.py
+++ b/script/soak.py
@@ -40,6 +40,12 @@
         action="store_true",
         help="with --configurations: links are cut one way",
     )
+    parser.add_argument(
+        "--all-kinds",
+        action="store_true",
+        help="with --configurations: streams, targets that refuse, slow links,"
+        " and a VM that is replaced and has a control VM without a disk",
+    )
     parser.add_argument(
         "--entries",
         type=int,
@@ -64,6 +70,7 @@
                 entries=args.entries,
                 fillers=args.fillers,
                 links=args.links,
+                all_kinds=args.all_kinds,
             )
         elif args.parts:
             world = parts_world.PartsWorld(seed=seed, folder=folder)
