The log is compacted by size, so large configurations fit memory and disk

Operators would have seen: control VMs that are killed for memory, or whose disk is full, after some tens of large configurations.

Cause: the bound on the log counts entries, and each may now have any accepted size.

Evidence: "A control VM with an empty disk joins a log of large configurations" fails without it: six orders of 3 MB leave 18,001,932 bytes in the log, 16 MiB allowed. It passes after.

--- a/features/large_configuration.feature
+++ b/features/large_configuration.feature
@@ -29,6 +29,7 @@
     When 6 orders of 3000000 bytes are acknowledged while a control VM is down
     And its disk is emptied and it starts again
     Then it gets a voting seat within 8 seconds and holds the newest version
+    And the log of every control VM holds at most 16 MiB
 
   # Guards against a message that is dropped without a word.
   Scenario: A message above the limit of all nodes is an error where it is sent
--- a/jasperweir/components/configctl/const.py
+++ b/jasperweir/components/configctl/const.py
@@ -24,8 +24,10 @@
 REQUEST_SECONDS_PER_BYTE = 0.5e-6
 # zlib level for configurations; 1 is the fastest.
 COMPRESS_LEVEL = 1
-# Log length at which a snapshot is taken; each entry holds a configuration.
+# Log length and log size at which a snapshot is taken; the log is kept in
+# memory and on disk.
 COMPACT_ENTRIES = 64
+COMPACT_BYTES = 8 << 20
 # A member that is silent for this long may lose its seat to a new one.
 SEAT_SILENT_SECONDS = 2.0
 # A leader waits this long for control VMs that are not among the seeds before
--- a/jasperweir/components/configctl/node.py
+++ b/jasperweir/components/configctl/node.py
@@ -637,9 +637,13 @@
         return [core.Send(dst=src, msg=self._content)]
 
     def _compact(self) -> Actions:
-        if len(self.voter.log) < const.COMPACT_ENTRIES:
+        log = self.voter.log
+        is_long = len(log) >= const.COMPACT_ENTRIES
+        if not is_long and log.size < const.COMPACT_BYTES:
             return []
         applied = self.machine.table.revision
+        if applied <= self.voter.snapshot.idx:
+            return []
         return self.voter.compact(applied, self.machine.dump())
 
     # Seats.
--- a/jasperweir/components/quorum/log.py
+++ b/jasperweir/components/quorum/log.py
@@ -1,5 +1,7 @@
 """In-memory copy of the replicated log."""
 
+from collections.abc import Iterable
+
 from jasperweir.components.quorum import const
 from jasperweir.components.quorum import messages
 
@@ -10,6 +12,7 @@
     Attributes:
         base_index: Index of the last entry that the snapshot covers.
         base_term: Term of that entry.
+        size: Bytes of data of the entries after the snapshot.
     """
 
     def __init__(
@@ -22,6 +25,7 @@
         self.base_index = base_index
         self.base_term = base_term
         self._entries = [e for e in entries if e.idx > base_index]
+        self.size = _count_bytes(self._entries)
 
     def __len__(self) -> int:
         """Return the number of entries after the snapshot."""
@@ -67,10 +71,12 @@
     def append(self, entries: tuple[messages.Entry, ...]) -> None:
         """Append entries that directly follow the newest one."""
         self._entries.extend(entries)
+        self.size += _count_bytes(entries)
 
     def truncate(self, first: int) -> None:
         """Remove the entry at ``first`` and all later ones."""
         del self._entries[first - self.base_index - 1 :]
+        self.size = _count_bytes(self._entries)
 
     def compact(self, index: int, term: int) -> None:
         """Remove the entries up to an index that a snapshot now covers."""
@@ -78,5 +84,10 @@
             del self._entries[: index - self.base_index]
         else:
             self._entries.clear()
+        self.size = _count_bytes(self._entries)
         self.base_index = index
         self.base_term = term
+
+
+def _count_bytes(entries: Iterable[messages.Entry]) -> int:
+    return sum(len(entry.data) for entry in entries)
