A group of engines is planned by the configuration in force, not the first one

Operators would have seen: after a change of an engine's figures, such as the experts that one change may add to a rank, maps were still planned by the old ones until the leadership changed; orders that exceed the new ones are refused.

A Group kept the engine with which it was created, so a start followed the configuration and a change did not.

Fix: each heartbeat hands over the engine in force. A group that is idle plans for it from then on; one that switches ends its switch first.

--- a/features/restored_configuration.feature
+++ b/features/restored_configuration.feature
@@ -15,3 +15,16 @@
       | a snapshot and later entries on its disk |
       | a snapshot of the leader                 |
       | a disk that failed for a moment          |
+
+  # Guards against figures of engines that stay those of the first version which
+  # a leader saw.
+  Scenario: A group follows a change of its engine's figures
+    Given a group of engines that is planned by version 9
+    When version 12 allows fewer experts per change
+    Then the group plans by version 12 at its next heartbeat
+
+  # Guards against a planner that is replaced in the middle of a switch.
+  Scenario: A group that switches follows the change after the switch
+    Given a group of engines that is planned by version 9
+    When version 12 allows fewer experts per change during a switch
+    Then the group plans by version 9 until the switch has ended, then by version 12
--- a/jasperweir/components/mapswitch/coordinator.py
+++ b/jasperweir/components/mapswitch/coordinator.py
@@ -239,6 +239,7 @@
                 relays=self._relays,
             )
             self._groups[name] = group
+        group.set_engine(engine)
         return group.on_heartbeat(src, msg, now)
 
 
--- a/jasperweir/components/mapswitch/group.py
+++ b/jasperweir/components/mapswitch/group.py
@@ -71,6 +71,7 @@
             sets=engine.sets, experts=engine.experts
         )
         self.phase = Phase.IDLE
+        self._engine = engine
         self._planner = planner_lib.Planner(engine=engine)
         self._term = term
         # An entry sends the holds, so that no engine of the group freezes
@@ -103,6 +104,20 @@
 
     # Inputs.
 
+    def set_engine(self, engine: model.Engine) -> None:
+        """Plan for changed engines; a switch ends as it was planned."""
+        if engine == self._engine or self.busy:
+            return
+        if (engine.sets, engine.experts) != (
+            self._engine.sets,
+            self._engine.experts,
+        ):
+            self.demand = demand_lib.Demand(
+                sets=engine.sets, experts=engine.experts
+            )
+        self._engine = engine
+        self._planner = planner_lib.Planner(engine=engine)
+
     def on_heartbeat(
         self, src: str, heartbeat: messages.EngineHeartbeat, now: float
     ) -> Actions:
