An entry that gets its configuration before it listens applies the limits

Callers would have seen: bodies and heads judged by the built-in limits instead of the configured ones, from a start of an entry until the next change.

Cause: the limits were set where a version is applied, and only if the server for callers existed. The link reads earlier than that: a control VM that remembers the entry from before its restart announces a version at once.

Fix: the limits are set from the configuration in force, at a change and once the server exists.

Evidence: "An entry that gets a version before it listens applies its limits" fails before (4194304 bytes instead of 1000) and passes after.

--- a/features/restored_configuration.feature
+++ b/features/restored_configuration.feature
@@ -28,3 +28,9 @@
     Given a group of engines that is planned by version 9
     When version 12 allows fewer experts per change during a switch
     Then the group plans by version 9 until the switch has ended, then by version 12
+
+  # Guards against limits that are lost if a version is applied during a start.
+  Scenario: An entry that gets a version before it listens applies its limits
+    Given an entry that applies a version with a body limit of 1000 bytes before it listens
+    When it starts to listen for callers
+    Then its body limit is 1000 bytes
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -171,6 +171,8 @@
         self._server = await self._host.serve(
             self._cfg.callers, self._forwarder.handle
         )
+        # A version may have been applied before.
+        self._apply_limits()
         await self._host.serve(self._cfg.ready, self._on_ready_check)
         await self._host.serve(self._cfg.lookup, self._on_lookup)
         self._tick_discovery()
@@ -333,10 +335,8 @@
         self._discovery.on_applied(act.version, self._host.now())
         self._forwarder.targets.warmup.on_services(index.services)
         self._forwarder.pass_monitor.limits.on_bounds(pass_bounds)
-        limits = deployment.limits
-        if self._server is not None:
-            self._server.limits = http_server.ServerLimits(*limits)
         self._forwarder.index = index
+        self._apply_limits()
         since_s = self._host.now() - self._version_announced_at
         self._host.metrics.observe("configuration_delay_seconds", since_s)
         _log.info(
@@ -345,6 +345,13 @@
             since_announced_ms=round(since_s * 1000),
         )
 
+    def _apply_limits(self) -> None:
+        """Set the limits on callers of the configuration in force."""
+        index = self._forwarder.index
+        if self._server is not None and index is not None:
+            limits = http_server.ServerLimits(*index.deployment.limits)
+            self._server.limits = limits
+
     def _describe_version(self) -> version_basis.VersionBasis:
         return self._discovery.describe_version(self._host.now())
 
