Refactor: requests that await the leader's reply are a module of their own

node.py had grown with each kind of request. What a control VM keeps while it waits for the leader (when to send again, to whom, until when) moves to leader_requests.py unchanged; what the leader does stays.

--- a/features/harness/linked_site.py
+++ b/features/harness/linked_site.py
@@ -7,6 +7,7 @@
 from features.harness import quorum as quorum_lib
 from features.harness import sockets
 from jasperweir import core
+from jasperweir.components.configctl import leader_requests as requests_lib
 from jasperweir.components.configctl import node as node_lib
 from jasperweir.components.directory import records
 from jasperweir.components.discovery import client as discovery_client
@@ -93,7 +94,9 @@
             while key not in self.results and clocks.elapsed() < until:
                 await asyncio.sleep(0.01)
             found = self.results.get(key)
-            if isinstance(found, node_lib.Replaced | node_lib.Described):
+            if isinstance(
+                found, requests_lib.Replaced | requests_lib.Described
+            ):
                 return found
         return None
 
--- a/features/harness/site.py
+++ b/features/harness/site.py
@@ -7,6 +7,7 @@
 from jasperweir import core
 from jasperweir.components.configctl import discovery_server
 from jasperweir.components.configctl import evacuations as evacuations_lib
+from jasperweir.components.configctl import leader_requests as requests_lib
 from jasperweir.components.configctl import node as node_lib
 from jasperweir.components.confirmation import tracker as tracker_lib
 from jasperweir.components.directory import records
@@ -213,9 +214,9 @@
                     self.evacuated[name] = act.evacuations.places
                 case evacuations_lib.Evacuated():
                     self.results[(name, act.number)] = act
-                case node_lib.Replaced():
+                case requests_lib.Replaced():
                     self.on_replaced(name, act)
-                case node_lib.Described():
+                case requests_lib.Described():
                     self.on_described(name, act)
                 case (
                     discovery_server.Acknowledged()
--- a/features/steps/final_loss_steps.py
+++ b/features/steps/final_loss_steps.py
@@ -8,7 +8,7 @@
 from behave import when
 
 from features.harness import site as site_lib
-from jasperweir.components.configctl import node as node_lib
+from jasperweir.components.configctl import leader_requests as requests_lib
 
 # Times from the acknowledgement of a version to the loss, seconds.
 LOSS_DELAYS = (0.0, 0.05, 0.4)
@@ -109,7 +109,9 @@
     site.run(1.0)
     answers = [site.results.get(request) for request in requests]
     read = [
-        answer.declared.version if isinstance(answer, node_lib.Described) else 0
+        answer.declared.version
+        if isinstance(answer, requests_lib.Described)
+        else 0
         for answer in answers
     ]
     return read + list(site.versions.values())
--- a/features/steps/large_configuration_steps.py
+++ b/features/steps/large_configuration_steps.py
@@ -128,7 +128,9 @@
         last.idx + 1, disk.meta.term, quorum_const.KIND_OP, codec.pack(req)
     )
     disk.entries[entry.idx] = entry
-    run(context, site.start(bootstrap=False))
+    # Two of three elect the one whose log is longer.
+    other, last_started = (name for name in site.names if name != leader)
+    run(context, site.start([leader, other], bootstrap=False))
 
     def read():
         return site.describe(leader)
@@ -139,7 +141,8 @@
         while clocks.elapsed() < until:
             found = await site.call(read, 2)
             if found is not None and found.declared.version == version:
-                return
+                break
+        await site.start([last_started], bootstrap=False)
 
     run(context, wait())
 
--- a/jasperweir/components/configctl/node.py
+++ b/jasperweir/components/configctl/node.py
@@ -1,17 +1,16 @@
 """Sans-I/O core of a control VM: configurations, seats and discovery."""
 
-import dataclasses
 import itertools
 from typing import Any
 from typing import NamedTuple
 
 from jasperweir import core
 from jasperweir import exceptions
-from jasperweir import result_codes
 from jasperweir.components.configctl import bootstrap_election as bootstrap_lib
 from jasperweir.components.configctl import const
 from jasperweir.components.configctl import discovery_server
 from jasperweir.components.configctl import evacuations as evacuations_lib
+from jasperweir.components.configctl import leader_requests as requests_lib
 from jasperweir.components.configctl import messages
 from jasperweir.components.configctl import seats as seats_lib
 from jasperweir.components.quorum import actions
@@ -24,42 +23,6 @@
 from jasperweir.helpers import hashing
 
 Actions = list[Any]
-Request = (
-    messages.ReplaceRequest | messages.ReadRequest | messages.EvacuateRequest
-)
-
-
-class Replaced(NamedTuple):
-    """Action: confirm to an operator that a configuration is committed."""
-
-    number: int
-    version: int
-
-
-class Described(NamedTuple):
-    """Action: return the newest configuration to an operator."""
-
-    number: int
-    declared: ops.Declared
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class PendingRequest:
-    """Request that waits for the leader's reply.
-
-    Attributes:
-        request: Message for the leader.
-        expires_at: Time of its timeout, monotonic seconds.
-        resend_s: Interval at which it is resent, seconds.
-        sent_to: Leader that it was last sent to, or empty.
-        sent_at: Time of the last send, monotonic seconds.
-    """
-
-    request: Request
-    expires_at: float
-    resend_s: float
-    sent_to: str = ""
-    sent_at: float = 0.0
 
 
 class SeatsChanged(NamedTuple):
@@ -88,13 +51,6 @@
     number: int
 
 
-def _transfer_s(request: Request) -> float:
-    """Return how much longer a request may take for its size, seconds."""
-    if not isinstance(request, messages.ReplaceRequest):
-        return 0.0
-    return len(request.data) * const.REQUEST_SECONDS_PER_BYTE
-
-
 def _replaced_version(entry: quorum_messages.Entry) -> int:
     """Return the version that a log entry applies, 0 if it applies none."""
     if entry.kind != quorum_const.KIND_OP:
@@ -161,7 +117,7 @@
             keeps_log=has_disk,
         )
         self._evacuations = evacuations_lib.Evacuations(machine=self.machine)
-        self._pending: dict[int, PendingRequest] = {}
+        self._requests = requests_lib.LeaderRequests()
         self._waiters: dict[str, list[Waiter]] = {}
         # One message for all nodes, so that a large one is encoded once.
         self._content: messages.Content | None = None
@@ -211,7 +167,7 @@
 
     def abandon(self, number: int) -> None:
         """End a request whose caller is gone, so that it is not retried."""
-        self._pending.pop(number, None)
+        self._requests.abandon(number)
 
     # Inputs.
 
@@ -233,18 +189,18 @@
     def receive(self, src: str, msg: Any, now: float) -> Actions:
         """Handle a message from another process."""
         match msg:
-            case messages.ReplaceRequest():
-                return self._on_replace_request(src, msg, now)
-            case messages.ReadRequest():
-                return self._on_read_request(src, msg, now)
-            case messages.EvacuateRequest():
-                return self._on_evacuate_request(src, msg, now)
+            case (
+                messages.ReplaceRequest()
+                | messages.ReadRequest()
+                | messages.EvacuateRequest()
+            ):
+                return self._on_request(src, msg, now)
             case (
                 messages.ReplaceReply()
                 | messages.ReadReply()
                 | messages.EvacuateReply()
             ):
-                return self._on_reply(msg)
+                return self._requests.on_reply(msg, self.machine.declared())
             case messages.ContentRequest():
                 return self._on_content_request(src, msg)
             case quorum_messages.Hello():
@@ -365,50 +321,33 @@
     # Requests to the leader.
 
     def _start_request(
-        self,
-        number: int,
-        request: Request,
-        now: float,
+        self, number: int, request: requests_lib.Request, now: float
     ) -> discovery_server.StartedRequest:
-        transfer_s = _transfer_s(request)
-        self._pending[number] = PendingRequest(
-            request=request,
-            expires_at=now + const.REQUEST_TIMEOUT_SECONDS + transfer_s,
-            resend_s=const.RESEND_REQUEST_SECONDS + transfer_s,
-        )
+        self._requests.add(number, request, now)
         return discovery_server.StartedRequest(number, self._send_pending(now))
 
     def _send_pending(self, now: float) -> Actions:
-        out: Actions = []
+        out: Actions = self._requests.expire(now)
         leader = self._leader(now).name
-        for number, pending in list(self._pending.items()):
-            if now >= pending.expires_at:
-                del self._pending[number]
-                out.append(discovery_server.Unconfirmed(number=number))
-                continue
-            due = now - pending.sent_at > pending.resend_s
-            if not leader or (pending.sent_to == leader and not due):
-                continue
-            pending.sent_to = leader
-            pending.sent_at = now
-            if leader != self.name:
-                out.append(core.Send(dst=leader, msg=pending.request))
-                continue
-            match pending.request:
-                case messages.ReplaceRequest():
-                    out += self._on_replace_request(
-                        self.name, pending.request, now
-                    )
-                case messages.ReadRequest():
-                    out += self._on_read_request(
-                        self.name, pending.request, now
-                    )
-                case messages.EvacuateRequest():
-                    out += self._on_evacuate_request(
-                        self.name, pending.request, now
-                    )
+        for request in self._requests.take_due(leader, now):
+            if leader == self.name:
+                out += self._on_request(self.name, request, now)
+            else:
+                out.append(core.Send(dst=leader, msg=request))
         return out
 
+    def _on_request(
+        self, src: str, request: requests_lib.Request, now: float
+    ) -> Actions:
+        """Handle a request of this or another control VM as the leader."""
+        match request:
+            case messages.ReplaceRequest():
+                return self._on_replace_request(src, request, now)
+            case messages.ReadRequest():
+                return self._on_read_request(src, request, now)
+            case messages.EvacuateRequest():
+                return self._on_evacuate_request(src, request, now)
+
     def _on_replace_request(
         self, src: str, msg: messages.ReplaceRequest, now: float
     ) -> Actions:
@@ -481,60 +420,11 @@
         )
         return self._send_reply(src, reply)
 
-    def _send_reply(
-        self,
-        dst: str,
-        reply: (
-            messages.ReplaceReply | messages.ReadReply | messages.EvacuateReply
-        ),
-    ) -> Actions:
+    def _send_reply(self, dst: str, reply: requests_lib.Reply) -> Actions:
         if dst == self.name:
-            return self._on_reply(reply)
+            return self._requests.on_reply(reply, self.machine.declared())
         return [core.Send(dst=dst, msg=reply)]
 
-    def _on_reply(
-        self,
-        msg: messages.ReplaceReply
-        | messages.ReadReply
-        | messages.EvacuateReply,
-    ) -> Actions:
-        pending = self._pending.get(msg.number)
-        if pending is None:
-            return []
-        match msg:
-            case messages.ReplaceReply():
-                del self._pending[msg.number]
-                return [Replaced(number=msg.number, version=msg.version)]
-            case messages.ReadReply():
-                declared = ops.Declared(version=msg.version, data=msg.data)
-                if not msg.data:
-                    declared = self.machine.declared()
-                if declared.version < msg.version:
-                    return []
-                del self._pending[msg.number]
-                return [Described(number=msg.number, declared=declared)]
-            case messages.EvacuateReply():
-                return self._on_evacuate_reply(pending, msg)
-
-    def _on_evacuate_reply(
-        self, pending: PendingRequest, msg: messages.EvacuateReply
-    ) -> Actions:
-        request = pending.request
-        if not isinstance(request, messages.EvacuateRequest):
-            return []
-        if msg.code == result_codes.Code.ACCEPTED:
-            del self._pending[msg.number]
-            return [
-                evacuations_lib.Evacuated(
-                    number=msg.number, place=request.place, orders=msg.orders
-                )
-            ]
-        if msg.code == result_codes.Code.STALE_PARENT:
-            # The next tick resends it unless the operator's call has ended.
-            pending.request = request._replace(expected=msg.orders)
-            pending.sent_to = ""
-        return []
-
     def _has_enough_seats(self, now: float) -> bool:
         """Return whether there are enough voters to accept a configuration.
 
--- a/jasperweir/daemons/control_calls.py
+++ b/jasperweir/daemons/control_calls.py
@@ -7,6 +7,7 @@
 from jasperweir.components.configctl import control_calls as calls_lib
 from jasperweir.components.configctl import discovery_server
 from jasperweir.components.configctl import evacuations as evacuations_lib
+from jasperweir.components.configctl import leader_requests as requests_lib
 from jasperweir.components.configctl import node as node_lib
 from jasperweir.helpers import http_server
 from jasperweir.helpers import logs
@@ -113,22 +114,22 @@
     def send_result(
         self,
         act: (
-            node_lib.Replaced
+            requests_lib.Replaced
             | evacuations_lib.Evacuated
-            | node_lib.Described
+            | requests_lib.Described
             | discovery_server.Acknowledged
             | discovery_server.Unconfirmed
         ),
     ) -> None:
         """Send the result of a call to its caller."""
         match act:
-            case node_lib.Replaced():
+            case requests_lib.Replaced():
                 self._reply(act.number, self._dialect.done(), act.version)
             case evacuations_lib.Evacuated():
                 self._reply(act.number, self._dialect.done(), act.orders)
             case discovery_server.Acknowledged():
                 self._reply(act.number, self._dialect.done(), 0)
-            case node_lib.Described():
+            case requests_lib.Described():
                 raw = zlib.decompress(act.declared.data)
                 reply = self._dialect.described(act.declared, raw)
                 self._reply(act.number, reply, act.declared.version)
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -11,6 +11,7 @@
 from jasperweir.components.configctl import control_calls as calls_lib
 from jasperweir.components.configctl import discovery_server
 from jasperweir.components.configctl import evacuations as evacuations_lib
+from jasperweir.components.configctl import leader_requests as requests_lib
 from jasperweir.components.configctl import node as node_lib
 from jasperweir.components.deployment import model
 from jasperweir.components.directory import const as directory_const
@@ -353,9 +354,9 @@
             case evacuations_lib.EvacuationsChanged():
                 _log.info("evacuations committed", **act.evacuations._asdict())
             case (
-                node_lib.Replaced()
+                requests_lib.Replaced()
                 | evacuations_lib.Evacuated()
-                | node_lib.Described()
+                | requests_lib.Described()
                 | discovery_server.Acknowledged()
                 | discovery_server.Unconfirmed()
             ):
--- a/script/guards_evacuation.py
+++ b/script/guards_evacuation.py
@@ -26,7 +26,7 @@
           'return f"{_OP_PREFIX}{term}/{index}"',
           'return f"{_OP_PREFIX}order"', "evacuation"),
     Guard("an outdated number is corrected while the call is open",
-          C + "node.py",
+          C + "leader_requests.py",
           "pending.request = request._replace(expected=msg.orders)", "pass",
           "evacuation"),
     Guard("an evacuation needs enough voters", C + "node.py",
