A target that was known before a restart is listed for 10 s without a heartbeat

Callers would have seen: for up to 30 s after a restart of all processes, attempts on targets that had crashed meanwhile.

Cause: records of the soft state were restored with the age 0, as if their targets had just been heard. Nothing says how old they are; the file is written when a record changes, so it may be hours old.

Fix: they are restored with the age at which 10 s are left, several heartbeats.

Evidence: "A target that was known before a restart needs a heartbeat" fails before (listed by five processes of five 12 s after the start) and passes after. The guard of a new receiver of a transfer stayed green: its scenario now asks for the start before the sender's timeout.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -65,3 +65,9 @@
   Scenario: What was acknowledged holds in drawn histories
     When targets leave during 25 drawn histories of kills and restarts
     Then every acknowledged departure is known at all control VMs afterwards
+
+  # Guards against a crashed target that counts as fresh after a restart.
+  Scenario: A target that was known before a restart needs a heartbeat
+    Given a site of 3 control VMs with a ready target, whose soft state was saved
+    When all processes are killed at once
+    Then every entry uses the target after 3 seconds and none after 12
--- a/features/steps/departures_steps.py
+++ b/features/steps/departures_steps.py
@@ -332,3 +332,13 @@
                 assert held is not None, (seed, name, number)
                 assert held.presence > READY, (seed, name, held)
     assert acknowledged >= 2 * len(context.histories), acknowledged
+
+
+@then("every entry uses the target after 3 seconds and none after 12")
+def step_expires(context):
+    site = context.site
+    site.run(3.0)
+    ready = list_ready(site)
+    assert set(site.discovery_clients) <= set(ready), ready
+    site.run(9.0)
+    assert not list_ready(site), list_ready(site)
--- a/features/steps/transfers_steps.py
+++ b/features/steps/transfers_steps.py
@@ -116,11 +116,15 @@
     while next(iter(pair.one._outgoing.values())).acked < size / 3:
         pair.step()
     pair.two = transfers.Transfers()
+    pair.run(0.2)
+    # Before a timeout of the sender.
+    context.began = bool(pair.two._incoming)
     pair.run(10)
 
 
 @then("the new receiver gets the whole message")
 def step_new_receiver(context):
+    assert context.began
     assert context.pair.arrived == [context.sent]
 
 
--- a/jasperweir/components/configctl/const.py
+++ b/jasperweir/components/configctl/const.py
@@ -38,5 +38,8 @@
 BOOTSTRAP_WAIT_SECONDS = 1.5
 # Requests for a seat that are older than this are ignored.
 SEAT_REQUEST_TTL_SECONDS = 2.5
+# Time after a start for which a target that was known before is listed without
+# a heartbeat: several heartbeats of 1.2 s.
+RESTORED_SECONDS = 10.0
 # Timeout for a second control VM to acknowledge a target that is new.
 UPDATE_ACK_TIMEOUT_SECONDS = 0.5
--- a/jasperweir/components/configctl/discovery_server.py
+++ b/jasperweir/components/configctl/discovery_server.py
@@ -225,10 +225,15 @@
         return []
 
     def restore(self, soft_state: bytes, now: float) -> None:
-        """Restore the targets known before a restart."""
+        """Restore the targets known before a restart.
+
+        Nothing tells how old the records are, so they expire soon unless a
+        heartbeat confirms them.
+        """
         known = codec.unpack(soft_state, records.TargetList)
+        age_s = directory_const.FORGET_SECONDS - const.RESTORED_SECONDS
         for target in known.targets:
-            self.directory.merge(target, now)
+            self.directory.merge(target, now, age_s)
 
     # Queries.
 
