Tests: heads that end early, at each reader and through the whole path

Other operators reported a response with an empty or short body, framed as whole, after a target had stopped within its head. The peer's thread ends with its socket now: 3,655 of them were left after the five readers.

--- a/features/harness/cut_answers_own.py
+++ b/features/harness/cut_answers_own.py
@@ -150,6 +150,8 @@
         threading.Thread(target=self._accept, daemon=True).start()
 
     def stop(self):
+        # A close alone does not end the thread that waits in accept.
+        self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
 
     def _accept(self):
