An agent polls its target again after a report that it can't read

Callers would have seen: a target that is no longer chosen, or kept as it last was, until its agent is restarted.

Cause: a report whose JSON value has another shape raised KeyError or TypeError, which ended the polling thread. Met by a test's engine that answered with an object without prefixes.

Fix: the target counts as down until a report can be read, with one log line.

Evidence: "A target whose report has another shape is polled again" raises in all six examples before and passes in all six after.

--- a/features/cut_answers_own.feature
+++ b/features/cut_answers_own.feature
@@ -77,3 +77,18 @@
       | HTTP/1.1 200 OK~Transfer-Encoding: chunked~~3~abc~    |
       | HTTP/1.1 200 OK~Transfer-Encoding: chunked~~3~abc~0   |
       | HTTP/1.1 200 OK~Transfer-Encoding: chunked~~3~abc~00  |
+
+  # Guards against an agent that never polls its target again.
+  Scenario Outline: A target whose report has another shape is polled again
+    Given an agent whose target answers "<path>" with "<body>"
+    When it polls the target
+    Then the target counts as down, and up again once it answers as usual
+
+    Examples:
+      | path          | body                    |
+      | /cache-events | {}                      |
+      | /cache-events | {"prefixes": 3}         |
+      | /cache-events | []                      |
+      | /load         | 3                       |
+      | /load         | {"skew": []}            |
+      | /load         | {"adapters": 1}         |
--- a/features/steps/cut_answers_own_steps.py
+++ b/features/steps/cut_answers_own_steps.py
@@ -4,11 +4,13 @@
 import collections
 import json
 
+from behave import given
 from behave import then
 from behave import when
 
 from features.harness import cut_answers_own
 from features.harness import virtual_loop
+from jasperweir.components.agent import target_poller
 
 SHOWN = 12
 EVENTS = cut_answers_own.EVENTS
@@ -232,3 +234,36 @@
 def step_async_broken(context):
     listener = context.listeners[0]
     assert not listener.ends and listener.broken, vars(listener)
+
+
+@given('an agent whose target answers "{path}" with "{body}"')
+def step_odd_target(context, path, body):
+    usual = {"/load": '{"active": 0}', "/cache-events": '{"prefixes": []}'}
+    context.texts = {**usual, path: body}
+    context.usual = usual
+    peer = cut_answers_own.Peer(
+        script=lambda line: cut_answers_own.Cut(
+            "plain",
+            "length",
+            len(context.texts[line.split(b" ")[1].decode()]),
+            "complete",
+            text=context.texts[line.split(b" ")[1].decode()].encode(),
+        )
+    )
+    context.add_cleanup(peer.stop)
+    context.poller = target_poller.TargetPoller(
+        url=f"http://{peer.address}", orders=lambda state: []
+    )
+
+
+@when("it polls the target")
+def step_poll(context):
+    context.poller.poll()
+
+
+@then("the target counts as down, and up again once it answers as usual")
+def step_down_then_up(context):
+    assert not context.poller.is_up
+    context.texts = context.usual
+    context.poller.poll()
+    assert context.poller.is_up
--- a/jasperweir/components/agent/target_poller.py
+++ b/jasperweir/components/agent/target_poller.py
@@ -10,6 +10,9 @@
 from jasperweir.components.orders import planner
 from jasperweir.components.runs import const as run_const
 from jasperweir.helpers import http_pool
+from jasperweir.helpers import logs
+
+_log = logs.logger("agent")
 
 POLL_SECONDS = 0.5
 ORDER_SECONDS = 30.0
@@ -69,7 +72,16 @@
                 self._send_orders(load)
             if self._has_events:
                 self._read_cache_events()
-        except (urllib3.exceptions.HTTPError, ValueError, AttributeError):
+        except (
+            urllib3.exceptions.HTTPError,
+            ValueError,
+            AttributeError,
+            LookupError,
+            TypeError,
+        ) as exc:
+            # The body may be any JSON value.
+            if self.is_up:
+                _log.warning(f"target {self._url} cannot be read: {exc!r}")
             self.is_up = False
 
     def _read_cache_events(self) -> None:
