A version that follows another closely is fetched at once

Callers saw: with many changes, the last entry puts a version into force some 0.4 s after its acknowledgement, the others within 0.1 s.

Cause: a request for content is repeated after 0.4 s at the earliest, and the time of the last one counted also when it had been answered.

Fix: content that arrives ends the wait. An unanswered request still waits.

Evidence: "Versions that follow each other closely are in force soon" fails before (five of six versions behind at both entries 0.1 s after the acknowledgement) and passes after.

--- a/features/outdated_configuration.feature
+++ b/features/outdated_configuration.feature
@@ -13,3 +13,10 @@
     Given a site with committed version 9
     When an entry fails to apply version 12
     Then it still holds version 9 and requests version 12 again
+
+  # Guards against a version whose content is requested only when a repeat of the
+  # request for the one before would be due.
+  Scenario: Versions that follow each other closely are in force soon
+    Given a site with committed version 9
+    When versions 10 to 15 are committed, one every 0.1 seconds
+    Then each is in force at every entry 0.1 seconds after its acknowledgement
--- a/features/steps/outdated_configuration_steps.py
+++ b/features/steps/outdated_configuration_steps.py
@@ -69,3 +69,29 @@
     assert any(
         isinstance(act.msg, config_messages.ContentRequest) for act in asked
     )
+
+
+@when(
+    "versions {first:d} to {last:d} are committed, one every {gap_s:g} seconds"
+)
+def step_close_versions(context, first, last, gap_s):
+    site = context.site
+    context.late = []
+    for version in range(first, last + 1):
+        site.replace("c1", version)
+        acked_at = None
+        for _ in range(40):
+            site.run(site_lib.STEP)
+            if acked_at is None and site.acked[0] >= version:
+                acked_at = site.now
+            if acked_at is not None and site.now >= acked_at + gap_s:
+                break
+        behind = {n: v for n, v in site.versions.items() if v < version}
+        context.late += [(version, behind)] if behind else []
+
+
+@then(
+    "each is in force at every entry {within_s:g} seconds after its acknowledgement"
+)
+def step_soon_in_force(context, within_s):
+    assert not context.late, context.late
--- a/jasperweir/components/discovery/client.py
+++ b/jasperweir/components/discovery/client.py
@@ -312,6 +312,8 @@
             case messages.EvacuationNotice():
                 return self._apply_evacuations(msg.revision, msg.places, now)
             case messages.Content():
+                # The request is answered; the next one need not wait.
+                self._last_pull_at = float("-inf")
                 if msg.version > self.version:
                     return [
                         ApplyConfiguration(version=msg.version, data=msg.data)
