--- a/features/outdated_configuration.feature
+++ b/features/outdated_configuration.feature
@@ -19,4 +19,4 @@
   Scenario: Versions that follow each other closely are in force soon
     Given a site with committed version 9
     When versions 10 to 15 are committed, one every 0.1 seconds
-    Then each is in force at every entry 0.1 seconds after its acknowledgement
+    Then each is in force at every entry 0.1 s after its acknowledgement
--- a/features/steps/outdated_configuration_steps.py
+++ b/features/steps/outdated_configuration_steps.py
@@ -91,7 +91,7 @@
 
 
 @then(
-    "each is in force at every entry {within_s:g} seconds after its acknowledgement"
+    "each is in force at every entry {within_s:g} s after its acknowledgement"
 )
 def step_soon_in_force(context, within_s):
     assert not context.late, context.late
