One record of who waits for the log; a cached message is read once

Departures and configurations kept the same Waiter twice. The thread that owns a link may clear the cached encoding between two reads of it by the thread that sends.

--- a/jasperweir/components/configctl/departures.py
+++ b/jasperweir/components/configctl/departures.py
@@ -7,9 +7,8 @@
 """
 
 from collections.abc import Callable
-from typing import Any
-from typing import NamedTuple
 
+from jasperweir.components.configctl import leader_requests as requests_lib
 from jasperweir.components.configctl import messages
 from jasperweir.components.directory import departures
 from jasperweir.components.directory import records
@@ -17,20 +16,6 @@
 from jasperweir.components.registry import state_machine as state_machine_lib
 from jasperweir.helpers import codec
 
-Actions = list[Any]
-
-
-class Waiter(NamedTuple):
-    """Process that waits until a record is committed.
-
-    Attributes:
-        src: Name of the process.
-        number: Number of its request.
-    """
-
-    src: str
-    number: int
-
 
 class Departures:
     """Records that the leader has proposed and those that are committed."""
@@ -51,8 +36,8 @@
         self._wall = wall
         # Requests whose record is in no entry of the log yet, and those whose
         # record is in the entry ``_proposed_id``.
-        self._waiting: dict[Waiter, records.Target] = {}
-        self._proposed: list[Waiter] = []
+        self._waiting: dict[requests_lib.Waiter, records.Target] = {}
+        self._proposed: list[requests_lib.Waiter] = []
         self._proposed_id = ""
         # Log index up to which ``take_new`` has returned the records.
         self._taken_index = 0
@@ -64,7 +49,7 @@
 
     def add(self, src: str, request: messages.DepartRequest) -> None:
         """Add a request, unless its record is in the log already."""
-        waiter = Waiter(src=src, number=request.number)
+        waiter = requests_lib.Waiter(src=src, number=request.number)
         if waiter not in self._proposed:
             self._waiting[waiter] = request.target
 
@@ -88,7 +73,7 @@
             body=codec.pack_tagged(op),
         )
 
-    def finish(self, op_id: str) -> list[Waiter]:
+    def finish(self, op_id: str) -> list[requests_lib.Waiter]:
         """Return the processes that waited for a committed operation."""
         if op_id != self._proposed_id:
             return []
--- a/jasperweir/components/configctl/leader_requests.py
+++ b/jasperweir/components/configctl/leader_requests.py
@@ -40,6 +40,18 @@
     declared: ops.Declared
 
 
+class Waiter(NamedTuple):
+    """Process that waits until an operation is committed.
+
+    Attributes:
+        src: Name of the process.
+        number: Number of its request.
+    """
+
+    src: str
+    number: int
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class PendingRequest:
     """Request that waits for the leader's reply.
--- a/jasperweir/components/configctl/node.py
+++ b/jasperweir/components/configctl/node.py
@@ -42,18 +42,6 @@
     reduced: bool
 
 
-class Waiter(NamedTuple):
-    """Process that waits until an operation is committed.
-
-    Attributes:
-        src: Name of the process.
-        number: Number of its request.
-    """
-
-    src: str
-    number: int
-
-
 def _replaced_version(entry: quorum_messages.Entry) -> int:
     """Return the version that a log entry applies, 0 if it applies none."""
     if entry.kind != quorum_const.KIND_OP:
@@ -126,7 +114,7 @@
             machine=self.machine, wall=wall
         )
         self._requests = requests_lib.LeaderRequests()
-        self._waiters: dict[str, list[Waiter]] = {}
+        self._waiters: dict[str, list[requests_lib.Waiter]] = {}
         # One message for all nodes, so that a large one is encoded once.
         self._content: messages.Content | None = None
         self._applicants: dict[str, seats_lib.Applicant] = {}
@@ -409,7 +397,7 @@
             return []
         digest = hashing.checksum(msg.data)
         op_id = f"replace/{msg.version}/{digest:x}"
-        waiter = Waiter(src=src, number=msg.number)
+        waiter = requests_lib.Waiter(src=src, number=msg.number)
         waiters = self._waiters.setdefault(op_id, [])
         if waiter in waiters:
             return []
@@ -445,7 +433,8 @@
         req = ops.Request(
             op_id=op_id, who=src, at=0.0, body=evacuations_lib.make_body(msg)
         )
-        self._waiters[op_id] = [Waiter(src=src, number=msg.number)]
+        waiter = requests_lib.Waiter(src=src, number=msg.number)
+        self._waiters[op_id] = [waiter]
         index, out = self.voter.propose(codec.pack(req), now)
         if not index:
             del self._waiters[op_id]
--- a/jasperweir/helpers/link.py
+++ b/jasperweir/helpers/link.py
@@ -223,8 +223,10 @@
         self._wake()
 
     def _encode(self, msg: Any) -> codec.Body:
-        if self._last_large is not None and self._last_large[0] is msg:
-            return self._last_large[1]
+        # The link thread may clear it at any moment.
+        last = self._last_large
+        if last is not None and last[0] is msg:
+            return last[1]
         body = codec.encode_body(msg)
         if is_large(body):
             self._last_large = (msg, body)
