--- a/features/harness/platform.py
+++ b/features/harness/platform.py
@@ -35,7 +35,8 @@
 SETTINGS = """\
 nodeName = "vm-{number}"
 ip = "{ip}"
-zone = "p"
+app = "{app}"
+zone = "{zone}"
 region = "r"
 internalPorts = [{port}, {last}]
 seeds = [{seeds}]
@@ -56,6 +57,7 @@
 [zones]
 p = "r"
 q = "r"
+s = "r"
 """
 
 
@@ -67,6 +69,10 @@
         self.procs = {}
         # Numbers of the VMs without a disk.
         self.diskless = set()
+        # Data centre by number of a VM, "p" for the others.
+        self.zones = {}
+        # Numbers of the control VMs that processes connect to first.
+        self.seeds = (1, 2, 3)
         self._retry_bounds = {
             "retry_ratio": retry_ratio,
             "retry_burst": retry_burst,
@@ -80,11 +86,15 @@
     def start(self, role, number, bootstrap=True, program=None):
         path = self.folder / f"{role}-{number}.toml"
         ip = control_ip(number)
-        seeds = ", ".join(f'"{control_ip(n)}:{CONTROL}"' for n in (1, 2, 3))
+        if role == "agent":
+            ip = target_ip(number)
+        seeds = ", ".join(f'"{control_ip(n)}:{CONTROL}"' for n in self.seeds)
         path.write_text(
             SETTINGS.format(
                 number=number,
                 ip=ip,
+                app=f"{ip}:{TARGET}" if role == "agent" else "",
+                zone=self.zones.get(number, "p"),
                 port=INTERNAL_PORT,
                 last=INTERNAL_PORT + 15,
                 seeds=seeds,
--- a/features/soak/configuration_faults.py
+++ b/features/soak/configuration_faults.py
@@ -91,6 +91,11 @@
                 del self._refusing[number]
                 self._world.plat.tell(number, refuse=False)
 
+    def run_for(self, seconds):
+        """Let faults happen for some seconds, and end them."""
+        time.sleep(seconds)
+        self.stop()
+
     def stop(self):
         """End the faults, and wait until all processes run."""
         self._ended.set()
--- a/features/soak/configuration_world.py
+++ b/features/soak/configuration_world.py
@@ -10,16 +10,13 @@
 from features.harness import platform as platform_lib
 from features.soak import configuration_check
 from features.soak import configuration_faults
+from features.soak import configuration_versions
 from features.soak import faults as faults_lib
 from features.soak import ledger as ledger_lib
 from features.soak import proxy as proxy_lib
 
 SERVICES = {"i-1.1": "m", "i-2.1": "m", "i-3.1": "n", "i-4.1": "n"}
 TARGETS = {1: "m", 2: "m", 3: "n", 4: "n"}
-# Versions for which a route or key of one version stays.
-KEPT_VERSIONS = 3
-# One in so many versions adds a route that stays for good.
-LASTING_VERSIONS = 10
 CHANGE_SECONDS = 0.5
 PAUSE_SECONDS = 0.03
 # VM with an entry and a control VM without a disk, in a soak of all kinds.
@@ -33,78 +30,6 @@
 START_SECONDS = 60.0
 
 
-class Versions:
-    """Content of each version: what it moves, adds, drops and revokes."""
-
-    def __init__(self, *, fillers, streams=False):
-        """Create the versions.
-
-        Args:
-            fillers: Number of further routes that each version has.
-            streams: Whether a route of streams is moved as well.
-        """
-        self._fillers = fillers
-        self._streams = streams
-        self.documents = {}
-        self._order = []
-        self._lock = threading.Lock()
-
-    def make(self, version, rng):
-        """Return the document of a version."""
-        doc = platform_lib.document(version)
-        safe = next(r for r in doc["routes"] if r["pathPrefix"] == "/safe/")
-        with self._lock:
-            kept = [v for v in self._order if v < version][-KEPT_VERSIONS:]
-            self._order.append(version)
-        routes = {"/moved/": rng.choice(("m", "n"))}
-        routes |= {f"/v{v}/": "m" for v in (*kept, version)}
-        routes |= {
-            f"/lasting-{v}/": "m"
-            for v in range(LASTING_VERSIONS, version + 1, LASTING_VERSIONS)
-        }
-        routes |= {f"/filler-{n}/": "m" for n in range(self._fillers)}
-        for number, (prefix, service) in enumerate(routes.items(), start=20):
-            doc["routes"].append(
-                {
-                    **safe,
-                    "name": f"r{number}",
-                    "pathPrefix": prefix,
-                    "service": service,
-                }
-            )
-        if self._streams:
-            stream = next(r for r in doc["routes"] if r["name"] == "r1")
-            doc["routes"].append(
-                {
-                    **stream,
-                    "name": "r10",
-                    "pathPrefix": "/stream/moved/",
-                    "service": rng.choice(("m", "n")),
-                }
-            )
-        doc["services"] = [
-            {"name": name, "healthPath": "/healthz"} for name in ("m", "n")
-        ]
-        keys = [platform_lib.KEY, *[f"key-{v}" for v in (*kept, version)]]
-        doc["tenants"] = [{"name": "one", "apiKeys": keys}]
-        self.documents[version] = doc
-        return doc
-
-    def allows(self, version, path, key):
-        """Return the status and service of a request by a version."""
-        doc = self.documents[version]
-        routes = [
-            route
-            for route in doc["routes"]
-            if path.startswith(route["pathPrefix"])
-        ]
-        if not routes:
-            return 404, ""
-        if key not in doc["tenants"][0]["apiKeys"]:
-            return 401, ""
-        return 200, max(routes, key=lambda r: len(r["pathPrefix"]))["service"]
-
-
 class Operator(threading.Thread):
     """Sends, repeats and reads versions; some orders are invalid."""
 
@@ -209,7 +134,7 @@
             case "stream" | "resumed":
                 return kind, "/stream/moved/x", key
             case "lasting":
-                first = version - version % LASTING_VERSIONS
+                first = version - version % configuration_versions.LASTING
                 return kind, f"/lasting-{first}/x", key
             case "moved":
                 return kind, "/moved/x", key
@@ -219,6 +144,14 @@
                 return kind, "/safe/x", f"key-{version}"
             case "invalid":
                 return kind, "/invalid/x", key
+            case "deep":
+                return kind, "/moved/deep/x", key
+            case "split":
+                return kind, "/split/x", key
+            case "open":
+                return kind, "/open/x", ""
+            case "moving key":
+                return kind, "/safe/x", configuration_versions.MOVING_KEY
         return kind, "/safe/x", key
 
     def _ask(self):
@@ -231,18 +164,15 @@
         ended_at = time.monotonic()
         if got is None:
             return
-        status, service = got
-        world.outcomes[kind, status] += 1
-        world.count_added(kind, path, status, sent_at)
-        if status not in (200, 401, 404):
+        world.outcomes[kind, got.status] += 1
+        world.count_added(kind, path, got.status, sent_at)
+        if got.status not in (200, 401, 404):
             return
         if start != world.faults.count_launches(f"entry-{self._vm}"):
             return
         sent = world.check.sent_versions()
         allowed = frozenset(
-            v
-            for v in sent
-            if world.versions.allows(v, path, key) == (status, service)
+            v for v in sent if world.versions.allows(v, path, key, got)
         )
         world.check.record_decision(
             configuration_check.Decision(
@@ -250,7 +180,7 @@
                 start=start,
                 sent_at=sent_at,
                 ended_at=ended_at,
-                what=f"{path} {key} {status} {service}",
+                what=f"{path} {key} {got}",
                 versions=allowed,
             )
         )
@@ -268,8 +198,9 @@
             "Host": platform_lib.HOST,
             "Attempt-Id": f"{self._number}-{self._sent}",
             "Deadline-Ms": str(round(CALL_SECONDS * 1000)),
-            "Authorization": f"Bearer {key}",
         }
+        if key:
+            headers["Authorization"] = f"Bearer {key}"
         method, body = "GET", None
         if kind in ("stream", "resumed"):
             method, body = "POST", b""
@@ -285,7 +216,11 @@
         signature = resp.getheader("Server-Signature") or ""
         if resp.will_close:
             self._close()
-        return resp.status, SERVICES.get(signature, "")
+        return configuration_versions.Outcome(
+            status=resp.status,
+            service=SERVICES.get(signature, ""),
+            customer=resp.getheader("Ran-For") or "",
+        )
 
     def _close(self):
         if self._conn is not None:
@@ -326,11 +261,14 @@
         self.seed = seed
         if all_kinds:
             entries = max(entries, DISKLESS_VM)
-        self._vms = range(1, entries + 1)
+        self._vms = list(range(1, entries + 1))
         self.request_kinds = (
-            "first", "moved", "route", "lasting", "key", "invalid",
+            "first", "moved", "route", "lasting", "key", "invalid", "deep",
+            "split", "open", "moving key",
         )  # fmt: skip
         self.control_vms = faults_lib.VMS
+        # Control VMs with a disk.
+        self.core_vms = faults_lib.VMS
         if all_kinds:
             self.request_kinds += ("stream", "resumed")
             self.control_vms += (DISKLESS_VM,)
@@ -340,7 +278,9 @@
         self.proxies = proxy_lib.ProxySet()
         self.ledger = ledger_lib.Ledger(events=0)
         self.check = configuration_check.ConfigurationCheck()
-        self.versions = Versions(fillers=fillers, streams=all_kinds)
+        self.versions = configuration_versions.Versions(
+            fillers=fillers, streams=all_kinds
+        )
         self.outcomes = collections.Counter()
         self.faults = configuration_faults.ConfigurationFaults(
             world=self,
@@ -372,7 +312,7 @@
             sent_at - configuration_check.APPLY_SECONDS
         )
         if any(
-            self.versions.allows(version, path, platform_lib.KEY)[0] != 200
+            self.versions.find_status(version, path, platform_lib.KEY) != 200
             for version in check.sent_versions()
             if version >= floor
         ):
@@ -388,8 +328,7 @@
             self._start()
             for thread in threads:
                 thread.start()
-            time.sleep(seconds)
-            self.faults.stop()
+            self.faults.run_for(seconds)
             time.sleep(2 * configuration_check.STABLE_SECONDS)
             self.stopping.set()
             for thread in (*self._operators, *self._callers):
@@ -407,8 +346,12 @@
         )
         return self.ledger.violations + found
 
+    def _prepare(self):
+        """Set what the processes start with."""
+
     def _start(self):
         self.plat.diskless.update(set(self.control_vms) - set(faults_lib.VMS))
+        self._prepare()
         self.plat.start_all()
         for number in self.plat.diskless:
             self.plat.start("control", number)
@@ -471,7 +414,7 @@
         return True
 
     def _is_in_touch(self, vm, begin, end):
-        names = [f"entry-{vm}", *[f"control-{n}" for n in faults_lib.VMS]]
+        names = [f"entry-{vm}", *[f"control-{n}" for n in self.core_vms]]
         log = self.faults.disturbances
         return not any(log.was_disturbed(name, begin, end) for name in names)
 
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -186,6 +186,8 @@
 
     def _count_starts(self, name):
         log = self._world.plat.folder / f"{name}.log"
+        if not log.exists():
+            return 0
         return log.read_text(errors="replace").count('"event":"started"')
 
     def _start(self, name):
--- a/script/soak.py
+++ b/script/soak.py
@@ -9,6 +9,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
+from features.soak import configuration_day  # noqa: E402
 from features.soak import configuration_world  # noqa: E402
 from features.soak import parts_world  # noqa: E402
 from features.soak import world as world_lib  # noqa: E402
@@ -46,6 +47,12 @@
         help="with --configurations: streams, targets that refuse, slow links,"
         " and a VM that is replaced and has a control VM without a disk",
     )
+    parser.add_argument(
+        "--day",
+        action="store_true",
+        help="the configuration changes in the course of a day at a site of 11"
+        " entries, 9 control VMs, 3 of them with disks, and 16 agents",
+    )
     parser.add_argument(
         "--entries",
         type=int,
@@ -63,7 +70,9 @@
     for seed in range(args.first, args.first + args.seeds):
         folder = tempfile.mkdtemp(prefix=f"jasperweir-soak-{seed}-")
         world: Any
-        if args.configurations:
+        if args.day:
+            world = configuration_day.DayWorld(seed=seed, folder=folder)
+        elif args.configurations:
             world = configuration_world.ConfigurationWorld(
                 seed=seed,
                 folder=folder,
@@ -79,7 +88,7 @@
         broken = world.run(args.seconds)
         summary = (
             world.summary
-            if args.parts or args.configurations
+            if args.parts or args.configurations or args.day
             else f"served {dict(world.ledger.served())}"
         )
         print(f"seed {seed}: {len(broken)} broken, {summary}", flush=True)
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -212,6 +212,7 @@
         return [
             ("Attempt-Id", self.headers.get("Attempt-Id", "")),
             ("Server-Signature", f"{self.state.target_id}.1"),
+            ("Ran-For", self.headers.get("Tenant", "")),
             ("Content-Type", media_type),
         ]
 
@@ -311,6 +312,7 @@
             self.send_header("Server-Leaving", self.state.leaving)
         if signed:
             self.send_header("Server-Signature", f"{self.state.target_id}.1")
+            self.send_header("Ran-For", self.headers.get("Tenant", ""))
 
     def _send_json(self, value: object) -> None:
         body = json.dumps(value).encode()
