--- a/features/soak/configuration_day.py
+++ b/features/soak/configuration_day.py
@@ -11,7 +11,6 @@
 import signal
 import time
 
-from features.harness import platform as platform_lib
 from features.soak import configuration_faults
 from features.soak import configuration_world
 
