Log what an entry had heard when its standing changed, and contents by digest

An entry logs each change of its standing with the silence and the version of each control VM. A version comes into force with a digest of its content, at entries and control VMs; a leader adds which voters had synced it. The line of a request has the version that let it through at first, beside the one by which it was sent.

--- a/jasperweir/components/configctl/node.py
+++ b/jasperweir/components/configctl/node.py
@@ -6,13 +6,13 @@
 from typing import NamedTuple
 
 from jasperweir import core
-from jasperweir import exceptions
 from jasperweir.components.configctl import bootstrap_election as bootstrap_lib
 from jasperweir.components.configctl import const
 from jasperweir.components.configctl import departures as departures_lib
 from jasperweir.components.configctl import discovery_server
 from jasperweir.components.configctl import evacuations as evacuations_lib
 from jasperweir.components.configctl import leader_requests as requests_lib
+from jasperweir.components.configctl import log_view
 from jasperweir.components.configctl import messages
 from jasperweir.components.configctl import seats as seats_lib
 from jasperweir.components.directory import records
@@ -42,19 +42,6 @@
     reduced: bool
 
 
-def _replaced_version(entry: quorum_messages.Entry) -> int:
-    """Return the version that a log entry applies, 0 if it applies none."""
-    if entry.kind != quorum_const.KIND_OP:
-        return 0
-    req = codec.unpack(entry.data, ops.Request)
-    try:
-        op = codec.unpack_tagged(req.body)
-    except exceptions.FrameError:
-        # An operation of a newer peer.
-        return 0
-    return op.version if isinstance(op, ops.Replace) else 0
-
-
 class ConfigNode:
     """Control VM: replicates configurations and serves discovery.
 
@@ -652,21 +639,11 @@
 
     def _update_staleness(self) -> None:
         """Tell the voter whether a process reports an entry that it lacks."""
-        reported = self.discovery.reported_version
-        voter = self.voter
-        if self.discovery.reported_index > voter.log.last_index:
-            # An evacuation order.
-            voter.is_known_stale = True
-            return
-        if reported <= self.machine.declared().version:
-            voter.is_known_stale = False
-            return
-        # The log may hold it without a proof that it is committed.
-        uncommitted = voter.log.entries_between(
-            voter.commit + 1, voter.log.last_index
-        )
-        voter.is_known_stale = reported > max(
-            (_replaced_version(entry) for entry in uncommitted), default=0
+        self.voter.is_known_stale = log_view.is_stale(
+            self.voter,
+            committed=self.machine.declared().version,
+            reported_version=self.discovery.reported_version,
+            reported_index=self.discovery.reported_index,
         )
 
     def _report_seats(self) -> Actions:
--- a/jasperweir/components/discovery/client.py
+++ b/jasperweir/components/discovery/client.py
@@ -169,6 +169,20 @@
         """Highest version that each control VM has announced, by its name."""
         return {n: c.announced for n, c in self._controls.items()}
 
+    def describe_contacts(
+        self, now: float
+    ) -> tuple[version_basis.ControlContact, ...]:
+        """Return what was last heard from each control VM with the log."""
+        return tuple(
+            version_basis.ControlContact(
+                name=name,
+                silent_s=now - control.heard_at,
+                version=control.announced,
+            )
+            for name, control in sorted(self._controls.items())
+            if control.keeps_log
+        )
+
     def hears_leader(self, now: float) -> bool:
         """Return whether the leader of the log answered recently."""
         return any(
--- a/jasperweir/components/discovery/version_basis.py
+++ b/jasperweir/components/discovery/version_basis.py
@@ -6,6 +6,28 @@
 from jasperweir.components.confirmation import tracker
 
 
+class ControlContact(NamedTuple):
+    """What a node last heard from a control VM.
+
+    Attributes:
+        name: Name of the control VM.
+        silent_s: Time since its last message, seconds; infinite if there was
+            none.
+        version: Highest version that it has announced, 0 before the first.
+    """
+
+    name: str
+    silent_s: float
+    version: int
+
+    def log_value(self) -> str:
+        """Return the contact for a log line."""
+        if not math.isfinite(self.silent_s):
+            return f"{self.name} never heard"
+        silent_ms = round(self.silent_s * 1000)
+        return f"{self.name} silent {silent_ms} ms, version {self.version}"
+
+
 class VersionBasis(NamedTuple):
     """Configuration version of a decision and what was known of it.
 
--- a/jasperweir/components/forward/intake.py
+++ b/jasperweir/components/forward/intake.py
@@ -214,6 +214,7 @@
         )
         state.startup_deadline = startup_deadline
         self._note_basis(state)
+        state.admitted_version = state.config_version
         self.on_matched(answering, state)
 
     def _match(
--- a/jasperweir/components/forward/request_state.py
+++ b/jasperweir/components/forward/request_state.py
@@ -76,6 +76,7 @@
             has just started, monotonic seconds.
         basis: What was known of the configuration when ``match`` was decided.
         config_version: Version of the configuration of ``match``.
+        admitted_version: Version that let the request through at first.
     """
 
     def __init__(
@@ -116,6 +117,7 @@
         self.startup_deadline = float("-inf")
         self.basis = version_basis.VersionBasis()
         self.config_version = 0
+        self.admitted_version = 0
 
     @property
     def is_stream(self) -> bool:
--- a/jasperweir/components/forward/response_recorder.py
+++ b/jasperweir/components/forward/response_recorder.py
@@ -94,6 +94,7 @@
             sends=state.attempts,
             outcome=outcome,
             **state.basis.log_fields(),
+            admitted_version=state.admitted_version,
             first_ms=round((first_byte_at - state.arrived_at) * 1000)
             if first_byte_at
             else -1,
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -12,6 +12,7 @@
 from jasperweir.components.configctl import discovery_server
 from jasperweir.components.configctl import evacuations as evacuations_lib
 from jasperweir.components.configctl import leader_requests as requests_lib
+from jasperweir.components.configctl import log_view
 from jasperweir.components.configctl import node as node_lib
 from jasperweir.components.deployment import model
 from jasperweir.components.directory import const as directory_const
@@ -36,6 +37,7 @@
 from jasperweir.daemons import group_loader
 from jasperweir.daemons import loop_host
 from jasperweir.daemons import node_settings
+from jasperweir.helpers import hashing
 from jasperweir.helpers import http_server
 from jasperweir.helpers import logs
 
@@ -448,7 +450,14 @@
         if declared.version <= self._applied_version:
             return
         self._applied_version = declared.version
-        _log.info("version in force", version=declared.version)
+        _log.info(
+            "version in force",
+            version=declared.version,
+            content=f"{hashing.checksum(declared.data):x}",
+            term=self._node.voter.term,
+            leader=self._node.voter.leader,
+            synced_by=log_view.list_synced(self._node.voter),
+        )
         raw = zlib.decompress(declared.data)
         deployment = self._dialect.deployment(raw)
         self._engines = {
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -33,6 +33,8 @@
 from jasperweir.daemons import loop_host
 from jasperweir.daemons import node_settings
 from jasperweir.daemons import quarantine_page
+from jasperweir.daemons import standing_log
+from jasperweir.helpers import hashing
 from jasperweir.helpers import http_client
 from jasperweir.helpers import http_message
 from jasperweir.helpers import http_server
@@ -142,6 +144,9 @@
                 tolerance=cfg.bounds.cold_tolerance,
             ),
         )
+        self._standing_log = standing_log.StandingLog(
+            metrics=self._host.metrics
+        )
         self._version_announced_at = self._host.now()
         self._share_scheduled = False
         self._forwarder.balancer.on_change = self._schedule_share
@@ -207,6 +212,7 @@
     def _tick_discovery(self) -> None:
         now = self._host.now()
         self._perform(self._discovery.tick(now))
+        self._record_standing(now)
         self._discovery_timer.schedule(self._discovery.next_tick(now))
         if self._stop_requested_at:
             self._discovery_timer.schedule(now + STOP_TICK_SECONDS)
@@ -258,6 +264,7 @@
                 held=confirmations.held,
             )
         self._perform(acts)
+        self._record_standing(now)
         if not self._discovery.node.open and not self._stop_requested_at:
             # The message may complete what the entry needs to open.
             self._tick_discovery()
@@ -342,6 +349,7 @@
         _log.info(
             "version in force",
             version=act.version,
+            content=f"{hashing.checksum(act.data):x}",
             since_announced_ms=round(since_s * 1000),
         )
 
@@ -352,6 +360,12 @@
             limits = http_server.ServerLimits(*index.deployment.limits)
             self._server.limits = limits
 
+    def _record_standing(self, now: float) -> None:
+        self._standing_log.update(
+            self._discovery.describe_version(now),
+            self._discovery.describe_contacts(now),
+        )
+
     def _describe_version(self) -> version_basis.VersionBasis:
         return self._discovery.describe_version(self._host.now())
 
--- /dev/null
+++ b/jasperweir/daemons/standing_log.py
@@ -0,0 +1,38 @@
+"""Log lines and metrics of whether an entry may act on its configuration."""
+
+from jasperweir.components.confirmation import tracker
+from jasperweir.components.discovery import version_basis
+from jasperweir.helpers import logs
+from jasperweir.helpers import metrics as metrics_lib
+
+_log = logs.logger("entry")
+
+
+class StandingLog:
+    """Records each change of an entry's standing and what it had heard."""
+
+    def __init__(self, *, metrics: metrics_lib.Metrics) -> None:
+        self._metrics = metrics
+        self._standing = tracker.Standing.UNKNOWN
+
+    def update(
+        self,
+        basis: version_basis.VersionBasis,
+        contacts: tuple[version_basis.ControlContact, ...],
+    ) -> None:
+        """Record the standing if it has changed.
+
+        Args:
+            basis: What is known of the version in force.
+            contacts: What was last heard from the control VMs.
+        """
+        if basis.standing is self._standing:
+            return
+        before, self._standing = self._standing, basis.standing
+        self._metrics.inc("standing_changes", standing=basis.standing.value)
+        _log.info(
+            "standing changed",
+            before=before.value,
+            **basis.log_fields(),
+            controls=[contact.log_value() for contact in contacts],
+        )
