Entries that reach a majority of the voters act on no older version

What callers saw: a request could be run by the service, the route or the key of an older version although a newer one had been acknowledged more than 2 s before, at an entry that hears two of three voters.

Cause: only the leader could confirm. Once its last confirmation had expired and nobody had confirmed for 0.3 s, an entry went on by the version that it held, also while two voters answered it and had the newer version in their logs, not yet known to be committed. Silence of one process permitted what a majority would have denied.

Now an entry whose confirmation is 1 s old asks the voters what their logs hold, committed or not. A majority without anything newer confirms the version held, whoever leads: what is acknowledged is on a majority, and two majorities share a voter. The voters are those of the newest log that is counted, as in an election, so this holds while seats change. Where a majority may have something newer, requests are held for 0.3 s and then refused (2013) until a leader or a majority decides it. Acting without a confirmation is left to entries that reach less than a majority.

In a calm hour nothing is asked: confirmations of the leader are younger than 1 s.

Evidence: majority_reading.feature.

--- /dev/null
+++ b/features/majority_reading.feature
@@ -0,0 +1,77 @@
+Feature: An entry that reaches a majority of the voters acts on no older version
+
+  # Guards against an entry that goes on because the leader is silent.
+  Scenario: A version was acknowledged before its leader fell silent
+    Given a site with committed version 9
+    When version 12 is acknowledged by a leader that falls silent, and nobody is elected
+    Then no entry lets a request through by version 9 later than 2 s after that
+    And all entries have version 12 soon after the leader is heard again
+
+  Scenario: Nothing newer is in the log while nobody leads
+    Given a site with committed version 9
+    When the leader falls silent and nobody is elected for 4 s
+    Then all entries serve by version 9 and deny what it does not allow
+
+  # Guards against an entry that is stopped by what was never committed.
+  Scenario: A version that only a minority has recorded stops no entry
+    Given a site with committed version 9
+    When only the leader records version 12, falls silent, and nobody is elected for 4 s
+    Then all entries serve by version 9 and deny what it does not allow
+
+  Scenario: An entry that reaches less than a majority goes on
+    Given a site with committed version 9
+    When version 12 is acknowledged by a leader that falls silent, and nobody is elected
+    And the entries reach only one of the voters for 4 s
+    Then all entries serve by version 9, unconfirmed
+
+  Scenario: Entries that start while nobody leads are ready by what a majority has
+    Given a site with committed version 9
+    When the leader falls silent and nobody is elected for 4 s
+    And a new entry starts
+    And 1 seconds pass at the site
+    Then the new entry lets requests through by version 9
+
+  # Guards against votes of disks that may lack what was acknowledged.
+  Scenario Outline: What a voter says is not counted if <what>
+    Given an entry with version 9 that asks three voters
+    When two voters answer that their logs hold version 9, the second <what>
+    Then no majority has answered
+
+    Examples:
+      | what                                      |
+      | with another disk than its seat has       |
+      | and may lack entries that it had synced   |
+      | and it has lost its vote                  |
+      | to a question of an earlier process       |
+
+  # Guards against a majority of voters that have been replaced.
+  Scenario: The seats are those of the newest log that answers
+    Given an entry with version 9 that asks three voters
+    When two voters answer, one by newer seats of which the other has none
+    Then no majority has answered
+
+  Scenario: A newer log with a newer version makes the version held uncertain
+    Given an entry with version 9 that asks three voters
+    When two voters answer that their logs hold version 9, one of them version 12 as well
+    Then a majority has answered and version 9 may be outdated
+
+  Scenario: A majority is enough, whatever a third voter has recorded
+    Given an entry with version 9 that asks three voters
+    When three voters answer that their logs hold version 9, one of them version 12 as well
+    Then a majority has answered and version 9 is the newest
+
+  # Guards against evacuations that are in the log and not in force.
+  Scenario: A newer list of evacuated data centres makes the list held uncertain
+    Given an entry with version 9 that asks three voters
+    When two voters answer that their logs hold version 9, one of them a newer list of evacuations
+    Then a majority has answered and version 9 may be outdated
+
+  Scenario: A reading is as old as the oldest question that it needs
+    Given an entry with version 9 that asks three voters
+    When answers to questions of 100.0 s, 100.4 s and 100.8 s say that the logs hold version 9
+    Then version 9 is the newest as of 100.4 s
+
+  # Guards against a log without a trace of who was silent.
+  Scenario: A change of standing is logged with the silence of each control VM
+    When an entry that last heard "c1" 2 s and "c2" 0.1 s ago becomes unconfirmed
+    Then the log says so once, with both
--- a/jasperweir/components/configctl/node.py
+++ b/jasperweir/components/configctl/node.py
@@ -15,6 +15,7 @@
 from jasperweir.components.configctl import log_view
 from jasperweir.components.configctl import messages
 from jasperweir.components.configctl import seats as seats_lib
+from jasperweir.components.confirmation import messages as confirmation_messages
 from jasperweir.components.directory import records
 from jasperweir.components.quorum import actions
 from jasperweir.components.quorum import const as quorum_const
@@ -233,6 +234,8 @@
                 return []
             case messages.BootstrapRequest():
                 return self._on_bootstrap_request()
+            case confirmation_messages.LogQuery():
+                return self._on_log_query(src, msg)
         if type(msg).__module__ == quorum_messages.__name__:
             return self._process_actions(self.voter.receive(src, msg, now), now)
         return self.discovery.receive(src, msg, self._log_status(now), now)
@@ -577,6 +580,19 @@
             self._content = messages.Content(*declared)
         return [core.Send(dst=src, msg=self._content)]
 
+    def _on_log_query(
+        self, src: str, msg: confirmation_messages.LogQuery
+    ) -> Actions:
+        if not self._has_disk:
+            return []
+        state = log_view.describe(
+            self.voter,
+            echo=msg.round,
+            version=self.machine.declared().version,
+            evacuations=self._evacuations.current.revision,
+        )
+        return [core.Send(dst=src, msg=state)]
+
     def _compact(self) -> Actions:
         log = self.voter.log
         is_long = len(log) >= const.COMPACT_ENTRIES
--- a/jasperweir/components/confirmation/const.py
+++ b/jasperweir/components/confirmation/const.py
@@ -10,6 +10,9 @@
 # Time within which a reachable control VM answers. Until then a process whose
 # confirmation has expired does not conclude that none can be had.
 ANSWER_SECONDS = 0.3
+# An answer of a voter to a question that is older than this does not show that
+# the voter is reached.
+REACH_SECONDS = 1.0
 # A process that did nothing for this long was suspended; what it asked before
 # that proves nothing.
 SUSPENDED_SECONDS = 1.0
--- /dev/null
+++ b/jasperweir/components/confirmation/messages.py
@@ -0,0 +1,42 @@
+"""Messages by which a process asks voters what their logs hold."""
+
+from typing import NamedTuple
+
+from jasperweir.components.quorum import messages as quorum_messages
+from jasperweir.helpers import codec
+
+
+@codec.message("confirmation.log_query")
+class LogQuery(NamedTuple):
+    """Asks a voter for the state of its log.
+
+    Attributes:
+        round: Number of the sender's round, echoed by the answer.
+    """
+
+    round: int
+
+
+@codec.message("confirmation.log_state")
+class LogState(NamedTuple):
+    """State of a voter's log, committed or not.
+
+    Attributes:
+        echo: Round of the question.
+        disk: Identity of the voter's disk.
+        may_vote: False if the disk may lack an entry that it had synced.
+        last_term: Term of the newest entry.
+        last_index: Index of the newest entry.
+        version: Highest configuration version in the log.
+        evacuations: Highest revision of the list of evacuated data centres.
+        seats: Voting members, as the log sets them.
+    """
+
+    echo: int
+    disk: str
+    may_vote: bool
+    last_term: int
+    last_index: int
+    version: int
+    evacuations: int
+    seats: tuple[quorum_messages.Seat, ...]
--- a/jasperweir/components/confirmation/tracker.py
+++ b/jasperweir/components/confirmation/tracker.py
@@ -1,10 +1,11 @@
 """What a process knows of the newest configuration version; sans-I/O.
 
-Only the leader of the log knows that no newer version is committed, while it
-has its lease. A confirmation carries that knowledge: version V was the newest
-at time T. Other control VMs pass it on with its age. Every decision by a
-configuration asks this module; hearing from control VMs, their number and the
-versions that they hold prove nothing.
+The leader of the log knows that no newer version is committed, while it has its
+lease. A confirmation carries that knowledge: version V was the newest at time
+T. Other control VMs pass it on with its age. Without the leader a majority of
+the voters confirms by what its logs hold, see majority. Every decision by a
+configuration asks this module; hearing from control VMs and the versions that
+they have committed prove nothing.
 
 After Gray and Cheriton, "Leases", 1989, and the read index of Ongaro's thesis
 on Raft, 2014, section 6.4.
@@ -14,15 +15,17 @@
 from typing import NamedTuple
 
 from jasperweir.components.confirmation import const
+from jasperweir.components.confirmation import majority
 
 
 class Confirmation(NamedTuple):
-    """Statement of the leader about the newest committed state.
+    """Statement about the newest committed state.
 
     Attributes:
         version: Newest configuration version.
         as_of: When it was the newest, monotonic seconds of this process.
-        source: Control VM that sent or passed on the statement.
+        source: Control VM that sent or passed on the statement, or the voters
+            that made it together.
         evacuations: Newest revision of the list of evacuated data centres.
     """
 
@@ -41,9 +44,11 @@
     CURRENT = "current"
     # The confirmation has expired; an answer or the content may be under way.
     AWAITING = "awaiting"
-    # Nobody who can be heard knows of a newer one, and nobody can confirm it.
+    # Less than a majority of the voters is reached, and nobody who can be heard
+    # knows of a newer one.
     UNCONFIRMED = "unconfirmed"
-    # A newer one exists and has not arrived.
+    # A newer one exists, or may exist by the logs of a majority of the voters,
+    # and has not arrived.
     OUTDATED = "outdated"
 
 
@@ -76,6 +81,10 @@
         # First request for a confirmation since the last one expired.
         self._asked_at: float | None = None
         self._newer_since = _NEVER
+        # Since when a majority of the voters may have a newer state in their
+        # logs, and when it last said so.
+        self._contested_since = _NEVER
+        self._contested_at = _NEVER
         self._active_at: float | None = None
 
     # Inputs.
@@ -100,6 +109,23 @@
             self.latest = confirmation
         self._cover(confirmation, now)
 
+    def use_reading(self, reading: majority.Reading, now: float) -> None:
+        """Use what a majority of the voters says of the state held."""
+        self.note_activity(now)
+        if reading.is_newest:
+            self._contested_at = _NEVER
+            confirmation = Confirmation(
+                version=self.held,
+                as_of=reading.as_of,
+                source=" ".join(sorted(reading.voters)),
+                evacuations=self.held_evacuations,
+            )
+            self._cover(confirmation, now)
+            return
+        if now - self._contested_at >= const.REACH_SECONDS:
+            self._contested_since = now
+        self._contested_at = now
+
     def hold(self, version: int, now: float) -> None:
         """Record that a version was put into force."""
         self._note_known(version, now)
@@ -157,6 +183,9 @@
         since = self._asked_at
         if is_outdated and since is not None:
             since = max(since, self._newer_since)
+        elif now - self._contested_at < const.REACH_SECONDS:
+            is_outdated = True
+            since = since and max(since, self._contested_since)
         if since is None or now - since < const.ANSWER_SECONDS:
             return Standing.AWAITING
         return Standing.OUTDATED if is_outdated else Standing.UNCONFIRMED
@@ -168,13 +197,18 @@
 
     def should_ask(self, now: float) -> bool:
         """Return whether to ask more often than usual."""
+        if not self.should_read(now):
+            return False
         if not self._was_current:
             return True
-        age_s = self.age_s(now)
-        if age_s < const.ASK_AFTER_SECONDS:
-            return False
         return self.standing(now) is not Standing.UNCONFIRMED
 
+    def should_read(self, now: float) -> bool:
+        """Return whether to ask the voters, as the leader is not heard."""
+        if not self._was_current:
+            return True
+        return self.age_s(now) >= const.ASK_AFTER_SECONDS
+
     def _cover(self, confirmation: Confirmation, now: float) -> None:
         if not self.held or confirmation.version > self.held:
             return
--- a/jasperweir/components/discovery/client.py
+++ b/jasperweir/components/discovery/client.py
@@ -8,6 +8,8 @@
 from jasperweir import core
 from jasperweir.components.configctl import messages
 from jasperweir.components.confirmation import const as confirmation_const
+from jasperweir.components.confirmation import majority as majority_lib
+from jasperweir.components.confirmation import messages as confirmation_messages
 from jasperweir.components.confirmation import rounds as rounds_lib
 from jasperweir.components.confirmation import tracker as tracker_lib
 from jasperweir.components.directory import const as directory_const
@@ -134,6 +136,7 @@
         self._wants_content = wants_content
         self._heartbeat_s = heartbeat_s
         self._rounds = rounds_lib.Rounds(first=node.incarnation << _ROUND_BITS)
+        self._majority_reader = majority_lib.MajorityReader()
         self._newest_announced_at = 0.0
         self._last_pull_at = float("-inf")
         self._pull_count = 0
@@ -273,6 +276,7 @@
         self.directory.tick(now)
         out = self._pull(now)
         is_asking = self._wants_content and self.confirmations.should_ask(now)
+        is_reading = self._wants_content and self.confirmations.should_read(now)
         for name, control in self._heartbeat_controls(now):
             interval_s = (
                 confirmation_const.ASK_INTERVAL_SECONDS
@@ -286,6 +290,11 @@
                 - _TICK_TOLERANCE_SECONDS
             ):
                 out.append(self._build_heartbeat(name, control, now))
+                if is_reading and control.keeps_log:
+                    query = confirmation_messages.LogQuery(
+                        round=self._rounds.start(now)
+                    )
+                    out.append(core.Send(dst=name, msg=query))
         return out
 
     def next_tick(self, now: float) -> float:
@@ -319,6 +328,8 @@
                 control.nodes_digest = msg.digest
             case records.NodeListUpdate():
                 self._on_node_changes(self._mark_heard(src, now), msg)
+            case confirmation_messages.LogState():
+                self._on_log_state(src, msg, now)
             case messages.VersionNotice():
                 self._record_announced_version(src, msg.version, now)
                 self._mark_heard(src, now)
@@ -451,6 +462,23 @@
             control.led_at = max(control.led_at, confirmation.as_of)
         self.confirmations.confirm(confirmation, now)
 
+    def _on_log_state(
+        self, src: str, msg: confirmation_messages.LogState, now: float
+    ) -> None:
+        """Use the answer of a voter with those of the others."""
+        self._mark_heard(src, now)
+        sent_at = self._rounds.find_start(msg.echo)
+        if sent_at is None:
+            return
+        self._majority_reader.note(src, msg, sent_at)
+        reading = self._majority_reader.read(
+            version=self.version,
+            evacuations=self.evacuations.revision,
+            now=now,
+        )
+        if reading is not None:
+            self.confirmations.use_reading(reading, now)
+
     def _apply_evacuations(
         self, revision: int, places: tuple[str, ...], now: float
     ) -> Actions:
