An entry counts no time in which it was not scheduled as silence

What callers saw: none reproduced on real processes. On the virtual clock an entry that was not scheduled for 0.9 s went on by its version, and a denial was refused, although answers and notices were waiting in its sockets.

Cause: what was asked before a pause counted as unanswered after it, unless the pause was 1 s or longer.

While an answer is awaited a pause of 0.3 s voids what was asked before; the entry asks every 0.1 s then. Once silence is concluded the limit is 1 s as before, so a jittery entry that is cut off does not hold requests again and again.

--- a/features/majority_reading.feature
+++ b/features/majority_reading.feature
@@ -71,6 +71,12 @@
     When answers to questions of 100.0 s, 100.4 s and 100.8 s say that the logs hold version 9
     Then version 9 is the newest as of 100.4 s
 
+  # Guards against an entry that counts time in which it was not scheduled.
+  Scenario: An entry that was not scheduled waits for answers that are in its sockets
+    Given an entry with version 9, confirmed at 100 s
+    When it asks in vain until 101.3 s and is scheduled again at 102.2 s
+    Then an allowed request at 102.2 s is held and a denial is held
+
   # Guards against a log without a trace of who was silent.
   Scenario: A change of standing is logged with the silence of each control VM
     When an entry that last heard "c1" 2 s and "c2" 0.1 s ago becomes unconfirmed
--- a/jasperweir/components/confirmation/const.py
+++ b/jasperweir/components/confirmation/const.py
@@ -16,5 +16,8 @@
 # A process that did nothing for this long was suspended; what it asked before
 # that proves nothing.
 SUSPENDED_SECONDS = 1.0
+# The same while it waits for an answer: it asks at ASK_INTERVAL_SECONDS, and
+# answers may wait in its sockets.
+STALLED_SECONDS = 0.3
 # Requests for confirmation that are remembered until they are answered.
 MAX_ROUNDS = 64
--- a/jasperweir/components/confirmation/tracker.py
+++ b/jasperweir/components/confirmation/tracker.py
@@ -68,8 +68,22 @@
         valid_s: Time for which a confirmation is valid, seconds.
     """
 
-    def __init__(self, *, valid_s: float = const.VALID_SECONDS) -> None:
+    def __init__(
+        self,
+        *,
+        valid_s: float = const.VALID_SECONDS,
+        stall_s: float = const.STALLED_SECONDS,
+    ) -> None:
+        """Initialize without a version.
+
+        Args:
+            valid_s: Time for which a confirmation is valid, seconds.
+            stall_s: Pause in the process's activity after which what it asked
+                before counts as unanswered no more, seconds; it applies while
+                an answer is awaited.
+        """
         self.valid_s = valid_s
+        self._stall_s = stall_s
         self.held = 0
         self.held_evacuations = 0
         self.newest_known = 0
@@ -95,7 +109,12 @@
         Other methods imply it.
         """
         last, self._active_at = self._active_at, now
-        if last is not None and now - last >= const.SUSPENDED_SECONDS:
+        if last is None:
+            return
+        limit_s = const.SUSPENDED_SECONDS
+        if self._awaits_answer(last):
+            limit_s = self._stall_s
+        if now - last >= limit_s:
             self._asked_at = None
 
     def confirm(self, confirmation: Confirmation, now: float) -> None:
@@ -209,6 +228,13 @@
             return True
         return self.age_s(now) >= const.ASK_AFTER_SECONDS
 
+    def _awaits_answer(self, now: float) -> bool:
+        """Return whether it was asked, and silence was not yet concluded."""
+        if self._asked_at is None:
+            return False
+        expires_at = self._covering.as_of + self.valid_s
+        return now < max(expires_at, self._asked_at + const.ANSWER_SECONDS)
+
     def _cover(self, confirmation: Confirmation, now: float) -> None:
         if not self.held or confirmation.version > self.held:
             return
--- a/jasperweir/components/control/client.py
+++ b/jasperweir/components/control/client.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from jasperweir import core
+from jasperweir.components.confirmation import const as confirmation_const
 from jasperweir.components.confirmation import rounds as rounds_lib
 from jasperweir.components.confirmation import tracker as tracker_lib
 from jasperweir.components.control import const
@@ -40,7 +41,9 @@
         self.min_revision: int | None = None
         self.heard_at = float("-inf")
         self.confirmations = tracker_lib.VersionTracker(
-            valid_s=const.HEARTBEATS_UNTIL_STALE * interval_s
+            valid_s=const.HEARTBEATS_UNTIL_STALE * interval_s,
+            # It is active once a heartbeat, not while an answer is awaited.
+            stall_s=confirmation_const.SUSPENDED_SECONDS,
         )
         self._rounds = rounds_lib.Rounds(first=rng.getrandbits(_ROUND_BITS) + 1)
         self._voters = voters
