A request does not stay with a service that its route gives weight 0

What callers saw: a request that waited, whose connection was being opened or that was repeated stayed with its service although the version in force gave that service weight 0, so it was run as only an older version allows; a stream went on there.

Cause: a request was matched again to a service if the route named it as a backend, whatever its weight.

Evidence: six cases of confirmation.feature were red before, the other 51 green.

--- a/features/confirmation.feature
+++ b/features/confirmation.feature
@@ -53,6 +53,8 @@
       | plain   | waits   | moves its route            | run by the new service |
       | stream  | waits   | moves its route            | run by the new service |
       | resumed | waits   | moves its route            | run by the new service |
+      | plain   | waits   | gives its service weight 0 | run by the new service |
+      | stream  | waits   | gives its service weight 0 | run by the new service |
       | plain   | waits   | drops its route            | answered 404           |
       | stream  | waits   | drops its route            | answered 404           |
       | resumed | waits   | drops its route            | answered 404           |
@@ -64,6 +66,7 @@
       | kind    | state    | change                     | outcome                |
       | plain   | connects | moves its route            | run by the new service |
       | stream  | connects | moves its route            | run by the new service |
+      | plain   | connects | gives its service weight 0 | run by the new service |
       | plain   | connects | drops its route            | answered 404           |
       | plain   | connects | revokes its key            | answered 401           |
       | plain   | connects | adds another route and key | run by its service     |
@@ -72,6 +75,8 @@
       | kind    | state   | change                     | outcome                |
       | plain   | repeats | moves its route            | run by the new service |
       | stream  | repeats | moves its route            | run by the new service |
+      | plain   | repeats | gives its service weight 0 | run by the new service |
+      | stream  | repeats | gives its service weight 0 | run by the new service |
       | plain   | repeats | drops its route            | answered 502           |
       | plain   | repeats | revokes its key            | answered 502           |
 
@@ -80,6 +85,7 @@
       | kind    | state          | change             | outcome                |
       | stream  | repeats midway | moves its route    | broken off visibly     |
       | stream  | repeats midway | drops its route    | broken off visibly     |
+      | stream  | repeats midway | gives its service weight 0 | broken off visibly |
 
     Examples: Requests held until the configuration is known
       | kind    | state   | change                     | outcome                |
--- a/features/steps/confirmation_steps.py
+++ b/features/steps/confirmation_steps.py
@@ -208,9 +208,16 @@
         return headers._replace(key=KEY, resume_after=self._resume_after)
 
 
-def make_index(version, *, service="s", kind, has_route=True, has_key=True):
-    """Return an index of a configuration with one route and one key."""
+def make_index(
+    version, *, service="s", emptied="", kind, has_route=True, has_key=True
+):
+    """Return an index of a configuration with one route and one key.
+
+    The service ``emptied`` has no share of the route.
+    """
     backends = (model.Backend(service, 1.0),)
+    if emptied:
+        backends = (model.Backend(emptied, 0.0), *backends)
     route = hop.route(kind=kind)._replace(public=False, backends=backends)
     routes = [route] if has_route else []
     routes.append(route._replace(name="other", prefix="/other/"))
@@ -348,6 +355,7 @@
 
 CHANGES = {
     "moves its route": {"service": "t"},
+    "gives its service weight 0": {"service": "t", "emptied": "s"},
     "drops its route": {"has_route": False},
     "revokes its key": {"has_key": False},
     "adds another route and key": {},
--- a/jasperweir/components/deployment/model.py
+++ b/jasperweir/components/deployment/model.py
@@ -64,6 +64,11 @@
             return self.resumable
         return self.kind is RouteKind.SAFE
 
+    @property
+    def services(self) -> frozenset[str]:
+        """Services that get a share of the requests."""
+        return frozenset(b.service for b in self.backends if b.weight > 0)
+
     def choose_service(self, rng: random.Random) -> str:
         """Return a service for one request, drawn at random by weight."""
         weights = [backend.weight for backend in self.backends]
--- a/jasperweir/components/forward/intake.py
+++ b/jasperweir/components/forward/intake.py
@@ -268,8 +268,7 @@
             return match
         state.match = match
         self._note_basis(state)
-        services = {backend.service for backend in match.route.backends}
-        if exchange.service in services:
+        if exchange.service in match.route.services:
             return None
         return matching.Moved(match.route.choose_service(self._rng))
 
