A version counts as held once its index is in force

What callers saw: none known; no input that raises an error there is known.

Cause: a version was held, and so confirmed, before its index was set. An error in between left the index of the version before under the new number for good: the content was never requested again, and every request was decided by the old index as current.

Evidence: both cases were red before (held 12, decided by 9).

--- a/features/outdated_configuration.feature
+++ b/features/outdated_configuration.feature
@@ -14,6 +14,19 @@
     When an entry fails to apply version 12
     Then it still holds version 9 and requests version 12 again
 
+  # Guards against the index of one version under the number of another.
+  Scenario Outline: A version of which <part> fails is not taken for the one in force
+    Given an entry's process with version 9 in force
+    When <part> fails while version 12 is applied
+    Then the entry still holds version 9 and decides by it
+    When version 12 is applied again
+    Then the entry holds version 12 and decides by it
+
+    Examples:
+      | part                    |
+      | the limit of cold ones  |
+      | the bound on passes     |
+
   # Guards against a version whose content is requested only when a repeat of the
   # request for the one before would be due.
   Scenario: Versions that follow each other closely are in force soon
--- a/features/steps/outdated_configuration_steps.py
+++ b/features/steps/outdated_configuration_steps.py
@@ -1,11 +1,21 @@
 """Steps on entries whose configuration may be outdated."""
 
+import contextlib
+import pathlib
+from unittest import mock
+import zlib
+
+from behave import given
 from behave import then
 from behave import when
+import logbook
 
+from features.harness import control_process
 from features.harness import site as site_lib
 from jasperweir.components.configctl import messages as config_messages
+from jasperweir.components.deployment import model
 from jasperweir.components.discovery import client as discovery_client
+from jasperweir.daemons import site_entry
 
 
 @when(
@@ -95,3 +105,59 @@
 )
 def step_soon_in_force(context, within_s):
     assert not context.late, context.late
+
+
+class EntryDialect:
+    """Decodes the number of a version as a configuration without routes."""
+
+    def deployment(self, raw):
+        return model.Deployment(
+            version=int(raw),
+            routes=(),
+            services=(),
+            limits=model.Limits(16384, 65536, 3.0, 15.0),
+            customers=(),
+        )
+
+
+def apply_version(entry, version):
+    data = zlib.compress(str(version).encode())
+    with logbook.NullHandler().applicationbound():
+        entry._apply_configuration(
+            discovery_client.ApplyConfiguration(version=version, data=data)
+        )
+
+
+@given("an entry's process with version {version:d} in force")
+def step_entry_process(context, version):
+    cfg = control_process.make_settings(pathlib.Path("unused"))
+    with control_process.quiet_logs():
+        context.entry = site_entry.SiteEntry(
+            cfg=cfg, dialect=EntryDialect(), engines=None
+        )
+    apply_version(context.entry, version)
+
+
+@when("{part} fails while version {version:d} is applied")
+def step_part_fails(context, part, version):
+    forwarder = context.entry._forwarder
+    owner, name = {
+        "the limit of cold ones": (forwarder.targets.warmup, "on_services"),
+        "the bound on passes": (forwarder.pass_monitor.limits, "on_bounds"),
+    }[part]
+    failing = mock.patch.object(owner, name, side_effect=KeyError("x"))
+    with failing, contextlib.suppress(KeyError):
+        apply_version(context.entry, version)
+
+
+@when("version {version:d} is applied again")
+def step_apply_again(context, version):
+    apply_version(context.entry, version)
+
+
+@then("the entry still holds version {version:d} and decides by it")
+@then("the entry holds version {version:d} and decides by it")
+def step_holds(context, version):
+    entry = context.entry
+    assert entry._discovery.version == version, entry._discovery.version
+    assert entry._forwarder.index.deployment.version == version
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -339,11 +339,12 @@
                 "version not applied", version=act.version, reason=str(exc)
             )
             return
-        self._discovery.on_applied(act.version, self._host.now())
         self._forwarder.targets.warmup.on_services(index.services)
         self._forwarder.pass_monitor.limits.on_bounds(pass_bounds)
         self._forwarder.index = index
         self._apply_limits()
+        # Last: from here on confirmations cover the version.
+        self._discovery.on_applied(act.version, self._host.now())
         since_s = self._host.now() - self._version_announced_at
         self._host.metrics.observe("configuration_delay_seconds", since_s)
         _log.info(
