--- a/features/harness/site.py
+++ b/features/harness/site.py
@@ -18,6 +18,20 @@
 STEP = 0.05
 
 
+class OneContent:
+    """Equals the first content that it is compared with, and no other."""
+
+    def __init__(self):
+        self.data = None
+
+    def __eq__(self, other):
+        if self.data is None:
+            self.data = other
+        return self.data == other
+
+    __hash__ = None
+
+
 class Site:
     """Processes on a virtual clock; invariants are checked during the run.
 
--- a/features/steps/configuration_matrix_steps.py
+++ b/features/steps/configuration_matrix_steps.py
@@ -99,24 +99,10 @@
     assert not late, late
 
 
-class OneContent:
-    """Equals the first content that it is compared with, and no other."""
-
-    def __init__(self):
-        self.data = None
-
-    def __eq__(self, other):
-        if self.data is None:
-            self.data = other
-        return self.data == other
-
-    __hash__ = None
-
-
 @when("two operators send different content of version {version:d} at once")
 def step_two_operators(context, version):
     site = context.site
-    site.contents[version] = context.content = OneContent()
+    site.contents[version] = context.content = site_lib.OneContent()
     site.replace("c1", version, b"the content of one operator")
     site.replace("c2", version, b"the content of another operator")
     site.run(3.0)
