--- a/features/harness/configuration_schedules.py
+++ b/features/harness/configuration_schedules.py
@@ -137,7 +137,7 @@
         self.site.replace(name, version, data)
 
     def _pick_controls(self, count):
-        running = [n for n in sorted(self.site.nodes)]
+        running = sorted(self.site.nodes)
         return self._rng.sample(running, min(count, len(running)))
 
     def _change(self):
@@ -177,7 +177,7 @@
         for name in self._pick_controls(1):
             self._note(f"suspend {name}")
             self.site.frozen.add(name)
-            self._later(lambda: self.site.frozen.discard(name))
+            self._later(lambda n=name: self.site.frozen.discard(n))
 
     def _mute_control(self):
         """Let a control VM run and be silent to entries."""
