Real processes: the leader falls silent in the moment of its acknowledgement

No entry hears the leader, which is suspended as soon as it has acknowledged version 8; the two other voters cannot elect anybody.

--- a/features/outdated_configuration_processes.feature
+++ b/features/outdated_configuration_processes.feature
@@ -73,3 +73,12 @@
     Given three VMs with control and entry, and a target of each of two services
     When 2 resumed streams wait at each entry while version 8 moves their route
     Then all of them are run by the new service
+
+  # Guards against an entry that goes on because the leader is silent.
+  Scenario: The leader falls silent in the moment of its acknowledgement
+    Given three VMs with control and entry, and a target of each of two services
+    And links between control VMs that can be cut
+    When the leader acknowledges version 8, falls silent, and nobody is elected
+    Then no entry decides as only version 7 says later than 2 s after that
+    When the leader is heard again
+    Then each entry decides as version 8 says 6 s later
--- a/features/steps/outdated_configuration_processes_steps.py
+++ b/features/steps/outdated_configuration_processes_steps.py
@@ -19,6 +19,8 @@
 # Time within which the retry budget of a service without requests allows some.
 # A stream that was refused before it moved is a retry.
 BURST_SECONDS = 8.0
+# Time after which a process no longer hears those that it is deaf to.
+CUT_SECONDS = 0.1
 DEAF_PROGRAM = [str(platform_lib.ROOT / "features/harness/deaf_role.py")]
 
 
@@ -296,3 +298,67 @@
 
     plat.wait("a served request", is_served)
     assert services <= {"", "n"}, services
+
+
+def set_deaf(plat, name, numbers):
+    """Make a process deaf to the control VMs with these numbers."""
+    senders = [
+        f"{platform_lib.control_ip(n)}:{platform_lib.INTERNAL_PORT}"
+        for n in numbers
+    ]
+    (plat.folder / f"{name}.deaf").write_text("\n".join(senders))
+
+
+@given("links between control VMs that can be cut")
+def step_cuttable(context):
+    plat = context.plat
+    for number in (1, 2, 3):
+        end(plat, f"control-{number}")
+        plat.start("control", number, bootstrap=False, program=DEAF_PROGRAM)
+    for number in (1, 2, 3):
+        plat.wait("a read", lambda n=number: plat.describe(n)[0] == 200)
+    # The entries hear the control VMs that have started again.
+    time.sleep(1.0)
+
+
+@when("the leader acknowledges version 8, falls silent, and nobody is elected")
+def step_falls_silent(context):
+    plat = context.plat
+    context.leader = leader = find_leader(plat)
+    others = [number for number in (1, 2, 3) if number != leader]
+    for number in others:
+        set_deaf(plat, f"control-{number}", [n for n in others if n != number])
+    for number in (1, 2, 3):
+        set_deaf(plat, f"entry-{number}", [leader])
+    time.sleep(CUT_SECONDS)
+    doc = configuration_changes.make_document(8)
+    plat.wait("version 8", lambda: plat.replace(leader, doc) == 200)
+    plat.signal(f"control-{leader}", signal.SIGSTOP)
+    context.acked_at = time.monotonic()
+
+
+@then(
+    "no entry decides as only version 7 says later than {seconds:g} s after"
+    " that"
+)
+def step_none_old(context, seconds):
+    plat = context.plat
+    time.sleep(max(context.acked_at + seconds - time.monotonic(), 0.0))
+    until = time.monotonic() + ASKED_SECONDS
+    old = []
+    while time.monotonic() < until:
+        for number in (1, 2, 3):
+            for name in configuration_changes.NAMES:
+                seen = configuration_changes.ask(plat, number, name)
+                if seen.versions == {7}:
+                    old.append((number, seen))
+    assert not old, (len(old), old[:3])
+
+
+@when("the leader is heard again")
+def step_heard_again(context):
+    plat = context.plat
+    plat.signal(f"control-{context.leader}", signal.SIGCONT)
+    for number in (1, 2, 3):
+        set_deaf(plat, f"control-{number}", [])
+        set_deaf(plat, f"entry-{number}", [])
