--- a/features/majority_reading.feature
+++ b/features/majority_reading.feature
@@ -7,6 +7,11 @@
     Then no entry lets a request through by version 9 later than 2 s after that
     And all entries have version 12 soon after the leader is heard again
 
+  Scenario: An evacuation was acknowledged before its leader fell silent
+    Given a site with committed version 9
+    When an evacuation is acknowledged by a leader that falls silent, and nobody is elected
+    Then no entry lets a request through by version 9 later than 2 s after that
+
   Scenario: Nothing newer is in the log while nobody leads
     Given a site with committed version 9
     When the leader falls silent and nobody is elected for 4 s
@@ -43,6 +48,7 @@
       | and may lack entries that it had synced   |
       | and it has lost its vote                  |
       | to a question of an earlier process       |
+      | to a question of 1.5 s before             |
 
   # Guards against a majority of voters that have been replaced.
   Scenario: The seats are those of the newest log that answers
--- a/features/steps/majority_reading_steps.py
+++ b/features/steps/majority_reading_steps.py
@@ -10,6 +10,7 @@
 
 from features.harness import site as site_lib
 from features.steps import confirmation_steps
+from jasperweir.components.configctl import evacuations as evacuations_lib
 from jasperweir.components.confirmation import majority
 from jasperweir.components.confirmation import messages
 from jasperweir.components.confirmation import tracker
@@ -58,6 +59,7 @@
         site.run(site_lib.STEP)
     assert site.acked[0] == version, site.acked
     site.frozen.add(leader)
+    context.acked_at = site.acked[1]
     assert all(
         node.machine.declared().version < version
         for name, node in site.nodes.items()
@@ -65,6 +67,26 @@
     )
 
 
+@when(
+    "an evacuation is acknowledged by a leader that falls silent, and nobody is"
+    " elected"
+)
+def step_evacuated(context):
+    site = context.site
+    context.leader = leader = isolate_leader(site)
+    started = site.nodes[leader].evacuate("p", evacuated=True, now=site.now)
+    site.perform(leader, started.acts)
+    for _ in range(4):
+        if (leader, started.number) in site.results:
+            break
+        site.run(site_lib.STEP)
+    found = site.results[leader, started.number]
+    assert isinstance(found, evacuations_lib.Evacuated), found
+    site.frozen.add(leader)
+    context.acked_at = site.now
+    assert not any(site.evacuated.values()), site.evacuated
+
+
 @then(
     "no entry lets a request through by version {version:d} later than"
     " {within:g} s after that"
@@ -72,11 +94,10 @@
 def step_none_late(context, version, within):
     site = context.site
     served = run_observed(site, within + SILENT_SECONDS)
-    acked_at = site.acked[1]
     late = [
         found
         for found in served
-        if found[0] > acked_at + within and found[2] == version
+        if found[0] > context.acked_at + within and found[2] == version
     ]
     assert not late, late[:5]
 
@@ -204,6 +225,7 @@
     "with another disk than its seat has": {"disk": "another"},
     "and may lack entries that it had synced": {"may_vote": False},
     "and it has lost its vote": {"seats": SEATS[:1] + SEATS[2:]},
+    "to a question of 1.5 s before": {},
 }
 
 
@@ -217,9 +239,10 @@
         client.receive("c2", state._replace(disk="disk-c2"), asker.at)
         asker.reader = client._majority_reader
         return
+    earlier_s = 1.5 if what == "to a question of 1.5 s before" else 0.0
     seats = CHANGES[what].get("seats", SEATS)
     asker.answer("c1", seats=seats)
-    asker.answer("c2", **CHANGES[what])
+    asker.answer("c2", asker.at - earlier_s, **CHANGES[what])
 
 
 @when("two voters answer, one by newer seats of which the other has none")
