--- a/features/steps/majority_reading_steps.py
+++ b/features/steps/majority_reading_steps.py
@@ -1,22 +1,24 @@
 """Steps on entries that ask a majority of the voters."""
 
 import math
-import types
+import pathlib
+from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
 import logbook
 
+from features.harness import control_process
 from features.harness import site as site_lib
 from features.steps import confirmation_steps
 from jasperweir.components.configctl import evacuations as evacuations_lib
 from jasperweir.components.confirmation import majority
 from jasperweir.components.confirmation import messages
 from jasperweir.components.confirmation import tracker
-from jasperweir.components.discovery import version_basis
+from jasperweir.components.discovery import client as discovery_client
 from jasperweir.components.quorum import messages as quorum_messages
-from jasperweir.daemons import standing_log
+from jasperweir.daemons import site_entry
 
 Standing = tracker.Standing
 APPLY_SECONDS = 2.0
@@ -335,32 +337,34 @@
     " ago becomes unconfirmed"
 )
 def step_unconfirmed(context, one, first, other, second):
-    counted = []
-    log = standing_log.StandingLog(
-        metrics=types.SimpleNamespace(
-            inc=lambda name, **labels: counted.append(labels["standing"])
-        )
-    )
-    contacts = (
-        version_basis.ControlContact(one, first, 8),
-        version_basis.ControlContact(other, second, 9),
-    )
+    cfg = control_process.make_settings(pathlib.Path("unused"))
+    with control_process.quiet_logs():
+        entry = site_entry.SiteEntry(cfg=cfg, dialect=None, engines=None)
+    client = entry._discovery
+    now = 100.0
+    client._controls = {
+        one: discovery_client.Control(heard_at=now - first, announced=8),
+        other: discovery_client.Control(heard_at=now - second, announced=9),
+    }
     with logbook.TestHandler().applicationbound() as handler:
         for standing in (
             Standing.CURRENT,
             Standing.UNCONFIRMED,
             Standing.UNCONFIRMED,
         ):
-            basis = version_basis.VersionBasis(version=9, standing=standing)
-            log.update(basis, contacts)
-    context.counted = counted
+            with mock.patch.object(
+                client.confirmations, "standing", return_value=standing
+            ):
+                entry._record_standing(now)
     context.records = [r.kwargs | {"event": r.msg} for r in handler.records]
 
 
 @then("the log says so once, with both")
 def step_logged(context):
-    assert context.counted == ["current", "unconfirmed"], context.counted
-    last = context.records[-1]
+    found = [r for r in context.records if r["event"] == "standing changed"]
+    shown = [record["standing"] for record in found]
+    assert shown == ["current", "unconfirmed"], shown
+    last = found[-1]
     assert last["before"] == "current", last
     assert last["controls"] == [
         "c1 silent 2000 ms, version 8",
--- a/jasperweir/components/confirmation/tracker.py
+++ b/jasperweir/components/confirmation/tracker.py
@@ -78,9 +78,8 @@
 
         Args:
             valid_s: Time for which a confirmation is valid, seconds.
-            stall_s: Pause in the process's activity after which what it asked
-                before counts as unanswered no more, seconds; it applies while
-                an answer is awaited.
+            stall_s: Pause in the process's activity that voids what it asked
+                before, while an answer is awaited, seconds.
         """
         self.valid_s = valid_s
         self._stall_s = stall_s
@@ -199,15 +198,19 @@
             self.newest_known > self.held
             or self._newest_evacuations > self.held_evacuations
         )
+        is_contested = now - self._contested_at < const.REACH_SECONDS
+        if self._asked_at is None:
+            return Standing.AWAITING
         since = self._asked_at
-        if is_outdated and since is not None:
+        if is_outdated:
             since = max(since, self._newer_since)
-        elif now - self._contested_at < const.REACH_SECONDS:
-            is_outdated = True
-            since = since and max(since, self._contested_since)
-        if since is None or now - since < const.ANSWER_SECONDS:
+        elif is_contested:
+            since = max(since, self._contested_since)
+        if now - since < const.ANSWER_SECONDS:
             return Standing.AWAITING
-        return Standing.OUTDATED if is_outdated else Standing.UNCONFIRMED
+        if is_outdated or is_contested:
+            return Standing.OUTDATED
+        return Standing.UNCONFIRMED
 
     def may_deny(self, now: float) -> bool:
         """Return whether what the version held lacks does not exist."""
--- a/jasperweir/components/control/client.py
+++ b/jasperweir/components/control/client.py
@@ -42,7 +42,7 @@
         self.heard_at = float("-inf")
         self.confirmations = tracker_lib.VersionTracker(
             valid_s=const.HEARTBEATS_UNTIL_STALE * interval_s,
-            # It is active once a heartbeat, not while an answer is awaited.
+            # Its activity is noted less often than an entry asks.
             stall_s=confirmation_const.SUSPENDED_SECONDS,
         )
         self._rounds = rounds_lib.Rounds(first=rng.getrandbits(_ROUND_BITS) + 1)
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -362,7 +362,10 @@
             self._server.limits = limits
 
     def _record_standing(self, now: float) -> None:
-        self._standing_log.update(
+        standing = self._discovery.confirmations.standing(now)
+        if standing is self._standing_log.standing:
+            return
+        self._standing_log.record(
             self._discovery.describe_version(now),
             self._discovery.describe_contacts(now),
         )
--- a/jasperweir/daemons/standing_log.py
+++ b/jasperweir/daemons/standing_log.py
@@ -9,26 +9,28 @@
 
 
 class StandingLog:
-    """Records each change of an entry's standing and what it had heard."""
+    """Records each change of an entry's standing and what it had heard.
+
+    Attributes:
+        standing: Standing that was last recorded.
+    """
 
     def __init__(self, *, metrics: metrics_lib.Metrics) -> None:
+        self.standing = tracker.Standing.UNKNOWN
         self._metrics = metrics
-        self._standing = tracker.Standing.UNKNOWN
 
-    def update(
+    def record(
         self,
         basis: version_basis.VersionBasis,
         contacts: tuple[version_basis.ControlContact, ...],
     ) -> None:
-        """Record the standing if it has changed.
+        """Record another standing.
 
         Args:
             basis: What is known of the version in force.
             contacts: What was last heard from the control VMs.
         """
-        if basis.standing is self._standing:
-            return
-        before, self._standing = self._standing, basis.standing
+        before, self.standing = self.standing, basis.standing
         self._metrics.inc("standing_changes", standing=basis.standing.value)
         _log.info(
             "standing changed",
