--- a/features/harness/configuration_matrix.py
+++ b/features/harness/configuration_matrix.py
@@ -44,6 +44,8 @@
     "leader deaf to one",
     "one deaf to the leader",
     "leader deaf to all",
+    "leader silent to entries",
+    "leader leaves",
     "some without disks",
 )
 # Entry cases in which the entry hears a control VM that hears the leader.
@@ -367,6 +369,19 @@
             case "leader deaf to all":
                 site.deaf.update((name, leader) for name in others)
                 judge.disturb_core()
+            case "leader silent to entries":
+                # It runs, hears all and leads on.
+                site.deaf.update(
+                    (leader, name) for name in site.discovery_clients
+                )
+                judge.hearing.update(site.discovery_clients)
+            case "leader leaves":
+                acts = site.nodes[leader].transfer_leadership(site.now)
+                site.perform(leader, acts)
+                site.run(site_lib.STEP)
+                site.kill(leader)
+                judge.disturb_core()
+                return [(site.now + 1.0, lambda: self._restart([leader]))]
             case "leader suspended":
                 site.frozen.add(leader)
                 judge.disturb_core()
