--- a/script/guards_confirmation.py
+++ b/script/guards_confirmation.py
@@ -31,9 +31,8 @@
           "outdated_configuration"),
     Guard("a newer version that is known is not ignored",
           C + "confirmation/tracker.py",
-          "return Standing.OUTDATED if is_outdated else "
-          "Standing.UNCONFIRMED",
-          "return Standing.UNCONFIRMED", "confirmation"),
+          "        if is_outdated or is_contested:\n",
+          "        if is_contested:\n", "confirmation"),
     Guard("a suspension voids what was asked before",
           C + "confirmation/tracker.py",
           "        if now - last >= limit_s:\n", "        if False:\n",
