--- a/features/harness/deaf_role.py
+++ b/features/harness/deaf_role.py
@@ -1,13 +1,19 @@
-"""Run a role's process that can be made deaf to other processes.
+"""Run a role's process whose links to other processes can be disturbed.
 
-It drops frames from the senders that are listed in the file named by
-JASPERWEIR_TEST_DEAF, one ``ip:port`` on each line; what it sends still arrives.
-A line ``delay SECONDS`` delays all frames that it receives.
+The file that JASPERWEIR_TEST_DEAF names says how, one disturbance a line:
+
+* ``ip:port``: frames from this process are dropped; what is sent to it arrives.
+* ``cut ip:port``: frames from and to it are dropped, and after some time the
+  connection to it counts as closed.
+* ``late SECONDS ip:port``: frames from it are delayed.
+* ``delay SECONDS``: all frames are delayed.
+
+If a file of the same name with the suffix ``.plant`` names a fault, it is
+planted in the process, see planted_faults.
 """
 
 import os
 import pathlib
-import queue
 import runpy
 import sys
 import threading
@@ -17,51 +23,102 @@
 # This folder has a module with the name of a standard one.
 sys.path[0] = str(ROOT)
 POLL_SECONDS = 0.02
-_senders = set()
-_delayed = queue.Queue()
-
-
-def _watch(path):
-    while True:
-        text = path.read_text() if path.exists() else ""
-        _senders.clear()
-        _senders.update(text.split())
-        time.sleep(POLL_SECONDS)
-
-
-def _find_delay_s():
-    delays = [s for s in _senders if s.replace(".", "").isdigit()]
-    return float(delays[0]) if "delay" in _senders else 0.0
+# Time after which the link closes a connection that receives nothing.
+SILENT_SECONDS = 2.0
+
+
+class Disturbances:
+    """Disturbances of the links, as the file last said."""
+
+    def __init__(self, path):
+        self._path = path
+        self._text = ""
+        self._deaf = frozenset()
+        self._late = {}
+        self._delay_s = 0.0
+        # When each link was cut, by the name of the other process.
+        self._cut_at = {}
+        threading.Thread(target=self._watch, daemon=True).start()
+
+    def drops(self, name):
+        """Return whether frames from a process are dropped."""
+        return name in self._deaf or name in self._cut_at
+
+    def find_delay_s(self, name):
+        """Return the delay of frames from a process, seconds."""
+        return self._late.get(name, self._delay_s)
+
+    def is_cut(self, name):
+        """Return whether frames to a process are dropped."""
+        return name in self._cut_at
+
+    def is_closed(self, name):
+        """Return whether the connection to a process is closed."""
+        cut_at = self._cut_at.get(name)
+        return cut_at is not None and time.monotonic() - cut_at > SILENT_SECONDS
+
+    def _watch(self):
+        while True:
+            text = self._path.read_text() if self._path.exists() else ""
+            if text != self._text:
+                self._text = text
+                self._read(text)
+            time.sleep(POLL_SECONDS)
+
+    def _read(self, text):
+        deaf, late, cut, delay_s = set(), {}, set(), 0.0
+        for line in text.splitlines():
+            match line.split():
+                case ["cut", name]:
+                    cut.add(name)
+                case ["late", seconds, name]:
+                    late[name] = float(seconds)
+                case ["delay", seconds]:
+                    delay_s = float(seconds)
+                case [name]:
+                    deaf.add(name)
+        now = time.monotonic()
+        self._deaf, self._late, self._delay_s = frozenset(deaf), late, delay_s
+        self._cut_at = {name: self._cut_at.get(name, now) for name in cut}
+
+
+def _disturb_links(disturbances):
+    from jasperweir.helpers import link as link_lib
+    from jasperweir.helpers import loop_link
+
+    accept = link_lib.Link._accept
+    transmit = link_lib.Link._transmit
+
+    def accept_later(self, data):
+        env, _ = link_lib.codec.decode(data)
+        if disturbances.drops(env.src):
+            return
+        delay_s = disturbances.find_delay_s(env.src)
+        if not delay_s:
+            accept(self, data)
+        elif isinstance(self, loop_link.LoopLink) and self._loop is not None:
+            self._loop.call_later(delay_s, accept, self, data)
 
+    def transmit_unless_cut(self, dst, data):
+        return not disturbances.is_cut(dst) and transmit(self, dst, data)
 
-def _deliver_delayed(deliver):
-    while True:
-        due_at, link, data = _delayed.get()
-        time.sleep(max(due_at - time.monotonic(), 0.0))
-        deliver(link, data)
+    link_lib.Link._accept = accept_later
+    link_lib.Link._transmit = transmit_unless_cut
+    if hasattr(link_lib.Link, "is_connected"):
+        is_connected = link_lib.Link.is_connected
+        link_lib.Link.is_connected = lambda self, dst: (
+            not disturbances.is_closed(dst) and is_connected(self, dst)
+        )
 
 
 def main():
-    from jasperweir.helpers import link
-
-    deliver = link.Link._accept
-
-    def accept(self, data):
-        env, _ = link.codec.decode(data)
-        if env.src in _senders:
-            return
-        delay_s = _find_delay_s()
-        if delay_s:
-            _delayed.put((time.monotonic() + delay_s, self, data))
-        else:
-            deliver(self, data)
-
-    link.Link._accept = accept
-    threading.Thread(
-        target=_deliver_delayed, args=(deliver,), daemon=True
-    ).start()
     path = pathlib.Path(os.environ["JASPERWEIR_TEST_DEAF"])
-    threading.Thread(target=_watch, args=(path,), daemon=True).start()
+    _disturb_links(Disturbances(path))
+    plant = path.with_suffix(".plant")
+    if plant.exists():
+        from features.harness import planted_faults
+
+        planted_faults.plant(plant.read_text())
     sys.path.insert(0, str(ROOT / "platform"))
     script = str(ROOT / "platform" / "run.py")
     sys.argv = [script, *sys.argv[1:]]
--- /dev/null
+++ b/features/harness/planted_faults.py
@@ -0,0 +1,81 @@
+"""Faults that are planted in an entry, to prove that a soak finds them."""
+
+import json
+import zlib
+
+from jasperweir.components.deployment import index as index_lib
+from jasperweir.daemons import site_entry
+from jasperweir.helpers import clocks
+
+# Time for which a key is accepted after its revocation, seconds.
+ACCEPTED_SECONDS = 4.0
+# Time from a version's content until it is used, seconds.
+LATE_SECONDS = 2.5
+# One in so many versions gets the content of the one before.
+OTHER_CONTENT = 3
+# Number of the version whose content is late, for an entry that is late once.
+LATE_ONCE = 12
+
+
+def plant(kind):
+    """Plant a fault in this process.
+
+    Args:
+        kind: One of KINDS.
+    """
+    KINDS[kind]()
+
+
+def _accept_keys_longer():
+    find_customer = index_lib.DeploymentIndex.find_customer
+    # Customer, and when it was last found, by key.
+    found = {}
+
+    def find(self, key):
+        customer, now = find_customer(self, key), clocks.elapsed()
+        if customer is not None:
+            found[key] = customer, now
+            return customer
+        known, at = found.get(key, (None, 0.0))
+        return known if now - at < ACCEPTED_SECONDS else None
+
+    index_lib.DeploymentIndex.find_customer = find
+
+
+def _delay_content(is_late):
+    apply = site_entry.SiteEntry._apply_configuration
+    counts = [0]
+
+    def apply_later(self, act):
+        counts[0] += 1
+        if not is_late(counts[0]):
+            apply(self, act)
+            return
+        self._discovery.on_applied(act.version, self._host.now())
+        self._host.call_later(LATE_SECONDS, lambda: apply(self, act))
+
+    site_entry.SiteEntry._apply_configuration = apply_later
+
+
+def _use_other_content():
+    apply = site_entry.SiteEntry._apply_configuration
+    last = [b""]
+
+    def apply_other(self, act):
+        data, last[0] = last[0], act.data
+        if data and not act.version % OTHER_CONTENT:
+            document = json.loads(zlib.decompress(data))
+            document["version"] = act.version
+            changed = zlib.compress(json.dumps(document).encode())
+            act = act._replace(data=changed)
+        apply(self, act)
+
+    site_entry.SiteEntry._apply_configuration = apply_other
+
+
+KINDS = {
+    "key accepted longer": _accept_keys_longer,
+    "content late": lambda: _delay_content(lambda count: count > 1),
+    "content late once": lambda: _delay_content(lambda n: n == LATE_ONCE),
+    "other content": _use_other_content,
+}
--- a/features/soak/configuration_day.py
+++ b/features/soak/configuration_day.py
@@ -1,9 +1,11 @@
 """Soak of a day at a site in three data centres whose configuration changes.
 
 Eleven VMs have an entry, nine of these a control VM, three of these a disk;
-sixteen agents report to them. Towards its end the day changes its
-configuration often, restarts VMs in turn, removes a target, replaces a VM, and
-closes with the loss of a disk and of all power.
+sixteen agents report to them. Bursts of changes revoke keys, which callers on
+kept connections go on to use, and alternate with lulls that are longer than the
+bound on configurations. Meanwhile VMs restart in turn, links are cut, answers
+are late, a VM with a disk is replaced, and the day closes with the loss of
+another disk and of all power.
 """
 
 import random
@@ -13,33 +15,73 @@
 
 from features.soak import configuration_faults
 from features.soak import configuration_world
+from features.soak import faults as faults_lib
+from features.soak import key_callers
 
 ENTRIES = 11
 CONTROLS = 9
-CORE = (1, 2, 3)
 AGENTS = 16
 CALLERS = 22
 ZONES = "pqs"
-# VM that replaces the one whose disk is lost at the end.
-REPLACEMENT = 13
-# Share of the day after which its end begins, and pauses there.
-CALM_SHARE = 0.4
-STEP_SECONDS = (0.2, 1.5)
+# VMs that replace one whose disk is lost, in the day and at its end.
+REPLACEMENT, LAST_REPLACEMENT = 13, 14
+# Share of the day before its troubles begin.
+CALM_SHARE = 0.2
+STEP_SECONDS = (0.2, 1.0)
 # Time before the closing loss without other faults: longer than the bound on
 # configurations and the time after which a process is in touch.
 STILL_SECONDS = 4.5
 SUSPENDED_SECONDS = (0.4, 2.0)
+CUT_SECONDS = (1.0, 4.0)
+# Share of the entries that are cut off together.
+CUT_SHARE = 0.4
+# Delay of the answers of control VMs, and for how long they are late, seconds.
+# The delay is longer than the bound on configurations.
+LATE_SECONDS = 2.5
+LATE_FOR_SECONDS = 4.0
 POWER_SECONDS = 1.2
 START_SECONDS = 0.05
+# VMs that restart one after the other.
+IN_TURN = 3
+BURST_SECONDS = (0.8, 2.0)
+LULL_SECONDS = (3.2, 4.5)
+# Share of the versions that revoke keys.
+REVOKING_SHARE = 0.6
+
+
+class Rhythm:
+    """Bursts of changes and the lulls between them."""
+
+    def __init__(self, rng):
+        self._rng = rng
+        self._burst_until = 0.0
+        self._next_at = time.monotonic()
+
+    def find_pause_s(self, now):
+        """Return the time until the next burst, 0 during one; seconds."""
+        if now >= self._next_at:
+            self._burst_until = now + self._rng.uniform(*BURST_SECONDS)
+            self._next_at = self._burst_until + self._rng.uniform(*LULL_SECONDS)
+        return 0.0 if now < self._burst_until else self._next_at - now
+
+
+class DayOperator(configuration_world.Operator):
+    """Changes the configuration in bursts."""
+
+    def _pause(self):
+        super()._pause()
+        pause_s = self._world.rhythm.find_pause_s(time.monotonic())
+        self._world.stopping.wait(pause_s)
 
 
 class DayCourse(configuration_faults.ConfigurationFaults):
-    """Faults of the day in their order; their times and VMs are drawn."""
+    """Faults of the day; their order, times and VMs are drawn."""
 
     def __init__(self, *, world):
         super().__init__(world=world, links=False)
         self._rng = random.Random(f"{world.seed}/day")
         self._seconds = 0.0
+        self._disk_lost_at = float("-inf")
 
     def run_for(self, seconds):
         """Let the day happen."""
@@ -54,11 +96,18 @@
         time.sleep(CALM_SHARE * self._seconds)
         self._world.plat.tell(4, presence="draining")
         steps = [
-            *[self._restart_vm] * 4,
+            self._restart_vm,
+            self._restart_in_turn,
             self._suspend_control,
             self._suspend_entry,
             self._replace_diskless,
+            self._replace_core,
             self._end_target,
+            self._cut_entries,
+            self._cut_core,
+            self._deafen_entry,
+            self._deafen_entry,
+            self._delay_answers,
         ]
         self._rng.shuffle(steps)
         for step in steps:
@@ -68,24 +117,47 @@
             time.sleep(self._rng.uniform(*STEP_SECONDS))
         self._start_due()
         time.sleep(STILL_SECONDS)
+        repaired_at = self._disk_lost_at + faults_lib.REPAIR_SECONDS
+        time.sleep(max(repaired_at - time.monotonic(), 0.0))
         self._close()
 
+    # Processes.
+
+    def _list_running(self):
+        """Return the VMs whose processes run."""
+        return [
+            number
+            for number in self._world.vms
+            if f"entry-{number}" not in self._starts_due
+        ]
+
     def _restart_vm(self):
+        self._restart(self._rng.choice(self._list_running()))
+
+    def _restart_in_turn(self):
+        for number in self._rng.sample(self._list_running(), IN_TURN):
+            self._restart(number)
+
+    def _restart(self, number):
         """Stop a VM's processes as planned and start them again."""
-        number = self._rng.choice(self._world.vms)
         names = self._list_processes(number)
         self._log_fault(f"restart {names}")
         for name in names:
-            self._terminate(name, signal.SIGTERM)
+            self.disturbances.record(name, time.monotonic())
+            self._world.plat.signal(name, signal.SIGTERM)
+        for name in names:
+            # Signal 0 is not delivered: this only waits.
+            self._terminate(name, 0)
         for name in names:
             self._start(name)
 
     def _suspend_control(self):
         """Suspend a control VM, so that it runs and is silent afterwards."""
-        self._suspend(f"control-{self._rng.choice(self._world.control_vms)}")
+        controls = set(self._list_running()) & set(self._world.control_vms)
+        self._suspend(f"control-{self._rng.choice(sorted(controls))}")
 
     def _suspend_entry(self):
-        self._suspend(f"entry-{self._rng.choice(self._world.vms)}")
+        self._suspend(f"entry-{self._rng.choice(self._list_running())}")
 
     def _suspend(self, name):
         self._log_fault(f"suspend {name}")
@@ -97,13 +169,27 @@
 
     def _replace_diskless(self):
         """End a VM without a disk; another one has its address later."""
-        number = self._rng.choice([n for n in self._world.vms if n > CORE[-1]])
+        diskless = set(self._list_running()) - set(self._world.core_vms)
+        number = self._rng.choice(sorted(diskless))
         names = self._list_processes(number)
         self._log_fault(f"replace {names}")
         for name in names:
             self._terminate(name, signal.SIGKILL)
             self._starts_due[name] = time.monotonic() + 2.0
 
+    def _replace_core(self):
+        """Replace a VM with a disk by an empty one at another address."""
+        lost = self._rng.choice(self._world.core_vms)
+        names = self._list_processes(lost)
+        self._log_fault(f"replace {names} by vm-{REPLACEMENT}")
+        for name in names:
+            self._terminate(name, signal.SIGKILL)
+        self._disk_lost_at = time.monotonic()
+        self._world.replace_vm(lost, REPLACEMENT)
+        time.sleep(self._rng.uniform(*SUSPENDED_SECONDS))
+        for name in self._list_processes(REPLACEMENT):
+            self._start(name)
+
     def _end_target(self):
         self._log_fault("target 4 ends")
         self._world.plat.signal("target-4", signal.SIGKILL)
@@ -114,10 +200,58 @@
             del self._starts_due[name]
             self._start(name)
 
+    # Links.
+
+    def _cut_entries(self):
+        """Cut entries off from all control VMs."""
+        vms = self._world.vms
+        count = round(CUT_SHARE * len(vms))
+        names = [f"entry-{n}" for n in self._rng.sample(vms, count)]
+        self._cut({name: self._world.control_vms for name in names})
+
+    def _cut_core(self):
+        """Cut a control VM with a disk off from the others."""
+        core = self._world.core_vms
+        number = self._rng.choice(core)
+        others = [n for n in core if n != number]
+        self._cut({f"control-{number}": others})
+
+    def _cut(self, links):
+        self._log_fault(f"cut {links}")
+        for name, numbers in links.items():
+            self.disturbances.record(name, time.monotonic())
+            self._world.plat.set_cut(name, numbers)
+        time.sleep(self._rng.uniform(*CUT_SECONDS))
+        for name in links:
+            self._world.plat.set_deaf(name, [])
+            self.disturbances.record(name, time.monotonic())
+
+    def _deafen_entry(self):
+        """Make an entry deaf to some control VMs; it hears the others."""
+        name = f"entry-{self._rng.choice(self._world.vms)}"
+        core = self._world.core_vms
+        senders = self._rng.sample(core, self._rng.randint(1, len(core) - 1))
+        self._log_fault(f"{name} is deaf to {senders}")
+        self._world.plat.set_deaf(name, senders)
+        time.sleep(self._rng.uniform(*CUT_SECONDS))
+        self._world.plat.set_deaf(name, [])
+
+    def _delay_answers(self):
+        """Let all control VMs answer the entries late."""
+        names = [f"entry-{number}" for number in self._world.vms]
+        self._log_fault(f"answers to entries are {LATE_SECONDS} s late")
+        for name in names:
+            self._world.plat.set_late(
+                name, self._world.control_vms, LATE_SECONDS
+            )
+        time.sleep(LATE_FOR_SECONDS)
+        for name in names:
+            self._world.plat.set_deaf(name, [])
+
     def _close(self):
         """Lose a disk and, at the same moment, the power of all VMs."""
         world = self._world
-        lost = self._rng.choice(CORE)
+        lost = self._rng.choice(world.core_vms)
         self._log_fault(f"disk of vm-{lost} and all power")
         names = [n for v in world.vms for n in self._list_processes(v)]
         agents = [f"agent-{n}" for n in range(1, AGENTS + 1)]
@@ -128,7 +262,7 @@
             world.plat.procs[name].wait()
         shutil.rmtree(world.plat.folder / f"data-{lost}")
         time.sleep(POWER_SECONDS)
-        world.replace_vm(lost, REPLACEMENT)
+        world.replace_vm(lost, LAST_REPLACEMENT)
         names = [n for v in world.vms for n in self._list_processes(v)]
         self._rng.shuffle(names)
         for name in (*names, *agents):
@@ -145,24 +279,44 @@
 class DayWorld(configuration_world.ConfigurationWorld):
     """Processes, operators and callers of one day."""
 
-    def __init__(self, *, seed, folder):
+    def __init__(self, *, seed, folder, plant=""):
         """Create the day.
 
         Args:
             seed: Seed of all random choices.
             folder: Folder of the processes' files.
+            plant: Fault to plant in one entry, see planted_faults.
         """
+        self.keys = key_callers.KeyRing()
         super().__init__(
             seed=seed, folder=folder, callers=CALLERS, entries=ENTRIES
         )
         self.control_vms = tuple(range(1, CONTROLS + 1))
         self.faults = DayCourse(world=self)
+        self.rhythm = Rhythm(random.Random(f"{seed}/rhythm"))
+        self._plant = plant
+        self._operators = [DayOperator(world=self, number=n) for n in (1, 2)]
+        vms = (*self._vms, REPLACEMENT, LAST_REPLACEMENT)
+        self._kept_callers = [
+            key_callers.KeptCaller(world=self, number=CALLERS + vm, vm=vm)
+            for vm in vms
+        ]
+        self._callers += self._kept_callers
+        # All control VMs that have had a disk in the course of the day.
+        self._all_core = set(self.core_vms)
 
     @property
     def vms(self):
         """Numbers of the VMs."""
         return tuple(self._vms)
 
+    def run(self, seconds):
+        """Run for some seconds and return the violations found."""
+        found = super().run(seconds)
+        counts = key_callers.count_requests(self._kept_callers)
+        self.summary += f", {counts}"
+        return found
+
     def replace_vm(self, lost, number):
         """Put another VM in the place of one that is lost."""
         self._vms = [number if n == lost else n for n in self._vms]
@@ -170,10 +324,27 @@
             number if n == lost else n for n in self.control_vms
         )
         self.core_vms = tuple(number if n == lost else n for n in self.core_vms)
+        self._all_core.update(self.core_vms)
+        self.plat.seeds = self.core_vms
         self.plat.zones[number] = self.plat.zones[lost]
 
+    def _plan_version(self, version, rng):
+        if rng.random() < REVOKING_SHARE:
+            self.keys.revoke(version, rng)
+
+    def _list_keys(self, version):
+        return self.keys.list_keys(version)
+
     def _prepare(self):
         zones = {n: ZONES[(n - 1) % 3] for n in self._vms}
         self.plat.zones.update(zones)
+        if self._plant:
+            number = random.Random(f"{self.seed}/plant").choice(self._vms)
+            self.plat.set_plant(f"entry-{number}", self._plant)
         for number in range(1, AGENTS + 1):
             self.plat.start("agent", number)
+
+    def _is_in_touch(self, vm, begin, end):
+        names = [f"entry-{vm}", *[f"control-{n}" for n in self._all_core]]
+        log = self.faults.disturbances
+        return not any(log.was_disturbed(name, begin, end) for name in names)
--- a/features/soak/configuration_faults.py
+++ b/features/soak/configuration_faults.py
@@ -31,15 +31,35 @@
 
     def set_deaf(self, name, numbers):
         """Make a process deaf to the control VMs with these numbers."""
-        senders = [
-            f"{platform_lib.control_ip(n)}:{platform_lib.INTERNAL_PORT}"
-            for n in numbers
-        ]
-        (self.folder / f"{name}.deaf").write_text("\n".join(senders))
+        self._disturb_links(name, map(control_name, numbers))
 
     def set_slow(self, name):
         """Delay all messages to a process."""
-        (self.folder / f"{name}.deaf").write_text(f"delay {SLOW_SECONDS}")
+        self._disturb_links(name, [f"delay {SLOW_SECONDS}"])
+
+    def set_late(self, name, numbers, seconds):
+        """Delay the messages of control VMs to a process."""
+        self._disturb_links(
+            name, [f"late {seconds} {control_name(n)}" for n in numbers]
+        )
+
+    def set_cut(self, name, numbers):
+        """Cut the links between a process and control VMs, both ways."""
+        self._disturb_links(
+            name, [f"cut {control_name(number)}" for number in numbers]
+        )
+
+    def set_plant(self, name, kind):
+        """Plant a fault in a process that starts later."""
+        (self.folder / f"{name}.plant").write_text(kind)
+
+    def _disturb_links(self, name, lines):
+        (self.folder / f"{name}.deaf").write_text("\n".join(lines))
+
+
+def control_name(number):
+    """Return the name of a control VM among the system's processes."""
+    return f"{platform_lib.control_ip(number)}:{platform_lib.INTERNAL_PORT}"
 
 
 class ConfigurationFaults(faults_lib.FaultInjector):
--- a/features/soak/configuration_versions.py
+++ b/features/soak/configuration_versions.py
@@ -32,14 +32,16 @@
 class Versions:
     """Content of each version: what it moves, splits, adds, drops, revokes."""
 
-    def __init__(self, *, fillers, streams=False):
+    def __init__(self, *, fillers, list_keys, streams=False):
         """Create the versions.
 
         Args:
             fillers: Number of further routes that each version has.
+            list_keys: Returns further keys of a version.
             streams: Whether a route of streams is moved as well.
         """
         self._fillers = fillers
+        self._list_keys = list_keys
         self._streams = streams
         self.documents = {}
         self._order = []
@@ -79,6 +81,7 @@
             {"name": name, "healthPath": "/healthz"} for name in ("m", "n")
         ]
         keys = [platform_lib.KEY, *[f"key-{v}" for v in (*kept, version)]]
+        keys += self._list_keys(version)
         holder = rng.choice(CUSTOMERS)
         doc["tenants"] = [
             {
--- a/features/soak/configuration_world.py
+++ b/features/soak/configuration_world.py
@@ -18,7 +18,6 @@
 SERVICES = {"i-1.1": "m", "i-2.1": "m", "i-3.1": "n", "i-4.1": "n"}
 TARGETS = {1: "m", 2: "m", 3: "n", 4: "n"}
 CHANGE_SECONDS = 0.5
-PAUSE_SECONDS = 0.03
 # VM with an entry and a control VM without a disk, in a soak of all kinds.
 DISKLESS_VM = 4
 # Event after which resumed streams continue.
@@ -47,9 +46,17 @@
                 case 1:
                     self._send_again()
                 case _:
-                    self.send(self._world.next_version())
+                    self.send_next()
             self._read()
-            self._world.stopping.wait(self._rng.uniform(0, CHANGE_SECONDS))
+            self._pause()
+
+    def _pause(self):
+        """Wait until the next order."""
+        self._world.stopping.wait(self._rng.uniform(0, CHANGE_SECONDS))
+
+    def send_next(self):
+        """Send the next version; return whether it was acknowledged."""
+        return self.send(self._world.next_version(self._rng))
 
     def send(self, version):
         """Send a new version and record its acknowledgement."""
@@ -72,7 +79,7 @@
             check.violations.append(f"version {version} again: {status}")
 
     def _send_invalid(self):
-        doc = platform_lib.document(self._world.next_version())
+        doc = platform_lib.document(self._world.next_version(self._rng))
         doc["routes"][0]["pathPrefix"] = "/invalid/"
         doc["routes"].append({**doc["routes"][1], "service": "unknown"})
         status, _ = self._call("POST", "/Configuration.Replace", doc)
@@ -109,6 +116,11 @@
 class Caller(threading.Thread):
     """Asks one entry by routes and keys that only some versions have."""
 
+    # Share of requests for which a new connection is opened.
+    RECONNECT_SHARE = 0.2
+    # Mean pause between requests, seconds.
+    PAUSE_SECONDS = 0.03
+
     def __init__(self, *, world, number, vm):
         super().__init__(name=f"caller-{number}")
         self._rng = random.Random(f"{world.seed}/caller/{number}")
@@ -122,7 +134,7 @@
         """Send requests until the soak stops."""
         while not self._world.stopping.is_set():
             self._ask()
-            time.sleep(self._rng.uniform(0, 2 * PAUSE_SECONDS))
+            time.sleep(self._rng.uniform(0, 2 * self.PAUSE_SECONDS))
 
     def _draw(self):
         # An entry that is seconds behind still serves what is long dropped.
@@ -170,10 +182,7 @@
             return
         if start != world.faults.count_launches(f"entry-{self._vm}"):
             return
-        sent = world.check.sent_versions()
-        allowed = frozenset(
-            v for v in sent if world.versions.allows(v, path, key, got)
-        )
+        allowed = self._find_allowed(path, key, got)
         world.check.record_decision(
             configuration_check.Decision(
                 vm=self._vm,
@@ -185,9 +194,18 @@
             )
         )
 
+    def _find_allowed(self, path, key, got):
+        """Return the versions sent so far that allow an outcome."""
+        world = self._world
+        return frozenset(
+            version
+            for version in world.check.sent_versions()
+            if world.versions.allows(version, path, key, got)
+        )
+
     def _send(self, kind, path, key):
         self._sent += 1
-        if self._conn is None or self._rng.random() < 0.2:
+        if self._conn is None or self._rng.random() < self.RECONNECT_SHARE:
             self._close()
             self._conn = http.client.HTTPConnection(
                 platform_lib.control_ip(self._vm),
@@ -279,7 +297,7 @@
         self.ledger = ledger_lib.Ledger(events=0)
         self.check = configuration_check.ConfigurationCheck()
         self.versions = configuration_versions.Versions(
-            fillers=fillers, streams=all_kinds
+            fillers=fillers, streams=all_kinds, list_keys=self._list_keys
         )
         self.outcomes = collections.Counter()
         self.faults = configuration_faults.ConfigurationFaults(
@@ -297,12 +315,20 @@
         ]
         self.summary = ""
 
-    def next_version(self):
-        """Return a version above all earlier ones."""
+    def next_version(self, rng):
+        """Return a version above all earlier ones, before it is made."""
         with self._lock:
             self._last_version += 1
+            self._plan_version(self._last_version, rng)
             return self._last_version
 
+    def _plan_version(self, version, rng):
+        """Decide which keys a version revokes for good."""
+
+    def _list_keys(self, version):
+        """Return further keys of a version."""
+        return []
+
     def count_added(self, kind, path, status, sent_at):
         """Count requests on first routes, and on added ones that stay."""
         if kind not in ("first", "lasting"):
@@ -362,7 +388,7 @@
         operator = self._operators[0]
         self.plat.wait(
             "a configuration",
-            lambda: operator.send(self.next_version()),
+            operator.send_next,
             START_SECONDS,
         )
         for number in self._vms:
@@ -375,7 +401,7 @@
         operator = self._operators[0]
         self.plat.wait(
             "an acknowledgement",
-            lambda: operator.send(self.next_version()),
+            operator.send_next,
             RECOVER_SECONDS,
         )
         for number in self._vms:
--- a/script/soak.py
+++ b/script/soak.py
@@ -9,6 +9,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
+from features.harness import planted_faults  # noqa: E402
 from features.soak import configuration_day  # noqa: E402
 from features.soak import configuration_world  # noqa: E402
 from features.soak import parts_world  # noqa: E402
@@ -53,6 +54,13 @@
         help="the configuration changes in the course of a day at a site of 11"
         " entries, 9 control VMs, 3 of them with disks, and 16 agents",
     )
+    parser.add_argument(
+        "--plant",
+        choices=planted_faults.KINDS,
+        default="",
+        help="with --day: fault to plant in one entry, to prove that it is"
+        " found",
+    )
     parser.add_argument(
         "--entries",
         type=int,
@@ -71,7 +79,9 @@
         folder = tempfile.mkdtemp(prefix=f"jasperweir-soak-{seed}-")
         world: Any
         if args.day:
-            world = configuration_day.DayWorld(seed=seed, folder=folder)
+            world = configuration_day.DayWorld(
+                seed=seed, folder=folder, plant=args.plant
+            )
         elif args.configurations:
             world = configuration_world.ConfigurationWorld(
                 seed=seed,
