Slow voters are not taken for a cut

What callers saw: an entry went on by a version more than 2 s after a newer one had been acknowledged, so revoked keys were accepted and requests ran at the old service.

Cause: an entry whose questions were not answered within 1 s counted as cut off from the core and went on as unconfirmed. Voters that answer more than 2 s late looked the same as voters that can't be reached.

Fix: an entry goes on only if less than a majority of the voters is connected. While a majority is connected and does not answer, the state is 'unanswered': requests are rejected at once with 2013, as for outdated versions. The voters are those of the newest log that was heard of; an entry asks again when the list of control VMs changes.

The scenario 'reaches only one of the voters' dropped messages of a voter whose connection was open. That is the case of slow voters, which has its own scenario now; the links are cut instead, as the scenario's text says. The log line of a contact has one more word, whether it is connected.

--- a/features/steps/majority_reading_steps.py
+++ b/features/steps/majority_reading_steps.py
@@ -24,6 +24,8 @@
 APPLY_SECONDS = 2.0
 SILENT_SECONDS = 4.0
 AWAKE_SECONDS = 3.0
+# Time in which a replaced voter has its seat and the other is forgotten.
+REPLACED_SECONDS = 8.0
 VOTERS = ("c1", "c2", "c3")
 
 
@@ -89,6 +91,50 @@
     assert not any(site.evacuated.values()), site.evacuated
 
 
+@when(
+    "version {version:d} is acknowledged while answers to entries are"
+    " {late:g} s late"
+)
+def step_late(context, version, late):
+    site = context.site
+    for control in site.names:
+        for entry in site.discovery_clients:
+            site.delays[control, entry] = late
+    leader = site.leader()
+    site.replace(leader, version)
+    while site.acked[0] != version:
+        site.run(site_lib.STEP)
+    context.acked_at = site.acked[1]
+
+
+@when("two of three voters are replaced, one after the other")
+def step_replaced(context):
+    site = context.site
+    for name in ("c7", "c8"):
+        leader = site.leader()
+        seats = site.nodes[leader].voter.seats.seats
+        lost = next(s.name for s in seats if s.name != leader)
+        site.wipe(lost)
+        site.names = [*(n for n in site.names if n != lost), name]
+        site.start(name, seeds=[n for n in site.names if n != name])
+        site.run(REPLACED_SECONDS)
+        seats = site.nodes[site.leader()].voter.seats.seats
+        assert {s.name for s in seats if s.voting} == set(site.names), seats
+
+
+@when("the entries are cut off from two of three voters for {seconds:g} s")
+def step_cut_off(context, seconds):
+    site = context.site
+    leader = site.leader()
+    others = [name for name in site.names if name != leader]
+    # The third voter hears no leader either.
+    site.frozen.add(leader)
+    site.cut_pair(*others)
+    for entry in site.discovery_clients:
+        site.cut_pair(entry, others[0])
+    site.run(seconds)
+
+
 @then(
     "no entry lets a request through by version {version:d} later than"
     " {within:g} s after that"
@@ -143,12 +189,28 @@
 
 @when("the entries reach only one of the voters for {seconds:g} s")
 def step_one_voter(context, seconds):
+    site = context.site
+    other = next(n for n in site.names if n != context.leader)
+    for name in site.discovery_clients:
+        site.cut_pair(other, name)
+    site.run(seconds)
+
+
+@when("one of the other voters does not answer the entries for {seconds:g} s")
+def step_mute_voter(context, seconds):
     site = context.site
     other = next(n for n in site.names if n != context.leader)
     site.deaf.update((other, name) for name in site.discovery_clients)
     site.run(seconds)
 
 
+@then("all entries reject requests by version {version:d}, unanswered")
+def step_unanswered(context, version):
+    assert_standing(
+        context.site, version, standing=Standing.UNANSWERED, denies=False
+    )
+
+
 def assert_standing(site, version, *, standing, denies):
     for name, client in site.discovery_clients.items():
         assert client.version == version, (name, client.version)
@@ -367,6 +429,6 @@
     last = found[-1]
     assert last["before"] == "current", last
     assert last["controls"] == [
-        "c1 silent 2000 ms, version 8",
-        "c2 silent 100 ms, version 9",
+        "c1 not connected, silent 2000 ms, version 8",
+        "c2 not connected, silent 100 ms, version 9",
     ], last
--- a/jasperweir/components/confirmation/majority.py
+++ b/jasperweir/components/confirmation/majority.py
@@ -48,6 +48,14 @@
 
     def __init__(self) -> None:
         self._answers: dict[str, _Answer] = {}
+        # Newest log of all answers so far, and the voters that it sets.
+        self._newest_log = (0, 0)
+        self._voters: tuple[str, ...] = ()
+
+    @property
+    def voters(self) -> tuple[str, ...]:
+        """Names of the voters by the newest log, empty before an answer."""
+        return self._voters
 
     def note(self, name: str, state: messages.LogState, as_of: float) -> None:
         """Record an answer.
@@ -57,9 +65,13 @@
             state: State of its log.
             as_of: Send time of the question, monotonic seconds.
         """
+        answer = _Answer(as_of, name, state)
+        if answer.log >= self._newest_log:
+            self._newest_log = answer.log
+            self._voters = tuple(seat.name for seat in state.seats)
         known = self._answers.get(name)
         if known is None or as_of > known.as_of:
-            self._answers[name] = _Answer(as_of, name, state)
+            self._answers[name] = answer
 
     def read(
         self, *, version: int, evacuations: int, now: float
--- a/jasperweir/components/confirmation/tracker.py
+++ b/jasperweir/components/confirmation/tracker.py
@@ -11,6 +11,7 @@
 on Raft, 2014, section 6.4.
 """
 
+from collections.abc import Callable
 import enum
 from typing import NamedTuple
 
@@ -44,13 +45,20 @@
     CURRENT = "current"
     # The confirmation has expired; an answer or the content may be under way.
     AWAITING = "awaiting"
-    # Less than a majority of the voters is reached, and nobody who can be heard
-    # knows of a newer one.
+    # Less than a majority of the voters is connected, and nobody who can be
+    # heard knows of a newer one.
     UNCONFIRMED = "unconfirmed"
+    # A majority of the voters is connected and does not answer in time.
+    UNANSWERED = "unanswered"
     # A newer one exists, or may exist by the logs of a majority of the voters,
     # and has not arrived.
     OUTDATED = "outdated"
 
+    @property
+    def is_refusing(self) -> bool:
+        """Whether requests are rejected, as the version may be outdated."""
+        return self in (Standing.UNANSWERED, Standing.OUTDATED)
+
 
 _NEVER = float("-inf")
 
@@ -73,6 +81,7 @@
         *,
         valid_s: float = const.VALID_SECONDS,
         stall_s: float = const.STALLED_SECONDS,
+        is_cut_off: Callable[[], bool] = lambda: True,
     ) -> None:
         """Initialize without a version.
 
@@ -80,9 +89,12 @@
             valid_s: Time for which a confirmation is valid, seconds.
             stall_s: Pause in the process's activity that voids what it asked
                 before, while an answer is awaited, seconds.
+            is_cut_off: Returns whether those who could confirm are not
+                connected, so that silence does not mean that they are slow.
         """
         self.valid_s = valid_s
         self._stall_s = stall_s
+        self._is_cut_off = is_cut_off
         self.held = 0
         self.held_evacuations = 0
         self.newest_known = 0
@@ -210,7 +222,9 @@
             return Standing.AWAITING
         if is_outdated or is_contested:
             return Standing.OUTDATED
-        return Standing.UNCONFIRMED
+        if self._is_cut_off():
+            return Standing.UNCONFIRMED
+        return Standing.UNANSWERED
 
     def may_deny(self, now: float) -> bool:
         """Return whether what the version held lacks does not exist."""
--- a/jasperweir/components/discovery/client.py
+++ b/jasperweir/components/discovery/client.py
@@ -17,6 +17,7 @@
 from jasperweir.components.directory import incarnation
 from jasperweir.components.directory import records
 from jasperweir.components.discovery import version_basis
+from jasperweir.components.quorum import progress
 from jasperweir.components.registry import ops
 
 Actions = list[Any]
@@ -115,6 +116,7 @@
         heartbeat_s: float = directory_const.NODE_HEARTBEAT_SECONDS,
         wants_content: bool = True,
         is_receiving: Callable[[], bool] = lambda: False,
+        is_connected: Callable[[str], bool] = lambda name: False,
     ) -> None:
         """Initialize with the seeds as the only known control VMs.
 
@@ -125,11 +127,16 @@
             heartbeat_s: Interval of heartbeats, seconds.
             wants_content: Whether configurations are put into force here.
             is_receiving: Returns whether the content of a version is arriving.
+            is_connected: Returns whether a connection to the control VM of a
+                name is established.
         """
         self.node = node
         self._is_receiving = is_receiving
+        self._is_connected = is_connected
         self.directory = directory_lib.Directory()
-        self.confirmations = tracker_lib.VersionTracker()
+        self.confirmations = tracker_lib.VersionTracker(
+            is_cut_off=self._is_cut_off
+        )
         self.evacuations = ops.EvacuationList()
         self._controls = {seed: Control() for seed in seeds}
         self._seed_count = len(seeds)
@@ -152,10 +159,8 @@
     def is_ready(self, now: float) -> bool:
         """Return whether callers' requests can be decided here."""
         standing = self.confirmations.standing(now)
-        return standing not in (
-            tracker_lib.Standing.UNKNOWN,
-            tracker_lib.Standing.OUTDATED,
-        )
+        is_known = standing is not tracker_lib.Standing.UNKNOWN
+        return is_known and not standing.is_refusing
 
     def describe_version(self, now: float) -> version_basis.VersionBasis:
         """Return what is known of the version in force, for logs."""
@@ -181,6 +186,7 @@
                 name=name,
                 silent_s=now - control.heard_at,
                 version=control.announced,
+                is_connected=self._is_connected(name),
             )
             for name, control in sorted(self._controls.items())
             if control.keeps_log
@@ -291,10 +297,7 @@
             ):
                 out.append(self._build_heartbeat(name, control, now))
                 if is_reading and control.keeps_log:
-                    query = confirmation_messages.LogQuery(
-                        round=self._rounds.start(now)
-                    )
-                    out.append(core.Send(dst=name, msg=query))
+                    out.append(self._query_log(name, now))
         return out
 
     def next_tick(self, now: float) -> float:
@@ -410,6 +413,10 @@
         )
         return core.Send(dst=name, msg=heartbeat)
 
+    def _query_log(self, name: str, now: float) -> core.Send:
+        query = confirmation_messages.LogQuery(round=self._rounds.start(now))
+        return core.Send(dst=name, msg=query)
+
     def _on_node_changes(
         self, control: Control, msg: records.NodeListUpdate
     ) -> None:
@@ -439,6 +446,9 @@
         )
         self._use_confirmation(src, control, msg, now)
         out += self._pull(now)
+        if msg.controls and msg.keeps_log and self._wants_content:
+            # The control VMs have changed, and with them perhaps the voters.
+            out.append(self._query_log(src, now))
         if unknown and self._wants_content and not self.is_ready(now):
             # One of them may be the leader.
             out += [
@@ -558,6 +568,16 @@
             if control.announced > self.version
         ]
 
+    def _is_cut_off(self) -> bool:
+        """Return whether less than a majority of the voters is connected."""
+        voters = self._majority_reader.voters or tuple(
+            name
+            for name, control in self._controls.items()
+            if control.keeps_log
+        )
+        connected = sum(map(self._is_connected, voters))
+        return connected < progress.majority_size(len(voters))
+
     def _is_local(self, control: Control) -> bool:
         heartbeat = control.heartbeat
         return heartbeat is not None and heartbeat.place == self.node.place
--- a/jasperweir/components/discovery/version_basis.py
+++ b/jasperweir/components/discovery/version_basis.py
@@ -14,18 +14,24 @@
         silent_s: Time since its last message, seconds; infinite if there was
             none.
         version: Highest version that it has announced, 0 before the first.
+        is_connected: Whether a connection to it is established.
     """
 
     name: str
     silent_s: float
     version: int
+    is_connected: bool
 
     def log_value(self) -> str:
         """Return the contact for a log line."""
+        state = "connected" if self.is_connected else "not connected"
         if not math.isfinite(self.silent_s):
-            return f"{self.name} never heard"
+            return f"{self.name} {state}, never heard"
         silent_ms = round(self.silent_s * 1000)
-        return f"{self.name} silent {silent_ms} ms, version {self.version}"
+        return (
+            f"{self.name} {state}, silent {silent_ms} ms,"
+            f" version {self.version}"
+        )
 
 
 class VersionBasis(NamedTuple):
--- a/jasperweir/components/entry/bundle_gate.py
+++ b/jasperweir/components/entry/bundle_gate.py
@@ -44,7 +44,7 @@
                     return None
                 case Standing.UNKNOWN:
                     return Code.NOT_READY
-                case Standing.OUTDATED:
+                case Standing.OUTDATED | Standing.UNANSWERED:
                     return Code.CONFIGURATION_UNCONFIRMED
             if self._now() >= deadline:
                 return Code.CONFIGURATION_UNCONFIRMED
--- a/jasperweir/components/forward/intake.py
+++ b/jasperweir/components/forward/intake.py
@@ -33,8 +33,8 @@
 # Longest time for which a request is held while an answer of the control VMs
 # is awaited, seconds.
 HELD_SECONDS = 2 * confirmation_const.ANSWER_SECONDS
-_OUTDATED = matching.Denial(
-    Code.CONFIGURATION_UNCONFIRMED, "a newer version exists"
+_MAYBE_OUTDATED = matching.Denial(
+    Code.CONFIGURATION_UNCONFIRMED, "a newer version may exist"
 )
 
 
@@ -190,8 +190,8 @@
         arrived_at: float,
         startup_deadline: float = _NEVER,
     ) -> None:
-        if standing is Standing.OUTDATED:
-            self._turn_away(answering, headers, *_OUTDATED)
+        if standing.is_refusing:
+            self._turn_away(answering, headers, *_MAYBE_OUTDATED)
             return
         match = self._match(answering, headers)
         if isinstance(match, matching.Denial):
@@ -233,10 +233,8 @@
     @property
     def may_send(self) -> bool:
         """Whether admitted requests may be sent by the version in force."""
-        return self._get_standing() not in (
-            Standing.AWAITING,
-            Standing.OUTDATED,
-        )
+        standing = self._get_standing()
+        return standing is not Standing.AWAITING and not standing.is_refusing
 
     @property
     def is_awaiting(self) -> bool:
@@ -245,8 +243,8 @@
 
     @property
     def is_outdated(self) -> bool:
-        """Whether a newer version exists that may decide otherwise."""
-        return self._get_standing() is Standing.OUTDATED
+        """Whether a newer version may exist that decides otherwise."""
+        return self._get_standing().is_refusing
 
     def match_again(
         self, exchange: exchange_lib.Exchange
@@ -260,7 +258,7 @@
         state = exchange.state
         index = self.index
         if self.is_outdated:
-            return _OUTDATED
+            return _MAYBE_OUTDATED
         if index is None or index.deployment.version == state.config_version:
             return None
         match = self._match(exchange.answering, state.caller_headers)
--- a/jasperweir/daemons/entry.py
+++ b/jasperweir/daemons/entry.py
@@ -211,7 +211,7 @@
             lambda: entry.get_standing(self.host.now())
         )
         ready = entry.is_serving and not entry.draining
-        ready = ready and standing is not tracker_lib.Standing.OUTDATED
+        ready = ready and not standing.is_refusing
         age = self.host.now() - entry.control.heard_at
         return web.json_resp(
             200 if ready else 503,
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -123,6 +123,7 @@
             is_receiving=lambda: self._host.link.is_receiving(
                 config_messages.Content
             ),
+            is_connected=self._host.link.is_connected,
         )
         bounds = budget_lib.BudgetBounds(
             ratio=cfg.bounds.retry_ratio,
--- a/jasperweir/helpers/link.py
+++ b/jasperweir/helpers/link.py
@@ -206,6 +206,17 @@
         """Remove the address of a node."""
         self._addresses.pop(name, None)
 
+    def is_connected(self, name: str) -> bool:
+        """Return whether a connection to a node is established.
+
+        Its process has answered the last ZeroMQ heartbeats, however busy it is;
+        a connection that receives nothing for ``silent_ms`` is closed.
+        """
+        sock = self._peers.get(self._addresses.get(name, ""))
+        if sock is None:
+            return False
+        return bool(sock.getsockopt(zmq.EVENTS) & zmq.POLLOUT)
+
     def is_receiving(self, message_type: type) -> bool:
         """Return whether a message of a type is arriving in parts."""
         return self._transfers.is_receiving(
