--- a/features/harness/site.py
+++ b/features/harness/site.py
@@ -76,7 +76,7 @@
         self.delayed = []
         self.observe = lambda name: None
         self.frozen = set()
-        # Since when the connection of an entry to a control VM receives nothing.
+        # Since when an entry's connection to a control VM receives nothing.
         self.broken_since = {}
         self.queue = collections.deque()
         self.drop = 0.0
--- a/features/soak/configuration_day.py
+++ b/features/soak/configuration_day.py
@@ -207,7 +207,7 @@
         vms = self._world.vms
         count = round(CUT_SHARE * len(vms))
         names = [f"entry-{n}" for n in self._rng.sample(vms, count)]
-        self._cut({name: self._world.control_vms for name in names})
+        self._cut(dict.fromkeys(names, self._world.control_vms))
 
     def _cut_core(self):
         """Cut a control VM with a disk off from the others."""
--- a/jasperweir/daemons/entry.py
+++ b/jasperweir/daemons/entry.py
@@ -9,7 +9,6 @@
 from jasperweir import core
 from jasperweir import result_codes
 from jasperweir.components.burn import const as burn_const
-from jasperweir.components.confirmation import tracker as tracker_lib
 from jasperweir.components.entry import agent_client as agent_client_lib
 from jasperweir.components.entry import bundle_gate as bundle_gate_lib
 from jasperweir.components.entry import const
--- a/jasperweir/helpers/link.py
+++ b/jasperweir/helpers/link.py
@@ -215,7 +215,7 @@
         sock = self._peers.get(self._addresses.get(name, ""))
         if sock is None:
             return False
-        return bool(sock.getsockopt(zmq.EVENTS) & zmq.POLLOUT)
+        return bool(int(sock.getsockopt(zmq.EVENTS)) & zmq.POLLOUT)
 
     def is_receiving(self, message_type: type) -> bool:
         """Return whether a message of a type is arriving in parts."""
