--- a/features/harness/planted_faults.py
+++ b/features/harness/planted_faults.py
@@ -42,17 +42,27 @@
     index_lib.DeploymentIndex.find_customer = find
 
 
-def _delay_content(is_late):
+def _delay_content(find_delay_s):
+    """Use versions late that count as held at once.
+
+    Args:
+        find_delay_s: Returns the delay of a version by how many the entry has
+            had, seconds.
+    """
     apply = site_entry.SiteEntry._apply_configuration
     counts = [0]
+    # Until when nothing newer is used.
+    late_until = [0.0]
 
     def apply_later(self, act):
         counts[0] += 1
-        if not is_late(counts[0]):
+        now = self._host.now()
+        late_until[0] = max(late_until[0], now + find_delay_s(counts[0]))
+        if now >= late_until[0]:
             apply(self, act)
             return
-        self._discovery.on_applied(act.version, self._host.now())
-        self._host.call_later(LATE_SECONDS, lambda: apply(self, act))
+        self._discovery.on_applied(act.version, now)
+        self._host.call_later(late_until[0] - now, lambda: apply(self, act))
 
     site_entry.SiteEntry._apply_configuration = apply_later
 
@@ -75,7 +85,11 @@
 
 KINDS = {
     "key accepted longer": _accept_keys_longer,
-    "content late": lambda: _delay_content(lambda count: count > 1),
-    "content late once": lambda: _delay_content(lambda n: n == LATE_ONCE),
+    "content late": lambda: _delay_content(
+        lambda count: LATE_SECONDS if count > 1 else 0.0
+    ),
+    "content late once": lambda: _delay_content(
+        lambda count: LATE_SECONDS if count == LATE_ONCE else 0.0
+    ),
     "other content": _use_other_content,
 }
