A leader warns of entries that lack a version; telling fields first

What was missing: the record of the incident ends before the data centre of the late entry, since logs are cut short in the order of VM names, and the line of the request before its version.

Entries report their version with each heartbeat (0.25 s, and 0.5 s to other data centres), so no message is added. The lines of requests begin with version, standing and confirmation; 'version in force' with the voters that synced it.

Test: four scenarios of majority_reading.feature; the warning did not exist.

--- a/features/majority_reading.feature
+++ b/features/majority_reading.feature
@@ -121,3 +121,16 @@
   Scenario: A change of standing is logged with the silence of each control VM
     When an entry that last heard "c1" 2 s and "c2" 0.1 s ago becomes unconfirmed
     Then the log says so once, with both
+
+  # Guards against a record that ends before the data centre of the late entry.
+  Scenario Outline: The leader warns of entries that lack a version
+    Given a site of which one entry <state>
+    When version 12 is committed and <seconds> s pass
+    Then the leader's log <warns>
+
+    Examples:
+      | state                                  | seconds | warns                       |
+      | hears nothing from control VMs         | 1.2     | warns of that entry         |
+      | hears nothing from control VMs         | 0.8     | warns of no entry           |
+      | hears all                              | 1.2     | warns of no entry           |
+      | ended 4 s before                       | 1.2     | warns of no entry           |
--- a/features/steps/majority_reading_steps.py
+++ b/features/steps/majority_reading_steps.py
@@ -19,6 +19,8 @@
 from jasperweir.components.discovery import client as discovery_client
 from jasperweir.components.quorum import messages as quorum_messages
 from jasperweir.daemons import site_entry
+from jasperweir.daemons import spread_log
+from jasperweir.helpers import metrics as metrics_lib
 
 Standing = tracker.Standing
 APPLY_SECONDS = 2.0
@@ -432,3 +434,48 @@
         "c1 not connected, silent 2000 ms, version 8",
         "c2 not connected, silent 100 ms, version 9",
     ], last
+
+
+# Warnings of the leader.
+
+
+@given("a site of which one entry {state}")
+def step_one_entry(context, state):
+    context.site = site = site_lib.Site(entries=3)
+    site.run(5.0)
+    site.replace(site.leader(), 9)
+    site.run(2.0)
+    match state:
+        case "hears nothing from control VMs":
+            site.deaf.update((control, "e2") for control in site.names)
+        case "ended 4 s before":
+            del site.discovery_clients["e2"]
+            site.run(4.0)
+
+
+@when("version {version:d} is committed and {seconds:g} s pass")
+def step_committed(context, version, seconds):
+    site = context.site
+    node = site.nodes[site.leader()]
+    spread = spread_log.SpreadLog(metrics=metrics_lib.Metrics(labels={}))
+    site.replace(site.leader(), version)
+    while node.machine.declared().version < version:
+        site.run(site_lib.STEP)
+    spread.on_version(node, version, site.now)
+    with logbook.TestHandler().applicationbound() as handler:
+        until = site.now + seconds
+        while site.now < until:
+            site.run(site_lib.STEP)
+            spread.tick(node, site.now)
+    context.records = handler.records
+
+
+@then("the leader's log warns of {whom} entry")
+def step_warned(context, whom):
+    lines = [r.kwargs for r in context.records if r.level == logbook.WARNING]
+    if whom == "no":
+        assert not lines, lines
+        return
+    (line,) = lines
+    assert line["version"] == 12 and line["count"] == 1, line
+    assert line["entries"][0].startswith("e2 version 9, silent "), line
--- a/jasperweir/components/configctl/const.py
+++ b/jasperweir/components/configctl/const.py
@@ -6,6 +6,10 @@
 HEARTBEAT_SECONDS = 0.25
 # A control VM that is silent for this long is no longer advertised.
 CONTROL_SILENT_SECONDS = 3.0
+# Time after a commit at which an entry that lacks the version is reported:
+# half of that within which it must be in force, and more than an entry's
+# heartbeat interval.
+SPREAD_SECONDS = 1.0
 # Interval at which all target records are resent, so that their ages stay
 # correct: three times before an unrefreshed target expires.
 REFRESH_SECONDS = 10.0
--- a/jasperweir/components/configctl/discovery_server.py
+++ b/jasperweir/components/configctl/discovery_server.py
@@ -475,7 +475,7 @@
         now: float,
     ) -> Actions:
         self.reported_version = max(self.reported_version, msg.version)
-        if not self.nodes.on_heartbeat(src, msg.node, now):
+        if not self.nodes.on_heartbeat(src, msg, now):
             return []
         heartbeat = self._make_heartbeat(log_status, now)._replace(
             echo=msg.round
--- a/jasperweir/components/configctl/node_tracker.py
+++ b/jasperweir/components/configctl/node_tracker.py
@@ -18,10 +18,17 @@
 
 
 class NodeReport(NamedTuple):
-    """Record of a node and the time of its last heartbeat."""
+    """Last heartbeat of a node.
+
+    Attributes:
+        node: Its record.
+        heard_at: Time of the heartbeat, monotonic seconds.
+        version: Configuration version in force there, 0 before the first.
+    """
 
     node: records.Node
     heard_at: float
+    version: int
 
 
 class NodeTracker:
@@ -39,12 +46,17 @@
         self._open_entries: dict[str, records.Node] = {}
         self._digest_tracker = digest_tracker.DigestTracker()
 
-    def on_heartbeat(self, name: str, node: records.Node, now: float) -> bool:
+    def on_heartbeat(
+        self, name: str, msg: records.NodeHeartbeat, now: float
+    ) -> bool:
         """Record a heartbeat; return False if it is outdated."""
+        node = msg.node
         known = self._reports.get(name)
         if known is not None and _is_older(node, known.node):
             return False
-        self._reports[name] = NodeReport(node=node, heard_at=now)
+        self._reports[name] = NodeReport(
+            node=node, heard_at=now, version=msg.version
+        )
         if known is None or known.node.open != node.open:
             self.has_changes = True
         return True
@@ -57,6 +69,10 @@
             if report.node.kind == directory_const.KIND_ENTRY
         ]
 
+    def entry_reports(self) -> dict[str, NodeReport]:
+        """Return the last heartbeats of the known entries by name."""
+        return {name: self._reports[name] for name in self.entry_names()}
+
     def get_place(self, name: str) -> str:
         """Return the data centre of a known node."""
         return self._reports[name].node.place
--- a/jasperweir/components/discovery/version_basis.py
+++ b/jasperweir/components/discovery/version_basis.py
@@ -66,8 +66,8 @@
             age_ms = round(self.confirmed_age_s * 1000)
         return {
             "version": self.version,
-            "newest_known": self.newest,
             "standing": self.standing.value,
-            "confirmed_by": self.confirmed_by,
             "confirmed_ms": age_ms,
+            "newest_known": self.newest,
+            "confirmed_by": self.confirmed_by,
         }
--- a/jasperweir/components/forward/recorder.py
+++ b/jasperweir/components/forward/recorder.py
@@ -395,8 +395,8 @@
             "request turned away",
             id=caller_headers.request_id if caller_headers else "",
             code=code.name.lower(),
-            detail=detail,
             **basis.log_fields(),
+            detail=detail,
         )
 
 
--- a/jasperweir/components/forward/response_recorder.py
+++ b/jasperweir/components/forward/response_recorder.py
@@ -85,16 +85,16 @@
         _log.info(
             "request ended",
             id=state.caller_headers.request_id,
-            route=state.match.route.name,
-            customer=state.customer_name,
-            priority=state.match.priority,
-            waited=state.has_waited,
+            **state.basis.log_fields(),
+            admitted_version=state.admitted_version,
             service=exchange.service,
+            customer=state.customer_name,
+            route=state.match.route.name,
+            outcome=outcome,
             target=exchange.target_id,
             sends=state.attempts,
-            outcome=outcome,
-            **state.basis.log_fields(),
-            admitted_version=state.admitted_version,
+            waited=state.has_waited,
+            priority=state.match.priority,
             first_ms=round((first_byte_at - state.arrived_at) * 1000)
             if first_byte_at
             else -1,
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -37,6 +37,7 @@
 from jasperweir.daemons import group_loader
 from jasperweir.daemons import loop_host
 from jasperweir.daemons import node_settings
+from jasperweir.daemons import spread_log
 from jasperweir.helpers import hashing
 from jasperweir.helpers import http_server
 from jasperweir.helpers import logs
@@ -94,6 +95,7 @@
             term_at=self._get_leader_term,
         )
         self._mark_replication = replication_lib.ControlSpread()
+        self._spread_log = spread_log.SpreadLog(metrics=self._host.metrics)
         self._engines: dict[str, model.Engine] = {}
         # Version that the engines are from.
         self._applied_version = 0
@@ -201,6 +203,7 @@
             return
         self._perform(self._node.tick(now))
         if self._node is not None:
+            self._spread_log.tick(self._node, now)
             self._tick_coordinator(self._node, now)
 
     def _save_soft_state(self) -> None:
@@ -450,13 +453,16 @@
         if declared.version <= self._applied_version:
             return
         self._applied_version = declared.version
+        self._spread_log.on_version(
+            self._node, declared.version, self._host.now()
+        )
         _log.info(
             "version in force",
             version=declared.version,
-            content=f"{hashing.checksum(declared.data):x}",
+            synced_by=log_view.list_synced(self._node.voter),
             term=self._node.voter.term,
+            content=f"{hashing.checksum(declared.data):x}",
             leader=self._node.voter.leader,
-            synced_by=log_view.list_synced(self._node.voter),
         )
         raw = zlib.decompress(declared.data)
         deployment = self._dialect.deployment(raw)
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -351,8 +351,8 @@
         _log.info(
             "version in force",
             version=act.version,
-            content=f"{hashing.checksum(act.data):x}",
             since_announced_ms=round(since_s * 1000),
+            content=f"{hashing.checksum(act.data):x}",
         )
 
     def _apply_limits(self) -> None:
