An entry counts any connected control VM with the log before it takes itself for cut off

Cause: the voters were those that the entry had last heard of, so a new voter to which it was connected did not count.

Fix: any connected control VM with the log counts. The schedules have late answers as an event and judge entries whose links are slow; the matrix has rows for entries that get late answers, for control VMs that are late to all, and for two contents of one version, and judges in each row whether a key is accepted that version 12 revokes.

--- a/features/configuration_matrix.feature
+++ b/features/configuration_matrix.feature
@@ -22,6 +22,7 @@
       | is deaf to one control VM             |
       | is deaf to all but one control VM     |
       | has a slow link                       |
+      | gets late answers                     |
 
   Scenario Outline: <cases> drawn cases at <entries> entries
     When <cases> cases drawn with seed <seed> are run at <entries> entries
--- a/features/harness/configuration_matrix.py
+++ b/features/harness/configuration_matrix.py
@@ -5,6 +5,7 @@
 import random
 from typing import NamedTuple
 
+from features.harness import revoked_keys
 from features.harness import site as site_lib
 from jasperweir.components.confirmation import tracker
 
@@ -17,6 +18,8 @@
 # Time within which an order must be acknowledged once all is well again.
 ACK_SECONDS = 15.0
 SUSPENDED_SECONDS = 6.0
+# Delay of answers that come later than a version must be in force.
+LATE_SECONDS = 2.5
 # Times from the trouble to the order, seconds.
 WAITS_SECONDS = (0.0, 0.4, 1.2)
 ENTRY_CASES = (
@@ -31,6 +34,7 @@
     "deaf to one control VM",
     "deaf to all but one control VM",
     "slow link",
+    "late answers",
 )
 CORE_CASES = (
     "same leader",
@@ -47,6 +51,8 @@
     "leader silent to entries",
     "leader leaves",
     "some without disks",
+    "late to all entries",
+    "two contents",
 )
 # Entry cases in which the entry hears a control VM that hears the leader.
 _HEARING = (
@@ -118,16 +124,24 @@
             seconds, by entry; for entries that were undisturbed.
         hearing: Entries that must know the newest version though links to
             them are cut.
-        restarted: Entries that were started or suspended and hear control VMs:
-            they must not act on an old version even before they are in touch.
+        strict: Entries that must not act on an old version even before they
+            are in touch: they were started or suspended and hear control VMs,
+            or get answers late.
     """
 
-    def __init__(self, site):
+    def __init__(self, site, *, has_keys=False):
+        """Start to judge the entries of a site.
+
+        Args:
+            site: The site.
+            has_keys: Whether its contents are those of revoked_keys.
+        """
         self.site = site
+        self._has_keys = has_keys
         self.violations = []
         self.delays = {}
         self.hearing = set()
-        self.restarted = set()
+        self.strict = set()
         self.core_since = site.now
         self._acked = []
         self._entries = {}
@@ -174,8 +188,10 @@
         if 0 < served < record.highest:
             self._add(name, f"back from {record.highest} to {served}")
         record.highest = max(record.highest, served)
-        if name in self.restarted and 0 < served < due:
-            self._add(name, f"serves {served} after its start or wake-up")
+        if name in self.strict and 0 < served < due:
+            self._add(name, f"serves {served}")
+        if served and self._has_keys:
+            self._judge_key(name, due)
         self._judge_in_touch(name, record, standing, served)
         self._measure(name, client)
 
@@ -196,6 +212,13 @@
         pairs = (*site.deaf, *site.cut, *site.delays)
         return any(name in pair for pair in pairs)
 
+    def _judge_key(self, name, due):
+        """Check that a key is accepted as the newest versions say."""
+        if due < revoked_keys.REVOKING_VERSION:
+            return
+        if revoked_keys.accepts_revoked_key(self.site.applied[name]):
+            self._add(name, "accepts a key that was revoked")
+
     def _measure(self, name, client):
         for version, acked_at in self._acked:
             key = (name, version)
@@ -225,6 +248,7 @@
             wait_s: Time from the trouble to the order for version 12.
         """
         self._entry, self._core, self._wait_s = entry, core, wait_s
+        self._has_two_contents = core == "two contents"
         diskless = ("c4", "c5", "c6") if core == "some without disks" else ()
         controls = 6 if diskless else 3
         places = {"c1": "p", "c2": "q", "c3": "r", "c4": "p", "c5": "q"}
@@ -239,17 +263,21 @@
         self.site.run(5.0)
         self._commit(9)
         self.site.run(1.5)
-        self.judge = Judge(self.site)
+        self.judge = Judge(self.site, has_keys=True)
         self.site.run(STABLE_SECONDS)
 
     def _commit(self, version):
         """Send an order until it is acknowledged, at running control VMs."""
         site = self.site
+        if self._has_two_contents:
+            site.contents[version] = site_lib.OneContent()
         until = site.now + ACK_SECONDS
         while site.acked[0] < version and site.now < until:
             running = [n for n in sorted(site.nodes) if n not in site.frozen]
-            for name in running[:2]:
-                site.replace(name, version)
+            for number, name in enumerate(running[:2]):
+                variant = number if self._has_two_contents else 0
+                data = revoked_keys.make_content(version, variant)
+                site.replace(name, version, data)
             site.run(0.9)
         if site.acked[0] < version:
             raise AssertionError(f"version {version} was not acknowledged")
@@ -375,6 +403,8 @@
                     (leader, name) for name in site.discovery_clients
                 )
                 judge.hearing.update(site.discovery_clients)
+            case "late to all entries":
+                self._delay_to(site.discovery_clients)
             case "leader leaves":
                 acts = site.nodes[leader].transfer_leadership(site.now)
                 site.perform(leader, acts)
@@ -388,6 +418,14 @@
                 return [(site.now + SUSPENDED_SECONDS, self._waker(leader))]
         return []
 
+    def _delay_to(self, names):
+        """Let entries get the answers of control VMs late."""
+        for name in names:
+            for control in self.site.names:
+                self.site.delays[control, name] = LATE_SECONDS
+            self.judge.strict.add(name)
+            self.judge.hearing.discard(name)
+
     def _waker(self, name):
         return lambda: self._wake(name)
 
@@ -416,7 +454,7 @@
                 site.start_entry(name)
             case "suspended and awake":
                 site.frozen.add(name)
-                judge.restarted.add(name)
+                judge.strict.add(name)
                 return [(site.now + SUSPENDED_SECONDS, self._waker(name))]
             case "deaf to the leader":
                 site.deaf.add((leader, name))
@@ -430,9 +468,11 @@
                 for control in site.names:
                     site.delays[(control, name)] = 0.2
                     site.delays[(name, control)] = 0.2
+            case "late answers":
+                self._delay_to([name])
         if "start" in self._entry or "address" in self._entry:
-            judge.restarted.add(name)
+            judge.strict.add(name)
         if self._entry == "new VM":
-            judge.restarted.add("e99")
+            judge.strict.add("e99")
         judge.disturb(name)
         return []
--- a/features/harness/configuration_schedules.py
+++ b/features/harness/configuration_schedules.py
@@ -26,6 +26,8 @@
 # Time for which a leader is silent after an acknowledgement.
 LONG_SILENT_SECONDS = (2.5, 6.0)
 DELAY_SECONDS = (0.1, 0.7)
+# Delay of answers that come later than a version must be in force.
+LATE_SECONDS = (2.1, 5.0)
 DISKLESS = ("c4", "c5")
 ENTRIES = 3
 ORDER_SHARE = 0.45
@@ -107,6 +109,8 @@
             self._suspend_entry,
             self._restart_entry,
             self._slow_link,
+            self._delay_answers,
+            self._delay_answers,
             self._resend,
             self._drop,
         ]
@@ -331,6 +335,23 @@
             lambda: [self.site.delays.pop(p, None) for p in pairs] and None
         )
 
+    def _delay_answers(self):
+        """Let entries get the answers of all control VMs late."""
+        site = self.site
+        names = sorted(site.discovery_clients)
+        names = self._rng.sample(names, self._rng.randint(1, len(names)))
+        seconds = self._rng.uniform(*LATE_SECONDS)
+        self._note(f"answers to {names} are {seconds:.2f} s late")
+        controls = [*site.names, "c6", "c7", "c8", "c9"]
+        pairs = [(c, name) for c in controls for name in names]
+        site.delays.update(dict.fromkeys(pairs, seconds))
+        self._later(
+            lambda: [site.delays.pop(p, None) for p in pairs] and None,
+            LONG_SILENT_SECONDS,
+        )
+        self._pass(self._rng.uniform(*PAUSE_SECONDS))
+        self._change()
+
     def _drop(self):
         self._note("messages are lost")
         self.site.drop = 0.2
@@ -379,7 +400,6 @@
             and seat.name not in site.frozen
             and site.nodes[seat.name].voter.disk == seat.disk
             and not site.is_cut(seat.name, name)
-            and (seat.name, name) not in site.delays
         ]
         return len(reached) > len(voters) // 2
 
--- a/features/harness/site.py
+++ b/features/harness/site.py
@@ -68,6 +68,8 @@
         self.nodes = {}
         self.discovery_clients = {}
         self.versions = {}
+        # Content in force by entry.
+        self.applied = {}
         self.evacuated = {}
         self.starts = 0
         self.cut = set()
@@ -253,6 +255,7 @@
                 case discovery_client.ApplyConfiguration():
                     assert act.version > self.versions[name], "went back"
                     self.versions[name] = act.version
+                    self.applied[name] = act.data
                     assert act.data == self.contents[act.version]
                     client = self.discovery_clients[name]
                     client.on_applied(act.version, self.now)
--- a/features/steps/configuration_matrix_steps.py
+++ b/features/steps/configuration_matrix_steps.py
@@ -22,6 +22,7 @@
     "is deaf to one control VM": "deaf to one control VM",
     "is deaf to all but one control VM": "deaf to all but one control VM",
     "has a slow link": "slow link",
+    "gets late answers": "late answers",
 }
 
 
--- a/jasperweir/components/confirmation/majority.py
+++ b/jasperweir/components/confirmation/majority.py
@@ -48,14 +48,14 @@
 
     def __init__(self) -> None:
         self._answers: dict[str, _Answer] = {}
-        # Newest log of all answers so far, and the voters that it sets.
+        # Newest log of all answers so far, and the number of its voters.
         self._newest_log = (0, 0)
-        self._voters: tuple[str, ...] = ()
+        self._seat_count = 0
 
     @property
-    def voters(self) -> tuple[str, ...]:
-        """Names of the voters by the newest log, empty before an answer."""
-        return self._voters
+    def seat_count(self) -> int:
+        """Number of voters by the newest log, 0 before the first answer."""
+        return self._seat_count
 
     def note(self, name: str, state: messages.LogState, as_of: float) -> None:
         """Record an answer.
@@ -68,7 +68,7 @@
         answer = _Answer(as_of, name, state)
         if answer.log >= self._newest_log:
             self._newest_log = answer.log
-            self._voters = tuple(seat.name for seat in state.seats)
+            self._seat_count = len(state.seats)
         known = self._answers.get(name)
         if known is None or as_of > known.as_of:
             self._answers[name] = answer
--- a/jasperweir/components/discovery/client.py
+++ b/jasperweir/components/discovery/client.py
@@ -569,14 +569,19 @@
         ]
 
     def _is_cut_off(self) -> bool:
-        """Return whether less than a majority of the voters is connected."""
-        voters = self._majority_reader.voters or tuple(
+        """Return whether less than a majority of the voters is connected.
+
+        Any control VM with the log counts, since voters may have been replaced
+        since the voters were last heard of.
+        """
+        keepers = [
             name
             for name, control in self._controls.items()
             if control.keeps_log
-        )
-        connected = sum(map(self._is_connected, voters))
-        return connected < progress.majority_size(len(voters))
+        ]
+        connected = sum(map(self._is_connected, keepers))
+        seats = self._majority_reader.seat_count or len(keepers)
+        return connected < progress.majority_size(seats)
 
     def _is_local(self, control: Control) -> bool:
         heartbeat = control.heartbeat
