Heartbeats of control VMs state the number of voters

An entry compares the connected control VMs with it. Before, it knew the number only from the answers to its questions, so an entry that asked before all voters had joined went by one voter for good, and rejected requests while it was cut off from the two others.

--- a/jasperweir/components/configctl/discovery_server.py
+++ b/jasperweir/components/configctl/discovery_server.py
@@ -425,6 +425,7 @@
             confirmed_version=confirmed.version,
             confirmed_evacuations=confirmed.evacuations,
             confirmed_age_s=age_s,
+            voters=sum(seat.voting for seat in log_status.seats.seats),
         )
 
     def _on_control_heartbeat(
--- a/jasperweir/components/confirmation/majority.py
+++ b/jasperweir/components/confirmation/majority.py
@@ -48,14 +48,6 @@
 
     def __init__(self) -> None:
         self._answers: dict[str, _Answer] = {}
-        # Newest log of all answers so far, and the number of its voters.
-        self._newest_log = (0, 0)
-        self._seat_count = 0
-
-    @property
-    def seat_count(self) -> int:
-        """Number of voters by the newest log, 0 before the first answer."""
-        return self._seat_count
 
     def note(self, name: str, state: messages.LogState, as_of: float) -> None:
         """Record an answer.
@@ -65,13 +57,9 @@
             state: State of its log.
             as_of: Send time of the question, monotonic seconds.
         """
-        answer = _Answer(as_of, name, state)
-        if answer.log >= self._newest_log:
-            self._newest_log = answer.log
-            self._seat_count = len(state.seats)
         known = self._answers.get(name)
         if known is None or as_of > known.as_of:
-            self._answers[name] = answer
+            self._answers[name] = _Answer(as_of, name, state)
 
     def read(
         self, *, version: int, evacuations: int, now: float
--- a/jasperweir/components/directory/records.py
+++ b/jasperweir/components/directory/records.py
@@ -118,6 +118,7 @@
             negative if there is no valid confirmation.
         echo: Round of the receiver's heartbeat that was last received, or 0.
         round: Number of the sender's round, to be echoed by a control VM.
+        voters: Number of voters of the log; 0 without the log.
     """
 
     place: str
@@ -136,6 +137,7 @@
     confirmed_age_s: float = -1.0
     echo: int = 0
     round: int = 0
+    voters: int = 0
 
 
 @codec.message("directory.nodes")
--- a/jasperweir/components/discovery/client.py
+++ b/jasperweir/components/discovery/client.py
@@ -297,7 +297,10 @@
             ):
                 out.append(self._build_heartbeat(name, control, now))
                 if is_reading and control.keeps_log:
-                    out.append(self._query_log(name, now))
+                    query = confirmation_messages.LogQuery(
+                        round=self._rounds.start(now)
+                    )
+                    out.append(core.Send(dst=name, msg=query))
         return out
 
     def next_tick(self, now: float) -> float:
@@ -413,10 +416,6 @@
         )
         return core.Send(dst=name, msg=heartbeat)
 
-    def _query_log(self, name: str, now: float) -> core.Send:
-        query = confirmation_messages.LogQuery(round=self._rounds.start(now))
-        return core.Send(dst=name, msg=query)
-
     def _on_node_changes(
         self, control: Control, msg: records.NodeListUpdate
     ) -> None:
@@ -446,9 +445,6 @@
         )
         self._use_confirmation(src, control, msg, now)
         out += self._pull(now)
-        if msg.controls and msg.keeps_log and self._wants_content:
-            # The control VMs have changed, and with them perhaps the voters.
-            out.append(self._query_log(src, now))
         if unknown and self._wants_content and not self.is_ready(now):
             # One of them may be the leader.
             out += [
@@ -574,14 +570,14 @@
         Any control VM with the log counts, since voters may have been replaced
         since the voters were last heard of.
         """
-        keepers = [
-            name
-            for name, control in self._controls.items()
-            if control.keeps_log
-        ]
+        keepers = {n: c for n, c in self._controls.items() if c.keeps_log}
         connected = sum(map(self._is_connected, keepers))
-        seats = self._majority_reader.seat_count or len(keepers)
-        return connected < progress.majority_size(seats)
+        heartbeats = [c.heartbeat for c in keepers.values() if c.heartbeat]
+        _, voters = max(
+            ((h.term, h.voters) for h in heartbeats if h.voters),
+            default=(0, len(keepers)),
+        )
+        return connected < progress.majority_size(voters)
 
     def _is_local(self, control: Control) -> bool:
         heartbeat = control.heartbeat
