--- a/features/outdated_configuration_processes.feature
+++ b/features/outdated_configuration_processes.feature
@@ -82,3 +82,12 @@
     Then no entry decides as only version 7 says later than 2 s after that
     When the leader is heard again
     Then each entry decides as version 8 says 6 s later
+
+  # Guards against an entry that takes slow answers for a cut.
+  Scenario: The answers of all control VMs are late while a key is revoked
+    Given three VMs with control and entry, and a target of each of two services
+    And a connection to each entry on which a request was served
+    When answers to the entries become 2.5 s late and version 8 is acknowledged
+    Then requests on these connections are not decided as only version 7 says later than 2 s after that
+    When the answers are on time again
+    Then each entry decides as version 8 says 6 s later
--- a/features/steps/outdated_configuration_processes_steps.py
+++ b/features/steps/outdated_configuration_processes_steps.py
@@ -160,6 +160,48 @@
             assert seen.versions == {8}, (number, name, seen)
 
 
+@when(
+    "answers to the entries become {seconds:g} s late and version 8 is"
+    " acknowledged"
+)
+def step_late_answers(context, seconds):
+    plat = context.plat
+    controls = [
+        f"{platform_lib.control_ip(n)}:{platform_lib.INTERNAL_PORT}"
+        for n in (1, 2, 3)
+    ]
+    lines = "\n".join(f"late {seconds} {name}" for name in controls)
+    for number in (1, 2, 3):
+        (plat.folder / f"entry-{number}.deaf").write_text(lines)
+    time.sleep(CUT_SECONDS)
+    acknowledge(context)
+
+
+@then(
+    "requests on these connections are not decided as only version 7 says later"
+    " than {seconds:g} s after that"
+)
+def step_none_old_on_kept(context, seconds):
+    time.sleep(max(context.acked_at + seconds - time.monotonic(), 0.0))
+    found = []
+    until = time.monotonic() + ASKED_SECONDS
+    while time.monotonic() < until:
+        for number, conn in context.conns.items():
+            for name in ("moved", "revoked key"):
+                seen = configuration_changes.ask(
+                    context.plat, number, name, conn
+                )
+                found.append((number, seen))
+    old = [item for item in found if item[1].versions == {7}]
+    assert not old, (len(old), len(found), old[:3])
+
+
+@when("the answers are on time again")
+def step_on_time(context):
+    for number in (1, 2, 3):
+        (context.plat.folder / f"entry-{number}.deaf").write_text("")
+
+
 @when(
     "{count:d} resumed streams wait at each entry while version 8 moves their"
     " route"
