--- a/features/confirmation.feature
+++ b/features/confirmation.feature
@@ -29,15 +29,18 @@
     Then an allowed request at <until> s is <allowed> and a denial is <denial>
 
     Examples:
-      | heard                          | until  | allowed | denial  |
-      | asks in vain                   | 101.4  | served  | final   |
-      | asks in vain                   | 101.6  | served  | refused |
-      | asks in vain                   | 130.0  | served  | refused |
-      | hears of version 10            | 101.4  | served  | refused |
-      | hears of version 10            | 103.0  | refused | refused |
-      | was suspended                  | 110.0  | held    | held    |
-      | asked and was suspended        | 110.0  | held    | held    |
-      | was suspended and asked again  | 110.0  | served  | refused |
+      | heard                                    | until | allowed | denial  |
+      | asks in vain                             | 101.4 | served  | final   |
+      | asks in vain                             | 101.6 | served  | refused |
+      | asks in vain                             | 130.0 | served  | refused |
+      | asks two connected control VMs in vain   | 101.6 | served  | refused |
+      | asks three connected control VMs in vain | 101.4 | served  | final   |
+      | asks three connected control VMs in vain | 101.6 | refused | refused |
+      | hears of version 10                      | 101.4 | served  | refused |
+      | hears of version 10                      | 103.0 | refused | refused |
+      | was suspended                            | 110.0 | held    | held    |
+      | asked and was suspended                  | 110.0 | held    | held    |
+      | was suspended and asked again            | 110.0 | served  | refused |
 
   Scenario: An entry that was never confirmed since its start serves nothing
     Given an entry with version 9 that nobody has confirmed
--- a/features/steps/confirmation_steps.py
+++ b/features/steps/confirmation_steps.py
@@ -30,8 +30,13 @@
     def __init__(self, now):
         node = records.Node("e1", "entry", "p", "e1:80", False, 77, 0)
         self.client = discovery_client.DiscoveryClient(
-            node=node, seeds=self.CONTROLS, now=now
+            node=node,
+            seeds=self.CONTROLS,
+            now=now,
+            is_connected=lambda name: name in self.connected,
         )
+        # Control VMs to which a connection is established.
+        self.connected = set()
         self.now = now
         self.rounds = {}
 
@@ -133,6 +138,12 @@
     match heard:
         case "asks in vain":
             entry.ask_until(until)
+        case "asks two connected control VMs in vain":
+            entry.connected = set(entry.CONTROLS[:2])
+            entry.ask_until(until)
+        case "asks three connected control VMs in vain":
+            entry.connected = set(entry.CONTROLS[:3])
+            entry.ask_until(until)
         case "hears of version 10":
             entry.ask_until(100.5)
             notice = config_messages.VersionNotice(version=10)
@@ -176,10 +187,10 @@
         Standing.CURRENT: "served",
         Standing.UNCONFIRMED: "served",
         Standing.AWAITING: "held",
-        Standing.OUTDATED: "refused",
     }
     standing = entry.standing
-    assert outcomes[standing] == allowed, standing
+    found = "refused" if standing.is_refusing else outcomes[standing]
+    assert found == allowed, standing
     is_final = entry.client.describe_version(at).is_newest
     if standing is Standing.AWAITING:
         assert denial == "held"
--- a/features/steps/majority_reading_steps.py
+++ b/features/steps/majority_reading_steps.py
@@ -211,6 +211,8 @@
     assert_standing(
         context.site, version, standing=Standing.UNANSWERED, denies=False
     )
+    for name, client in context.site.discovery_clients.items():
+        assert not client.is_ready(context.site.now), name
 
 
 def assert_standing(site, version, *, standing, denies):
