--- a/features/soak.feature
+++ b/features/soak.feature
@@ -63,6 +63,11 @@
     When the soak of a day runs seed 5 for 14 seconds
     Then no invariant was violated
 
+  # Guards against a soak that no longer sees what it looks for.
+  Scenario: A soak of a day finds a key that one entry accepts too long
+    When the soak of a day with "key accepted longer" planted in one entry runs seed 1 for 14 seconds
+    Then the fault is found at that entry and nowhere else
+
   # Cause: SIGHUP terminates a process that is still loading; see KNOWN-RED.txt.
   Scenario: A soak in which processes receive a reload during start-up
     When the soak runs seed 223 for 9 seconds
--- a/features/soak/configuration_day.py
+++ b/features/soak/configuration_day.py
@@ -277,7 +277,13 @@
 
 
 class DayWorld(configuration_world.ConfigurationWorld):
-    """Processes, operators and callers of one day."""
+    """Processes, operators and callers of one day.
+
+    Attributes:
+        keys: Keys that are revoked one after the other.
+        rhythm: Bursts and lulls of the changes.
+        planted_vm: Number of the VM whose entry gets the planted fault.
+    """
 
     def __init__(self, *, seed, folder, plant=""):
         """Create the day.
@@ -295,6 +301,7 @@
         self.faults = DayCourse(world=self)
         self.rhythm = Rhythm(random.Random(f"{seed}/rhythm"))
         self._plant = plant
+        self.planted_vm = random.Random(f"{seed}/plant").choice(self._vms)
         self._operators = [DayOperator(world=self, number=n) for n in (1, 2)]
         vms = (*self._vms, REPLACEMENT, LAST_REPLACEMENT)
         self._kept_callers = [
@@ -339,8 +346,7 @@
         zones = {n: ZONES[(n - 1) % 3] for n in self._vms}
         self.plat.zones.update(zones)
         if self._plant:
-            number = random.Random(f"{self.seed}/plant").choice(self._vms)
-            self.plat.set_plant(f"entry-{number}", self._plant)
+            self.plat.set_plant(f"entry-{self.planted_vm}", self._plant)
         for number in range(1, AGENTS + 1):
             self.plat.start("agent", number)
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -66,6 +66,24 @@
     context.violations = context.world.run(seconds)
 
 
+@when(
+    'the soak of a day with "{fault}" planted in one entry runs seed {seed:d}'
+    " for {seconds:g} seconds"
+)
+def step_soak_planted(context, fault, seed, seconds):
+    context.world = configuration_day.DayWorld(
+        seed=seed, folder=context.folder, plant=fault
+    )
+    context.violations = context.world.run(seconds)
+
+
+@then("the fault is found at that entry and nowhere else")
+def step_found(context):
+    number = context.world.planted_vm
+    found = {line.split()[0].rstrip(":") for line in context.violations}
+    assert found == {f"vm-{number}"}, (number, context.violations[:5])
+
+
 @then("no invariant was violated")
 def step_no_violation(context):
     assert not context.violations, [
