--- a/features/soak/configuration_day.py
+++ b/features/soak/configuration_day.py
@@ -33,6 +33,7 @@
 STILL_SECONDS = 4.5
 SUSPENDED_SECONDS = (0.4, 2.0)
 CUT_SECONDS = (1.0, 4.0)
+CUT_STEP_SECONDS = 0.5
 # Share of the entries that are cut off together.
 CUT_SHARE = 0.4
 # Delay of the answers of control VMs, and for how long they are late, seconds.
@@ -219,9 +220,13 @@
     def _cut(self, links):
         self._log_fault(f"cut {links}")
         for name, numbers in links.items():
-            self.disturbances.record(name, time.monotonic())
             self._world.plat.set_cut(name, numbers)
-        time.sleep(self._rng.uniform(*CUT_SECONDS))
+        ends_at = time.monotonic() + self._rng.uniform(*CUT_SECONDS)
+        # A cut may be longer than the time after which a process is in touch.
+        while time.monotonic() < ends_at:
+            for name in links:
+                self.disturbances.record(name, time.monotonic())
+            time.sleep(CUT_STEP_SECONDS)
         for name in links:
             self._world.plat.set_deaf(name, [])
             self.disturbances.record(name, time.monotonic())
