A stopping entry ends once callers have read their answers

Cause: the stop counted requests without a final response. An answer that is written to a connection has one, though its caller still reads it.

A stop is a decision of its own now (forward/planned_stop.py): it ends when there is neither an open request nor an unsent byte, or at the end of the grace; 'stop cuts off' says what is left then.

--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -1,5 +1,6 @@
 """Steps on requests that reach an entry while it stops."""
 
+import asyncio
 import http.client
 import signal
 import threading
@@ -10,7 +11,9 @@
 from behave import then
 from behave import when
 
+from features.harness import hop
 from features.harness import platform as platform_lib
+from jasperweir.components.forward import planned_stop
 from standins import platform_target
 
 # Times of the requests, seconds after the signal.
@@ -18,6 +21,7 @@
 # Longest time for a rejection, seconds.
 AT_ONCE_SECONDS = 0.3
 DRAINING = "2005"
+BEGAN_AT = 100.0
 
 
 class Result(NamedTuple):
@@ -137,3 +141,54 @@
 def step_answered(context, last):
     early = [found for found in context.results if found.sent_s <= last]
     assert all(found.is_whole for found in early), context.results
+
+
+@given("a stop with a grace of {grace:g} s")
+def step_begin(context, grace):
+    context.stop = planned_stop.PlannedStop(now=BEGAN_AT, grace_s=grace)
+
+
+@then(
+    "after {seconds:g} s with {count:d} open requests and {unsent:d} unsent"
+    " bytes it is {stage}"
+)
+def step_stage(context, seconds, count, unsent, stage):
+    found = context.stop.find_stage(
+        open_requests=count, unsent_bytes=unsent, now=BEGAN_AT + seconds
+    )
+    assert found.value == stage, found
+
+
+@given("a request with {left:g} s left waits for a target at an entry")
+def step_waiting(context, left):
+    context.hop = hop.Hop(route=hop.route(timeout_s=left))
+
+
+@when("the entry rejects new requests and ends in {seconds:g} s")
+def step_reject(context, seconds):
+    async def run():
+        entry = context.hop
+        await entry.prepare()
+        forwarder = entry.forwarder
+        forwarder.handle(entry.answering)
+        assert forwarder.open_count == 1
+        forwarder.begin_stop(forwarder.now() + seconds)
+        assert not entry.answering.done
+        forwarder.stop()
+        context.is_open = forwarder.open_count == 1
+        entry.close()
+
+    asyncio.run(run())
+
+
+@then("the request is rejected as not run")
+def step_rejected(context):
+    status, _ = context.hop.answering.replied
+    assert status == 503, status
+    assert not context.is_open
+
+
+@then("the request waits on")
+def step_waits_on(context):
+    assert context.is_open
+    assert not context.hop.answering.done
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -22,6 +22,7 @@
 from jasperweir.components.discovery import version_basis
 from jasperweir.components.forward import dialect as dialect_lib
 from jasperweir.components.forward import forwarder as forwarder_lib
+from jasperweir.components.forward import planned_stop
 from jasperweir.components.groups import messages as groups_messages
 from jasperweir.components.mapswitch import messages as mapswitch_messages
 from jasperweir.components.quarantine import const as quarantine_const
@@ -52,13 +53,6 @@
 # Time to live of an address lookup, seconds; some callers cache it three times
 # as long.
 ADDRESS_TTL_SECONDS = 0.5
-# Time for which a stopping entry accepts requests that end before it does,
-# longer than callers cache a lookup that names it, seconds.
-STOP_ACCEPTING_SECONDS = 3.0
-# Time for which it answers callers at least, seconds.
-STOP_SERVING_SECONDS = 4.5
-# Time by which a stop ends before the forced termination, seconds.
-STOP_MARGIN_SECONDS = 0.6
 
 
 class Lookup(NamedTuple):
@@ -171,8 +165,7 @@
         self._tick_scheduled = False
         self._discovery_timer = self._host.make_timer(self._tick_discovery)
         self._server: http_server.Server | None = None
-        self._stop_requested_at = 0.0
-        self._stop_ends_at = 0.0
+        self._stop: planned_stop.PlannedStop | None = None
         self._stopped = asyncio.Event()
 
     async def run(self) -> None:
@@ -219,9 +212,9 @@
         self._perform(self._discovery.tick(now))
         self._record_standing(now)
         self._discovery_timer.schedule(self._discovery.next_tick(now))
-        if self._stop_requested_at:
+        if self._stop is not None:
             self._discovery_timer.schedule(now + STOP_TICK_SECONDS)
-            self._advance_stop(now)
+            self._advance_stop(self._stop, now)
             return
         if not self._discovery.node.open:
             # Quarantine marks are fetched before the entry accepts callers.
@@ -270,7 +263,7 @@
             )
         self._perform(acts)
         self._record_standing(now)
-        if not self._discovery.node.open and not self._stop_requested_at:
+        if not self._discovery.node.open and self._stop is None:
             # The message may complete what the entry needs to open.
             self._tick_discovery()
         self._discovery_timer.schedule(self._discovery.next_tick(now))
@@ -440,39 +433,39 @@
     # Graceful stop.
 
     def _on_stop(self) -> None:
-        if self._stop_requested_at:
+        if self._stop is not None:
             return
-        self._stop_requested_at = self._host.now()
-        max_stop_s = self._cfg.bounds.grace_s - STOP_MARGIN_SECONDS
-        self._stop_ends_at = self._stop_requested_at + max_stop_s
+        now = self._host.now()
+        self._stop = planned_stop.PlannedStop(
+            now=now, grace_s=self._cfg.bounds.grace_s
+        )
         _log.info(
             "stop asked for",
             open=self._forwarder.open_count,
-            ends_in_ms=round(max_stop_s * 1000),
+            ends_in_ms=round((self._stop.ends_at - now) * 1000),
         )
-        self._forwarder.begin_stop(self._stop_ends_at)
+        self._forwarder.begin_stop(self._stop.ends_at)
         if self._server is not None:
             self._server.stopping = True
-        self._perform(
-            self._discovery.set_open(is_open=False, now=self._stop_requested_at)
-        )
-        self._discovery_timer.schedule(
-            self._stop_requested_at + STOP_TICK_SECONDS
-        )
+        self._perform(self._discovery.set_open(is_open=False, now=now))
+        self._discovery_timer.schedule(now + STOP_TICK_SECONDS)
 
     def _on_reload(self) -> None:
         _log.info("reload ignored: seeds are read only at startup")
 
-    def _advance_stop(self, now: float) -> None:
-        elapsed_s = now - self._stop_requested_at
-        if elapsed_s >= STOP_ACCEPTING_SECONDS:
-            self._forwarder.stop()
-        if elapsed_s < STOP_SERVING_SECONDS:
+    def _advance_stop(self, stop: planned_stop.PlannedStop, now: float) -> None:
+        open_count = self._forwarder.open_count
+        unsent = self._server.unsent_bytes if self._server else 0
+        stage = stop.find_stage(
+            open_requests=open_count, unsent_bytes=unsent, now=now
+        )
+        if stage is planned_stop.Stage.ACCEPTING:
             return
-        if self._forwarder.open_count and now < self._stop_ends_at:
+        self._forwarder.stop()
+        if stage is planned_stop.Stage.REJECTING:
             return
-        if self._forwarder.open_count:
-            _log.warning("stop cuts off", open=self._forwarder.open_count)
+        if open_count or unsent:
+            _log.warning("stop cuts off", open=open_count, unsent=unsent)
         if self._server is not None:
             self._server.close_listener()
             self._server.close_idle()
@@ -481,7 +474,7 @@
     # Readiness checks and address lookups.
 
     def _on_ready_check(self, answering: http_server.ResponseWriter) -> None:
-        ready = self._discovery.node.open and not self._stop_requested_at
+        ready = self._discovery.node.open and self._stop is None
         answering.reply(200 if ready else 503, [], b"")
 
     def _on_lookup(self, answering: http_server.ResponseWriter) -> None:
--- a/jasperweir/helpers/http_server.py
+++ b/jasperweir/helpers/http_server.py
@@ -548,6 +548,11 @@
         for conn in list(self.connections):
             conn.check_age(now)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of responses that callers have not read yet."""
+        return sum(conn.unsent_bytes for conn in self.connections)
+
     def close_listener(self) -> None:
         """Stop accepting connections."""
         if self._server is not None:
