--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -292,7 +292,7 @@
 
     def _on_frame(self, src: str, msg: Any) -> None:
         if isinstance(msg, config_messages.OutdatedRequests):
-            self._version_audit_log.record(msg)
+            self._on_outdated_requests(src, msg)
             return
         if self._node is None:
             return
@@ -320,6 +320,17 @@
         self._perform(acts)
         self._schedule_plan()
 
+    def _on_outdated_requests(
+        self, src: str, msg: config_messages.OutdatedRequests
+    ) -> None:
+        """Record an entry's report, and pass it on to all control VMs.
+
+        Entries know those with the log only.
+        """
+        is_new = self._version_audit_log.receive(msg)
+        if is_new and src == msg.entry and self._node is not None:
+            self._host.send_all(self._node.discovery.peers(), msg)
+
     # Actions.
 
     def _perform(self, acts: node_lib.Actions) -> None:
