Bytes without end of a server or a caller are bounded

Operators saw: a faulty target sent bytes that were no answer until the connection was closed; the entry kept them all and ran out of memory, and the requests of its other callers ended with it.

Cause: the readers had bounds on bodies of requests and heads of requests only.

Callers' requests have the bound on framing too. What exceeds a bound closes the connection at once, with a line 'response exceeds a bound' and a counter; the request fails as one that may have run.

--- a/jasperweir/components/forward/forwarder.py
+++ b/jasperweir/components/forward/forwarder.py
@@ -102,6 +102,7 @@
             is_first_start=is_first_start,
         )
         self._recorder = recorder_lib.Recorder(metrics=metrics)
+        self.pool.on_exceeded = self._recorder.record_exceeded
         self.responses = response_recorder.ResponseRecorder(metrics=metrics)
         self.crash_detector = crash_detector.CrashDetector(
             clock=clock,
--- a/jasperweir/components/forward/recorder.py
+++ b/jasperweir/components/forward/recorder.py
@@ -141,6 +141,10 @@
             limit=round(max_streams, 2) if math.isfinite(max_streams) else None,
         )
 
+    def record_exceeded(self) -> None:
+        """Count a response that exceeds a bound; the connection logs it."""
+        self._metrics.inc("responses_over_bound")
+
     def record_pass(
         self, service: str, pass_s: float, streams: float, group: str = ""
     ) -> None:
--- a/jasperweir/helpers/http_client.py
+++ b/jasperweir/helpers/http_client.py
@@ -1,6 +1,7 @@
 """Asynchronous HTTP/1.1 client connections and their pool."""
 
 import asyncio
+from collections.abc import Callable
 import math
 import socket
 from typing import NamedTuple
@@ -11,6 +12,7 @@
 from jasperweir.helpers import clocks
 from jasperweir.helpers import http_message
 from jasperweir.helpers import logs
+from jasperweir.helpers import response_bounds
 
 _log = logs.logger("http.client")
 
@@ -84,8 +86,21 @@
         closed: Whether the connection is closed.
     """
 
-    def __init__(self, *, times: ClientTimeouts) -> None:
+    def __init__(
+        self,
+        *,
+        times: ClientTimeouts,
+        on_exceeded: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Initialize an unconnected connection.
+
+        Args:
+            times: Timeouts.
+            on_exceeded: Called when a response exceeds a bound.
+        """
         self._times = times
+        self._on_exceeded = on_exceeded
+        self._bounds = response_bounds.ResponseBounds()
         self._transport: asyncio.Transport | None = None
         self._listener: ResponseListener | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -127,6 +142,7 @@
         assert self._transport is not None
         self._listener = listener
         self._complete = False
+        self._bounds = response_bounds.ResponseBounds()
         self._is_head_only = data.startswith(b"HEAD ")
         self.received = False
         self._unsent = memoryview(body)
@@ -197,6 +213,7 @@
             self.close()
             return
         self.received = True
+        self._bounds.on_bytes(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError:
@@ -209,12 +226,25 @@
                 return
             # Bytes after a complete response belong to no request.
             self._keep_alive = False
+        exceeded = "" if self._complete else self._bounds.find_exceeded()
+        if exceeded and not self.closed:
+            self._on_bound(exceeded)
+            return
         if self._complete:
             if self._is_head_only:
                 # The parser waits for the body that the head describes.
                 self._parser = httptools.HttpResponseParser(self)
             self._finish_response()
 
+    def _on_bound(self, exceeded: str) -> None:
+        """Close the connection of a response that exceeds a bound."""
+        peer = None
+        if self._transport is not None:
+            peer = self._transport.get_extra_info("peername")
+        _log.warning("response exceeds a bound", kind=exceeded, peer=str(peer))
+        self._on_exceeded()
+        self._fail(exceeded)
+
     def pause_writing(self) -> None:
         """Hold the rest of the request until the server reads."""
         self._is_writable = False
@@ -260,6 +290,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header."""
+        self._bounds.on_line()
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -270,6 +301,7 @@
         if 100 <= status < 200:
             self._skipping = True
             return
+        self._bounds.on_head_end()
         length_text = http_message.find(self._headers, b"content-length")
         coding = http_message.find(self._headers, b"transfer-encoding")
         length = int(length_text) if length_text is not None else None
@@ -297,6 +329,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body to the listener."""
+        self._bounds.on_body(len(body), is_discarded=self._skipping)
         if self._is_head_only:
             # The server sends a body that belongs to no response.
             self._keep_alive = False
@@ -349,12 +382,14 @@
 
     Attributes:
         opened: Number of connections opened so far.
+        on_exceeded: Called when a response exceeds a bound.
     """
 
     def __init__(self, *, times: ClientTimeouts) -> None:
         self._times = times
         self._idle: dict[str, list[ClientConnection]] = {}
         self.opened = 0
+        self.on_exceeded: Callable[[], None] = lambda: None
 
     def acquire(
         self, key: str, max_idle_s: float = math.inf
@@ -414,7 +449,10 @@
         try:
             async with asyncio.timeout(self._times.connect):
                 _, conn = await loop.create_connection(
-                    lambda: ClientConnection(times=self._times),
+                    lambda: ClientConnection(
+                        times=self._times,
+                        on_exceeded=lambda: self.on_exceeded(),
+                    ),
                     host=host,
                     port=int(port),
                 )
--- a/jasperweir/helpers/http_fetch.py
+++ b/jasperweir/helpers/http_fetch.py
@@ -5,6 +5,9 @@
 from jasperweir.helpers import http_client
 from jasperweir.helpers import http_message
 
+# Largest body that is buffered: state and counts of an engine are some ten KB.
+MAX_BODY_BYTES = 4 * 1024 * 1024
+
 
 class ResponseCollector:
     """Response listener that buffers a whole response.
@@ -19,6 +22,7 @@
         self.result: asyncio.Future[tuple[int, bytes]] = loop.create_future()
         self._status = 0
         self._body: list[bytes] = []
+        self._size = 0
 
     def on_head(self, head: http_message.Head, length: int | None) -> bool:
         """Store the status."""
@@ -26,8 +30,13 @@
         return True
 
     def on_data(self, data: bytes) -> None:
-        """Store a part of the body."""
-        self._body.append(data)
+        """Store a part of the body, or fail if it is too large."""
+        self._size += len(data)
+        if self._size <= MAX_BODY_BYTES:
+            self._body.append(data)
+            return
+        self._body.clear()
+        self.on_broken(f"a body that exceeds {MAX_BODY_BYTES} bytes")
 
     def on_end(self) -> None:
         """Resolve the future with the complete response."""
@@ -71,5 +80,8 @@
         raise OSError(
             f"no response from {address} within {timeout_s} s"
         ) from exc
+    except OSError:
+        conn.close()
+        raise
     pool.release(address, conn)
     return found
--- a/jasperweir/helpers/http_server.py
+++ b/jasperweir/helpers/http_server.py
@@ -35,6 +35,9 @@
 # Request bodies of all connections above which none are read on, until the
 # responses to earlier requests release some.
 BODY_TOTAL_BYTES = 64 * 1024 * 1024
+# Most bytes in a row of a request that belong to no head and no body: empty
+# lines, the size and the extension of a chunk, or a trailer.
+FRAMING_BYTES = 64 * 1024
 BACKLOG = 512
 
 
@@ -181,6 +184,8 @@
         self._reading_since = 0.0
         self._head_bytes = 0
         self._body_bytes = 0
+        # Bytes in a row that belong to no head and no body.
+        self._framing_bytes = 0
         self._in_head = False
         self._target = b""
         self._headers: http_message.Headers = []
@@ -227,6 +232,7 @@
             self._reading_since = clocks.elapsed()
         if self._in_head or not self._body_bytes:
             self._head_bytes += len(data)
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -235,6 +241,10 @@
             self._reject(400)
         if self._in_head and self._head_bytes > self._limits.header_bytes:
             self._reject(431)
+        elif self._framing_bytes > max(
+            self._limits.header_bytes, FRAMING_BYTES
+        ):
+            self._reject(400)
 
     def pause_writing(self) -> None:
         """Ask the handler of the current request to pause."""
@@ -277,6 +287,7 @@
     def on_headers_complete(self) -> None:
         """Check the limits and confirm ``Expect: 100-continue``."""
         self._in_head = False
+        self._framing_bytes = 0
         size = sum(len(k) + len(v) + 4 for k, v in self._headers)
         if size + len(self._target) > self._limits.header_bytes:
             self._reject(431)
@@ -291,6 +302,7 @@
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
         self._body_bytes += len(body)
+        self._framing_bytes = 0
         if self._body_bytes > self._limits.body_bytes:
             self._reject_body(self._body_bytes)
             return
@@ -306,6 +318,7 @@
         """Queue a complete request."""
         self._reading_since = 0.0
         self._head_bytes = 0
+        self._framing_bytes = 0
         if self._closing:
             return
         req = http_message.Request(
