Reports of outdated requests are a part of the control VMs' logic

The fault matrix has rows for the two new messages: an entry's report reaches every running control VM under each of eight faults at its first message (golden file: 16 new rows, all held). For that the passing on moved from the daemon to configctl/version_reports.py.

--- a/features/harness/matrix.py
+++ b/features/harness/matrix.py
@@ -10,6 +10,7 @@
 from features.harness import site
 from jasperweir.components.claims import const as claim_const
 from jasperweir.components.configctl import discovery_server
+from jasperweir.components.configctl import messages as config_messages
 from jasperweir.components.mapswitch import const
 from jasperweir.components.membership import messages as member_messages
 from jasperweir.helpers import codec
@@ -410,6 +411,28 @@
         heal(scene)
 
 
+def report_cell(tap: Tap) -> None:
+    """An entry's report of outdated requests reaches all control VMs."""
+    scene = site.Site(controls=5, entries=1, diskless=("c4", "c5"))
+    scene.settle(10.0)
+    run(scene, 4.0)
+    scene.tap = tap
+    report = config_messages.OutdatedRequests(
+        entry="e1", version=7, requests=(), total=1
+    )
+    for name in scene.discovery_clients["e1"].control_names:
+        scene.post("e1", name, report)
+    run(scene, 4.0)
+    heal(scene)
+    run(scene, 2.0)
+    unknown = [
+        name
+        for name in running(scene)
+        if not scene.nodes[name].version_reports.is_known("e1", 7)
+    ]
+    assert not unknown, unknown
+
+
 def relay_cell(tap: Tap) -> None:
     """The same with orders that others pass on, however small they are."""
     least = (const.MIN_RELAY_BYTES, const.MIN_RELAY_AGENTS)
@@ -480,6 +503,7 @@
 # Messages that only a scene of their own sends.
 CELLS_BY_KIND = {
     "configctl.found": founding_cell,
+    "configctl.outdated_requests": report_cell,
     "quorum.hello": recovery_cell,
     "quorum.seat_claim_check": recovery_cell,
     "mapswitch.order_relay": relay_cell,
--- a/jasperweir/components/configctl/node.py
+++ b/jasperweir/components/configctl/node.py
@@ -17,6 +17,7 @@
 from jasperweir.components.configctl import replies
 from jasperweir.components.configctl import seats as seats_lib
 from jasperweir.components.configctl import version_ages
+from jasperweir.components.configctl import version_reports
 from jasperweir.components.confirmation import messages as confirmation_messages
 from jasperweir.components.directory import records
 from jasperweir.components.quorum import actions
@@ -53,6 +54,7 @@
         voter: Member of the replicated log.
         machine: State machine with the committed operations.
         discovery: Targets, entries, agents and other control VMs.
+        version_reports: Reports of entries about outdated requests.
     """
 
     def __init__(
@@ -108,6 +110,7 @@
         # One message for all nodes, so that a large one is encoded once.
         self._content: messages.Content | None = None
         self._version_ages = version_ages.VersionAges()
+        self.version_reports = version_reports.VersionReports()
         self._applicants: dict[str, seats_lib.Applicant] = {}
         self._next_hello_at = 0.0
         # Numbers to repeat in requests for a seat, by receiver.
@@ -225,6 +228,10 @@
                 return self._requests.on_reply(msg, self.machine.declared())
             case messages.ContentRequest():
                 return self._on_content_request(src, msg, now)
+            case messages.OutdatedRequests():
+                return self.version_reports.receive(
+                    src, msg, self.discovery.peers()
+                )
             case quorum_messages.Hello():
                 self._applicants[src] = seats_lib.Applicant(
                     name=src, disk=msg.disk, addr=msg.addr, asked_at=now
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -13,8 +13,8 @@
 from jasperweir.components.configctl import evacuations as evacuations_lib
 from jasperweir.components.configctl import leader_requests as requests_lib
 from jasperweir.components.configctl import log_view
-from jasperweir.components.configctl import messages as config_messages
 from jasperweir.components.configctl import node as node_lib
+from jasperweir.components.configctl import version_reports
 from jasperweir.components.deployment import model
 from jasperweir.components.directory import const as directory_const
 from jasperweir.components.groups import const as groups_const
@@ -291,9 +291,6 @@
         return separate or [entry.name for entry in entries]
 
     def _on_frame(self, src: str, msg: Any) -> None:
-        if isinstance(msg, config_messages.OutdatedRequests):
-            self._on_outdated_requests(src, msg)
-            return
         if self._node is None:
             return
         now = self._host.now()
@@ -320,17 +317,6 @@
         self._perform(acts)
         self._schedule_plan()
 
-    def _on_outdated_requests(
-        self, src: str, msg: config_messages.OutdatedRequests
-    ) -> None:
-        """Record an entry's report, and pass it on to all control VMs.
-
-        Entries know those with the log only.
-        """
-        is_new = self._version_audit_log.receive(msg)
-        if is_new and src == msg.entry and self._node is not None:
-            self._host.send_all(self._node.discovery.peers(), msg)
-
     # Actions.
 
     def _perform(self, acts: node_lib.Actions) -> None:
@@ -361,6 +347,8 @@
                 )
             case node_lib.SeatsChanged():
                 self._record_seats(act)
+            case version_reports.Reported():
+                self._version_audit_log.record(act.report)
             case mapswitch_actions.SendDirectly():
                 self._host.metrics.inc("orders_given_directly")
                 self._remote_engines.submit(act.agent, act.request)
--- a/jasperweir/daemons/version_audit_log.py
+++ b/jasperweir/daemons/version_audit_log.py
@@ -1,15 +1,11 @@
 """Log lines and metrics of requests that an older version let through."""
 
-import collections
-
 from jasperweir.components.configctl import messages
 from jasperweir.helpers import logs
 from jasperweir.helpers import metrics as metrics_lib
 
 # Most requests that one version reports.
 MAX_REPORTED = 16
-# Reports that are remembered, so that copies are not recorded again.
-MAX_KNOWN = 256
 
 
 def make_report(
@@ -30,25 +26,6 @@
     def __init__(self, *, channel: str, metrics: metrics_lib.Metrics) -> None:
         self._log = logs.logger(channel)
         self._metrics = metrics
-        # Entry and version of the reports that were received last.
-        self._known: collections.OrderedDict[tuple[str, int], None] = (
-            collections.OrderedDict()
-        )
-
-    def receive(self, report: messages.OutdatedRequests) -> bool:
-        """Record a report that an entry or another control VM sent.
-
-        Returns:
-            Whether it is new here, and has to be passed on.
-        """
-        key = report.entry, report.version
-        if key in self._known:
-            return False
-        self._known[key] = None
-        if len(self._known) > MAX_KNOWN:
-            self._known.popitem(last=False)
-        self.record(report)
-        return True
 
     def record(self, report: messages.OutdatedRequests) -> None:
         """Record each request of a report."""
