--- a/features/soak/configuration_plan.py
+++ b/features/soak/configuration_plan.py
@@ -148,6 +148,9 @@
             world.check.record_sent(version, time.monotonic())
             if world.send_order(number, doc):
                 break
+        else:
+            world.check.violations.append(f"vm-{number} acknowledges nothing")
+            return
         names = self._list_processes(number)
         for name in names:
             world.plat.signal(name, signal.SIGKILL)
