The audit sees or counts what it was blind to

By reading, the audit could not see five things; each is planted in version_audit.feature now:

- A control VM stated the age of a commit from when it learned of it, so a new voter called an old commit young.
It states by how much the commit may have been earlier, or that it does not know.
Spans of several control VMs are intersected.
- A commit without a known age was neither reported nor counted.
A request that the new version denies and that can't be dated is counted and warned of.
- A version that was acknowledged and is lost was no successor of anything.
The leader compares acknowledged orders with what the log holds.
- A process that ends took its requests with it.
Control VMs record the version that an entry had before it started anew, and an entry whose version stays outdated.
- What the index decides was not compared with the version that counts as held, nor with the content.
Both are compared as a request is sent, without the index; the content in force at an entry is compared with the log.

The audit also looked only when a version came into force; a request that an older version lets through after that is audited as it is sent.

--- a/features/harness/planted_faults.py
+++ b/features/harness/planted_faults.py
@@ -61,7 +61,7 @@
         if now >= late_until[0]:
             apply(self, act)
             return
-        self._discovery.on_applied(act.version, now)
+        self._send_all(self._discovery.on_applied(act.version, now))
         self._host.call_later(late_until[0] - now, lambda: apply(self, act))
 
     site_entry.SiteEntry._apply_configuration = apply_later
--- a/features/steps/version_audit_steps.py
+++ b/features/steps/version_audit_steps.py
@@ -1,10 +1,15 @@
 """Steps on the audit of requests that an older version let through."""
 
+import collections
+
 from behave import given
 from behave import then
 from behave import when
 
+from features.harness import site as site_lib
+from jasperweir.components.configctl import entry_check
 from jasperweir.components.configctl import messages
+from jasperweir.components.configctl import order_records
 from jasperweir.components.confirmation import tracker
 from jasperweir.components.deployment import index as index_lib
 from jasperweir.components.deployment import model
@@ -78,24 +83,257 @@
     note(context.commits, newer, COMMITTED_AT)
     if newer != 12:
         note(context.commits, 12, COMMITTED_AT + late + 0.1)
+    context.audit.on_sent(make_sent(COMMITTED_AT + late, path=path, key=key))
+
+
+def make_sent(at, *, path, key, version=9, held=None, service="m"):
+    """Return a request that an entry sends to a target.
+
+    Args:
+        at: When, monotonic seconds.
+        path: Its path.
+        key: Key of its caller.
+        version: Version of the index that decided on it.
+        held: Version that counted as held, the same if not given.
+        service: Service of the target.
+    """
+    held = version if held is None else held
+    prefix = f"/{path.split('/')[1]}/"
+    return version_audit.SentRequest(
+        sent_at=at,
+        version=version,
+        request_id="r-1",
+        criteria=matching.Criteria(host=HOST, path=path, key=key),
+        route="route of 9" if version == 9 else f"route {prefix}",
+        service=service,
+        customer="one",
+        basis=version_basis.VersionBasis(
+            version=held,
+            newest=held,
+            standing=tracker.Standing.CURRENT,
+            confirmed_by=CONFIRMED_BY,
+            confirmed_age_s=0.25,
+        ),
+    )
+
+
+@given("nobody has stated when version 12 was committed")
+def step_undated(context):
+    context.commits = commit_times.CommitTimes()
+
+
+@given("only a control VM that has just started states the age of version 12")
+def step_new_voter(context):
+    context.commits = commit_times.CommitTimes()
+    age = messages.VersionAge(12, 0.1, messages.AGE_UNBOUNDED)
+    now = COMMITTED_AT + 2.7
+    context.commits.note_ages(
+        messages.VersionAges((age,)), asked_at=now, now=now
+    )
+
+
+@then("the audit counts one request that it can't date")
+def step_counts_undated(context):
+    assert context.result == ([], 1), context.result
+
+
+@given("an entry that has put version 12 into force")
+def step_entry(context):
+    context.audit = version_audit.VersionAudit()
+    context.calls = []
+    context.audit.on_found = lambda: context.calls.append(True)
+    context.commits = commit_times.CommitTimes()
+    note(context.commits, 12, COMMITTED_AT)
+    context.index = make_index(12, "n", {"one": (KEPT,), "two": (MOVING,)})
+    context.audit.on_in_force(context.index.deployment)
+    context.audit.check(context.index, context.commits)
+    # What it sends otherwise is not reported.
     context.audit.on_sent(
-        version_audit.SentRequest(
-            sent_at=COMMITTED_AT + late,
-            version=9,
-            request_id="r-1",
-            criteria=matching.Criteria(host=HOST, path=path, key=key),
-            route="route of 9",
-            service="m",
-            customer="one",
-            basis=version_basis.VersionBasis(
-                version=9,
-                newest=9,
-                standing=tracker.Standing.CURRENT,
-                confirmed_by=CONFIRMED_BY,
-                confirmed_age_s=0.25,
-            ),
-        )
+        make_sent(COMMITTED_AT, path="/kept/x", key=KEPT, version=12)
     )
+    assert not context.calls
+
+
+SENT = {
+    "by the index of version 9 while 12 counts as held": {
+        "key": DROPPED, "held": 12,
+    },
+    "by a key that version 12 does not have": {"key": DROPPED, "version": 12},
+    "to a service that version 12 does not give the route": {
+        "key": KEPT, "version": 12, "service": "n",
+    },
+    "that version 9 let through long ago": {"key": DROPPED},
+}  # fmt: skip
+
+
+@when("it sends a request {how}")
+def step_sends(context, how):
+    context.audit.on_sent(
+        make_sent(COMMITTED_AT + 9.0, path="/kept/x", **SENT[how])
+    )
+
+
+@then("the audit is called at once and reports it as {finding}")
+def step_finding(context, finding):
+    assert context.calls
+    result = context.audit.check(context.index, context.commits)
+    found = [request.finding.name for request in result.requests]
+    assert finding in found, found
+    assert result.undated == 0
+    again = context.audit.check(context.index, context.commits)
+    assert again == ([], 0), again
+
+
+@given("a site of three control VMs that holds version 12")
+def step_site(context):
+    context.site = site = site_lib.Site()
+    context.actions = collections.defaultdict(list)
+    perform = site.perform
+
+    def perform_and_note(name, acts):
+        perform(name, acts)
+        context.actions[name] += acts
+
+    site.perform = perform_and_note
+    site.run(3.0)
+    site.replace(site.leader(), 12, b"one")
+    site.run(3.0)
+
+
+def follower(site):
+    """Return a control VM that does not lead."""
+    return next(name for name in site.names if name != site.leader())
+
+
+@when("version 13 is committed while a control VM {where}")
+def step_commit_13(context, where):
+    site = context.site
+    context.name = name = follower(site)
+    match where:
+        case "is cut off":
+            site.cut |= {(name, o) for o in site.names if o != name}
+        case "has an empty disk":
+            site.wipe(name)
+    site.run(0.5)
+    site.replace(site.leader(), 13, b"two")
+    site.run(1.0)
+    if where == "has an empty disk":
+        site.start(name)
+    site.cut.clear()
+    site.run(4.0)
+
+
+@then("the age that it states of version 13 is {known}")
+def step_known(context, known):
+    node = context.site.nodes[context.name]
+    site = context.site
+    acts = node.receive("e1", messages.ContentRequest(held=12), site.now)
+    (age,) = acts[0].msg.ages
+    assert age.version == 13
+    match known:
+        case "known":
+            assert 0 <= age.uncertain_s <= 0.3, age
+        case "uncertain":
+            assert age.uncertain_s >= 1.0, age
+        case "unbounded":
+            assert age.uncertain_s == messages.AGE_UNBOUNDED, age
+
+
+@when("an entry reports version 12 with other content")
+def step_other(context):
+    client = context.site.discovery_clients["e1"]
+    site = context.site
+    site.perform("e1", client.on_applied(12, site.now, content=1))
+    site.run(0.2)
+
+
+def find_actions(context, kind):
+    """Return the actions of a kind that control VMs have returned."""
+    return [
+        act
+        for acts in context.actions.values()
+        for act in acts
+        if isinstance(act, kind)
+    ]
+
+
+@then("its control VM says that the entry has other content")
+def step_says_other(context):
+    found = find_actions(context, entry_check.OtherContent)
+    assert {(f.entry, f.version, f.content) for f in found} == {("e1", 12, 1)}
+    assert found[0].committed == hashing.checksum(b"one")
+
+
+@when("an entry ends, version 13 is committed, and the entry starts again")
+def step_entry_restarts(context):
+    site = context.site
+    site.kill("e1")
+    site.replace(site.leader(), 13, b"two")
+    site.run(1.0)
+    site.start_entry("e1")
+    site.run(1.0)
+
+
+@then("a control VM records that the entry had version 12 and that 13 is newer")
+def step_restarted(context):
+    found = find_actions(context, entry_check.EntryRestarted)
+    assert {(f.entry, f.version, f.superseded_by) for f in found} == {
+        ("e1", 12, 13)
+    }, found
+
+
+@when("an entry keeps version 12 for 3 s after version 13 was committed")
+def step_keeps(context):
+    site = context.site
+    # Messages with content are lost, others arrive.
+    site.tap = lambda site, src, dst, msg: (
+        dst == "e1" and isinstance(msg, messages.Content)
+    )
+    site.replace(site.leader(), 13, b"two")
+    site.run(5.0)
+
+
+@then("a control VM records that the entry holds version 12")
+def step_late_entry(context):
+    found = find_actions(context, entry_check.LateEntry)
+    assert {(f.entry, f.version, f.superseded_by) for f in found} == {
+        ("e1", 12, 13)
+    }, found
+
+
+@given("an operator was told that version 99 is in force")
+def step_told(context):
+    site = context.site
+    record = messages.OrderRecord(
+        version=99,
+        content=1,
+        acknowledged_by="c9",
+        number=1,
+        effect=messages.OrderEffect.IN_FORCE,
+        held=99,
+        had=2,
+        lacked=(),
+        waited_s=0.0,
+    )
+    for name, node in site.nodes.items():
+        site.perform(name, node.receive("c9", record, site.now))
+
+
+@when("the leader has run for a second")
+def step_run(context):
+    context.site.run(1.0)
+
+
+@then("every control VM records that version 99 is lost")
+def step_lost(context):
+    for name in context.site.names:
+        found = [
+            act.record
+            for act in context.actions[name]
+            if isinstance(act, order_records.OrderRecorded)
+            and act.record.effect is messages.OrderEffect.LOST
+        ]
+        assert [record.version for record in found] == [99], (name, found)
 
 
 def note(commits, version, at):
@@ -108,16 +346,16 @@
 def step_in_force(context):
     customers = {"one": (KEPT,), "two": (MOVING,)}
     index = make_index(12, "n", customers)
-    context.found = context.audit.check(index, context.commits)
+    context.result = context.audit.check(index, context.commits)
+    context.found = context.result.requests
 
 
 @when("version 13 with the same content comes into force")
 def step_again(context):
     note(context.commits, 13, COMMITTED_AT + 9.0)
     customers = {"one": (KEPT,), "two": (MOVING,)}
-    context.found = context.audit.check(
-        make_index(13, "n", customers), context.commits
-    )
+    index = make_index(13, "n", customers)
+    context.found = context.audit.check(index, context.commits).requests
 
 
 @then("the audit reports the request")
@@ -147,7 +385,7 @@
 
 @then("the key itself is in no report")
 def step_no_key(context):
-    report = version_audit_log.make_report("e1", 12, context.found)
+    report = version_audit_log.make_report("e1", 12, context.result)
     assert DROPPED not in repr(report), report
 
 
--- a/jasperweir/components/configctl/messages.py
+++ b/jasperweir/components/configctl/messages.py
@@ -183,10 +183,12 @@
     Attributes:
         incarnation: Incarnation of the entry.
         version: Configuration version in force.
+        content: Checksum of its compressed content, 0 if not stated.
     """
 
     incarnation: int
     version: int
+    content: int = 0
 
 
 class OrderEffect(enum.IntEnum):
@@ -200,6 +202,8 @@
     OTHER_CONTENT = 2
     # The leader does not remember.
     UNKNOWN = 3
+    # It came into force, and the log does not have it any more.
+    LOST = 4
 
 
 @codec.message("configctl.order_record")
@@ -253,16 +257,24 @@
     orders: tuple[OrderRecord, ...]
 
 
+# Stands for an age that has no known upper bound.
+AGE_UNBOUNDED = -1.0
+
+
 class VersionAge(NamedTuple):
     """How long ago a version was committed.
 
     Attributes:
         version: The version.
         committed_s: Time since the sender learned of its commit, seconds.
+        uncertain_s: Time by which the commit may have been earlier, seconds;
+            AGE_UNBOUNDED if the sender doesn't know, since it has started or
+            has not heard the leader before.
     """
 
     version: int
     committed_s: float
+    uncertain_s: float = 0.0
 
 
 @codec.message("configctl.ages")
@@ -275,8 +287,19 @@
     ages: tuple[VersionAge, ...]
 
 
+class Finding(enum.IntEnum):
+    """What is wrong with a request that was sent to a target."""
+
+    # An older version let it through past the bound.
+    OUTDATED = 0
+    # It was decided by another version than the one that counts as held.
+    OTHER_VERSION = 1
+    # The configuration that decided on it does not allow it.
+    NOT_ALLOWED = 2
+
+
 class OutdatedRequest(NamedTuple):
-    """A request that an older version let through past the bound.
+    """A request that the version in force does not allow.
 
     Attributes:
         request_id: Id that the caller chose.
@@ -294,6 +317,7 @@
         confirmed_by: Who had last confirmed the version then.
         confirmed_ms: Age of that confirmation, milliseconds; -1 if there was
             none.
+        finding: What is wrong with it.
     """
 
     request_id: str
@@ -309,6 +333,7 @@
     standing: str
     confirmed_by: str
     confirmed_ms: int
+    finding: Finding = Finding.OUTDATED
 
 
 @codec.message("configctl.outdated_requests")
@@ -320,9 +345,12 @@
         version: Version that has come into force there.
         requests: The first of them.
         total: Number of all of them.
+        undated: Number of requests that the version does not allow and an
+            older one let through, when its successor can't be dated.
     """
 
     entry: str
     version: int
     requests: tuple[OutdatedRequest, ...]
     total: int
+    undated: int = 0
--- a/jasperweir/components/configctl/node.py
+++ b/jasperweir/components/configctl/node.py
@@ -11,6 +11,7 @@
 from jasperweir.components.configctl import const
 from jasperweir.components.configctl import departures as departures_lib
 from jasperweir.components.configctl import discovery_server
+from jasperweir.components.configctl import entry_check
 from jasperweir.components.configctl import evacuations as evacuations_lib
 from jasperweir.components.configctl import leader_requests as requests_lib
 from jasperweir.components.configctl import log_view
@@ -125,6 +126,11 @@
         # One message for all nodes, so that a large one is encoded once.
         self._content: messages.Content | None = None
         self._version_ages = version_ages.VersionAges()
+        # When it last had all that a leader had committed.
+        self._caught_up_at = float("-inf")
+        self._entry_check = entry_check.EntryCheck(
+            ages=self._version_ages, history=self.version_history
+        )
         self.version_reports = version_reports.VersionReports()
         self._applicants: dict[str, seats_lib.Applicant] = {}
         self._next_hello_at = 0.0
@@ -217,6 +223,7 @@
         out = self._process_actions(self.voter.tick(now), now)
         out += self._update_seats(now)
         out += self._report_seats()
+        out += self._find_lost_orders(now)
         out += self._send_pending(now)
         out += self.discovery.tick(self._log_status(now), now)
         if self._bootstrap_election is not None:
@@ -225,6 +232,16 @@
             out += self._request_seat(now)
         return out + self._compact()
 
+    def _find_lost_orders(self, now: float) -> Actions:
+        """Look for acknowledged versions that the log lacks, as the leader."""
+        if self.voter.read_index(now) is None:
+            return []
+        return self.order_records.find_lost(
+            self.machine.declared().version,
+            self.version_history,
+            self.discovery.peers(),
+        )
+
     def receive(self, src: str, msg: Any, now: float) -> Actions:
         """Handle a message from another process."""
         match msg:
@@ -269,8 +286,14 @@
             case confirmation_messages.LogQuery():
                 return self._on_log_query(src, msg)
         if type(msg).__module__ == quorum_messages.__name__:
-            return self._process_actions(self.voter.receive(src, msg, now), now)
-        out = self.discovery.receive(src, msg, self._log_status(now), now)
+            out = self._process_actions(self.voter.receive(src, msg, now), now)
+            if isinstance(msg, quorum_messages.Append):
+                is_current = msg.term == self.voter.term
+                if is_current and msg.commit <= self.voter.commit:
+                    self._caught_up_at = now
+            return out
+        out = self._entry_check.receive(src, msg, now)
+        out += self.discovery.receive(src, msg, self._log_status(now), now)
         if isinstance(msg, records.ControlHeartbeat):
             out += self.order_records.on_peer(src)
         return out
@@ -594,7 +617,9 @@
                     before = self.machine.declared().version
                     self.machine.load(act.snapshot.data)
                     self._remember_restored()
-                    out += self._announce_version(before, now)
+                    out += self._announce_version(
+                        before, self._caught_up_at, now
+                    )
                     out += self._announce_evacuations()
                     out += self._announce_departures(now)
                 case actions.RoleChanged():
@@ -608,10 +633,25 @@
                     out.append(act)
         return out
 
+    def _earliest_commit(
+        self, entries: tuple[quorum_messages.Entry, ...], now: float
+    ) -> float:
+        """Return since when entries that commit now may have been committed.
+
+        Returns:
+            Monotonic seconds; minus infinity if that is not known.
+        """
+        term = self.voter.term
+        is_leader = self.voter.role == voter_lib.LEADER
+        if is_leader and all(entry.term == term for entry in entries):
+            return now
+        return self._caught_up_at
+
     def _apply(
         self, entries: tuple[quorum_messages.Entry, ...], now: float
     ) -> Actions:
         out: Actions = []
+        earliest = self._earliest_commit(entries, now)
         before = self.machine.declared().version
         for entry in entries:
             if entry.kind != quorum_const.KIND_OP:
@@ -633,7 +673,7 @@
             for src, number in self._departures.finish(op_id):
                 out += self._send_reply(src, messages.DepartReply(number))
         # Notify the nodes before the callers get their replies.
-        notices = self._announce_version(before, now)
+        notices = self._announce_version(before, earliest, now)
         notices += self._announce_evacuations()
         notices += self._announce_departures(now)
         out += self._reply_orders(now)
@@ -648,11 +688,13 @@
     def _announce_evacuations(self) -> Actions:
         return self._evacuations.announce(self.discovery.nodes.entry_names())
 
-    def _announce_version(self, before: int, now: float) -> Actions:
+    def _announce_version(
+        self, before: int, earliest: float, now: float
+    ) -> Actions:
         version = self.machine.declared().version
         if version <= before:
             return []
-        self._version_ages.on_committed(version, now)
+        self._version_ages.on_committed(version, earliest=earliest, now=now)
         notice = messages.VersionNotice(version=version)
         return [
             core.Send(dst=name, msg=notice)
--- a/jasperweir/components/configctl/order_records.py
+++ b/jasperweir/components/configctl/order_records.py
@@ -7,6 +7,7 @@
 from jasperweir import core
 from jasperweir.components.configctl import leader_requests as requests_lib
 from jasperweir.components.configctl import messages
+from jasperweir.components.configctl import version_history
 
 Actions = list[Any]
 
@@ -40,9 +41,9 @@
             name: Name of this control VM.
         """
         self._name = name
-        # Records by the control VM that acknowledged, its number and version.
+        # By the control VM that acknowledged, its number, version, effect.
         self._known: collections.OrderedDict[
-            tuple[str, int, int], messages.OrderRecord
+            tuple[str, int, int, messages.OrderEffect], messages.OrderRecord
         ] = collections.OrderedDict()
         self._asked: set[str] = set()
 
@@ -80,6 +81,33 @@
             return []
         return [OrderRecorded(record=record)]
 
+    def find_lost(
+        self,
+        held: int,
+        history: version_history.VersionHistory,
+        peers: list[str],
+    ) -> Actions:
+        """Report orders that came into force and that the log lacks.
+
+        Args:
+            held: Newest version, as the leader holds it.
+            history: Contents that came into force there.
+            peers: The other control VMs.
+        """
+        lost = [
+            record._replace(effect=messages.OrderEffect.LOST, held=held)
+            for record in self._known.values()
+            if record.effect is messages.OrderEffect.IN_FORCE
+            and _is_lost(record, held, history)
+        ]
+        out: Actions = []
+        for record in lost:
+            found = self.receive(record)
+            if found:
+                out += found
+                out += [core.Send(dst=name, msg=record) for name in peers]
+        return out
+
     def restore(self, records: tuple[messages.OrderRecord, ...]) -> Actions:
         """Handle records from before a start, stored here or elsewhere."""
         return [
@@ -100,10 +128,27 @@
         return [core.Send(dst=dst, msg=messages.RecentOrders(self.recent))]
 
     def _add(self, record: messages.OrderRecord) -> bool:
-        key = record.acknowledged_by, record.number, record.version
+        key = (
+            record.acknowledged_by,
+            record.number,
+            record.version,
+            record.effect,
+        )
         if key in self._known:
             return False
         self._known[key] = record
         if len(self._known) > MAX_RECORDS:
             self._known.popitem(last=False)
         return True
+
+
+def _is_lost(
+    record: messages.OrderRecord,
+    held: int,
+    history: version_history.VersionHistory,
+) -> bool:
+    if record.version > held:
+        return True
+    if not history.is_remembered(record.version):
+        return False
+    return history.find(record.version) != record.content
--- a/jasperweir/components/configctl/version_reports.py
+++ b/jasperweir/components/configctl/version_reports.py
@@ -23,14 +23,10 @@
     """Passes the reports of entries on, as these know few control VMs."""
 
     def __init__(self) -> None:
-        # Entry and version of the reports that were received last.
-        self._known: collections.OrderedDict[tuple[str, int], None] = (
-            collections.OrderedDict()
-        )
-
-    def is_known(self, entry: str, version: int) -> bool:
-        """Return whether a report was received."""
-        return (entry, version) in self._known
+        # The reports that were received last.
+        self._known: collections.OrderedDict[
+            messages.OutdatedRequests, None
+        ] = collections.OrderedDict()
 
     def receive(
         self, src: str, report: messages.OutdatedRequests, peers: list[str]
@@ -42,9 +38,9 @@
             report: The report.
             peers: The other control VMs.
         """
-        if self.is_known(report.entry, report.version):
+        if report in self._known:
             return []
-        self._known[report.entry, report.version] = None
+        self._known[report] = None
         if len(self._known) > MAX_KNOWN:
             self._known.popitem(last=False)
         out: Actions = [Reported(report=report)]
--- a/jasperweir/components/discovery/client.py
+++ b/jasperweir/components/discovery/client.py
@@ -365,11 +365,19 @@
                     ]
         return []
 
-    def on_applied(self, version: int, now: float) -> Actions:
-        """Record that a configuration was put into force, and report it."""
+    def on_applied(self, version: int, now: float, content: int = 0) -> Actions:
+        """Record that a configuration was put into force, and report it.
+
+        Args:
+            version: Its version.
+            now: Monotonic seconds.
+            content: Checksum of its compressed content, 0 if not stated.
+        """
         self.confirmations.hold(version, now)
         held = messages.VersionHeld(
-            incarnation=self.node.incarnation, version=self.version
+            incarnation=self.node.incarnation,
+            version=self.version,
+            content=content,
         )
         return [
             core.Send(dst=name, msg=held)
--- a/jasperweir/components/discovery/commit_times.py
+++ b/jasperweir/components/discovery/commit_times.py
@@ -10,7 +10,12 @@
 
 
 class CommitTime(NamedTuple):
-    """Span in which a version was committed, monotonic seconds."""
+    """Span in which a version was committed, monotonic seconds.
+
+    Attributes:
+        earliest: Minus infinity if nobody who was asked knows.
+        latest: When it was committed at the latest.
+    """
 
     earliest: float
     latest: float
@@ -38,7 +43,10 @@
             now: Monotonic seconds.
         """
         for age in msg.ages:
-            time = CommitTime(asked_at - age.committed_s, now - age.committed_s)
+            earliest = asked_at - age.committed_s - age.uncertain_s
+            if age.uncertain_s < 0:
+                earliest = float("-inf")
+            time = CommitTime(earliest, now - age.committed_s)
             self._note(age.version, time)
 
     def _note(self, version: int, time: CommitTime) -> None:
@@ -47,7 +55,9 @@
             bisect.insort(self._versions, version)
             known = time
         # A control VM may have learned of the commit later than another.
-        self._times[version] = CommitTime(*map(min, known, time))
+        latest = min(known.latest, time.latest)
+        earliest = max(known.earliest, time.earliest)
+        self._times[version] = CommitTime(min(earliest, latest), latest)
         if len(self._versions) > MAX_VERSIONS:
             del self._times[self._versions.pop(0)]
 
--- a/jasperweir/daemons/order_log.py
+++ b/jasperweir/daemons/order_log.py
@@ -17,7 +17,13 @@
     messages.OrderEffect.UNKNOWN: "order acknowledged",
     messages.OrderEffect.OVERTAKEN: "acknowledged order was overtaken",
     messages.OrderEffect.OTHER_CONTENT: "order has other content than the log",
+    messages.OrderEffect.LOST: "acknowledged version is lost",
 }
+_WARNINGS = (
+    messages.OrderEffect.OVERTAKEN,
+    messages.OrderEffect.OTHER_CONTENT,
+    messages.OrderEffect.LOST,
+)
 
 
 class OrderLog:
@@ -32,10 +38,7 @@
     def record(self, act: order_records.OrderRecorded) -> None:
         """Write an order; one from before this start is marked as such."""
         order = act.record
-        is_warning = (
-            order.effect is messages.OrderEffect.OVERTAKEN
-            or order.effect is messages.OrderEffect.OTHER_CONTENT
-        )
+        is_warning = order.effect in _WARNINGS
         if not act.is_repeated:
             self._metrics.inc(
                 "orders_acknowledged", effect=order.effect.name.lower()
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -10,6 +10,7 @@
 from jasperweir.components.configctl import const
 from jasperweir.components.configctl import control_calls as calls_lib
 from jasperweir.components.configctl import discovery_server
+from jasperweir.components.configctl import entry_check
 from jasperweir.components.configctl import evacuations as evacuations_lib
 from jasperweir.components.configctl import leader_requests as requests_lib
 from jasperweir.components.configctl import log_view
@@ -356,6 +357,12 @@
                 _log.warning("soft state not read", reason=act.reason)
             case order_records.OrderRecorded():
                 self._order_log.record(act)
+            case (
+                entry_check.OtherContent()
+                | entry_check.LateEntry()
+                | entry_check.EntryRestarted()
+            ):
+                self._version_audit_log.record_check(act)
             case version_reports.Reported():
                 self._version_audit_log.record(act.report)
             case mapswitch_actions.SendDirectly():
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -50,6 +50,9 @@
 STOP_TICK_SECONDS = 0.1
 # Interval at which the forwarder removes unused state, seconds.
 CLEANUP_SECONDS = 0.5
+# Delay of an audit after a request that has to be reported, so that one report
+# names several, seconds.
+AUDIT_DELAY_SECONDS = 0.1
 # Time to live of an address lookup, seconds; some callers cache it three times
 # as long.
 ADDRESS_TTL_SECONDS = 0.5
@@ -145,6 +148,8 @@
         self._version_audit_log = version_audit_log.VersionAuditLog(
             channel="entry", metrics=self._host.metrics
         )
+        self._forwarder.version_audit.on_found = self._schedule_audit
+        self._audit_scheduled = False
         self._version_announced_at = self._host.now()
         self._share_scheduled = False
         self._forwarder.balancer.on_change = self._schedule_share
@@ -343,10 +348,13 @@
         self._apply_limits()
         # Last: from here on confirmations cover the version.
         self._send_all(
-            self._discovery.on_applied(act.version, self._host.now())
+            self._discovery.on_applied(
+                act.version, self._host.now(), hashing.checksum(act.data)
+            )
         )
         self._record_applied(act)
-        self._audit_version(index)
+        self._forwarder.version_audit.on_in_force(deployment)
+        self._audit_requests()
 
     def _record_applied(self, act: discovery_client.ApplyConfiguration) -> None:
         """Record when a version came into force here."""
@@ -368,12 +376,22 @@
             content=f"{hashing.checksum(act.data):x}",
         )
 
-    def _audit_version(self, index: index_lib.DeploymentIndex) -> None:
-        """Report what older versions let through after this one was due."""
+    def _schedule_audit(self) -> None:
+        if self._audit_scheduled:
+            return
+        self._audit_scheduled = True
+        self._host.call_later(AUDIT_DELAY_SECONDS, self._audit_requests)
+
+    def _audit_requests(self) -> None:
+        """Report requests that the version in force does not allow."""
+        self._audit_scheduled = False
+        index = self._forwarder.index
+        if index is None:
+            return
         found = self._forwarder.version_audit.check(
             index, self._discovery.commit_times
         )
-        if not found:
+        if not found.requests and not found.undated:
             return
         report = version_audit_log.make_report(
             self._cfg.internal, index.deployment.version, found
