Plan soak replaces all three voters, and repeats requests over changes

Targets answer one in seven plain requests with 500, some after up to 3 s, so requests are repeated over changes. Every order that an operator was told of is compared with the log, requests sent right after an acknowledgement are counted by whether they were decided by an older version, and what control VMs log of broken rules is a violation.

Only an index that is older than the version held is wrong, so that is what the audit reports.

Two more faults can be planted: a request that is sent by the match of an older version, and orders that a control VM acknowledges without a leader.

--- a/features/harness/planted_faults.py
+++ b/features/harness/planted_faults.py
@@ -1,9 +1,15 @@
-"""Faults that are planted in an entry, to prove that a soak finds them."""
+"""Faults that are planted in a process, to prove that a soak finds them."""
 
 import json
 import zlib
 
+from jasperweir.components.configctl import discovery_server
+from jasperweir.components.configctl import leader_requests
+from jasperweir.components.configctl import messages
+from jasperweir.components.configctl import node as node_lib
 from jasperweir.components.deployment import index as index_lib
+from jasperweir.components.forward import intake
+from jasperweir.components.forward import rematcher
 from jasperweir.daemons import site_entry
 from jasperweir.helpers import clocks
 
@@ -13,6 +19,8 @@
 LATE_SECONDS = 2.5
 # One in so many versions gets the content of the one before.
 OTHER_CONTENT = 3
+# One in so many orders is forgotten.
+FORGOTTEN = 3
 # Number of the version whose content is late, for an entry that is late once.
 LATE_ONCE = 12
 
@@ -83,7 +91,33 @@
     site_entry.SiteEntry._apply_configuration = apply_other
 
 
+def _send_by_older_match():
+    """Send requests by the version that admitted them."""
+    rematcher.Rematcher.is_settled = lambda self, exchange: True
+    intake.RequestIntake.match_again = lambda self, exchange: None
+
+
+def _forget_orders():
+    """Acknowledge some orders that are passed on to no leader."""
+    start = node_lib.ConfigNode.replace
+
+    def replace(self, version, data, now):
+        if version % FORGOTTEN:
+            return start(self, version, data, now)
+        number = next(self._request_numbers)
+        order = messages.ReplaceRequest(
+            number=number, version=version, data=data
+        )
+        reply = messages.ReplaceReply(number=number, version=version)
+        done = leader_requests.Replaced(number=number, order=order, reply=reply)
+        return discovery_server.StartedRequest(number, [done])
+
+    node_lib.ConfigNode.replace = replace
+
+
 KINDS = {
+    "repeat by the older match": _send_by_older_match,
+    "order forgotten": _forget_orders,
     "key accepted longer": _accept_keys_longer,
     "content late": lambda: _delay_content(
         lambda count: LATE_SECONDS if count > 1 else 0.0
@@ -93,3 +127,5 @@
     ),
     "other content": _use_other_content,
 }
+# Faults of a control VM; the others are an entry's.
+CONTROL_KINDS = ("order forgotten",)
--- a/features/soak/audit_check.py
+++ b/features/soak/audit_check.py
@@ -72,6 +72,85 @@
     ]
 
 
+# Lines of control VMs that state a broken rule wherever the entry is.
+BROKEN = (
+    "request decided by another version",
+    "request not allowed by its version",
+    "entry has other content than the log",
+    "acknowledged version is lost",
+)
+
+
+def find_broken(folder):
+    """Return the broken rules that control VMs log.
+
+    Args:
+        folder: Folder of the processes' files.
+    """
+    found = set()
+    for body in _read_lines(folder, "control-*.log", BROKEN):
+        entry = body.get("entry", body.get("by", ""))
+        vm = platform_lib.find_vm(entry) if entry else 0
+        version = body.get("version", body.get("v"))
+        found.add(f"vm-{vm}: {body['event']}, version {version}")
+    return sorted(found)
+
+
+def check_acknowledgements(folder, acknowledged):
+    """Compare each acknowledged order with what the log put into force.
+
+    Args:
+        folder: Folder of the processes' files.
+        acknowledged: Versions that operators were told are in force.
+
+    Returns:
+        Broken rules, and the number of orders by what became of them.
+    """
+    in_force = collections.defaultdict(set)
+    lines = _read_lines(folder, "*.log", ["version in force"])
+    for body in lines:
+        in_force[body["version"]].add(body["content"])
+    orders = {}
+    for body in _read_lines(folder, "control-*.log", ORDERS):
+        orders[body["by"], body["number"], body["v"]] = body
+    counts = collections.Counter(body["event"] for body in orders.values())
+    newest = max(in_force, default=0)
+    recorded = {body["v"] for body in orders.values()}
+    broken = [
+        f"version {version} was acknowledged, and no control VM recorded it"
+        for version in sorted(acknowledged - recorded)
+    ]
+    for body in orders.values():
+        contents = in_force[body["v"]]
+        is_told = body["event"] != "order acknowledged"
+        if body["v"] > newest or (
+            contents and body["content"] not in contents and not is_told
+        ):
+            broken.append(
+                f"vm-{platform_lib.find_vm(body['by'])}: version {body['v']}"
+                f" was acknowledged and is not in force"
+            )
+    return broken, dict(counts)
+
+
+ORDERS = (
+    "order acknowledged",
+    "acknowledged order was overtaken",
+    "order has other content than the log",
+)
+
+
+def _read_lines(folder, pattern, events):
+    """Return the lines of some events in the logs of a run."""
+    quoted = [f'"event":"{event}"' for event in events]
+    return [
+        json.loads(line)
+        for path in sorted(pathlib.Path(folder).glob(pattern))
+        for line in path.read_text(errors="replace").splitlines()
+        if any(text in line for text in quoted)
+    ]
+
+
 def find_other_contents(folder):
     """Return the versions that processes put into force with two contents.
 
--- a/features/soak/configuration_check.py
+++ b/features/soak/configuration_check.py
@@ -43,6 +43,9 @@
     def __init__(self):
         self.decisions = []
         self.violations = []
+        # Decisions on requests sent after an acknowledgement, and those of them
+        # that only an older version allows.
+        self.after_ack = collections.Counter()
         self.added = collections.Counter()
         self._sent = {}
         self._acked = []
@@ -58,6 +61,12 @@
         with self._lock:
             self._acked.append((now, version))
 
+    @property
+    def acknowledged(self):
+        """Versions that were acknowledged to an operator."""
+        with self._lock:
+            return {version for _, version in self._acked}
+
     def sent_versions(self):
         """Return all versions sent so far."""
         with self._lock:
@@ -102,7 +111,14 @@
             if self._sent[version] <= found.ended_at
         }
 
+    def _count_after_ack(self, found):
+        """Count whether a version was in force once it was acknowledged."""
+        acked = self.newest_acknowledged(found.sent_at)
+        is_older = not any(v >= acked for v in self._possible(found))
+        self.after_ack["older" if is_older else "in force"] += 1
+
     def _check_late(self, found, is_in_touch):
+        self._count_after_ack(found)
         due = self.newest_acknowledged(found.sent_at - APPLY_SECONDS)
         if any(version >= due for version in self._possible(found)):
             return
--- a/features/soak/configuration_day.py
+++ b/features/soak/configuration_day.py
@@ -13,6 +13,7 @@
 import signal
 import time
 
+from features.harness import planted_faults
 from features.soak import audit_check
 from features.soak import configuration_faults
 from features.soak import configuration_world
@@ -318,7 +319,10 @@
         self.faults = self.COURSE(world=self)
         self.rhythm = Rhythm(random.Random(f"{seed}/rhythm"))
         self._plant = plant
-        self.planted_vm = random.Random(f"{seed}/plant").choice(self._vms)
+        is_control = plant in planted_faults.CONTROL_KINDS
+        self.planted_vm = random.Random(f"{seed}/plant").choice(
+            self.control_vms if is_control else self._vms
+        )
         self._operators = [self.OPERATOR(world=self, number=n) for n in (1, 2)]
         vms = (*self._vms, *self.REPLACEMENTS)
         self._kept_callers = [
@@ -341,6 +345,12 @@
         self.reports = audit_check.read_reports(self.plat.folder)
         self.summary += f", {counts}, {len(self.reports)} reported by entries"
         found += audit_check.find_violations(self.reports)
+        found += audit_check.find_broken(self.plat.folder)
+        broken, orders = audit_check.check_acknowledgements(
+            self.plat.folder, self.check.acknowledged
+        )
+        found += broken
+        self.summary += f", orders {orders}"
         return found + audit_check.find_other_contents(self.plat.folder)
 
     def replace_vm(self, lost, number):
@@ -365,7 +375,9 @@
         zones = {n: ZONES[(n - 1) % 3] for n in self._vms}
         self.plat.zones.update(zones)
         if self._plant:
-            self.plat.set_plant(f"entry-{self.planted_vm}", self._plant)
+            is_control = self._plant in planted_faults.CONTROL_KINDS
+            role = "control" if is_control else "entry"
+            self.plat.set_plant(f"{role}-{self.planted_vm}", self._plant)
         for number in range(1, AGENTS + 1):
             self.plat.start("agent", number)
 
--- a/features/soak/configuration_plan.py
+++ b/features/soak/configuration_plan.py
@@ -1,9 +1,11 @@
-"""A day whose course is given: two voters leave right after commits.
-
-The leader leaves for good right after a version is committed, a VM of another
-name takes its place, versions follow each other for some seconds, operators
-race under one number and orders arrive again late. Then a control VM that has
-just acknowledged a version loses its disk. Entries stop, are suspended and cut
+"""A day whose course is given: all three voters are replaced in turn.
+
+A voter that does not lead is replaced first. The leader leaves for good right
+after a version is committed, a VM of another name takes its place, versions
+follow each other for some seconds, operators race under one number and orders
+arrive again late. Then the last of the first voters loses its disk, right after
+it has acknowledged a version. Targets answer some requests with 500, which are
+repeated, some of them over a change. Entries stop, are suspended and cut
 off meanwhile. At the end the disk of one more voter is lost, and all power.
 """
 
@@ -16,10 +18,13 @@
 
 from features.harness import platform as platform_lib
 from features.soak import configuration_day
+from features.soak import configuration_world
 from features.soak import faults as faults_lib
 
 # VMs that take the places of the lost ones.
-LEADER_REPLACEMENT, CORE_REPLACEMENT = 13, 15
+FIRST_REPLACEMENT, LEADER_REPLACEMENT, CORE_REPLACEMENT = 12, 13, 15
+# One in so many plain requests fails, within so many seconds.
+FAIL_EVERY, FAIL_SECONDS = 7, 3.0
 # Time after which a new VM counts as caught up, seconds.
 CATCH_UP_SECONDS = 4.0
 # Longest wait for an acknowledgement or a leader, seconds.
@@ -82,8 +87,9 @@
     def _play(self):
         world = self._world
         time.sleep(configuration_day.CALM_SHARE * self._seconds)
-        self._restart_vm()
+        self._replace_follower()
         self._suspend_entry()
+        self._wait_for_repair()
         self._leave_after_commit()
         world.hasten()
         self._cut_entries()
@@ -99,23 +105,32 @@
         time.sleep(configuration_day.STILL_SECONDS)
         self._close()
 
-    def _wait_for_repair(self):
-        due_at = self._disk_lost_at + faults_lib.REPAIR_SECONDS
-        time.sleep(max(due_at - time.monotonic(), 0.0))
-
-    def _leave_after_commit(self):
-        """Let the leader's VM leave for good right after a commit."""
+    def _replace_follower(self):
+        """Replace a voter that does not lead."""
         leader = self._wait_for_commit()
-        names = self._list_processes(leader)
-        self._log_fault(f"{names} leave right after a commit")
+        others = [n for n in self._world.core_vms if n != leader]
+        self._replace_voter(self._rng.choice(others), FIRST_REPLACEMENT)
+
+    def _replace_voter(self, number, replacement):
+        """End a voter's VM for good; another one takes its place."""
+        names = self._list_processes(number)
+        self._log_fault(f"{names} leave, vm-{replacement} comes")
         for name in names:
             self._terminate(name, signal.SIGKILL)
         self._disk_lost_at = time.monotonic()
-        self._world.replace_vm(leader, LEADER_REPLACEMENT)
+        self._world.replace_vm(number, replacement)
         time.sleep(self._rng.uniform(0.2, 1.0))
-        for name in self._list_processes(LEADER_REPLACEMENT):
+        for name in self._list_processes(replacement):
             self._start(name)
 
+    def _wait_for_repair(self):
+        due_at = self._disk_lost_at + faults_lib.REPAIR_SECONDS
+        time.sleep(max(due_at - time.monotonic(), 0.0))
+
+    def _leave_after_commit(self):
+        """Let the leader's VM leave for good right after a commit."""
+        self._replace_voter(self._wait_for_commit(), LEADER_REPLACEMENT)
+
     def _wait_for_commit(self):
         """Return the VM of a leader that has just committed a version."""
         found = self._find_commit()
@@ -139,8 +154,9 @@
     def _lose_disk_after_acknowledgement(self):
         """Let a voter acknowledge a version and lose its VM at once."""
         world = self._world
-        number = self._rng.choice(world.core_vms)
+        first = [n for n in world.core_vms if n in faults_lib.VMS]
         rng = self._rng
+        number = rng.choice(first or world.core_vms)
         ends_at = time.monotonic() + WAIT_SECONDS
         while time.monotonic() < ends_at:
             version = world.next_version(rng)
@@ -155,14 +171,8 @@
         for name in names:
             world.plat.signal(name, signal.SIGKILL)
         world.check.record_acknowledged(version, time.monotonic())
-        self._log_fault(f"{names} leave after acknowledging {version}")
-        for name in names:
-            self._terminate(name, signal.SIGKILL)
-        self._disk_lost_at = time.monotonic()
-        world.replace_vm(number, CORE_REPLACEMENT)
-        time.sleep(rng.uniform(0.2, 1.0))
-        for name in self._list_processes(CORE_REPLACEMENT):
-            self._start(name)
+        self._log_fault(f"vm-{number} has just acknowledged {version}")
+        self._replace_voter(number, CORE_REPLACEMENT)
 
 
 class PlanWorld(configuration_day.DayWorld):
@@ -171,11 +181,23 @@
     COURSE = PlanCourse
     OPERATOR = PlanOperator
     REPLACEMENTS = (
+        FIRST_REPLACEMENT,
         LEADER_REPLACEMENT,
         configuration_day.LAST_REPLACEMENT,
         CORE_REPLACEMENT,
     )
 
+    def _target_controls(self):
+        numbers = (*self.control_vms, *self.REPLACEMENTS)
+        return ",".join(map(platform_lib.control_address, numbers))
+
+    def _start(self):
+        super()._start()
+        for number in configuration_world.TARGETS:
+            self.plat.tell(
+                number, fail_every=FAIL_EVERY, fail_seconds=FAIL_SECONDS
+            )
+
     def send_order(self, number, doc):
         """Send an order to a control VM; return if it is acknowledged."""
         try:
--- a/jasperweir/components/configctl/messages.py
+++ b/jasperweir/components/configctl/messages.py
@@ -292,7 +292,7 @@
 
     # An older version let it through past the bound.
     OUTDATED = 0
-    # It was decided by another version than the one that counts as held.
+    # It was decided by an older version than the one that counts as held.
     OTHER_VERSION = 1
     # The configuration that decided on it does not allow it.
     NOT_ALLOWED = 2
--- a/script/guards_bounds.py
+++ b/script/guards_bounds.py
@@ -41,7 +41,7 @@
           "version_audit"),
     Guard("an index of another version is noticed",
           "jasperweir/components/forward/version_audit.py",
-          "if sent.version != sent.basis.version:", "if False:",
+          "if sent.version < sent.basis.version:", "if False:",
           "version_audit"),
     Guard("a key that the version does not have is noticed",
           "jasperweir/components/deployment/permissions.py",
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -10,6 +10,7 @@
 import http.server
 import json
 import os
+import random
 import threading
 import time
 from typing import Any
@@ -81,6 +82,11 @@
         self.events_before_end = 0
         # Number of plain requests to run without sending the response.
         self.lose_answers = 0
+        # Answers one in so many plain requests with 500, none if 0, and how
+        # long such a request takes at most, seconds.
+        self.fail_every = 0
+        self.fail_seconds = 0.0
+        self.plain_runs = 0
         self.presence = "ready"
         self.sequence = 0
         self.runs: list[str] = []
@@ -160,12 +166,25 @@
             state.lose_answers -= 1
             self.close_connection = True
             return
+        if self._fails():
+            time.sleep(random.uniform(0, state.fail_seconds))
+            self._send_plain(500, b"failed", signed=True)
+            return
         cut = self._take_cut(state.plain_cuts)
         if cut is None and not state.framing:
             self._send_plain(200, b"ran " + body, signed=True)
             return
         self._send_framed([b"ran " + body], "text/plain", cut)
 
+    def _fails(self) -> bool:
+        """Return whether a plain request is answered with a failure."""
+        state = self.state
+        with state.lock:
+            state.plain_runs += 1
+            return bool(
+                state.fail_every and not state.plain_runs % state.fail_every
+            )
+
     def _answer_script(self, script: cut_answers.Script) -> None:
         """Answer as the query of the request asks."""
         request_id = self.headers.get("Attempt-Id", "")
