Confirmations are void once the steady clocks of an entry part

A confirmation is dated by the clock that counts suspensions. If a machine sets that clock back, confirmations are valid for longer and the audit's times lie with them; nothing would show it. Both steady clocks are compared at each decision and message; if they part by 50 ms, all confirmations are void, answers to what was asked before do not count, and a warning says by how much. Preempted readings are repeated, so load is not taken for a step.

Tests: confirmation.feature, 6 more scenarios.

--- a/features/confirmation.feature
+++ b/features/confirmation.feature
@@ -129,3 +129,23 @@
       | plain   | repeats | moves its route            | run by the new service |
       | stream  | repeats | moves its route            | run by the new service |
       | plain   | repeats | drops its route            | answered 502           |
+
+  # Guards against confirmations that outlive their time on a clock that was set.
+  Scenario: Confirmations are void once the steady clocks of an entry part
+    Given an entry with version 9, confirmed at 100 s
+    When its steady clocks part at 100.2 s
+    Then it is AWAITING, and an answer to a heartbeat of 100 s does not count
+    And an answer to a heartbeat that it sends after that does
+
+  Scenario Outline: Clocks are compared by what they gain between two readings
+    Given two steady clocks that differ by 1000 s
+    When the one that counts suspensions gains <gain> s, and a reading <reading>
+    Then a step of <step> s is found
+
+    Examples:
+      | gain | reading                    | step |
+      | 0    | is undisturbed             | 0    |
+      | 3    | is undisturbed             | 3    |
+      | -3   | is undisturbed             | -3   |
+      | 0    | is preempted for 1 s once  | 0    |
+      | 0    | is always preempted        | 0    |
--- a/features/steps/confirmation_steps.py
+++ b/features/steps/confirmation_steps.py
@@ -16,6 +16,7 @@
 from jasperweir.components.directory import records
 from jasperweir.components.discovery import client as discovery_client
 from jasperweir.components.discovery import version_basis
+from jasperweir.helpers import clocks
 
 Standing = tracker_lib.Standing
 STEP = 0.05
@@ -425,3 +426,70 @@
     assert status == 503, status
     assert dict(headers)[b"jasperweir-code"] == code, headers
     assert context.runs == (0, 0), context.runs
+
+
+@when("its steady clocks part at {at:g} s")
+def step_clocks_part(context, at):
+    context.entry.now = at
+    context.entry.client.on_clock_step()
+
+
+@then("it is AWAITING, and an answer to a heartbeat of 100 s does not count")
+def step_void(context):
+    entry = context.entry
+    assert entry.standing is Standing.AWAITING, entry.standing
+    entry.answer(100.25, echo=entry.rounds[100.0], age_s=0.0)
+    assert entry.standing is Standing.AWAITING, entry.standing
+
+
+@then("an answer to a heartbeat that it sends after that does")
+def step_confirmed_anew(context):
+    entry = context.entry
+    entry.tick(101.2)
+    entry.answer(101.25, echo=entry.rounds[101.2], age_s=0.0)
+    assert entry.standing is Standing.CURRENT, entry.standing
+
+
+class FakeClocks:
+    """Two clocks; reading the second one may take long."""
+
+    def __init__(self):
+        self.now = 5.0
+        self.gained = 0.0
+        # How long the next readings take, seconds.
+        self.delays = []
+
+    def counting(self):
+        if self.delays:
+            self.now += self.delays.pop()
+        return self.now + 1000.0 + self.gained
+
+    def skipping(self):
+        return self.now
+
+
+@given("two steady clocks that differ by 1000 s")
+def step_clocks(context):
+    context.clocks = fake = FakeClocks()
+    context.comparison = clocks.ClockComparison(
+        counting=fake.counting, skipping=fake.skipping
+    )
+
+
+@when(
+    "the one that counts suspensions gains {gain:g} s, and a reading {reading}"
+)
+def step_gains(context, gain, reading):
+    context.clocks.gained += gain
+    context.clocks.now += 1.0
+    match reading:
+        case "is preempted for 1 s once":
+            context.clocks.delays = [1.0]
+        case "is always preempted":
+            context.clocks.delays = [1.0] * 10
+
+
+@then("a step of {step:g} s is found")
+def step_found(context, step):
+    found = context.comparison.find_step()
+    assert abs(found - step) < 1e-6, found
--- a/jasperweir/components/confirmation/const.py
+++ b/jasperweir/components/confirmation/const.py
@@ -21,5 +21,8 @@
 # The same while it waits for an answer: it asks at ASK_INTERVAL_SECONDS, and
 # answers may wait in its sockets.
 STALLED_SECONDS = 0.3
+# Steady clocks that part by this between two readings were set, or the machine
+# was suspended; reading one after the other takes far less.
+CLOCK_STEP_SECONDS = 0.05
 # Requests for confirmation that are remembered until they are answered.
 MAX_ROUNDS = 64
--- a/jasperweir/components/confirmation/rounds.py
+++ b/jasperweir/components/confirmation/rounds.py
@@ -39,6 +39,11 @@
             self._sent_at.popitem(last=False)
         return number
 
+    def void(self) -> None:
+        """Forget all rounds, so that no answer to them is used."""
+        self._sent_at.clear()
+        self._last_sent_at = float("-inf")
+
     def find_start(self, number: int) -> float | None:
         """Return when a round started, monotonic seconds; None if unknown."""
         return self._sent_at.get(number)
--- a/jasperweir/components/confirmation/tracker.py
+++ b/jasperweir/components/confirmation/tracker.py
@@ -156,6 +156,12 @@
             self._contested_since = now
         self._contested_at = now
 
+    def void(self) -> None:
+        """Forget all confirmations, because their times can't be compared."""
+        self.latest = Confirmation(version=0, as_of=_NEVER, source="")
+        self._covering = self.latest
+        self._asked_at = None
+
     def hold(self, version: int, now: float) -> None:
         """Record that a version was put into force."""
         self._note_known(version, now)
--- a/jasperweir/components/discovery/client.py
+++ b/jasperweir/components/discovery/client.py
@@ -384,6 +384,12 @@
             for name, _ in self._heartbeat_controls(now)
         ]
 
+    def on_clock_step(self) -> None:
+        """Void all confirmations, and what was asked for."""
+        self.confirmations.void()
+        self._rounds.void()
+        self._majority_reader = majority_lib.MajorityReader()
+
     def _mark_heard(self, src: str, now: float) -> Control:
         control = self._controls.setdefault(src, Control())
         control.heard_at = now
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -14,6 +14,7 @@
 from jasperweir.components.balance import entry_cell as entry_cell_lib
 from jasperweir.components.balance import messages as balance_messages
 from jasperweir.components.configctl import messages as config_messages
+from jasperweir.components.confirmation import const as confirmation_const
 from jasperweir.components.deployment import index as index_lib
 from jasperweir.components.deployment import model
 from jasperweir.components.directory import const as directory_const
@@ -36,6 +37,7 @@
 from jasperweir.daemons import quarantine_page
 from jasperweir.daemons import standing_log
 from jasperweir.daemons import version_audit_log
+from jasperweir.helpers import clocks
 from jasperweir.helpers import hashing
 from jasperweir.helpers import http_client
 from jasperweir.helpers import http_message
@@ -150,6 +152,7 @@
         )
         self._forwarder.version_audit.on_found = self._schedule_audit
         self._audit_scheduled = False
+        self._clocks = clocks.ClockComparison()
         self._version_announced_at = self._host.now()
         self._share_scheduled = False
         self._forwarder.balancer.on_change = self._schedule_share
@@ -212,7 +215,17 @@
 
     # Discovery.
 
+    def _check_clocks(self) -> None:
+        """Void confirmations if the steady clocks have parted."""
+        step_s = self._clocks.find_step()
+        if abs(step_s) < confirmation_const.CLOCK_STEP_SECONDS:
+            return
+        self._host.metrics.inc("clock_steps")
+        _log.warning("steady clocks have parted", step_ms=round(step_s * 1000))
+        self._discovery.on_clock_step()
+
     def _tick_discovery(self) -> None:
+        self._check_clocks()
         now = self._host.now()
         self._perform(self._discovery.tick(now))
         self._record_standing(now)
@@ -236,6 +249,7 @@
         self._perform(self._discovery.set_open(is_open=is_open, now=now))
 
     def _on_frame(self, src: str, msg: Any) -> None:
+        self._check_clocks()
         now = self._host.now()
         match msg:
             case balance_messages.Share():
@@ -416,6 +430,7 @@
         )
 
     def _describe_version(self) -> version_basis.VersionBasis:
+        self._check_clocks()
         return self._discovery.describe_version(self._host.now())
 
     def _on_target_replaced(self, target: records.Target) -> None:
