--- a/features/harness/deaf_role.py
+++ b/features/harness/deaf_role.py
@@ -8,6 +8,13 @@
 * ``late SECONDS ip:port``: frames from it are delayed.
 * ``delay SECONDS``: all frames are delayed.
 
+If JASPERWEIR_TEST_RELAYS is set, the process connects through relays, see
+tcp_relay, and there are further kinds:
+
+* ``silent ip:port``: packets of connections to it are dropped.
+* ``dead ip:port``: open connections to it are silent for good.
+* ``reset ip:port``: open connections to it are reset.
+
 If a file of the same name with the suffix ``.plant`` names a fault, it is
 planted in the process, see planted_faults.
 """
@@ -36,6 +43,7 @@
         self._deaf = frozenset()
         self._late = {}
         self._delay_s = 0.0
+        self._relays = None
         # When each link was cut, by the name of the other process.
         self._cut_at = {}
         threading.Thread(target=self._watch, daemon=True).start()
@@ -57,6 +65,10 @@
         cut_at = self._cut_at.get(name)
         return cut_at is not None and time.monotonic() - cut_at > SILENT_SECONDS
 
+    def use_relays(self, relays):
+        """Disturb the connections of a process, too."""
+        self._relays = relays
+
     def _watch(self):
         while True:
             text = self._path.read_text() if self._path.exists() else ""
@@ -77,11 +89,45 @@
                     delay_s = float(seconds)
                 case [name]:
                     deaf.add(name)
+        if self._relays is not None:
+            self._relays.apply(**_list_tcp(text))
         now = time.monotonic()
         self._deaf, self._late, self._delay_s = frozenset(deaf), late, delay_s
         self._cut_at = {name: self._cut_at.get(name, now) for name in cut}
 
 
+def _list_tcp(text):
+    """Return the addresses whose connections are disturbed, by kind."""
+    kinds = {"silent": set(), "dead": set(), "reset": set()}
+    for line in text.splitlines():
+        kind, _, name = line.partition(" ")
+        if kind in kinds:
+            kinds[kind].add(name)
+    return {
+        "silent": kinds["silent"],
+        "killed": kinds["dead"],
+        "reset": kinds["reset"],
+    }
+
+
+def _relay_connections(disturbances):
+    import zmq
+
+    from features.harness import tcp_relay
+
+    relays = tcp_relay.Relays()
+    disturbances.use_relays(relays)
+    connect = zmq.Socket.connect
+
+    def connect_by_relay(self, endpoint):
+        if endpoint.startswith("tcp://"):
+            port = relays.find_port(endpoint.removeprefix("tcp://"))
+            endpoint = f"tcp://127.0.0.1:{port}"
+        return connect(self, endpoint)
+
+    zmq.Socket.connect = connect_by_relay
+
+
 def _disturb_links(disturbances):
     from jasperweir.helpers import link as link_lib
     from jasperweir.helpers import loop_link
@@ -113,7 +159,10 @@
 
 def main():
     path = pathlib.Path(os.environ["JASPERWEIR_TEST_DEAF"])
-    _disturb_links(Disturbances(path))
+    disturbances = Disturbances(path)
+    _disturb_links(disturbances)
+    if os.environ.get("JASPERWEIR_TEST_RELAYS"):
+        _relay_connections(disturbances)
     plant = path.with_suffix(".plant")
     if plant.exists():
         from features.harness import planted_faults
--- a/script/bench_configuration.py
+++ b/script/bench_configuration.py
@@ -1,13 +1,19 @@
 """Measure how soon an acknowledged configuration is in force, per entry.
 
 Starts three control VMs and a number of entries as real processes, changes the
-configuration and asks each entry by the newest route until it is served. With
-``--starts`` it measures how soon an entry is ready after its start.
+configuration and asks each entry by the newest route until it is served. It
+counts the first requests after an acknowledgement that an older version decided
+and measures how long acknowledgements take, with ``--suspend`` beside an entry
+that is suspended. With ``--starts`` it measures how soon an entry is ready
+after its start.
 """
 
 import argparse
+import collections
+import concurrent.futures
 import http.client
 import pathlib
+import random
 import signal
 import statistics
 import sys
@@ -21,6 +27,10 @@
 from features.harness import platform as platform_lib  # noqa: E402
 
 POLL_SECONDS = 0.05
+# Time for which an entry is suspended, seconds.
+SUSPENDED_SECONDS = (0.4, 2.5)
+# Status of a request on a route that only a newer version has.
+NO_ROUTE = 404
 
 
 def make_document(version: int, routes: int) -> dict:
@@ -94,6 +104,18 @@
     return times
 
 
+def ask_all(askers: list[Asker], version: int) -> list[int]:
+    """Return the status of one request on a version's route at each entry."""
+    with concurrent.futures.ThreadPoolExecutor(len(askers)) as pool:
+        return list(pool.map(lambda asker: asker.status(version), askers))
+
+
+def suspend(plat: platform_lib.Platform, name: str, seconds: float) -> None:
+    """Suspend a process, and let it go on after some seconds."""
+    plat.signal(name, signal.SIGSTOP)
+    threading.Timer(seconds, plat.signal, (name, signal.SIGCONT)).start()
+
+
 def measure_starts(plat: platform_lib.Platform, count: int) -> None:
     """Kill and start one entry, then all processes, some times each."""
     everything = sorted(n for n in plat.procs if not n.startswith("target"))
@@ -131,6 +153,7 @@
     parser.add_argument("--routes", type=int, default=20)
     parser.add_argument("--changes", type=int, default=10)
     parser.add_argument("--starts", type=int, default=0)
+    parser.add_argument("--suspend", action="store_true")
     args = parser.parse_args()
     folder = tempfile.mkdtemp(prefix="jasperweir-configuration-")
     plat = platform_lib.Platform(folder)
@@ -147,12 +170,19 @@
         wait_all(askers, 1, 120.0)
         if args.starts:
             measure_starts(plat, args.starts)
-        worst = []
+        worst, acks, first = [], [], collections.Counter[int]()
+        rng = random.Random(1)
         for version in range(2, args.changes + 2):
             doc = make_document(version, args.routes)
+            if args.suspend:
+                name = f"entry-{rng.randint(1, args.entries)}"
+                suspend(plat, name, rng.uniform(*SUSPENDED_SECONDS))
+            sent_at = time.monotonic()
             while plat.replace(1 + version % 3, doc) != 200:
-                time.sleep(0.1)
+                time.sleep(POLL_SECONDS)
             acked_at = time.monotonic()
+            acks.append(acked_at - sent_at)
+            first.update(ask_all(askers, version))
             served = wait_all(askers, version, 30.0)
             worst.append(max(max(served) - acked_at, 0.0))
             time.sleep(1.0)
@@ -161,7 +191,10 @@
     print(
         f"{args.entries} entries, {args.routes} routes, {args.changes} changes:"
         f" in force at the last entry after the acknowledgement, median"
-        f" {statistics.median(worst):.3f} s, worst {max(worst):.3f} s"
+        f" {statistics.median(worst):.3f} s, worst {max(worst):.3f} s;"
+        f" acknowledged after {statistics.median(acks):.4f} s at the median,"
+        f" {max(acks):.4f} s at worst; first requests by an older version"
+        f" {first[NO_ROUTE]} of {first.total()}, by status {dict(first)}"
     )
     return 0
 
--- a/script/soak.py
+++ b/script/soak.py
@@ -13,10 +13,19 @@
 from features.soak import configuration_day  # noqa: E402
 from features.soak import configuration_plan  # noqa: E402
 from features.soak import configuration_world  # noqa: E402
+from features.soak import cut_recovery  # noqa: E402
 from features.soak import parts_world  # noqa: E402
 from features.soak import world as world_lib  # noqa: E402
 
 
+def run_recovery(seed: int, count: int) -> int:
+    """Time recoveries from cuts; return 1 if one took too long."""
+    folder = tempfile.mkdtemp(prefix=f"jasperweir-recovery-{seed}-")
+    found = cut_recovery.RecoveryRun(seed=seed, folder=folder).run(count)
+    print("\n".join([*cut_recovery.summarize(found), folder]))
+    return int(any(r.left_s > cut_recovery.LEAVE_SECONDS for r in found))
+
+
 def main() -> int:
     """Run the seeds one after the other; return 1 if any broke a promise."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -80,7 +89,16 @@
         default=0,
         help="with --configurations: further routes of each version",
     )
+    parser.add_argument(
+        "--recovery",
+        type=int,
+        default=0,
+        help="number of cuts of each kind after which an entry that acted"
+        " unconfirmed is timed",
+    )
     args = parser.parse_args()
+    if args.recovery:
+        return run_recovery(args.first, args.recovery)
     failed = []
     for seed in range(args.first, args.first + args.seeds):
         folder = tempfile.mkdtemp(prefix=f"jasperweir-soak-{seed}-")
