Orders and seats of a control VM are modules of their own

Orders (who waits, when a version is in force, what was acknowledged) are in orders.py; who gets a seat and whether there are enough is in seat_manager.py. No behaviour changes.

--- a/features/steps/acknowledged_in_force_steps.py
+++ b/features/steps/acknowledged_in_force_steps.py
@@ -246,7 +246,7 @@
 @then("the record names the entry as expired and the control VM as not heard")
 def step_record(context):
     site = context.site
-    record = site.nodes[site.leader()].order_records.recent[-1]
+    record = site.nodes[site.leader()].orders.records.recent[-1]
     assert record.version == 13
     assert record.expired == ("e1",), record
     assert record.unheard == (context.suspended,), record
--- a/jasperweir/components/configctl/node.py
+++ b/jasperweir/components/configctl/node.py
@@ -13,20 +13,16 @@
 from jasperweir.components.configctl import discovery_server
 from jasperweir.components.configctl import entry_check
 from jasperweir.components.configctl import evacuations as evacuations_lib
-from jasperweir.components.configctl import force_barrier
 from jasperweir.components.configctl import leader_requests as requests_lib
 from jasperweir.components.configctl import lease_book
 from jasperweir.components.configctl import log_view
 from jasperweir.components.configctl import messages
-from jasperweir.components.configctl import order_records
-from jasperweir.components.configctl import pending_orders
+from jasperweir.components.configctl import orders as orders_lib
 from jasperweir.components.configctl import replies
-from jasperweir.components.configctl import seats as seats_lib
+from jasperweir.components.configctl import seat_manager
 from jasperweir.components.configctl import version_ages
-from jasperweir.components.configctl import version_history
 from jasperweir.components.configctl import version_reports
 from jasperweir.components.confirmation import messages as confirmation_messages
-from jasperweir.components.directory import const as directory_const
 from jasperweir.components.directory import records
 from jasperweir.components.quorum import actions
 from jasperweir.components.quorum import const as quorum_const
@@ -35,25 +31,10 @@
 from jasperweir.components.registry import ops
 from jasperweir.components.registry import state_machine as state_machine_lib
 from jasperweir.helpers import codec
-from jasperweir.helpers import hashing
 
 Actions = list[Any]
 
 
-class SeatsChanged(NamedTuple):
-    """Action: the voters, or what is decided about their number, changed.
-
-    Attributes:
-        voters: Names of the voting members.
-        wanted: Wanted number of voters.
-        reduced: Whether the cluster has decided to work with fewer.
-    """
-
-    voters: tuple[str, ...]
-    wanted: int
-    reduced: bool
-
-
 class SoftStateUnreadable(NamedTuple):
     """Action: log that the stored soft state could not be read."""
 
@@ -69,8 +50,7 @@
         machine: State machine with the committed operations.
         discovery: Targets, entries, agents and other control VMs.
         version_reports: Reports of entries about outdated requests.
-        version_history: Contents that came into force.
-        order_records: Orders that were acknowledged last.
+        orders: Orders of operators, and who may act on older versions.
     """
 
     def __init__(
@@ -102,16 +82,13 @@
         self.name = name
         self.voter = voter
         self.machine = state_machine_lib.StateMachine()
-        self._wanted_seats = wanted_seats
         voter.wanted_voters = wanted_seats
         # Without a disk it holds no seat and forwards requests to the leader.
         self._has_disk = has_disk
         self._bootstrap_election: bootstrap_lib.BootstrapElection | None = None
         others = tuple(seed for seed in seeds if seed != name)
-        self._seeds = seeds
         self._request_numbers = itertools.count(first_number)
         self._leases = lease_book.LeaseBook(now=voter.started_at)
-        self._barrier = force_barrier.ForceBarrier(name=name)
         self.discovery = discovery_server.DiscoveryServer(
             name=name,
             leases=self._leases,
@@ -120,34 +97,40 @@
             numbers=self._request_numbers,
             keeps_log=has_disk,
         )
+        self._seats = seat_manager.SeatManager(
+            voter=voter,
+            discovery=self.discovery,
+            seeds=seeds,
+            wanted=wanted_seats,
+        )
+        self.orders = orders_lib.Orders(
+            name=name,
+            voter=voter,
+            machine=self.machine,
+            discovery=self.discovery,
+            leases=self._leases,
+        )
         self._evacuations = evacuations_lib.Evacuations(machine=self.machine)
         self._departures = departures_lib.Departures(
             machine=self.machine, wall=wall
         )
         self._requests = requests_lib.LeaderRequests()
         self._waiters: dict[str, list[requests_lib.Waiter]] = {}
-        self._orders = pending_orders.PendingOrders()
-        self.version_history = version_history.VersionHistory()
-        self.order_records = order_records.OrderRecords(name=name)
         # One message for all nodes, so that a large one is encoded once.
         self._content: messages.Content | None = None
         self._version_ages = version_ages.VersionAges()
         # When it last had all that a leader had committed.
         self._caught_up_at = float("-inf")
         self._entry_check = entry_check.EntryCheck(
-            ages=self._version_ages, history=self.version_history
+            ages=self._version_ages, history=self.orders.history
         )
         self.version_reports = version_reports.VersionReports()
-        self._applicants: dict[str, seats_lib.Applicant] = {}
         self._next_hello_at = 0.0
         # Numbers to repeat in requests for a seat, by receiver.
         self._hello_echoes: dict[str, int] = {}
-        # Since when the leader has had fewer voters than wanted.
-        self._short_since: float | None = None
-        self._reported_seats = SeatsChanged((), wanted_seats, reduced=False)
         if voter.snapshot.idx:
             self.machine.load(voter.snapshot.data)
-            self._remember_restored()
+            self.orders.on_restored()
             self._evacuations.refresh()
 
     # Requests of operators.
@@ -228,9 +211,8 @@
         self._update_staleness()
         out = self._process_actions(self.voter.tick(now), now)
         out += self._update_seats(now)
-        out += self._report_seats()
-        out += self._find_lost_orders(now)
-        out += self._barrier.tick(now) + self._reply_orders(now)
+        out += self._seats.take_report()
+        out += self.orders.tick(now) + self._reply_orders(now)
         out += self._send_pending(now)
         out += self.discovery.tick(self._log_status(now), now)
         if self._bootstrap_election is not None:
@@ -239,16 +221,6 @@
             out += self._request_seat(now)
         return out + self._compact()
 
-    def _find_lost_orders(self, now: float) -> Actions:
-        """Look for acknowledged versions that the log lacks, as the leader."""
-        if self.voter.read_index(now) is None:
-            return []
-        return self.order_records.find_lost(
-            self.machine.declared().version,
-            self.version_history,
-            self.discovery.peers(),
-        )
-
     def receive(self, src: str, msg: Any, now: float) -> Actions:
         """Handle a message from another process."""
         match msg:
@@ -266,17 +238,6 @@
                 | messages.DepartReply()
             ):
                 return self._on_reply(msg)
-            case messages.ReleaseRequest():
-                return self._on_release_request(src, msg, now)
-            case messages.Release():
-                out = self._barrier.on_release(src, msg)
-                return out + self._reply_orders(now)
-            case messages.OrderRecord():
-                return self.order_records.receive(msg)
-            case messages.RecentOrders():
-                return self.order_records.restore(msg.orders)
-            case messages.OrderRecordsRequest():
-                return self.order_records.send_recent(src)
             case messages.ContentRequest():
                 return self._on_content_request(src, msg, now)
             case messages.OutdatedRequests():
@@ -284,9 +245,7 @@
                     src, msg, self.discovery.peers()
                 )
             case quorum_messages.Hello():
-                self._applicants[src] = seats_lib.Applicant(
-                    name=src, disk=msg.disk, addr=msg.addr, asked_at=now
-                )
+                self._seats.on_hello(src, msg, now)
                 if self._bootstrap_election is not None:
                     self._bootstrap_election.on_applicant(src)
             case quorum_messages.SeatClaimCheck():
@@ -306,19 +265,7 @@
             return out
         out = self._entry_check.receive(src, msg, now)
         out += self.discovery.receive(src, msg, self._log_status(now), now)
-        match msg:
-            case records.ControlHeartbeat():
-                out += self.order_records.on_peer(src)
-            case records.NodeHeartbeat() if (
-                msg.node.kind == directory_const.KIND_ENTRY
-            ):
-                out += self._on_entry_version(
-                    src, msg.node.incarnation, msg.version, now
-                )
-            case messages.VersionHeld():
-                out += self._on_entry_version(
-                    src, msg.incarnation, msg.version, now
-                )
+        out += self.orders.receive(src, msg, now) + self._reply_orders(now)
         return out
 
     def restore(
@@ -346,14 +293,14 @@
             # Another release stored it.
             return [SoftStateUnreadable(reason=str(exc))]
         self.discovery.restore(state.targets, now)
-        return self.order_records.restore(state.orders)
+        return self.orders.records.restore(state.orders)
 
     def soft_state(self, now: float) -> bytes:
         """Return state that may be lost but helps after a restart."""
         return codec.pack(
             messages.SoftState(
                 targets=self.discovery.soft_state(now),
-                orders=self.order_records.recent,
+                orders=self.orders.records.recent,
             )
         )
 
@@ -480,74 +427,22 @@
         if msg.version <= self.machine.declared().version:
             if self.voter.is_short and not self.voter.is_commit_synced(now):
                 return []
-            self._orders.add(src, msg, now)
-            return self._reply_orders(now)
-        if not self._has_enough_seats(now):
+        elif not self._seats.has_enough(now):
             return []
-        self._orders.add(src, msg, now)
-        op_id = pending_orders.make_op_id(msg)
-        if not self._orders.start_proposal(op_id):
-            return []
-        op = ops.Replace(version=msg.version, data=msg.data)
-        req = ops.Request(
-            op_id=op_id, who=src, at=0.0, body=codec.pack_tagged(op)
-        )
+        req = self.orders.add(src, msg, now)
+        if req is None:
+            return self._reply_orders(now)
         index, out = self.voter.propose(codec.pack(req), now)
         if not index:
-            self._orders.end_proposal(op_id)
+            self.orders.end_proposal(req.op_id)
         return self._process_actions(out, now)
 
     def _reply_orders(self, now: float) -> Actions:
-        """Reply to the orders up to the version that is in force."""
         out: Actions = []
-        for order in self._orders.take(self._barrier.find_in_force(now)):
-            reply = replies.make_replace_reply(
-                order,
-                held=self.machine.declared(),
-                in_force=self._barrier.latest,
-                history=self.version_history,
-                reports=self.discovery.nodes.entry_reports(),
-                now=now,
-            )
-            out += self._send_reply(order.src, reply)
+        for dst, reply in self.orders.take_replies(now):
+            out += self._send_reply(dst, reply)
         return out
 
-    def _on_release_request(
-        self, src: str, msg: messages.ReleaseRequest, now: float
-    ) -> Actions:
-        """Confirm no older version any more, and say who may hold one.
-
-        After a start it can't say whom it gave one before; the leader asks
-        again.
-        """
-        self.discovery.confirmations.note_announced(msg.version, now)
-        if not self._leases.may_pass_on(now):
-            return []
-        release = messages.Release(
-            version=msg.version, holders=self._leases.list_holders(now)
-        )
-        return [core.Send(dst=src, msg=release)]
-
-    def _start_lead(self, now: float) -> None:
-        state = log_view.describe(
-            self.voter,
-            echo=0,
-            version=self.machine.declared().version,
-            evacuations=0,
-        )
-        # A log without versions has never let an entry decide.
-        self._barrier.start_lead(
-            self.machine.declared().version,
-            has_leases=bool(state.version),
-            now=now,
-        )
-
-    def _on_entry_version(
-        self, src: str, incarnation: int, version: int, now: float
-    ) -> Actions:
-        self._barrier.on_held(lease_book.Holder(src, incarnation), version)
-        return self._reply_orders(now)
-
     def _on_evacuate_request(
         self, src: str, msg: messages.EvacuateRequest, now: float
     ) -> Actions:
@@ -557,7 +452,7 @@
         """
         if self.voter.read_index(now) is None:
             return []
-        if not self._has_enough_seats(now):
+        if not self._seats.has_enough(now):
             return []
         if not self._evacuations.start(src, msg):
             return []
@@ -585,7 +480,7 @@
             if self.voter.is_short and not self.voter.is_commit_synced(now):
                 return []
             return self._send_reply(src, messages.DepartReply(msg.number))
-        if not self._has_enough_seats(now):
+        if not self._seats.has_enough(now):
             return []
         self._departures.add(src, msg)
         return self._propose_departures(now)
@@ -626,47 +521,11 @@
         for act in list(out):
             if isinstance(act, requests_lib.Replaced):
                 # Told to the others first: this VM may end at any moment.
-                peers = self.discovery.peers()
-                out = self.order_records.acknowledge(act, peers) + out
+                out = self.orders.acknowledge(act) + out
         return out
 
-    def _has_enough_seats(self, now: float) -> bool:
-        """Return whether there are enough voters to accept a configuration.
-
-        The wanted number of voters survives the tolerated number of losses. A
-        smaller number is accepted only in the reduced state, in which entries
-        are committed on all voters that aren't silent.
-        """
-        if self._count_voters() >= self._wanted_seats:
-            return True
-        is_decided = (
-            self.voter.seats.reduced
-            and self.voter.seats_index <= self.voter.commit
-        )
-        return is_decided and self._count_voters() >= self._min_seats(now)
-
-    def _min_seats(self, now: float) -> int:
-        """Return the least number of voters for accepting a configuration.
-
-        Deployments may have fewer disks than wanted seats. Seeds that have not
-        said that they lack a disk may still join.
-        """
-        seeds = sum(self.discovery.may_keep_log(seed) for seed in self._seeds)
-        expected = max(seeds, self.discovery.count_log_keepers(now), 1)
-        return min(self._wanted_seats, expected)
-
-    def _count_voters(self) -> int:
-        return sum(seat.voting for seat in self.voter.seats.seats)
-
     # Committed entries.
 
-    def _remember_restored(self) -> None:
-        declared = self.machine.declared()
-        if declared.version:
-            self.version_history.on_restored(
-                declared.version, hashing.checksum(declared.data)
-            )
-
     def _process_actions(self, acts: Actions, now: float) -> Actions:
         out: Actions = []
         for act in acts:
@@ -676,7 +535,7 @@
                 case actions.Restore():
                     before = self.machine.declared().version
                     self.machine.load(act.snapshot.data)
-                    self._remember_restored()
+                    self.orders.on_restored()
                     out += self._announce_version(
                         before, self._caught_up_at, now
                     )
@@ -684,11 +543,10 @@
                     out += self._announce_departures(now)
                 case actions.RoleChanged():
                     if act.role == voter_lib.LEADER:
-                        self._start_lead(now)
+                        self.orders.start_lead(now)
                     else:
-                        self._barrier.clear()
+                        self.orders.stop_lead()
                         self._waiters.clear()
-                        self._orders.clear()
                         self._evacuations.clear_started()
                         self._departures.clear()
                     out.append(act)
@@ -722,13 +580,9 @@
                 continue
             held = self.machine.declared().version
             answer = self.machine.apply(entry.idx, entry.data)
-            declared = self.machine.declared()
-            if declared.version > held:
-                self.version_history.on_in_force(
-                    declared.version, hashing.checksum(declared.data)
-                )
+            self.orders.on_applied(held)
             op_id = codec.unpack(entry.data, ops.Request).op_id
-            self._orders.end_proposal(op_id)
+            self.orders.end_proposal(op_id)
             for waiter in self._waiters.pop(op_id, ()):
                 reply = replies.make_evacuate_reply(waiter.number, answer)
                 self._evacuations.finish(waiter.src, waiter.number)
@@ -758,20 +612,12 @@
         if version <= before:
             return []
         self._version_ages.on_committed(version, earliest=earliest, now=now)
-        self.discovery.confirmations.note_announced(version, now)
         notice = messages.VersionNotice(version=version)
         out: Actions = [
             core.Send(dst=name, msg=notice)
             for name in self.discovery.nodes.entry_names()
         ]
-        if self.voter.role == voter_lib.LEADER:
-            out += self._barrier.on_committed(
-                version,
-                holders=self._leases.list_holders(now),
-                voters=log_view.list_synced(self.voter),
-                now=now,
-            )
-        return out
+        return out + self.orders.on_committed(version, now)
 
     def _on_content_request(
         self, src: str, msg: messages.ContentRequest, now: float
@@ -816,53 +662,12 @@
     # Seats.
 
     def _update_seats(self, now: float) -> Actions:
-        if not self.voter.has_lease(now):
-            return []
-        heard_at = {}
-        for seat in self.voter.seats.seats:
-            progress = self.voter.progress_of(seat.name)
-            if progress is not None:
-                since = self.voter.leader_since
-                heard_at[seat.name] = max(progress.acked_at, since)
-        change = seats_lib.next_seat_change(
-            seats=self.voter.seats,
-            applicants=list(self._applicants.values()),
-            heard_at=heard_at,
-            wanted=self._wanted_seats,
-            now=now,
-            leader=self.name,
-            places=self.voter.places,
-        )
-        change = change or self._decide_reduced(now)
+        change = self._seats.next_change(now)
         if change is None:
             return []
         _, out = self.voter.change_seats(change, now)
         return self._process_actions(out, now)
 
-    def _decide_reduced(self, now: float) -> quorum_messages.Seats | None:
-        """Return the seats with a changed reduced state, or None.
-
-        Control VMs that are not among the seeds may still join, so the state
-        begins only after SEATS_WAIT_SECONDS with too few voters. It ends with
-        the promotion of the last missing voter.
-        """
-        seats = self.voter.seats
-        if self._count_voters() >= self._wanted_seats:
-            self._short_since = None
-            # A lower number may be wanted since a restart.
-            return seats._replace(reduced=False) if seats.reduced else None
-        if self._short_since is None:
-            self._short_since = now
-        since = max(self._short_since, self.voter.leader_since)
-        is_due = now - since >= const.SEATS_WAIT_SECONDS
-        if (
-            seats.reduced
-            or not is_due
-            or self._count_voters() < self._min_seats(now)
-        ):
-            return None
-        return seats._replace(reduced=True)
-
     def _update_staleness(self) -> None:
         """Tell the voter whether a process reports an entry that it lacks."""
         self.voter.is_known_stale = log_view.is_stale(
@@ -871,15 +676,3 @@
             reported_version=self.discovery.reported_version,
             reported_index=self.discovery.reported_index,
         )
-
-    def _report_seats(self) -> Actions:
-        seats = self.voter.seats
-        state = SeatsChanged(
-            voters=tuple(s.name for s in seats.seats if s.voting),
-            wanted=self._wanted_seats,
-            reduced=seats.reduced,
-        )
-        if state == self._reported_seats:
-            return []
-        self._reported_seats = state
-        return [state]
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -16,6 +16,7 @@
 from jasperweir.components.configctl import log_view
 from jasperweir.components.configctl import node as node_lib
 from jasperweir.components.configctl import order_records
+from jasperweir.components.configctl import seat_manager
 from jasperweir.components.configctl import version_reports
 from jasperweir.components.deployment import model
 from jasperweir.components.directory import const as directory_const
@@ -224,7 +225,7 @@
         state = (
             node.voter.commit,
             node.discovery.directory.digest,
-            node.order_records.recent,
+            node.orders.records.recent,
         )
         if state == self._saved_state:
             return
@@ -351,7 +352,7 @@
                     term=act.term,
                     leader=act.leader,
                 )
-            case node_lib.SeatsChanged():
+            case seat_manager.SeatsChanged():
                 self._record_seats(act)
             case node_lib.SoftStateUnreadable():
                 _log.warning("soft state not read", reason=act.reason)
@@ -399,7 +400,7 @@
         metrics.observe("map_settling_seconds", act.settling_s)
         _log.info("expert map switched", **act._asdict())
 
-    def _record_seats(self, act: node_lib.SeatsChanged) -> None:
+    def _record_seats(self, act: seat_manager.SeatsChanged) -> None:
         """Record the voters and whether fewer than wanted are accepted."""
         voting = len(act.voters)
         self._host.metrics.gauge("voting_seats", float(voting))
@@ -475,7 +476,7 @@
         declared = self._node.machine.declared()
         if declared.version <= self._applied_version:
             return
-        orders = self._node.order_records.recent
+        orders = self._node.orders.records.recent
         # Lines may be cut, so what is known from before a start comes first.
         before_start = (
             {}
--- a/script/guards.py
+++ b/script/guards.py
@@ -194,8 +194,9 @@
     Guard("retries are a share of first tries", C + "limits/retry.py",
           "        if self._tokens < 1:\n            return False\n", "",
           "routing"),
-    Guard("seats that losses need before a change", C + "configctl/node.py",
-          "if self._count_voters() >= self._wanted_seats:\n"
+    Guard("seats that losses need before a change",
+          C + "configctl/seat_manager.py",
+          "if self._count_voters() >= self._wanted:\n"
           "            return True\n",
           "if self._count_voters() >= self._min_seats(now):\n"
           "            return True\n", "declared"),
--- a/script/guards_evacuation.py
+++ b/script/guards_evacuation.py
@@ -30,7 +30,7 @@
           "pending.request = request._replace(expected=msg.orders)", "pass",
           "evacuation"),
     Guard("an evacuation needs enough voters", C + "node.py",
-          "        if not self._has_enough_seats(now):\n            return []\n"
+          "        if not self._seats.has_enough(now):\n            return []\n"
           "        if not self._evacuations.start(src, msg):",
           "        if not self._evacuations.start(src, msg):", "evacuation"),
     Guard("request numbers differ from start to start", C + "node.py",
