An acknowledgement is written to the log before the operator is answered

The control VM that acknowledges records the order, tells the others and writes the line, and then answers; the others write theirs at once.

Tests: order_records.feature; both guards are proved by removal.

--- a/features/order_records.feature
+++ b/features/order_records.feature
@@ -26,6 +26,13 @@
     When an operator sends version 13 with other content
     Then every control VM records that it lacks version 13
 
+  # Guards against an acknowledgement that ends with its process unrecorded.
+  Scenario: An order is written to the log before the operator is answered
+    Given a site that holds version 12 with one content
+    When an operator sends version 13 with other content
+    Then its control VM records it, tells the others, and then answers
+    And a deployed control VM writes the line at once
+
   # Guards against evidence that ends with the processes.
   Scenario Outline: A control VM <where> repeats the last orders after a start
     Given a site that holds version 12 with one content
--- a/features/steps/order_records_steps.py
+++ b/features/steps/order_records_steps.py
@@ -1,6 +1,8 @@
 """Steps on the records of acknowledged orders at all control VMs."""
 
 import json
+import pathlib
+import tempfile
 import types
 from unittest import mock
 
@@ -9,8 +11,11 @@
 from behave import when
 import logbook
 
+from features.harness import control_process
 from features.harness import site as site_lib
+from jasperweir import core
 from jasperweir.components.configctl import discovery_server
+from jasperweir.components.configctl import leader_requests
 from jasperweir.components.configctl import messages
 from jasperweir.components.configctl import node as node_lib
 from jasperweir.components.configctl import order_records
@@ -220,3 +225,28 @@
             '"lacked":["10.3.0.185=44"',
         ):
             assert told in cut, (told, cut)
+
+
+@then("its control VM records it, tells the others, and then answers")
+def step_order_of_actions(context):
+    site = context.site
+    node = site.nodes[site.leader()]
+    asked = node.replace(13, b"two", site.now)
+    kinds = [type(act) for act in asked.acts]
+    answered = kinds.index(leader_requests.Replaced)
+    assert kinds.index(order_records.OrderRecorded) < answered, kinds
+    told = [act.dst for act in asked.acts[:answered] if type(act) is core.Send]
+    assert sorted(told) == sorted(node.discovery.peers()), told
+
+
+@then("a deployed control VM writes the line at once")
+def step_flushed(context):
+    record = context.site.nodes["c1"].orders.records.recent[-1]
+    with tempfile.TemporaryDirectory() as folder:
+        cfg = control_process.make_settings(pathlib.Path(folder))
+        control = control_process.start_control(cfg)
+        flush = mock.Mock(return_value=True)
+        control._host._logs = types.SimpleNamespace(flush=flush)
+        control._perform([order_records.OrderRecorded(record=record)])
+        control_process.stop(control)
+    flush.assert_called()
--- a/jasperweir/daemons/loop_host.py
+++ b/jasperweir/daemons/loop_host.py
@@ -143,7 +143,7 @@
         self._loop.add_signal_handler(signal.SIGHUP, on_reload)
         self.link.start()
         self._logs.on_first = self._schedule_flush
-        self._flush_logs()
+        self.flush_logs()
         self.call_every(TRAFFIC_LOG_SECONDS, self._log_traffic)
         await self.serve(self.cfg.metrics, self._on_metrics)
         _log.info(
@@ -256,9 +256,10 @@
     def _schedule_flush(self) -> None:
         assert self._loop is not None
         if not self._loop.is_closed():
-            self._loop.call_later(LOG_FLUSH_SECONDS, self._flush_logs)
+            self._loop.call_later(LOG_FLUSH_SECONDS, self.flush_logs)
 
-    def _flush_logs(self) -> None:
+    def flush_logs(self) -> None:
+        """Write what is logged, or later if the reader is slow."""
         if not self._logs.flush():
             self._schedule_flush()
 
--- a/jasperweir/daemons/site_control.py
+++ b/jasperweir/daemons/site_control.py
@@ -358,6 +358,8 @@
                 _log.warning("soft state not read", reason=act.reason)
             case order_records.OrderRecorded():
                 self._order_log.record(act)
+                # Written before the operator is answered.
+                self._host.flush_logs()
             case (
                 entry_check.OtherContent()
                 | entry_check.LateEntry()
