--- a/jasperweir/components/configctl/version_reports.py
+++ b/jasperweir/components/configctl/version_reports.py
@@ -28,6 +28,13 @@
             messages.OutdatedRequests, None
         ] = collections.OrderedDict()
 
+    def is_known(self, entry: str, version: int) -> bool:
+        """Return whether an entry has reported requests of a version."""
+        return any(
+            report.entry == entry and report.version == version
+            for report in self._known
+        )
+
     def receive(
         self, src: str, report: messages.OutdatedRequests, peers: list[str]
     ) -> Actions:
