--- a/features/soak/configuration_check.py
+++ b/features/soak/configuration_check.py
@@ -37,6 +37,22 @@
     versions: frozenset[int]
 
 
+class OlderDecision(NamedTuple):
+    """A decision by a version older than the newest acknowledged one.
+
+    Attributes:
+        decision: The decision.
+        acknowledged: Newest version acknowledged when the request was sent.
+        acknowledged_s: Time since its acknowledgement, seconds.
+        decided_by: Newest version that allows the decision.
+    """
+
+    decision: Decision
+    acknowledged: int
+    acknowledged_s: float
+    decided_by: int
+
+
 class ConfigurationCheck:
     """Collects orders and decisions, and finds broken rules at the end."""
 
@@ -81,6 +97,25 @@
         """Return the newest version acknowledged until some moment."""
         return max((v for t, v in self._acked if t <= at), default=0)
 
+    def list_older(self):
+        """Return the decisions by a version older than an acknowledged one."""
+        found = []
+        for decision in self.decisions:
+            acked = self.newest_acknowledged(decision.sent_at)
+            possible = self._possible(decision)
+            if any(version >= acked for version in possible):
+                continue
+            acked_at = min(t for t, v in self._acked if v == acked)
+            found.append(
+                OlderDecision(
+                    decision=decision,
+                    acknowledged=acked,
+                    acknowledged_s=decision.sent_at - acked_at,
+                    decided_by=max(possible, default=0),
+                )
+            )
+        return found
+
     def find_violations(self, is_in_touch):
         """Return the broken rules.
 
--- a/features/soak/configuration_day.py
+++ b/features/soak/configuration_day.py
@@ -19,6 +19,7 @@
 from features.soak import configuration_world
 from features.soak import faults as faults_lib
 from features.soak import key_callers
+from features.soak import older_decisions
 
 ENTRIES = 11
 CONTROLS = 9
@@ -87,6 +88,8 @@
     def __init__(self, *, world):
         super().__init__(world=world, links=False)
         self._rng = random.Random(f"{world.seed}/day")
+        # Cuts of entries and control VMs, for traces.
+        self.cuts = []
         self._seconds = 0.0
         self._disk_lost_at = float("-inf")
 
@@ -225,6 +228,7 @@
 
     def _cut(self, links):
         self._log_fault(f"cut {links}")
+        began = time.monotonic()
         for name, numbers in links.items():
             self._world.plat.set_cut(name, numbers)
         ends_at = time.monotonic() + self._rng.uniform(*CUT_SECONDS)
@@ -235,7 +239,9 @@
             time.sleep(CUT_STEP_SECONDS)
         for name in links:
             self._world.plat.set_deaf(name, [])
-            self.disturbances.record(name, time.monotonic())
+            ended = time.monotonic()
+            self.disturbances.record(name, ended)
+            self.cuts.append(older_decisions.Cut(name, began, ended))
 
     def _deafen_entry(self):
         """Make an entry deaf to some control VMs; it hears the others."""
@@ -244,8 +250,10 @@
         senders = self._rng.sample(core, self._rng.randint(1, len(core) - 1))
         self._log_fault(f"{name} is deaf to {senders}")
         self._world.plat.set_deaf(name, senders)
+        began = time.monotonic()
         time.sleep(self._rng.uniform(*CUT_SECONDS))
         self._world.plat.set_deaf(name, [])
+        self.cuts.append(older_decisions.Cut(name, began, time.monotonic()))
 
     def _delay_answers(self):
         """Let all control VMs answer the entries late."""
@@ -294,6 +302,8 @@
         keys: Keys that are revoked one after the other.
         reports: Requests that entries reported as outdated.
         rhythm: Bursts and lulls of the changes.
+        trace: A line for each decision by a version older than one that was
+            acknowledged before.
         planted_vm: Number of the VM whose entry gets the planted fault.
     """
 
@@ -312,6 +322,7 @@
         """
         self.keys = key_callers.KeyRing()
         self.reports = []
+        self.trace = []
         super().__init__(
             seed=seed, folder=folder, callers=CALLERS, entries=ENTRIES
         )
@@ -351,8 +362,22 @@
         )
         found += broken
         self.summary += f", orders {orders}"
+        self.trace = self._trace_older()
         return found + audit_check.find_other_contents(self.plat.folder)
 
+    def _trace_older(self):
+        """Return a line for each decision by a version that was replaced."""
+        standings = older_decisions.Standings(self.plat.folder)
+        return [
+            older_decisions.describe(
+                found,
+                cuts=self.faults.cuts,
+                standings=standings,
+                is_in_touch=self._is_in_touch,
+            )
+            for found in self.check.list_older()
+        ]
+
     def replace_vm(self, lost, number):
         """Put another VM in the place of one that is lost."""
         self._vms = [number if n == lost else n for n in self._vms]
--- a/script/soak.py
+++ b/script/soak.py
@@ -89,6 +89,12 @@
         default=0,
         help="with --configurations: further routes of each version",
     )
+    parser.add_argument(
+        "--trace",
+        action="store_true",
+        help="with --day or --plan: print each decision by a version older"
+        " than one that was acknowledged before",
+    )
     parser.add_argument(
         "--recovery",
         type=int,
@@ -131,6 +137,8 @@
             else f"served {dict(world.ledger.served())}"
         )
         print(f"seed {seed}: {len(broken)} broken, {summary}", flush=True)
+        if args.trace:
+            print("\n".join(world.trace), flush=True)
         if broken:
             failed.append(seed)
             print("\n".join([*broken[:8], *world.faults.log, folder]))
