An entry without a confirmation acts only with a majority of the VMs

Cause, as far as it is known: an entry that is cut off from all voters went on by the version that it held, however long and however alone, while the others acknowledged new versions without waiting for it.

Now an entry asks the other entries that it knows once its confirmation is 1.2 s old. It goes on only if a majority of the VMs that it knows answers within 1 s and none has anything newer; otherwise it is isolated and rejects at once. Who is current passes its confirmation on with its age. An order waits for those who got one (VersionHeld, NodeHeartbeat: lent), so that an acknowledgement still means that the version is in force.

Why this works: two groups of VMs that can't hear each other don't both have a majority, and the VMs of a group that has one either hear the core or show that the site is without it. VMs are forgotten only by an entry that is current.

Changed on purpose: three rows of confirmation.feature said that an entry that asks in vain serves at 101.6 s and 130 s. That is the fault; they say refused now, and fifteen rows tell with whom an entry may go on.

--- a/features/confirmation.feature
+++ b/features/confirmation.feature
@@ -31,8 +31,9 @@
     Examples:
       | heard                                    | until | allowed | denial  |
       | asks in vain                             | 101.4 | served  | final   |
-      | asks in vain                             | 101.6 | served  | refused |
-      | asks in vain                             | 130.0 | served  | refused |
+      | asks in vain                             | 101.6 | refused | refused |
+      | asks in vain                             | 102.5 | refused | refused |
+      | asks in vain                             | 160.0 | refused | refused |
       | asks one connected control VM in vain    | 101.6 | refused | refused |
       | asks three connected control VMs in vain | 101.4 | served  | final   |
       | asks three connected control VMs in vain | 101.6 | refused | refused |
@@ -40,7 +41,48 @@
       | hears of version 10                      | 103.0 | refused | refused |
       | was suspended                            | 110.0 | held    | held    |
       | asked and was suspended                  | 110.0 | held    | held    |
-      | was suspended and asked again            | 110.0 | served  | refused |
+      | was suspended and asked again            | 110.0 | refused | refused |
+
+  # Guards against a lone entry that goes on by the version that it holds.
+  Scenario Outline: Without control VMs an entry acts with a majority of the VMs
+    Given an entry with version 9, confirmed at 100 s, at a site of 11 VMs
+    When no control VM is heard and <others> of the others answer until <until> s
+    Then an allowed request at <until> s is <allowed> and a denial is <denial>
+
+    Examples:
+      | others                                  | until | allowed | denial  |
+      | 0                                       | 101.4 | served  | final   |
+      | 0                                       | 101.6 | refused | refused |
+      | 0                                       | 160.0 | refused | refused |
+      | 4                                       | 101.6 | refused | refused |
+      | 4                                       | 160.0 | refused | refused |
+      | 5                                       | 101.6 | served  | refused |
+      | 8                                       | 160.0 | served  | refused |
+      | 8, one with version 10,                 | 103.0 | refused | refused |
+      | 8, one with newer evacuations,          | 103.0 | refused | refused |
+      | 1, which is current,                    | 103.0 | served  | final   |
+      | 1, which was current 1.6 s before,      | 103.0 | refused | refused |
+      | 1, current, which answers 2 s late,     | 105.0 | refused | refused |
+      | 8, which answer 1.1 s late,             | 105.0 | refused | refused |
+      | 8, to questions of an earlier process,  | 105.0 | refused | refused |
+      | 8, and then nobody for 1.1 s,           | 105.0 | refused | refused |
+
+  # Guards against a cut in which all that can't be heard are forgotten.
+  Scenario: VMs that are no longer listed are forgotten by a current entry only
+    Given an entry with version 9, confirmed at 100 s, at a site of 11 VMs
+    When 6 of the others are no longer listed and it is current until 140 s
+    And only the last 4 of the others answer until 142 s
+    Then an allowed request at 142 s is served and a denial is refused
+
+  Scenario: VMs that have just left the list still count
+    Given an entry with version 9, confirmed at 100 s, at a site of 11 VMs
+    When 6 of the others are no longer listed and it is current until 105 s
+    And only the last 4 of the others answer until 107 s
+    Then an allowed request at 107 s is refused and a denial is refused
+
+  Scenario: On a large site an even sample of the VMs is asked and counted
+    Given an entry that knows 300 VMs of three data centres
+    Then it asks 64 of them, 21 or 22 of each data centre
 
   Scenario: An entry that was never confirmed since its start serves nothing
     Given an entry with version 9 that nobody has confirmed
--- a/features/soak/configuration_day.py
+++ b/features/soak/configuration_day.py
@@ -21,10 +21,6 @@
 from features.soak import key_callers
 from features.soak import older_decisions
 
-ENTRIES = 11
-CONTROLS = 9
-AGENTS = 16
-CALLERS = 22
 ZONES = "pqs"
 # VMs that replace one whose disk is lost, in the day and at its end.
 REPLACEMENT, LAST_REPLACEMENT = 13, 14
@@ -273,7 +269,7 @@
         lost = self._rng.choice(world.core_vms)
         self._log_fault(f"disk of vm-{lost} and all power")
         names = [n for v in world.vms for n in self._list_processes(v)]
-        agents = [f"agent-{n}" for n in range(1, AGENTS + 1)]
+        agents = [f"agent-{n}" for n in range(1, world.AGENTS + 1)]
         for name in (*names, *agents):
             self.disturbances.record(name, time.monotonic())
             world.plat.signal(name, signal.SIGKILL)
@@ -309,6 +305,10 @@
 
     COURSE = DayCourse
     OPERATOR = DayOperator
+    ENTRIES = 11
+    CONTROLS = 9
+    AGENTS = 16
+    CALLERS = 22
     # VMs that take the places of lost ones.
     REPLACEMENTS = (REPLACEMENT, LAST_REPLACEMENT)
 
@@ -324,9 +324,9 @@
         self.reports = []
         self.trace = []
         super().__init__(
-            seed=seed, folder=folder, callers=CALLERS, entries=ENTRIES
+            seed=seed, folder=folder, callers=self.CALLERS, entries=self.ENTRIES
         )
-        self.control_vms = tuple(range(1, CONTROLS + 1))
+        self.control_vms = tuple(range(1, self.CONTROLS + 1))
         self.faults = self.COURSE(world=self)
         self.rhythm = Rhythm(random.Random(f"{seed}/rhythm"))
         self._plant = plant
@@ -337,7 +337,7 @@
         self._operators = [self.OPERATOR(world=self, number=n) for n in (1, 2)]
         vms = (*self._vms, *self.REPLACEMENTS)
         self._kept_callers = [
-            key_callers.KeptCaller(world=self, number=CALLERS + vm, vm=vm)
+            key_callers.KeptCaller(world=self, number=self.CALLERS + vm, vm=vm)
             for vm in vms
         ]
         self._callers += self._kept_callers
@@ -403,7 +403,7 @@
             is_control = self._plant in planted_faults.CONTROL_KINDS
             role = "control" if is_control else "entry"
             self.plat.set_plant(f"{role}-{self.planted_vm}", self._plant)
-        for number in range(1, AGENTS + 1):
+        for number in range(1, self.AGENTS + 1):
             self.plat.start("agent", number)
 
     def _is_in_touch(self, vm, begin, end):
--- a/features/soak/older_decisions.py
+++ b/features/soak/older_decisions.py
@@ -46,6 +46,14 @@
                         (body["at"], body["standing"])
                     )
 
+    def list_changes(self, name):
+        """Return when an entry's standing changed, and to which.
+
+        Args:
+            name: Name of the process.
+        """
+        return list(self._changes[name])
+
     def find(self, name, at):
         """Return the standing of an entry, and for how long it had had it.
 
--- a/features/steps/confirmation_steps.py
+++ b/features/steps/confirmation_steps.py
@@ -1,6 +1,7 @@
 """Steps on confirmations of the configuration, and on admitted requests."""
 
 import asyncio
+import collections
 
 from behave import given
 from behave import then
@@ -10,6 +11,8 @@
 from features.harness import site as site_lib
 from jasperweir import result_codes
 from jasperweir.components.configctl import messages as config_messages
+from jasperweir.components.confirmation import messages
+from jasperweir.components.confirmation import peers as peers_lib
 from jasperweir.components.confirmation import tracker as tracker_lib
 from jasperweir.components.deployment import index as index_lib
 from jasperweir.components.deployment import model
@@ -493,3 +496,146 @@
 def step_found(context, step):
     found = context.comparison.find_step()
     assert abs(found - step) < 1e-6, found
+
+
+# Other entries.
+
+PEERS = tuple(f"10.0.0.{n}:7" for n in range(1, 11))
+NEWER_VERSION, NEWER_EVACUATIONS = 10, 5
+
+
+class PeerAnswers:
+    """Answers of the other entries of a site to one entry."""
+
+    def __init__(self, entry):
+        self._entry = entry
+        self._rounds = []
+
+    def list_at_site(self, names):
+        """Let the control VMs list these entries."""
+        control = self._entry.client._controls["c1"]
+        control.nodes = {
+            name: records.Node(name, "entry", "p", f"{name}0", True, 5, 0)
+            for name in names
+        }
+
+    def ask_until(
+        self, until, *, names, late_s=0.0, is_foreign=False, **changes
+    ):
+        """Run the entry's timers; others answer what it asks.
+
+        Args:
+            until: Monotonic seconds.
+            names: Entries that answer, the first one with the changes.
+            late_s: Delay of their answers, seconds.
+            is_foreign: Whether they answer questions of another process.
+            changes: Fields of the answer.
+        """
+        entry = self._entry
+        due = []
+        while entry.now + STEP <= until:
+            entry.now = round(entry.now + STEP, 2)
+            for act in entry.client.tick(entry.now):
+                if isinstance(act.msg, messages.PeerQuery):
+                    due.append((entry.now + late_s, act.dst, act.msg.round))
+            for item in [x for x in due if x[0] <= entry.now]:
+                due.remove(item)
+                _, name, number = item
+                if name not in names:
+                    continue
+                fields = changes if name == names[0] else {}
+                msg = messages.PeerState(
+                    echo=5 if is_foreign else number,
+                    newest=9,
+                    newest_evacuations=0,
+                    version=9,
+                    evacuations=0,
+                    confirmed_age_s=-1.0,
+                )
+                entry.client.receive(name, msg._replace(**fields), entry.now)
+
+
+@given("an entry with version 9, confirmed at 100 s, at a site of 11 VMs")
+def step_site_of_entries(context):
+    step_confirmed(context)
+    context.peers = PeerAnswers(context.entry)
+    context.peers.list_at_site(PEERS)
+    # Its control VMs are on the same VMs.
+    context.entry.client._peers = peers_lib.Peers(name="10.0.0.11:7")
+    for name in PEERS:
+        context.entry.client._peers.note_listed(name, 100.0, is_entry=True)
+
+
+@when(
+    "no control VM is heard and {others} of the others answer until {until:g} s"
+)
+def step_others(context, others, until):
+    number, _, how = others.partition(",")
+    names = PEERS[: int(number)]
+    if names:
+        # Its control VMs, which have other names, don't count as VMs.
+        context.entry.client._peers_updated_at = float("inf")
+    changes = {}
+    match how.strip(" ,"):
+        case "one with version 10":
+            changes = {"newest": NEWER_VERSION}
+        case "one with newer evacuations":
+            changes = {"newest_evacuations": NEWER_EVACUATIONS}
+        case "which is current":
+            changes = {"confirmed_age_s": 0.4}
+        case "which was current 1.6 s before":
+            changes = {"confirmed_age_s": 1.6}
+        case "current, which answers 2 s late":
+            changes = {"confirmed_age_s": 0.0, "late_s": 2.0}
+        case "which answer 1.1 s late":
+            changes = {"late_s": 1.1}
+        case "to questions of an earlier process":
+            changes = {"is_foreign": True}
+        case "and then nobody for 1.1 s":
+            context.peers.ask_until(until - 1.1, names=names)
+            names = ()
+        case "":
+            pass
+        case _:
+            raise AssertionError(how)
+    context.peers.ask_until(until, names=names, **changes)
+
+
+@when(
+    "{count:d} of the others are no longer listed and it is current until"
+    " {until:g} s"
+)
+def step_no_longer_listed(context, count, until):
+    entry = context.entry
+    entry.client._peers_updated_at = float("-inf")
+    context.peers.list_at_site(PEERS[count:])
+    while entry.now + STEP <= until:
+        entry.tick(round(entry.now + STEP, 2))
+        if entry.now in entry.rounds:
+            echo = entry.rounds[entry.now]
+            entry.answer(entry.now, echo=echo, age_s=0.0)
+    assert entry.standing is Standing.CURRENT
+    entry.client._peers_updated_at = float("inf")
+
+
+@when("only the last {count:d} of the others answer until {until:g} s")
+def step_last_others(context, count, until):
+    context.peers.ask_until(until, names=PEERS[-count:])
+
+
+@given("an entry that knows 300 VMs of three data centres")
+def step_large_site(context):
+    context.known = peers_lib.Peers(name="10.9.0.1:7")
+    for place in range(3):
+        for number in range(100):
+            name = f"10.{place}.0.{number}:7"
+            context.known.note_listed(name, 100.0, is_entry=True)
+
+
+@then("it asks 64 of them, 21 or 22 of each data centre")
+def step_sample(context):
+    asked = context.known.list_entries()
+    counts = collections.Counter(name.split(".")[1] for name in asked)
+    assert len(set(asked)) == 64 == sum(counts.values()), counts
+    assert set(counts.values()) <= {21, 22}, counts
+    assert context.known.count(100.0) == (1, 65), context.known.count(100.0)
--- a/features/steps/matrix_steps.py
+++ b/features/steps/matrix_steps.py
@@ -17,8 +17,8 @@
 # inside other messages. The list of groups is delayed and duplicated in
 # groups.feature; there an entry also acts on one that is out of date, as it
 # does when the next one is lost. Parts of large messages are lost, repeated and
-# delayed in transfers.feature. Questions to voters and their answers are lost
-# and delayed in configuration_schedules.feature.
+# delayed in transfers.feature. Questions to voters and entries and the answers
+# to them are lost and delayed in configuration_schedules.feature.
 ELSEWHERE = (
     "confirmation.",
     "control.",
--- a/jasperweir/components/configctl/discovery_server.py
+++ b/jasperweir/components/configctl/discovery_server.py
@@ -12,10 +12,10 @@
 from jasperweir import core
 from jasperweir.components.configctl import const
 from jasperweir.components.configctl import digest_tracker
-from jasperweir.components.configctl import lease_book
 from jasperweir.components.configctl import messages
 from jasperweir.components.configctl import node_tracker
 from jasperweir.components.confirmation import const as confirmation_const
+from jasperweir.components.confirmation import lease_book
 from jasperweir.components.confirmation import rounds as rounds_lib
 from jasperweir.components.confirmation import tracker as tracker_lib
 from jasperweir.components.directory import const as directory_const
--- a/jasperweir/components/configctl/force_barrier.py
+++ b/jasperweir/components/configctl/force_barrier.py
@@ -8,7 +8,8 @@
 
 Confirmations are passed on by control VMs, and voters answer entries that read
 a majority. Each of them is asked whom it has given one; from then on it gives
-none of an older version.
+none of an older version. An entry that passes one on to another entry says so
+when it reports a version.
 """
 
 import dataclasses
@@ -16,9 +17,9 @@
 from typing import NamedTuple
 
 from jasperweir import core
-from jasperweir.components.configctl import lease_book
 from jasperweir.components.configctl import messages
 from jasperweir.components.confirmation import const as confirmation_const
+from jasperweir.components.confirmation import lease_book
 
 Actions = list[Any]
 
@@ -156,14 +157,26 @@
             out += self._ask(pending.controls - known, pending.version)
         return out
 
-    def on_held(self, holder: lease_book.Holder, version: int) -> None:
-        """Record which version is in force at an entry."""
+    def on_held(
+        self,
+        holder: lease_book.Holder,
+        version: int,
+        lent: tuple[lease_book.Holder, ...] = (),
+    ) -> None:
+        """Record which version is in force at an entry.
+
+        Args:
+            holder: The entry.
+            version: Version in force there; it passes on no older one.
+            lent: Entries to which it has lately passed a confirmation on.
+        """
         self._held[holder] = version
         if len(self._held) > MAX_ENTRIES:
             del self._held[next(iter(self._held))]
         for pending in self._pending:
             if version >= pending.version:
                 pending.entries.discard(holder)
+                self._add_holders(pending, lent)
 
     def tick(self, now: float) -> Actions:
         """Ask the control VMs that have not answered again."""
--- a/jasperweir/components/configctl/messages.py
+++ b/jasperweir/components/configctl/messages.py
@@ -3,7 +3,7 @@
 import enum
 from typing import NamedTuple
 
-from jasperweir.components.configctl import lease_book
+from jasperweir.components.confirmation import lease_book
 from jasperweir.components.directory import records
 from jasperweir.helpers import codec
 
@@ -214,11 +214,14 @@
         incarnation: Incarnation of the entry.
         version: Configuration version in force.
         content: Checksum of its compressed content, 0 if not stated.
+        lent: Entries to which it has lately passed a confirmation on, maybe of
+            an older version.
     """
 
     incarnation: int
     version: int
     content: int = 0
+    lent: tuple[lease_book.Holder, ...] = ()
 
 
 class OrderEffect(enum.IntEnum):
--- a/jasperweir/components/configctl/node.py
+++ b/jasperweir/components/configctl/node.py
@@ -14,7 +14,6 @@
 from jasperweir.components.configctl import entry_check
 from jasperweir.components.configctl import evacuations as evacuations_lib
 from jasperweir.components.configctl import leader_requests as requests_lib
-from jasperweir.components.configctl import lease_book
 from jasperweir.components.configctl import log_view
 from jasperweir.components.configctl import messages
 from jasperweir.components.configctl import orders as orders_lib
@@ -22,6 +21,7 @@
 from jasperweir.components.configctl import seat_manager
 from jasperweir.components.configctl import version_ages
 from jasperweir.components.configctl import version_reports
+from jasperweir.components.confirmation import lease_book
 from jasperweir.components.confirmation import messages as confirmation_messages
 from jasperweir.components.directory import records
 from jasperweir.components.quorum import actions
--- a/jasperweir/components/configctl/orders.py
+++ b/jasperweir/components/configctl/orders.py
@@ -11,13 +11,13 @@
 from jasperweir.components.configctl import discovery_server
 from jasperweir.components.configctl import force_barrier
 from jasperweir.components.configctl import leader_requests as requests_lib
-from jasperweir.components.configctl import lease_book
 from jasperweir.components.configctl import log_view
 from jasperweir.components.configctl import messages
 from jasperweir.components.configctl import order_records
 from jasperweir.components.configctl import pending_orders
 from jasperweir.components.configctl import replies
 from jasperweir.components.configctl import version_history
+from jasperweir.components.confirmation import lease_book
 from jasperweir.components.directory import const as directory_const
 from jasperweir.components.directory import records
 from jasperweir.components.quorum import voter as voter_lib
@@ -200,10 +200,10 @@
             case records.NodeHeartbeat():
                 if msg.node.kind == directory_const.KIND_ENTRY:
                     holder = lease_book.Holder(src, msg.node.incarnation)
-                    self._barrier.on_held(holder, msg.version)
+                    self._barrier.on_held(holder, msg.version, msg.lent)
             case messages.VersionHeld():
                 holder = lease_book.Holder(src, msg.incarnation)
-                self._barrier.on_held(holder, msg.version)
+                self._barrier.on_held(holder, msg.version, msg.lent)
         return []
 
     def _on_release_request(
--- a/jasperweir/components/confirmation/const.py
+++ b/jasperweir/components/confirmation/const.py
@@ -26,3 +26,13 @@
 CLOCK_STEP_SECONDS = 0.05
 # Requests for confirmation that are remembered until they are answered.
 MAX_ROUNDS = 64
+# Age of the last confirmation at which other entries are asked, and the
+# interval. The control VMs usually answer before.
+PEER_ASK_AFTER_SECONDS = 1.2
+PEER_ASK_SECONDS = 0.4
+# Most VMs that are asked and counted; on a larger site a sample is.
+MAX_PEERS = 64
+# A VM that is no longer listed counts among those of the site for this long.
+KNOWN_SECONDS = 30.0
+# Interval at which a current process updates which VMs it knows.
+PEER_UPDATE_SECONDS = 1.0
--- a/jasperweir/components/confirmation/messages.py
+++ b/jasperweir/components/confirmation/messages.py
@@ -1,4 +1,4 @@
-"""Messages by which a process asks voters what their logs hold."""
+"""Messages by which a process asks voters and entries what is newest."""
 
 from typing import NamedTuple
 
@@ -40,3 +40,44 @@
     version: int
     evacuations: int
     seats: tuple[quorum_messages.Seat, ...]
+
+
+@codec.message("confirmation.peer_query")
+class PeerQuery(NamedTuple):
+    """Asks another entry what it knows of the newest version.
+
+    Attributes:
+        round: Number of the sender's round, echoed by the answer.
+        incarnation: Incarnation of the sender.
+        version: Version in force at the sender.
+        evacuations: Revision of the list of evacuated data centres in force
+            there.
+    """
+
+    round: int
+    incarnation: int
+    version: int
+    evacuations: int
+
+
+@codec.message("confirmation.peer_state")
+class PeerState(NamedTuple):
+    """What an entry knows of the newest version.
+
+    Attributes:
+        echo: Round of the question.
+        newest: Highest version that it knows to be committed.
+        newest_evacuations: Highest revision of the list of evacuated data
+            centres that it knows.
+        version: Version in force at the entry.
+        evacuations: Revision of the list in force there.
+        confirmed_age_s: Time since that version and that list were known to be
+            the newest, seconds; negative if that has expired.
+    """
+
+    echo: int
+    newest: int
+    newest_evacuations: int
+    version: int
+    evacuations: int
+    confirmed_age_s: float
--- a/jasperweir/components/confirmation/tracker.py
+++ b/jasperweir/components/confirmation/tracker.py
@@ -46,8 +46,10 @@
     # The confirmation has expired; an answer or the content may be under way.
     AWAITING = "awaiting"
     # Less than a majority of the voters is connected, these answer in time, and
-    # nobody who can be heard knows of a newer one.
+    # a majority of the site's VMs is heard, none of which knows of a newer one.
     UNCONFIRMED = "unconfirmed"
+    # Neither voters nor a majority of the site's VMs can be heard.
+    ISOLATED = "isolated"
     # Voters are connected and do not answer in time.
     UNANSWERED = "unanswered"
     # A newer one exists, or may exist by the logs of a majority of the voters,
@@ -57,7 +59,11 @@
     @property
     def is_refusing(self) -> bool:
         """Whether requests are rejected, as the version may be outdated."""
-        return self in (Standing.UNANSWERED, Standing.OUTDATED)
+        return self in (
+            Standing.ISOLATED,
+            Standing.UNANSWERED,
+            Standing.OUTDATED,
+        )
 
 
 _NEVER = float("-inf")
@@ -82,6 +88,7 @@
         valid_s: float = const.VALID_SECONDS,
         stall_s: float = const.STALLED_SECONDS,
         is_cut_off: Callable[[float], bool] = lambda now: True,
+        hears_majority: Callable[[float], bool] = lambda now: True,
     ) -> None:
         """Initialize without a version.
 
@@ -91,10 +98,13 @@
                 before, while an answer is awaited, seconds.
             is_cut_off: Returns whether silence until some moment, monotonic
                 seconds, does not mean that those who could confirm are slow.
+            hears_majority: Returns whether a majority of the site's VMs is
+                heard at some moment, monotonic seconds.
         """
         self.valid_s = valid_s
         self._stall_s = stall_s
         self._is_cut_off = is_cut_off
+        self._hears_majority = hears_majority
         self.held = 0
         self.held_evacuations = 0
         self.newest_known = 0
@@ -132,9 +142,7 @@
         """Use a confirmation that was given or passed on."""
         self.note_activity(now)
         self._note_known(confirmation.version, now)
-        if confirmation.evacuations > self._newest_evacuations:
-            self._newest_evacuations = confirmation.evacuations
-            self._newer_since = now
+        self._note_known_evacuations(confirmation.evacuations, now)
         if confirmation.as_of > self.latest.as_of:
             self.latest = confirmation
         self._cover(confirmation, now)
@@ -178,6 +186,11 @@
         self.note_activity(now)
         self._note_known(version, now)
 
+    def note_announced_evacuations(self, revision: int, now: float) -> None:
+        """Record that a list of evacuated data centres is committed."""
+        self.note_activity(now)
+        self._note_known_evacuations(revision, now)
+
     def note_asked(self, now: float) -> None:
         """Record that a confirmation was requested."""
         self.note_activity(now)
@@ -195,6 +208,11 @@
         """
         return now - self._covering.as_of
 
+    @property
+    def newest_evacuations(self) -> int:
+        """Highest revision known of the list of evacuated data centres."""
+        return max(self._newest_evacuations, self.held_evacuations)
+
     @property
     def source(self) -> str:
         """Control VM that last confirmed the version held, or empty."""
@@ -228,9 +246,11 @@
             return Standing.AWAITING
         if is_outdated or is_contested:
             return Standing.OUTDATED
-        if self._is_cut_off(now):
+        if not self._is_cut_off(now):
+            return Standing.UNANSWERED
+        if self._hears_majority(now):
             return Standing.UNCONFIRMED
-        return Standing.UNANSWERED
+        return Standing.ISOLATED
 
     def may_deny(self, now: float) -> bool:
         """Return whether what the version held lacks does not exist."""
@@ -251,6 +271,12 @@
             return True
         return self.age_s(now) >= const.ASK_AFTER_SECONDS
 
+    def should_ask_peers(self, now: float) -> bool:
+        """Return whether to ask other entries, as no control VM confirms."""
+        if not self._was_current:
+            return False
+        return self.age_s(now) >= const.PEER_ASK_AFTER_SECONDS
+
     def _awaits_answer(self, now: float) -> bool:
         """Return whether it was asked, and silence was not yet concluded."""
         if self._asked_at is None:
@@ -274,3 +300,8 @@
         if version > self.newest_known:
             self.newest_known = version
             self._newer_since = now
+
+    def _note_known_evacuations(self, revision: int, now: float) -> None:
+        if revision > self._newest_evacuations:
+            self._newest_evacuations = revision
+            self._newer_since = now
--- a/jasperweir/components/directory/records.py
+++ b/jasperweir/components/directory/records.py
@@ -3,6 +3,7 @@
 import enum
 from typing import NamedTuple
 
+from jasperweir.components.confirmation import lease_book
 from jasperweir.helpers import codec
 
 # Remaining cold time of a target that states none.
@@ -82,6 +83,7 @@
         controls_digest: Digest of the list of control VMs last received from
             it.
         round: Number of the round of heartbeats, echoed by the reply.
+        lent: Entries to which the sender has lately passed a confirmation on.
     """
 
     node: Node
@@ -90,6 +92,7 @@
     nodes_digest: int
     controls_digest: int
     round: int = 0
+    lent: tuple[lease_book.Holder, ...] = ()
 
 
 @codec.message("directory.control_beat")
--- a/jasperweir/components/discovery/client.py
+++ b/jasperweir/components/discovery/client.py
@@ -8,8 +8,10 @@
 from jasperweir import core
 from jasperweir.components.configctl import messages
 from jasperweir.components.confirmation import const as confirmation_const
+from jasperweir.components.confirmation import lease_book
 from jasperweir.components.confirmation import majority as majority_lib
 from jasperweir.components.confirmation import messages as confirmation_messages
+from jasperweir.components.confirmation import peers as peers_lib
 from jasperweir.components.confirmation import rounds as rounds_lib
 from jasperweir.components.confirmation import tracker as tracker_lib
 from jasperweir.components.directory import const as directory_const
@@ -137,8 +139,13 @@
         self._is_connected = is_connected
         self.directory = directory_lib.Directory()
         self.confirmations = tracker_lib.VersionTracker(
-            is_cut_off=self._is_cut_off
+            is_cut_off=self._is_cut_off, hears_majority=self._hears_majority
         )
+        self._peers = peers_lib.Peers(name=node.name)
+        self._peers_asked_at = float("-inf")
+        self._peers_updated_at = float("-inf")
+        # Entries to which a confirmation was passed on.
+        self._leases = lease_book.LeaseBook(now=now)
         self.evacuations = ops.EvacuationList()
         self.commit_times = commit_times_lib.CommitTimes()
         # When content was last requested, by control VM.
@@ -202,6 +209,10 @@
             if control.keeps_log
         )
 
+    def count_peers(self, now: float) -> version_basis.PeerCount:
+        """Return how many VMs of the site are heard and known."""
+        return version_basis.PeerCount(*self._peers.count(now))
+
     def hears_leader(self, now: float) -> bool:
         """Return whether the leader of the log answered recently."""
         return any(
@@ -291,6 +302,9 @@
         """Run periodic work: expiry, content requests and heartbeats."""
         self.directory.tick(now)
         out = self._pull(now)
+        self._update_peers(now)
+        if self._wants_content:
+            out += self._ask_peers(now)
         is_asking = self._wants_content and self.confirmations.should_ask(now)
         is_reading = self._wants_content and self.confirmations.should_read(now)
         for name, control in self._heartbeat_controls(now):
@@ -324,10 +338,14 @@
         ]
         if self._controls_ahead():
             due.append(now + PULL_CHECK_SECONDS)
+        if self._wants_content and self.confirmations.should_ask_peers(now):
+            due.append(
+                self._peers_asked_at + confirmation_const.PEER_ASK_SECONDS
+            )
         return min(due, default=now + UNREACHABLE_HEARTBEAT_SECONDS)
 
     def receive(self, src: str, msg: Any, now: float) -> Actions:
-        """Handle a message from a control VM."""
+        """Handle a message from a control VM or another entry."""
         match msg:
             case records.ControlHeartbeat():
                 return self._on_heartbeat(src, msg, now)
@@ -346,6 +364,10 @@
                 self._on_node_changes(self._mark_heard(src, now), msg)
             case confirmation_messages.LogState():
                 self._on_log_state(src, msg, now)
+            case confirmation_messages.PeerQuery():
+                return self._answer_peer(src, msg, now)
+            case confirmation_messages.PeerState():
+                self._on_peer_state(src, msg, now)
             case messages.VersionNotice():
                 self._record_announced_version(src, msg.version, now)
                 self._mark_heard(src, now)
@@ -378,6 +400,7 @@
             incarnation=self.node.incarnation,
             version=self.version,
             content=content,
+            lent=self._leases.list_holders(now),
         )
         return [
             core.Send(dst=name, msg=held)
@@ -388,6 +411,7 @@
         """Void all confirmations, and what was asked for."""
         self.confirmations.void()
         self._rounds.void()
+        self._peers.void_answers()
         self._majority_reader = majority_lib.MajorityReader()
 
     def _mark_heard(self, src: str, now: float) -> Control:
@@ -448,6 +472,7 @@
             nodes_digest=control.nodes_digest,
             controls_digest=control.controls_digest,
             round=self._rounds.start(now),
+            lent=self._leases.list_holders(now),
         )
         return core.Send(dst=name, msg=heartbeat)
 
@@ -479,6 +504,7 @@
             msg.evacuations_revision, msg.evacuated, now
         )
         self._use_confirmation(src, control, msg, now)
+        self._update_peers(now)
         out += self._pull(now)
         if unknown and self._wants_content and not self.is_ready(now):
             # One of them may be the leader.
@@ -496,6 +522,9 @@
         now: float,
     ) -> None:
         """Use the confirmation in an answer to a heartbeat."""
+        sent_at = self._rounds.find_start(msg.echo)
+        if sent_at is not None:
+            self._peers.note_answer(src, sent_at)
         confirmation = self._rounds.date_confirmation(src, msg)
         if confirmation is None:
             return
@@ -520,6 +549,92 @@
         if reading is not None:
             self.confirmations.use_reading(reading, now)
 
+    # Other entries.
+
+    def _update_peers(self, now: float) -> None:
+        """Update which VMs are known, while the version held is current."""
+        due_at = self._peers_updated_at + confirmation_const.PEER_UPDATE_SECONDS
+        if now < due_at or not self._wants_content:
+            return
+        if self.confirmations.standing(now) is not tracker_lib.Standing.CURRENT:
+            return
+        self._peers_updated_at = now
+        for name, control in self._controls.items():
+            if control.heartbeat is not None:
+                self._peers.note_listed(name, control.heard_at, is_entry=False)
+        for node in self.open_entries(now):
+            self._peers.note_listed(node.name, now, is_entry=True)
+        self._peers.note_current(now)
+
+    def _ask_peers(self, now: float) -> Actions:
+        """Ask other entries what is newest, while no control VM says so."""
+        due_at = self._peers_asked_at + confirmation_const.PEER_ASK_SECONDS
+        if (
+            not self.confirmations.should_ask_peers(now)
+            or now < due_at - _TICK_TOLERANCE_SECONDS
+        ):
+            return []
+        self._peers_asked_at = now
+        query = confirmation_messages.PeerQuery(
+            round=self._rounds.start(now),
+            incarnation=self.node.incarnation,
+            version=self.version,
+            evacuations=self.confirmations.held_evacuations,
+        )
+        return [
+            core.Send(dst=name, msg=query)
+            for name in self._peers.list_entries()
+        ]
+
+    def _answer_peer(
+        self, src: str, msg: confirmation_messages.PeerQuery, now: float
+    ) -> Actions:
+        """Tell another entry what is newest, and pass a confirmation on."""
+        confirmations = self.confirmations
+        age_s = -1.0
+        # An order would wait for a process that can't use the confirmation.
+        can_use = (
+            msg.version >= confirmations.held
+            and msg.evacuations >= confirmations.held_evacuations
+        )
+        if can_use and confirmations.may_deny(now):
+            age_s = confirmations.age_s(now)
+            self._leases.give(lease_book.Holder(src, msg.incarnation), now)
+        state = confirmation_messages.PeerState(
+            echo=msg.round,
+            newest=confirmations.newest_known,
+            newest_evacuations=confirmations.newest_evacuations,
+            version=confirmations.held,
+            evacuations=confirmations.held_evacuations,
+            confirmed_age_s=age_s,
+        )
+        return [core.Send(dst=src, msg=state)]
+
+    def _on_peer_state(
+        self, src: str, msg: confirmation_messages.PeerState, now: float
+    ) -> None:
+        """Use what another entry knows."""
+        self.confirmations.note_announced(msg.newest, now)
+        self.confirmations.note_announced_evacuations(
+            msg.newest_evacuations, now
+        )
+        sent_at = self._rounds.find_start(msg.echo)
+        if sent_at is None:
+            return
+        self._peers.note_answer(src, sent_at)
+        if msg.confirmed_age_s < 0:
+            return
+        confirmation = tracker_lib.Confirmation(
+            version=msg.version,
+            as_of=sent_at - msg.confirmed_age_s,
+            source=src,
+            evacuations=msg.evacuations,
+        )
+        self.confirmations.confirm(confirmation, now)
+
+    def _hears_majority(self, now: float) -> bool:
+        return self._peers.hears_majority(now)
+
     def _apply_evacuations(
         self, revision: int, places: tuple[str, ...], now: float
     ) -> Actions:
--- a/jasperweir/components/discovery/version_basis.py
+++ b/jasperweir/components/discovery/version_basis.py
@@ -34,6 +34,18 @@
         )
 
 
+class PeerCount(NamedTuple):
+    """VMs of the site, with the own one.
+
+    Attributes:
+        heard: VMs that have answered lately.
+        known: All VMs.
+    """
+
+    heard: int
+    known: int
+
+
 class VersionBasis(NamedTuple):
     """Configuration version of a decision and what was known of it.
 
--- a/jasperweir/components/entry/bundle_gate.py
+++ b/jasperweir/components/entry/bundle_gate.py
@@ -44,7 +44,9 @@
                     return None
                 case Standing.UNKNOWN:
                     return Code.NOT_READY
-                case Standing.OUTDATED | Standing.UNANSWERED:
+                case (
+                    Standing.OUTDATED | Standing.UNANSWERED | Standing.ISOLATED
+                ):
                     return Code.CONFIGURATION_UNCONFIRMED
             if self._now() >= deadline:
                 return Code.CONFIGURATION_UNCONFIRMED
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -427,6 +427,7 @@
         self._standing_log.record(
             self._discovery.describe_version(now),
             self._discovery.describe_contacts(now),
+            self._discovery.count_peers(now),
         )
 
     def _describe_version(self) -> version_basis.VersionBasis:
--- a/jasperweir/daemons/standing_log.py
+++ b/jasperweir/daemons/standing_log.py
@@ -23,12 +23,14 @@
         self,
         basis: version_basis.VersionBasis,
         contacts: tuple[version_basis.ControlContact, ...],
+        peers: version_basis.PeerCount,
     ) -> None:
         """Record another standing.
 
         Args:
             basis: What is known of the version in force.
             contacts: What was last heard from the control VMs.
+            peers: How many VMs of the site are heard and known.
         """
         before, self.standing = self.standing, basis.standing
         self._metrics.inc("standing_changes", standing=basis.standing.value)
@@ -36,5 +38,7 @@
             "standing changed",
             before=before.value,
             **basis.log_fields(),
+            vms_heard=peers.heard,
+            vms_known=peers.known,
             controls=[contact.log_value() for contact in contacts],
         )
--- a/script/soak.py
+++ b/script/soak.py
@@ -14,6 +14,7 @@
 from features.soak import configuration_plan  # noqa: E402
 from features.soak import configuration_world  # noqa: E402
 from features.soak import cut_recovery  # noqa: E402
+from features.soak import lone_entry  # noqa: E402
 from features.soak import parts_world  # noqa: E402
 from features.soak import world as world_lib  # noqa: E402
 
@@ -70,6 +71,12 @@
         help="the same site; two voters leave right after commits, operators"
         " race under one number, orders arrive again, and all power is lost",
     )
+    parser.add_argument(
+        "--lone",
+        action="store_true",
+        help="a site of five VMs; an entry is cut off from all others for 9 to"
+        " 13 s, and all voters are replaced",
+    )
     parser.add_argument(
         "--plant",
         choices=planted_faults.KINDS,
@@ -109,7 +116,9 @@
     for seed in range(args.first, args.first + args.seeds):
         folder = tempfile.mkdtemp(prefix=f"jasperweir-soak-{seed}-")
         world: Any
-        if args.plan:
+        if args.lone:
+            world = lone_entry.LoneWorld(seed=seed, folder=folder)
+        elif args.plan:
             world = configuration_plan.PlanWorld(
                 seed=seed, folder=folder, plant=args.plant
             )
@@ -133,7 +142,11 @@
         broken = world.run(args.seconds)
         summary = (
             world.summary
-            if args.parts or args.configurations or args.day or args.plan
+            if args.parts
+            or args.configurations
+            or args.day
+            or args.plan
+            or args.lone
             else f"served {dict(world.ledger.served())}"
         )
         print(f"seed {seed}: {len(broken)} broken, {summary}", flush=True)
