One account of what connections hold, derived from the VM's memory

Cause: each read of up to 256 KiB was parsed whole before a limit was looked at; fields were kept as objects of some 150 bytes for 4 on the wire; trailers went the same way, and became fields of the head; bodies were lists of chunks, joined at the end; the totals were constants, counted bodies only, and let all paused bodies go on at once; connections had no limit. Found on the way: an idle connection to a target kept the body that it had sent, and an answered request was kept by its handler's callbacks until the garbage collector ran.

Now reads are 16 KiB, an unfinished head is kept as bytes, trailers are discarded, a body of a stated length is read into one buffer for which memory was reserved, and others into parts. All servers of a process share an account of what these really cost. Beyond it bodies are read later, one at a time may go beyond, bodies that stall are given up while others wait, and then the largest unfinished request is rejected with 503. Connections are capped from the descriptors; the one that has been longest without a complete request goes.

Tests that changed: slow_readers reads the total from the account, with the same bounds (3 MB held, all answered, none left). Covers callers, readiness, lookups, calls of operators and targets, and metrics pages of entry, control VM and agent. Not covered: the own interface's waitress, ZeroMQ.

--- a/features/confirmation.feature
+++ b/features/confirmation.feature
@@ -58,6 +58,7 @@
       | 4                                       | 160.0 | refused | refused |
       | 5                                       | 101.6 | served  | refused |
       | 8                                       | 160.0 | served  | refused |
+      | 8, and one control VM is connected,     | 103.0 | refused | refused |
       | 8, one with version 10,                 | 103.0 | refused | refused |
       | 8, one with newer evacuations,          | 103.0 | refused | refused |
       | 1, which is current,                    | 103.0 | served  | final   |
--- a/features/harness/platform.py
+++ b/features/harness/platform.py
@@ -57,6 +57,8 @@
 ready = "{ip}:{ready}"
 controlPlane = "{ip}:{control}"
 registryAddr = "{ip}:{lookup}"
+[limits]
+{limits}
 [faultTolerance]
 machines = 1
 [bounds]
@@ -83,6 +85,8 @@
         self.zones = {}
         # Numbers of the control VMs that processes connect to first.
         self.seeds = (1, 2, 3)
+        # Limits of the VMs, as the platform states them.
+        self.limits = {}
         self._retry_bounds = {
             "retry_ratio": retry_ratio,
             "retry_burst": retry_burst,
@@ -114,6 +118,7 @@
                 ready=READY,
                 control=CONTROL,
                 lookup=LOOKUP,
+                limits="\n".join(f"{k} = {v}" for k, v in self.limits.items()),
                 **self._retry_bounds,
             )
         )
--- a/features/steps/confirmation_steps.py
+++ b/features/steps/confirmation_steps.py
@@ -577,6 +577,8 @@
         context.entry.client._peers_updated_at = float("inf")
     changes = {}
     match how.strip(" ,"):
+        case "and one control VM is connected":
+            context.entry.connected = {"c1"}
         case "one with version 10":
             changes = {"newest": NEWER_VERSION}
         case "one with newer evacuations":
--- a/features/steps/slow_readers_steps.py
+++ b/features/steps/slow_readers_steps.py
@@ -45,7 +45,7 @@
 
 @given("an entry that keeps request bodies of {size:g} MB in all")
 def step_bodies(context, size):
-    context.limits["bodies"] = int(size * MB)
+    context.limits["requests"] = int(size * MB)
 
 
 @given("an entry that holds {size:g} MB of answers in all")
@@ -59,8 +59,8 @@
     async def main():
         entry = slow_readers.Entry(target=context.target, **context.options)
         await entry.start()
-        for name, limit in context.limits.items():
-            getattr(entry.server, name).limit = limit
+        memory = entry.server.memory
+        memory.limits = memory.limits._replace(**context.limits)
         context.entry = entry
         try:
             await body(entry)
@@ -219,9 +219,9 @@
         context.held = 0
         while not all(task.done() for task in tasks):
             await asyncio.sleep(0.01)
-            context.held = max(context.held, entry.server.bodies.total)
+            context.held = max(context.held, entry.server.memory.requests)
         context.answers = [task.result() for task in tasks]
-        context.left = entry.server.bodies.total
+        context.left = entry.server.memory.requests
 
     run(context, body)
 
--- a/jasperweir/components/quarantine/fingerprint.py
+++ b/jasperweir/components/quarantine/fingerprint.py
@@ -55,7 +55,7 @@
     host: bytes
     target: bytes
     customer: str
-    body: bytes
+    body: bytes | bytearray
     service: str = ""
     prompt_parts: tuple[str, ...] = ()
 
--- a/jasperweir/daemons/loop_host.py
+++ b/jasperweir/daemons/loop_host.py
@@ -1,6 +1,7 @@
 """Runtime of a deployed process: event loop, link, signals and logs."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 from collections.abc import Coroutine
 import math
@@ -17,6 +18,7 @@
 from jasperweir.helpers import logs
 from jasperweir.helpers import loop_link
 from jasperweir.helpers import metrics as metrics_lib
+from jasperweir.helpers import request_memory
 
 _log = logs.logger("host")
 
@@ -92,6 +94,7 @@
         link: Connections to other Jasperweir processes.
         metrics: Counters, gauges and histograms.
         pages: Additional handlers on the metrics address, by path.
+        memory: Account of the connections to all servers of the process.
     """
 
     def __init__(
@@ -100,8 +103,24 @@
         cfg: node_settings.NodeSettings,
         on_frame: Callable[[str, Any], None],
         level: str = "info",
+        shares: request_memory.Shares = request_memory.OTHER_SHARES,
     ) -> None:
+        """Initialize a process that is not started.
+
+        Args:
+            cfg: Settings of the process.
+            on_frame: Called with the sender and each message.
+            level: Lowest level of log lines.
+            shares: Shares of the VM's memory for connections.
+        """
         self.cfg = cfg
+        self.memory = request_memory.RequestMemory(
+            limits=request_memory.derive_limits(
+                memory_mb=cfg.limits.memory_mb,
+                descriptors=cfg.limits.descriptors,
+                shares=shares,
+            )
+        )
         self.clock = core.SystemClock()
         seed = int.from_bytes(os.urandom(8), "little")
         self.rng = random.Random(seed)
@@ -110,6 +129,8 @@
         self.metrics = metrics_lib.Metrics(labels={"node": cfg.machine})
         self._logs = logs.setup_bounded(level=level, node=cfg.machine)
         self._on_frame = on_frame
+        # Limits that were met, as last logged.
+        self._closed_logged: collections.Counter[str] = collections.Counter()
         self._loop: asyncio.AbstractEventLoop | None = None
         self._servers: list[http_server.Server] = []
         self._age_check_scheduled = False
@@ -158,7 +179,9 @@
         self, address: str, handler: http_server.Handler
     ) -> http_server.Server:
         """Start an HTTP server on an address."""
-        server = http_server.Server(address=address, handler=handler)
+        server = http_server.Server(
+            address=address, handler=handler, memory=self.memory
+        )
         server.on_first = self._schedule_age_check
         await server.start()
         self._servers.append(server)
@@ -250,9 +273,24 @@
         self._age_check_scheduled = False
         for server in self._servers:
             server.check_ages()
+        self._log_closed()
         if any(server.connections for server in self._servers):
             self._schedule_age_check()
 
+    def _log_closed(self) -> None:
+        """Log which limits on connections were met since the last call."""
+        closed = self.memory.closed
+        if closed == self._closed_logged:
+            return
+        self._closed_logged = closed.copy()
+        _log.warning(
+            "connections closed by a limit",
+            **closed,
+            request_bytes=self.memory.requests,
+            unsent_bytes=self.memory.unsent.total,
+            open=sum(len(server.connections) for server in self._servers),
+        )
+
     def _schedule_flush(self) -> None:
         assert self._loop is not None
         if not self._loop.is_closed():
@@ -272,12 +310,20 @@
             self.metrics.gauge("link_kind_frames", traffic.frames, **labels)
             self.metrics.gauge("link_kind_bytes", traffic.size, **labels)
 
+    def _export_memory_metrics(self) -> None:
+        """Copy the account of connections into the metrics."""
+        self.metrics.gauge("request_bytes", float(self.memory.requests))
+        self.metrics.gauge("unsent_bytes", float(self.memory.unsent.total))
+        for limit, count in self.memory.closed.items():
+            self.metrics.gauge("closed_by_limit", float(count), limit=limit)
+
     def _on_metrics(self, answering: http_server.ResponseWriter) -> None:
         page = self.pages.get(answering.request.path)
         if page is not None:
             page(answering)
             return
         self._export_link_metrics()
+        self._export_memory_metrics()
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
         answering.reply(200, headers, self.metrics.render())
 
--- a/jasperweir/daemons/node_settings.py
+++ b/jasperweir/daemons/node_settings.py
@@ -30,6 +30,18 @@
     cold_tolerance: float = 5.0
 
 
+class VmLimits(NamedTuple):
+    """What a VM has for its processes.
+
+    Attributes:
+        memory_mb: Memory of all its processes, megabytes; 0 if unknown.
+        descriptors: Descriptors that a process may open, 0 if unknown.
+    """
+
+    memory_mb: float = 0.0
+    descriptors: int = 0
+
+
 class NodeSettings(NamedTuple):
     """Settings of one process, read at its start.
 
@@ -53,6 +65,7 @@
             loss of service.
         bounds: Time limits and retry budget.
         data_centres: All data centres of the deployment, empty if unknown.
+        limits: What the VM has for its processes.
     """
 
     machine: str
@@ -72,6 +85,7 @@
     lost_at_once: int
     bounds: Bounds
     data_centres: tuple[str, ...] = ()
+    limits: VmLimits = VmLimits()
 
     @property
     def wanted_seats(self) -> int:
--- a/jasperweir/daemons/site_entry.py
+++ b/jasperweir/daemons/site_entry.py
@@ -43,6 +43,7 @@
 from jasperweir.helpers import http_message
 from jasperweir.helpers import http_server
 from jasperweir.helpers import logs
+from jasperweir.helpers import request_memory
 
 _log = logs.logger("entry")
 
@@ -102,7 +103,11 @@
     ) -> None:
         self._cfg = cfg
         self._dialect = dialect
-        self._host = loop_host.LoopHost(cfg=cfg, on_frame=self._on_frame)
+        self._host = loop_host.LoopHost(
+            cfg=cfg,
+            on_frame=self._on_frame,
+            shares=request_memory.CALLER_SHARES,
+        )
         self._engines = engine_client.RemoteEngines(
             dialect=engines, send=self._host.send
         )
--- a/jasperweir/helpers/byte_totals.py
+++ b/jasperweir/helpers/byte_totals.py
@@ -11,12 +11,10 @@
     """Bytes by holder and their sum.
 
     Attributes:
-        limit: Most bytes of all holders together.
         total: Bytes of all holders together.
     """
 
-    def __init__(self, *, limit: int) -> None:
-        self.limit = limit
+    def __init__(self) -> None:
         self.total = 0
         self._sizes: dict[Holder, int] = {}
 
@@ -32,16 +30,23 @@
         """Return the bytes of a holder."""
         return self._sizes.get(holder, 0)
 
-    @property
-    def is_exceeded(self) -> bool:
-        """Whether all holders together have more than the limit."""
-        return self.total > self.limit
+    def list_holders(self) -> list[Holder]:
+        """Return all holders, the first one first."""
+        return list(self._sizes)
 
     def refresh(self, measure: Callable[[Holder], int]) -> None:
         """Measure each holder again, since buffers drain without notice."""
         for holder in list(self._sizes):
             self.set(holder, measure(holder))
 
-    def find_largest(self) -> Holder:
-        """Return the holder with the most bytes; there must be one."""
-        return max(self._sizes, key=self._sizes.__getitem__)
+    def find_largest(self, besides: Holder | None = None) -> Holder | None:
+        """Return the holder with the most bytes, None if there is none.
+
+        Args:
+            besides: A holder that doesn't count.
+        """
+        return max(
+            (holder for holder in self._sizes if holder is not besides),
+            key=self._sizes.__getitem__,
+            default=None,
+        )
--- a/jasperweir/helpers/http_client.py
+++ b/jasperweir/helpers/http_client.py
@@ -130,7 +130,10 @@
         return clocks.elapsed() < self.usable_until
 
     def send(
-        self, data: bytes, listener: ResponseListener, body: bytes = b""
+        self,
+        data: bytes,
+        listener: ResponseListener,
+        body: bytes | bytearray = b"",
     ) -> None:
         """Send one request; the listener receives the response.
 
@@ -155,6 +158,10 @@
             part = self._unsent[:WRITE_PART_BYTES]
             self._unsent = self._unsent[WRITE_PART_BYTES:]
             self._transport.write(part)
+        if not self._unsent:
+            # An empty view would keep the whole body while the connection is
+            # idle.
+            self._unsent = memoryview(b"")
 
     def pause_reading(self) -> None:
         """Stop reading the response, so that the server has to wait."""
--- a/jasperweir/helpers/http_message.py
+++ b/jasperweir/helpers/http_message.py
@@ -31,7 +31,8 @@
         method: Method in upper case.
         target: Request target as received: path and query.
         headers: Pairs of lower-case name and value, in the order received.
-        body: Complete body after transfer decoding.
+        body: Complete body after transfer decoding; a large one is a
+            ``bytearray``, which nobody changes.
         keep_alive: Whether the caller keeps the connection open.
         version: HTTP version, such as ``1.1``.
     """
@@ -39,7 +40,7 @@
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
     keep_alive: bool
     version: str = "1.1"
 
--- a/jasperweir/helpers/http_server.py
+++ b/jasperweir/helpers/http_server.py
@@ -13,9 +13,9 @@
 
 import httptools
 
-from jasperweir.helpers import byte_totals
 from jasperweir.helpers import clocks
 from jasperweir.helpers import http_message
+from jasperweir.helpers import request_memory
 
 # Most pipelined requests of a connection that wait for an earlier response.
 MAX_PIPELINED = 16
@@ -29,12 +29,15 @@
 # Send buffer of a connection in the kernel, which would grow to several MB for
 # a caller that doesn't read.
 SEND_BUFFER_BYTES = 64 * 1024
-# Most unsent bytes of all connections of a server, a quarter of an entry's
-# memory; above it the connections with the most are reset.
-UNSENT_TOTAL_BYTES = 48 * 1024 * 1024
-# Request bodies of all connections above which none are read on, until the
-# responses to earlier requests release some.
-BODY_TOTAL_BYTES = 64 * 1024 * 1024
+# Most bytes that are read at once; what they grow to as header fields is known
+# only after they are parsed.
+READ_BYTES = 16 * 1024
+# An unfinished head is counted above this size.
+COUNTED_HEAD_BYTES = 4 * 1024
+# Size at which a part of a body is complete.
+BODY_PART_BYTES = 64 * 1024
+# Memory for a body of unknown length is reserved in steps of this size.
+RESERVED_STEP_BYTES = 64 * 1024
 # Most bytes in a row of a request that belong to no head and no body: empty
 # lines, the size and the extension of a chunk, or a trailer.
 FRAMING_BYTES = 64 * 1024
@@ -145,9 +148,18 @@
         """
         if self.done:
             return
-        self.done = True
+        self.detach()
         self._conn.abort()
 
+    def detach(self) -> None:
+        """End the response, and call nobody any more.
+
+        The handler's callbacks refer to the request, and would keep it in
+        memory until the garbage collector runs.
+        """
+        self.done = True
+        self.on_gone = self.on_paused = self.on_writable = None
+
     def _head(self, status: int, headers: http_message.Headers) -> bytes:
         self.started = True
         if self.is_until_close or not self._conn.keeps_alive(self.request):
@@ -160,7 +172,7 @@
         )
 
     def _finish(self) -> None:
-        self.done = True
+        self.detach()
         self._conn.on_response_done(self)
 
 
@@ -183,13 +195,31 @@
         self._idle_since = clocks.elapsed()
         self._reading_since = 0.0
         self._head_bytes = 0
+        # Bytes of a read that begins with a request, until its head begins.
+        self._fresh_bytes = 0
         self._body_bytes = 0
         # Bytes in a row that belong to no head and no body.
         self._framing_bytes = 0
         self._in_head = False
         self._target = b""
+        # Fields of an unfinished head, each ``name:value`` and a line feed; as
+        # objects they would take many times as much.
+        self._fields = bytearray()
         self._headers: http_message.Headers = []
-        self._body: list[bytes] = []
+        self._head_cost = 0
+        # Stated length of a body, 0 if it has none.
+        self._length = 0
+        # A body of a large stated length; reading it copies nothing.
+        self._body: bytearray | None = None
+        # Parts of any other one, so that small chunks take no more memory than
+        # their bytes.
+        self._parts: list[bytearray] = []
+        self._reserved = 0
+        self._received_at = 0.0
+        # Whether a request waits for the response to the one before it.
+        self._is_behind = False
+        # What each accepted request is counted with.
+        self._costs: collections.deque[int] = collections.deque()
 
     # Transport callbacks.
 
@@ -198,6 +228,9 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(HIGH_WATER_BYTES, LOW_WATER_BYTES)
+        if hasattr(transport, "max_size"):
+            # asyncio's transports read up to 256 KiB at once otherwise.
+            transport.max_size = READ_BYTES
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
@@ -209,27 +242,33 @@
         self._server.connections.add(self)
         if is_first:
             self._server.on_first()
+        self._memory.open(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the disconnect to the handler of the current request."""
         self._server.connections.discard(self)
-        self._server.unsent.set(self, 0)
         self._closing = True
         current = self._current
         self._current = None
         self._queue.clear()
-        self._release_body(self._server.bodies.get(self))
+        self._costs.clear()
+        self._forget_unfinished()
+        self._memory.close(self)
         if current is not None and not current.done:
-            current.done = True
-            if current.on_gone is not None:
-                current.on_gone()
+            on_gone = current.on_gone
+            current.detach()
+            if on_gone is not None:
+                on_gone()
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes from the caller."""
         if self._closing:
             return
+        self._received_at = clocks.elapsed()
+        self._fresh_bytes = 0
         if not self._reading_since:
-            self._reading_since = clocks.elapsed()
+            self._reading_since = self._received_at
+            self._fresh_bytes = len(data)
         if self._in_head or not self._body_bytes:
             self._head_bytes += len(data)
         self._framing_bytes += len(data)
@@ -239,7 +278,10 @@
             self._reject(400)
         except httptools.HttpParserError:
             self._reject(400)
-        if self._in_head and self._head_bytes > self._limits.header_bytes:
+        self._count_unfinished()
+        # A complete head is checked field by field.
+        most = self._limits.header_bytes + READ_BYTES
+        if self._in_head and self._head_bytes > most:
             self._reject(431)
         elif self._framing_bytes > max(
             self._limits.header_bytes, FRAMING_BYTES
@@ -256,7 +298,7 @@
     def resume_writing(self) -> None:
         """Tell the handler of the current request to go on."""
         self._is_writable = True
-        self._server.unsent.set(self, self.unsent_bytes)
+        self._memory.set_unsent(self, self.unsent_bytes)
         current = self._current
         if current is not None and current.on_writable is not None:
             current.on_writable()
@@ -270,49 +312,74 @@
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
         self._in_head = True
-        self._head_bytes = 0
+        self._head_bytes, self._fresh_bytes = self._fresh_bytes, 0
         self._body_bytes = 0
         self._target = b""
+        self._fields = bytearray()
         self._headers = []
-        self._body = []
+        self._body = None
+        self._parts = []
+        self._length = 0
+        self._reserved = 0
 
     def on_url(self, url: bytes) -> None:
         """Store a part of the request target."""
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
-        self._headers.append((name.lower(), value))
+        """Store a header; a trailer is discarded.
+
+        Fields of a trailer must not be taken for those of the head (RFC 9110,
+        section 6.5.1).
+        """
+        if self._in_head and not self._closing:
+            self._fields += b"%b:%b\n" % (name.lower(), value)
 
     def on_headers_complete(self) -> None:
         """Check the limits and confirm ``Expect: 100-continue``."""
         self._in_head = False
         self._framing_bytes = 0
-        size = sum(len(k) + len(v) + 4 for k, v in self._headers)
+        if self._closing:
+            return
+        lines = self._fields.split(b"\n")[:-1]
+        # Each field has two more bytes on the wire.
+        size = len(self._fields) + 2 * len(lines)
         if size + len(self._target) > self._limits.header_bytes:
             self._reject(431)
             return
+        self._headers = _split_fields(lines)
+        self._head_cost = size + request_memory.FIELD_BYTES * len(lines)
+        self._fields = bytearray()
         length = http_message.find(self._headers, b"content-length")
         if length is not None and int(length) > self._limits.body_bytes:
             self._reject_body(int(length))
             return
+        self._length = int(length or 0)
+        if self._length:
+            self._reserve(self._length)
         if http_message.find(self._headers, b"expect") is not None:
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
+        if self._closing:
+            return
         self._body_bytes += len(body)
         self._framing_bytes = 0
         if self._body_bytes > self._limits.body_bytes:
             self._reject_body(self._body_bytes)
             return
-        self._body.append(body)
-        bodies = self._server.bodies
-        bodies.set(self, bodies.get(self) + len(body))
+        self._store(body)
+        if self._body_bytes > self._reserved and not self._is_held_back:
+            self._reserve(self._body_bytes + RESERVED_STEP_BYTES)
         is_pipelined = self._current is not None or bool(self._queue)
-        is_large = bodies.get(self) > self._limits.body_bytes
-        if bodies.is_exceeded or (is_pipelined and is_large):
-            self._server.hold_back(self)
+        accepted = self._memory.accepted.get(self)
+        if (
+            is_pipelined
+            and accepted + self._body_bytes > self._limits.body_bytes
+        ):
+            self._is_behind = True
+            self.pause_reading()
 
     def on_message_complete(self) -> None:
         """Queue a complete request."""
@@ -321,18 +388,26 @@
         self._framing_bytes = 0
         if self._closing:
             return
+        cost = self._head_cost + self._body_bytes
+        if not self._memory.accept(self, cost):
+            self._reject(503)
+            return
         req = http_message.Request(
             method=self._parser.get_method(),
             target=self._target,
             headers=self._headers,
-            body=b"".join(self._body),
+            body=b"".join(self._parts) if self._body is None else self._body,
             keep_alive=self._parser.should_keep_alive(),
             version=self._parser.get_http_version(),
         )
+        self._body = None
+        self._parts = []
         if len(self._queue) >= MAX_PIPELINED:
             self.abort()
             return
+        self._memory.note_busy(self)
         self._queue.append(req)
+        self._costs.append(cost)
         # The parser would hide the errors of a handler called from here.
         asyncio.get_running_loop().call_soon(self._handle_next)
 
@@ -345,7 +420,7 @@
         self._transport.write(data)
         unsent = self._transport.get_write_buffer_size()
         if unsent:
-            self._server.on_unsent(self, unsent)
+            self._memory.set_unsent(self, unsent)
 
     def check_unsent(self) -> None:
         """Abort the connection if a response outruns its caller too far."""
@@ -366,6 +441,8 @@
 
     def resume_reading(self) -> None:
         """Read from the caller again."""
+        if self._is_held_back:
+            return
         if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
 
@@ -378,7 +455,13 @@
         if self._current is not answering:
             return
         self._current = None
-        self._release_body(len(answering.request.body))
+        if self._costs:
+            self._memory.release(self, self._costs.popleft())
+        if self._is_behind:
+            self._is_behind = False
+            self.resume_reading()
+        if not self._queue:
+            self._memory.note_idle(self)
         self._idle_since = clocks.elapsed()
         is_last = answering.is_until_close
         if is_last or not self.keeps_alive(answering.request):
@@ -423,15 +506,81 @@
             return
         if self._reading_since:
             if now - self._reading_since > self._limits.header_timeout_s:
-                self._reject(408)
+                self._reject(503 if self._is_held_back else 408)
             return
         if now - self._idle_since > self._limits.idle_timeout_s:
             self.close()
 
+    def check_stall(self, now: float) -> None:
+        """Give up a body of which nothing arrives, because others wait."""
+        if (
+            self._reading_since
+            and self._reserved
+            and not self._is_held_back
+            and now - self._received_at > request_memory.STALL_SECONDS
+        ):
+            self._memory.closed["stalled"] += 1
+            self._reject(408)
+
+    def shed(self) -> None:
+        """Reject an unfinished request, or close an idle connection."""
+        if self._reading_since:
+            self._reject(503)
+        else:
+            self.close()
+
     @property
     def _limits(self) -> ServerLimits:
         return self._server.limits
 
+    @property
+    def _memory(self) -> request_memory.RequestMemory:
+        return self._server.memory
+
+    @property
+    def _is_held_back(self) -> bool:
+        """Whether the rest of a body is read later."""
+        return self._is_behind or self._memory.is_waiting(self)
+
+    def _store(self, data: bytes) -> None:
+        """Store a part of a body; its size is already counted."""
+        is_large = self._length > BODY_PART_BYTES
+        if is_large and self._body is None and not self._is_held_back:
+            self._body = bytearray(self._length)
+            held = b"".join(self._parts)
+            self._body[: len(held)] = held
+            self._parts = []
+        if self._body is not None:
+            end = self._body_bytes
+            self._body[end - len(data) : end] = data
+            return
+        if not self._parts or len(self._parts[-1]) >= BODY_PART_BYTES:
+            self._parts.append(bytearray())
+        self._parts[-1] += data
+
+    def _reserve(self, size: int) -> None:
+        """Reserve memory for a body; read on later if there is none now."""
+        self._reserved = size
+        if not self._memory.reserve(self, self._head_cost + size):
+            self.pause_reading()
+
+    def _count_unfinished(self) -> None:
+        """Count an unfinished head, and a body that waits to be read."""
+        if self._closing or not self._reading_since:
+            return
+        if self._in_head:
+            if self._head_bytes > COUNTED_HEAD_BYTES:
+                self._memory.hold(self, self._head_bytes)
+        elif self._memory.is_waiting(self):
+            self._memory.hold(self, self._head_cost + self._body_bytes)
+
+    def _forget_unfinished(self) -> None:
+        """Release what an unfinished request holds."""
+        self._fields = bytearray()
+        self._body = None
+        self._parts = []
+        self._memory.drop_unfinished(self)
+
     def _handle_next(self) -> None:
         if self._current is not None or not self._queue or self._closing:
             return
@@ -442,15 +591,6 @@
             # The caller hasn't read the previous response.
             self.pause_writing()
 
-    def _release_body(self, size: int) -> None:
-        """Count the body of an answered request no longer."""
-        if not size:
-            return
-        bodies = self._server.bodies
-        bodies.set(self, max(bodies.get(self) - size, 0))
-        if not bodies.is_exceeded:
-            self._server.release_held_back()
-
     def _reject_body(self, size: int) -> None:
         """Reject a request whose body has at least ``size`` bytes."""
         limit = self._limits.body_bytes
@@ -480,6 +620,16 @@
             )
             self.write(head + reason)
         self.close()
+        self._forget_unfinished()
+
+
+def _split_fields(lines: list[bytearray]) -> http_message.Headers:
+    """Return the name and the value of each ``name:value``."""
+    headers = []
+    for line in lines:
+        name, _, value = bytes(line).partition(b":")
+        headers.append((name, value))
+    return headers
 
 
 class Server:
@@ -491,28 +641,35 @@
         limits: Limits on callers; may be replaced at any time.
         stopping: Whether connections close after their next response.
         connections: Open connections.
-        unsent: Unsent bytes by connection.
-        bodies: Bytes of request bodies by connection.
+        memory: Account of what connections hold.
         dead_peer_s: A connection with bytes unacknowledged for so many seconds
             is closed.
         on_first: Called when a connection opens while no other is open.
     """
 
     def __init__(
-        self, *, address: str, handler: Handler, dead_peer_s: float = 8.0
+        self,
+        *,
+        address: str,
+        handler: Handler,
+        dead_peer_s: float = 8.0,
+        memory: request_memory.RequestMemory | None = None,
     ) -> None:
+        """Initialize a server that doesn't listen yet.
+
+        Args:
+            address: Address to listen on, ``ip:port``.
+            handler: Called with the response writer of each request.
+            dead_peer_s: Time after which a connection with unacknowledged
+                bytes is closed, seconds.
+            memory: Account that servers of a process share.
+        """
         self.address = address
         self.handler = handler
         self.limits = ServerLimits()
         self.stopping = False
         self.connections: set[Connection] = set()
-        self.unsent: byte_totals.ByteTotal[Connection] = byte_totals.ByteTotal(
-            limit=UNSENT_TOTAL_BYTES
-        )
-        self.bodies: byte_totals.ByteTotal[Connection] = byte_totals.ByteTotal(
-            limit=BODY_TOTAL_BYTES
-        )
-        self._held_back: set[Connection] = set()
+        self.memory = memory or request_memory.RequestMemory()
         self.on_first: Callable[[], None] = lambda: None
         self.dead_peer_s = dead_peer_s
         self._server: asyncio.Server | None = None
@@ -533,33 +690,13 @@
             reuse_address=True,
         )
 
-    def on_unsent(self, conn: Connection, size: int) -> None:
-        """Count unsent bytes; reset the largest holders beyond the total."""
-        self.unsent.set(conn, size)
-        if not self.unsent.is_exceeded:
-            return
-        self.unsent.refresh(lambda holder: holder.unsent_bytes)
-        while self.unsent.is_exceeded:
-            largest = self.unsent.find_largest()
-            self.unsent.set(largest, 0)
-            largest.abort()
-
-    def hold_back(self, conn: Connection) -> None:
-        """Stop reading a request body until others are released."""
-        self._held_back.add(conn)
-        conn.pause_reading()
-
-    def release_held_back(self) -> None:
-        """Read the held back request bodies again."""
-        held_back, self._held_back = self._held_back, set()
-        for conn in held_back:
-            conn.resume_reading()
-
     def check_ages(self) -> None:
         """Close connections that exceed the idle or header timeout."""
         now = clocks.elapsed()
         for conn in list(self.connections):
             conn.check_age(now)
+            if self.memory.has_waiting:
+                conn.check_stall(now)
 
     @property
     def unsent_bytes(self) -> int:
