Heads of responses are checked line by line before a parser sees them

What callers saw: a target in trouble answered with status 000, and the client got it as an answer. Cause: httptools takes statuses 000 to 999, versions 0.9 and 2.0, RTSP and control bytes in the reason; http.client ends a head at the first malformed field and loses all fields after it, Content-Length too, so a body lasts until the close.

Statuses are 100 to 599: one above can't be passed on (RFC 9110, 15), and with another number it would not be the target's. A coding other than chunked is refused, since such a body has no end of its own. Requests are looked at in the same way: fields, and versions 1.0 and 1.1 only.

--- a/jasperweir/helpers/http_client.py
+++ b/jasperweir/helpers/http_client.py
@@ -10,6 +10,7 @@
 import httptools
 
 from jasperweir.helpers import clocks
+from jasperweir.helpers import http_head
 from jasperweir.helpers import http_message
 from jasperweir.helpers import logs
 from jasperweir.helpers import response_bounds
@@ -101,6 +102,7 @@
         self._times = times
         self._on_exceeded = on_exceeded
         self._bounds = response_bounds.ResponseBounds()
+        self._head_check = http_head.HeadCheck()
         self._transport: asyncio.Transport | None = None
         self._listener: ResponseListener | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -146,6 +148,7 @@
         self._listener = listener
         self._complete = False
         self._bounds = response_bounds.ResponseBounds()
+        self._head_check = http_head.HeadCheck()
         self._is_head_only = data.startswith(b"HEAD ")
         self.received = False
         self._unsent = memoryview(body)
@@ -222,7 +225,11 @@
         self.received = True
         self._bounds.on_bytes(len(data))
         try:
+            self._head_check.feed(data)
             self._parser.feed_data(data)
+        except http_head.MalformedHeadError as exc:
+            self._fail(f"malformed response: {exc}")
+            return
         except httptools.HttpParserCallbackError:
             _log.exception("error while a response was handled")
             self._fail("error while the response was handled")
--- a/jasperweir/helpers/http_server.py
+++ b/jasperweir/helpers/http_server.py
@@ -14,6 +14,7 @@
 import httptools
 
 from jasperweir.helpers import clocks
+from jasperweir.helpers import http_head
 from jasperweir.helpers import http_message
 from jasperweir.helpers import request_memory
 
@@ -42,6 +43,7 @@
 # lines, the size and the extension of a chunk, or a trailer.
 FRAMING_BYTES = 64 * 1024
 BACKLOG = 512
+_VERSIONS = ("1.0", "1.1")
 
 
 class ServerLimits(NamedTuple):
@@ -341,6 +343,12 @@
         self._framing_bytes = 0
         if self._closing:
             return
+        if (
+            not http_head.are_fields(self._fields)
+            or self._parser.get_http_version() not in _VERSIONS
+        ):
+            self._reject(400)
+            return
         lines = self._fields.split(b"\n")[:-1]
         # Each field has two more bytes on the wire.
         size = len(self._fields) + 2 * len(lines)
