--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -74,3 +74,19 @@
       | a chunk's extension    |
       | trailer lines          |
       | one trailer            |
+
+  # The own interface's operators and callers.
+  Scenario Outline: A caller of a threaded server sends <kind> without end
+    When a caller sends <kind> without end to a threaded server
+    Then the server closes the connection within 1 s, after less than 1024 KiB
+    And the reader grows by less than 4 MiB
+
+    Examples:
+      | kind                   |
+      | a target               |
+      | one header's value     |
+      | header lines           |
+      | a chunk's size         |
+      | a chunk's extension    |
+      | trailer lines          |
+      | one trailer            |
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -9,9 +9,11 @@
 from behave import then
 from behave import when
 
+from features.harness import sockets
 from jasperweir.helpers import http_client
 from jasperweir.helpers import http_fetch
 from jasperweir.helpers import http_server
+from jasperweir.helpers import web
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n"
@@ -261,6 +263,36 @@
     asyncio.run(run_caller())
 
 
+@when("a caller sends {kind} without end to a threaded server")
+def step_threaded(context, kind):
+    first, part = REQUESTS[kind]
+    address = sockets.free_address()
+    server = web.Server(
+        address=address,
+        threads=2,
+        routes=[web.Route("*", "/", lambda req: web.Resp(200, [], b""))],
+    )
+    server.start()
+    host, _, port = address.rpartition(":")
+    context.sent, context.closed_s = 0, None
+    tracemalloc.start()
+    with socket.create_connection((host, int(port))) as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        sock.settimeout(SEND_SECONDS)
+        began = time.monotonic()
+        try:
+            for data in itertools.chain((first,), itertools.repeat(part)):
+                if time.monotonic() - began > SEND_SECONDS:
+                    break
+                sock.sendall(data)
+                context.sent += len(data)
+        except OSError:
+            context.closed_s = time.monotonic() - began
+    _, context.peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    server.stop()
+
+
 @then(
     "the server closes the connection within 1 s, after less than {size:d} KiB"
 )
--- a/jasperweir/helpers/web.py
+++ b/jasperweir/helpers/web.py
@@ -21,6 +21,8 @@
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_HEADER_BYTES = 32 * 1024
+# Most bytes of a chunk's size and extension, or of a trailer.
+MAX_FRAMING_BYTES = 64 * 1024
 CHANNEL_TIMEOUT_SECONDS = 120
 CODE_HEADER = "Jasperweir-Code"
 OUTCOME_HEADER = "Jasperweir-Outcome"
@@ -142,6 +144,20 @@
 class _Channel(waitress.channel.HTTPChannel):
     task_class = _Task
 
+    def received(self, data: bytes) -> bool:
+        """Parse bytes from the caller.
+
+        waitress bounds heads and bodies, and neither the extension of a chunk
+        nor a trailer.
+        """
+        is_kept: bool = super().received(data)
+        receiver = getattr(self.request, "body_rcv", None)
+        framing = len(getattr(receiver, "control_line", b""))
+        framing += len(getattr(receiver, "trailer", b""))
+        if framing > MAX_FRAMING_BYTES:
+            self.handle_close()
+        return is_kept
+
 
 class Server:
     """Serves routes on an address with a pool of threads."""
