--- a/features/steps/confirmation_steps.py
+++ b/features/steps/confirmation_steps.py
@@ -561,9 +561,13 @@
     context.peers = PeerAnswers(context.entry)
     context.peers.list_at_site(PEERS)
     # Its control VMs are on the same VMs.
-    context.entry.client._peers = peers_lib.Peers(name="10.0.0.11:7")
+    context.entry.client._peer_exchange.peers = peers_lib.Peers(
+        name="10.0.0.11:7"
+    )
     for name in PEERS:
-        context.entry.client._peers.note_listed(name, 100.0, is_entry=True)
+        context.entry.client._peer_exchange.peers.note_listed(
+            name, 100.0, is_entry=True
+        )
 
 
 @when(
@@ -574,7 +578,7 @@
     names = PEERS[: int(number)]
     if names:
         # Its control VMs, which have other names, don't count as VMs.
-        context.entry.client._peers_updated_at = float("inf")
+        context.entry.client._peer_exchange.updated_at = float("inf")
     changes = {}
     match how.strip(" ,"):
         case "and one control VM is connected":
@@ -609,7 +613,7 @@
 )
 def step_no_longer_listed(context, count, until):
     entry = context.entry
-    entry.client._peers_updated_at = float("-inf")
+    entry.client._peer_exchange.updated_at = float("-inf")
     context.peers.list_at_site(PEERS[count:])
     while entry.now + STEP <= until:
         entry.tick(round(entry.now + STEP, 2))
@@ -617,7 +621,7 @@
             echo = entry.rounds[entry.now]
             entry.answer(entry.now, echo=echo, age_s=0.0)
     assert entry.standing is Standing.CURRENT
-    entry.client._peers_updated_at = float("inf")
+    entry.client._peer_exchange.updated_at = float("inf")
 
 
 @when("only the last {count:d} of the others answer until {until:g} s")
--- a/jasperweir/components/discovery/client.py
+++ b/jasperweir/components/discovery/client.py
@@ -8,10 +8,8 @@
 from jasperweir import core
 from jasperweir.components.configctl import messages
 from jasperweir.components.confirmation import const as confirmation_const
-from jasperweir.components.confirmation import lease_book
 from jasperweir.components.confirmation import majority as majority_lib
 from jasperweir.components.confirmation import messages as confirmation_messages
-from jasperweir.components.confirmation import peers as peers_lib
 from jasperweir.components.confirmation import rounds as rounds_lib
 from jasperweir.components.confirmation import tracker as tracker_lib
 from jasperweir.components.directory import const as directory_const
@@ -19,6 +17,7 @@
 from jasperweir.components.directory import incarnation
 from jasperweir.components.directory import records
 from jasperweir.components.discovery import commit_times as commit_times_lib
+from jasperweir.components.discovery import peer_exchange
 from jasperweir.components.discovery import version_basis
 from jasperweir.components.quorum import progress
 from jasperweir.components.registry import ops
@@ -139,13 +138,11 @@
         self._is_connected = is_connected
         self.directory = directory_lib.Directory()
         self.confirmations = tracker_lib.VersionTracker(
-            is_cut_off=self._is_cut_off, hears_majority=self._hears_majority
+            is_cut_off=self._is_cut_off,
+            hears_majority=lambda now: self._peer_exchange.peers.hears_majority(
+                now
+            ),
         )
-        self._peers = peers_lib.Peers(name=node.name)
-        self._peers_asked_at = float("-inf")
-        self._peers_updated_at = float("-inf")
-        # Entries to which a confirmation was passed on.
-        self._leases = lease_book.LeaseBook(now=now)
         self.evacuations = ops.EvacuationList()
         self.commit_times = commit_times_lib.CommitTimes()
         # When content was last requested, by control VM.
@@ -155,6 +152,12 @@
         self._wants_content = wants_content
         self._heartbeat_s = heartbeat_s
         self._rounds = rounds_lib.Rounds(first=node.incarnation << _ROUND_BITS)
+        self._peer_exchange = peer_exchange.PeerExchange(
+            node=node,
+            confirmations=self.confirmations,
+            rounds=self._rounds,
+            now=now,
+        )
         self._majority_reader = majority_lib.MajorityReader()
         self._newest_announced_at = 0.0
         self._last_pull_at = float("-inf")
@@ -211,7 +214,7 @@
 
     def count_peers(self, now: float) -> version_basis.PeerCount:
         """Return how many VMs of the site are heard and known."""
-        return version_basis.PeerCount(*self._peers.count(now))
+        return version_basis.PeerCount(*self._peer_exchange.peers.count(now))
 
     def hears_leader(self, now: float) -> bool:
         """Return whether the leader of the log answered recently."""
@@ -304,7 +307,7 @@
         out = self._pull(now)
         self._update_peers(now)
         if self._wants_content:
-            out += self._ask_peers(now)
+            out += self._peer_exchange.ask(now)
         is_asking = self._wants_content and self.confirmations.should_ask(now)
         is_reading = self._wants_content and self.confirmations.should_read(now)
         for name, control in self._heartbeat_controls(now):
@@ -338,10 +341,8 @@
         ]
         if self._controls_ahead():
             due.append(now + PULL_CHECK_SECONDS)
-        if self._wants_content and self.confirmations.should_ask_peers(now):
-            due.append(
-                self._peers_asked_at + confirmation_const.PEER_ASK_SECONDS
-            )
+        if self._wants_content:
+            due.append(self._peer_exchange.next_ask_at(now))
         return min(due, default=now + UNREACHABLE_HEARTBEAT_SECONDS)
 
     def receive(self, src: str, msg: Any, now: float) -> Actions:
@@ -365,9 +366,9 @@
             case confirmation_messages.LogState():
                 self._on_log_state(src, msg, now)
             case confirmation_messages.PeerQuery():
-                return self._answer_peer(src, msg, now)
+                return [self._peer_exchange.answer(src, msg, now)]
             case confirmation_messages.PeerState():
-                self._on_peer_state(src, msg, now)
+                self._peer_exchange.receive(src, msg, now)
             case messages.VersionNotice():
                 self._record_announced_version(src, msg.version, now)
                 self._mark_heard(src, now)
@@ -400,7 +401,7 @@
             incarnation=self.node.incarnation,
             version=self.version,
             content=content,
-            lent=self._leases.list_holders(now),
+            lent=self._peer_exchange.list_lent(now),
         )
         return [
             core.Send(dst=name, msg=held)
@@ -411,7 +412,7 @@
         """Void all confirmations, and what was asked for."""
         self.confirmations.void()
         self._rounds.void()
-        self._peers.void_answers()
+        self._peer_exchange.peers.void_answers()
         self._majority_reader = majority_lib.MajorityReader()
 
     def _mark_heard(self, src: str, now: float) -> Control:
@@ -472,7 +473,7 @@
             nodes_digest=control.nodes_digest,
             controls_digest=control.controls_digest,
             round=self._rounds.start(now),
-            lent=self._leases.list_holders(now),
+            lent=self._peer_exchange.list_lent(now),
         )
         return core.Send(dst=name, msg=heartbeat)
 
@@ -524,7 +525,7 @@
         """Use the confirmation in an answer to a heartbeat."""
         sent_at = self._rounds.find_start(msg.echo)
         if sent_at is not None:
-            self._peers.note_answer(src, sent_at)
+            self._peer_exchange.peers.note_answer(src, sent_at)
         confirmation = self._rounds.date_confirmation(src, msg)
         if confirmation is None:
             return
@@ -549,91 +550,15 @@
         if reading is not None:
             self.confirmations.use_reading(reading, now)
 
-    # Other entries.
-
     def _update_peers(self, now: float) -> None:
-        """Update which VMs are known, while the version held is current."""
-        due_at = self._peers_updated_at + confirmation_const.PEER_UPDATE_SECONDS
-        if now < due_at or not self._wants_content:
-            return
-        if self.confirmations.standing(now) is not tracker_lib.Standing.CURRENT:
-            return
-        self._peers_updated_at = now
-        for name, control in self._controls.items():
-            if control.heartbeat is not None:
-                self._peers.note_listed(name, control.heard_at, is_entry=False)
-        for node in self.open_entries(now):
-            self._peers.note_listed(node.name, now, is_entry=True)
-        self._peers.note_current(now)
-
-    def _ask_peers(self, now: float) -> Actions:
-        """Ask other entries what is newest, while no control VM says so."""
-        due_at = self._peers_asked_at + confirmation_const.PEER_ASK_SECONDS
-        if (
-            not self.confirmations.should_ask_peers(now)
-            or now < due_at - _TICK_TOLERANCE_SECONDS
-        ):
-            return []
-        self._peers_asked_at = now
-        query = confirmation_messages.PeerQuery(
-            round=self._rounds.start(now),
-            incarnation=self.node.incarnation,
-            version=self.version,
-            evacuations=self.confirmations.held_evacuations,
-        )
-        return [
-            core.Send(dst=name, msg=query)
-            for name in self._peers.list_entries()
-        ]
-
-    def _answer_peer(
-        self, src: str, msg: confirmation_messages.PeerQuery, now: float
-    ) -> Actions:
-        """Tell another entry what is newest, and pass a confirmation on."""
-        confirmations = self.confirmations
-        age_s = -1.0
-        # An order would wait for a process that can't use the confirmation.
-        can_use = (
-            msg.version >= confirmations.held
-            and msg.evacuations >= confirmations.held_evacuations
-        )
-        if can_use and confirmations.may_deny(now):
-            age_s = confirmations.age_s(now)
-            self._leases.give(lease_book.Holder(src, msg.incarnation), now)
-        state = confirmation_messages.PeerState(
-            echo=msg.round,
-            newest=confirmations.newest_known,
-            newest_evacuations=confirmations.newest_evacuations,
-            version=confirmations.held,
-            evacuations=confirmations.held_evacuations,
-            confirmed_age_s=age_s,
-        )
-        return [core.Send(dst=src, msg=state)]
-
-    def _on_peer_state(
-        self, src: str, msg: confirmation_messages.PeerState, now: float
-    ) -> None:
-        """Use what another entry knows."""
-        self.confirmations.note_announced(msg.newest, now)
-        self.confirmations.note_announced_evacuations(
-            msg.newest_evacuations, now
-        )
-        sent_at = self._rounds.find_start(msg.echo)
-        if sent_at is None:
-            return
-        self._peers.note_answer(src, sent_at)
-        if msg.confirmed_age_s < 0:
-            return
-        confirmation = tracker_lib.Confirmation(
-            version=msg.version,
-            as_of=sent_at - msg.confirmed_age_s,
-            source=src,
-            evacuations=msg.evacuations,
-        )
-        self.confirmations.confirm(confirmation, now)
-
-    def _hears_majority(self, now: float) -> bool:
-        return self._peers.hears_majority(now)
+        """Update which VMs of the site are known."""
+        if self._wants_content and self._peer_exchange.is_update_due(now):
+            heard = [
+                (name, control.heard_at)
+                for name, control in self._controls.items()
+                if control.heartbeat is not None
+            ]
+            self._peer_exchange.update(heard, self.open_entries(now), now)
 
     def _apply_evacuations(
         self, revision: int, places: tuple[str, ...], now: float
