A request that is complete waits for no memory

A body whose rest had already arrived when it had to wait was accepted and kept its place in the queue of those that wait; later it was counted once more, as unfinished, for as long as its connection was idle. Found by reading the change. A 503 for want of memory has a Retry-After of 1 s now.

--- a/features/request_memory.feature
+++ b/features/request_memory.feature
@@ -51,6 +51,19 @@
     When large bodies wait, and a caller sends a body of 20000 bytes
     Then the last one is answered 200 while the large ones wait
 
+  # Guards against a request that counts twice.
+  Scenario: A body that is complete before there is room for it
+    Given a server with 50000 bytes for requests
+    When two bodies are unfinished, and a caller sends a whole one of 12000 bytes
+    Then it is answered 200 and counts no longer
+    And nothing is counted after it
+
+  # What can't be read now has not run, and the caller may return.
+  Scenario: A rejection for want of memory says when to return
+    Given a server with 40000 bytes for requests
+    When callers send 9000, 15000, 9000 and 9000 bytes of a head and stop
+    Then the rejection has a Retry-After
+
   Scenario: A connection beyond the limit closes the one that is idle longest
     Given a server with 3 connections
     When callers open 3 connections, the first of which has a request
--- a/features/steps/request_memory_steps.py
+++ b/features/steps/request_memory_steps.py
@@ -37,6 +37,8 @@
         self.requests = []
         self.held = []
         self.answers_later = False
+        # Whether bodies that stall are given up.
+        self.gives_up = True
 
     def _handle(self, answering):
         self.requests.append(answering.request)
@@ -50,7 +52,8 @@
     async def check_ages(self):
         while True:
             await asyncio.sleep(AGE_SECONDS)
-            self.server.check_ages()
+            if self.gives_up:
+                self.server.check_ages()
 
     async def open(self):
         host, _, port = self.server.address.rpartition(":")
@@ -170,7 +173,9 @@
             writer.write((HEAD + b"a: " + b"x" * size)[:size])
             await asyncio.sleep(SETTLE_SECONDS)
             readers.append((reader, writer))
-        context.status = await read_status(readers[1][0])
+        context.head = await readers[1][0].readuntil(b"\r\n\r\n")
+        context.status = int(context.head.split(b" ")[1])
+        await asyncio.sleep(SETTLE_SECONDS)
         context.open = [not r.at_eof() for r, _ in readers]
 
     run(context, body)
@@ -182,6 +187,11 @@
     assert context.open == [True, False, True, True], context.open
 
 
+@then("the rejection has a Retry-After")
+def step_retry_after(context):
+    assert b"retry-after: 1\r\n" in context.head, context.head
+
+
 @when(
     "{count:d} callers send all of a body of {size:d} bytes but its end, and"
     " one all"
@@ -235,6 +245,40 @@
         gc.enable()
 
 
+@when(
+    "two bodies are unfinished, and a caller sends a whole one of {size:d}"
+    " bytes"
+)
+def step_whole(context, size):
+    async def body(rig):
+        rig.gives_up = False
+        pairs = [await rig.open() for _ in range(3)]
+        for (_, writer), length in zip(
+            pairs[:2], (40_000, 30_000), strict=True
+        ):
+            writer.write(HEAD + b"Content-Length: %d\r\n\r\n" % length)
+            writer.write(b"x" * (length // 2))
+            await asyncio.sleep(SETTLE_SECONDS / 3)
+        reader, writer = pairs[2]
+        head = HEAD + b"Content-Length: %d\r\n\r\n" % size
+        writer.write(head + b"x" * size)
+        context.last = await read_status(reader)
+        context.counted = rig.memory.requests
+        for _, writer in pairs:
+            writer.close()
+        await asyncio.sleep(SETTLE_SECONDS)
+        context.left = rig.memory.requests
+
+    run(context, body)
+
+
+@then("it is answered 200 and counts no longer")
+def step_counts_no_longer(context):
+    assert context.last == 200, context.last
+    # One unfinished body is left; the larger one had to go.
+    assert context.counted <= 31_000, context.counted
+
+
 def count_bodies(size):
     """Return the number of requests in memory with a body of some size."""
     return sum(
--- a/jasperweir/helpers/http_server.py
+++ b/jasperweir/helpers/http_server.py
@@ -43,6 +43,8 @@
 # lines, the size and the extension of a chunk, or a trailer.
 FRAMING_BYTES = 64 * 1024
 BACKLOG = 512
+# Time after which a caller may return whose request found no memory, seconds.
+RETRY_AFTER_SECONDS = 1
 _VERSIONS = ("1.0", "1.1")
 
 
@@ -619,12 +621,14 @@
         if self._closing:
             return
         if self._current is None:
+            headers = [
+                (b"content-length", b"%d" % len(reason)),
+                (b"connection", b"close"),
+            ]
+            if status == 503:
+                headers.append((b"retry-after", b"%d" % RETRY_AFTER_SECONDS))
             head = http_message.write_head(
-                http_message.status_line(status),
-                [
-                    (b"content-length", b"%d" % len(reason)),
-                    (b"connection", b"close"),
-                ],
+                http_message.status_line(status), headers
             )
             self.write(head + reason)
         self.close()
--- a/jasperweir/helpers/request_memory.py
+++ b/jasperweir/helpers/request_memory.py
@@ -211,6 +211,9 @@
     def accept(self, holder: Holder, size: int) -> bool:
         """Count a complete request; return whether there is room for it."""
         self.unfinished.set(holder, 0)
+        if self._stop_waiting(holder):
+            # What is left of its body had already arrived.
+            holder.resume_reading()
         held = self.accepted.get(holder)
         self.accepted.set(holder, held + size)
         self._relieve()
@@ -233,8 +236,7 @@
     def drop_unfinished(self, holder: Holder) -> None:
         """Count an unfinished request no longer, because it is given up."""
         self.unfinished.set(holder, 0)
-        self._waiting_small.pop(holder, None)
-        self._waiting_large.pop(holder, None)
+        self._stop_waiting(holder)
         if holder is self._exempt and not self.accepted.get(holder):
             self._exempt = None
         self._resume()
@@ -255,6 +257,11 @@
             self.closed["unsent"] += 1
             largest.abort()
 
+    def _stop_waiting(self, holder: Holder) -> bool:
+        """Let a connection wait no longer; return whether it did."""
+        small = self._waiting_small.pop(holder, None)
+        return (small or self._waiting_large.pop(holder, None)) is not None
+
     def _fits(self, holder: Holder, size: int) -> bool:
         if self._exempt is holder:
             return True
