Soak: a reload during a start reaches the program, not the rig

The program ignores the signal as its first step, but the rig's wrapper imported the links before that, which takes about as long as a start. The wrapper ignores it first, too, so the test meets the program's window and no longer one of its own. The check of the exit code is unchanged.

--- a/features/harness/deaf_role.py
+++ b/features/harness/deaf_role.py
@@ -22,6 +22,7 @@
 import os
 import pathlib
 import runpy
+import signal
 import sys
 import threading
 import time
@@ -158,6 +159,8 @@
 
 
 def main():
+    # As the program does first; the imports below take as long as a start.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path = pathlib.Path(os.environ["JASPERWEIR_TEST_DEAF"])
     disturbances = Disturbances(path)
     _disturb_links(disturbances)
